--- /dev/null
+++ b/core/relayer/relayer.go
@@ -0,0 +1,366 @@
+// Package relayer distributes versioned items to every host over a tree of hosts.
+//
+// An item enters at any host and is flooded over the connections of the tree, upwards and downwards. A host accepts an
+// item only if its version is higher than the one it holds, so nothing reverts and no item travels in circles. Two
+// neighbours exchange digests when they connect and then send each other what the other one lacks.
+//
+// The number of neighbours of a host is bounded by the fan-out, whatever the size of the fleet.
+//
+// # Usage
+//
+//	r := relayer.New(relayer.Options{Self: "host-1", Seed: 1})
+//	actions := r.Step(now, relayer.Hosts{Names: names})
+//	// dial, send and deliver as the actions say
+package relayer
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// Options of a relayer.
+type Options struct {
+	Self   string
+	Seed   uint64 // same on every host
+	Roots  int    // default 3
+	Fanout int    // default 8: with 3,400 hosts four hops, and at most 11 neighbours
+}
+
+const (
+	defaultRoots  = 3
+	defaultFanout = 8
+	// heartbeatInterval is the longest time without a frame to a neighbour.
+	heartbeatInterval = 250 * time.Millisecond
+	// silenceTimeout is the silence after which a neighbour counts as lost; three heartbeats may be missed.
+	silenceTimeout = time.Second
+	// redialInterval is the pause before a parent is tried again.
+	redialInterval = 2 * time.Second
+	// maxRevisions bounds the progress histogram; older revisions are merged into the oldest kept one.
+	maxRevisions = 8
+)
+
+type neighbour struct {
+	outbound  bool
+	lastHeard time.Duration
+	lastSent  time.Duration
+	subtree   []RevisionCount
+}
+
+// Relayer is the state machine of one host. It is not safe for concurrent use.
+type Relayer struct {
+	options    Options
+	tree       Tree
+	items      map[Key]Item
+	neighbours map[string]*neighbour
+	parent     string                   // the parent that is connected or being dialled, empty for roots
+	failed     map[string]time.Duration // candidates that could not be reached, with the time of the failure
+	dialling   map[string]bool
+	inForce    uint64
+	sentUp     []RevisionCount
+}
+
+// New returns a relayer without items and neighbours.
+func New(options Options) *Relayer {
+	if options.Roots == 0 {
+		options.Roots = defaultRoots
+	}
+	if options.Fanout == 0 {
+		options.Fanout = defaultFanout
+	}
+	return &Relayer{
+		options:    options,
+		items:      map[Key]Item{},
+		neighbours: map[string]*neighbour{},
+		failed:     map[string]time.Duration{},
+		dialling:   map[string]bool{},
+	}
+}
+
+// IsRoot reports whether this host is a root and should watch the store.
+func (r *Relayer) IsRoot() bool {
+	return r.tree.IsRoot(r.options.Self)
+}
+
+// Connected reports whether this host has a neighbour, and for a host that is not a root, a parent.
+func (r *Relayer) Connected() bool {
+	if r.IsRoot() {
+		return len(r.neighbours) > 0 || len(r.tree.Order) == 1
+	}
+	return r.parent != "" && r.neighbours[r.parent] != nil
+}
+
+// Item returns the state of an item that this host holds.
+func (r *Relayer) Item(key Key) (Item, bool) {
+	item, ok := r.items[key]
+	return item, ok
+}
+
+// Keys returns the keys of all items of a kind, deleted ones included.
+func (r *Relayer) Keys(kind Kind) []Key {
+	var keys []Key
+	for key := range r.items {
+		if key.Kind == kind {
+			keys = append(keys, key)
+		}
+	}
+	sort.Slice(keys, func(i, j int) bool { return lessKey(keys[i], keys[j]) })
+	return keys
+}
+
+// Step applies one event and returns what is to be done.
+func (r *Relayer) Step(now time.Duration, event Event) []Action {
+	var actions []Action
+	switch e := event.(type) {
+	case Hosts:
+		r.tree = NewTree(e.Names, r.options.Seed, r.options.Roots, r.options.Fanout)
+		actions = r.choosePeers()
+	case PeerUp:
+		actions = r.peerUp(now, e)
+	case PeerDown:
+		actions = r.peerDown(now, e.Peer)
+	case Received:
+		actions = r.receive(now, e)
+	case Published:
+		actions = r.accept(now, "", e.Item)
+	case InForce:
+		r.inForce = e.Revision
+	case Ticked:
+		actions = r.tick(now)
+	}
+	return actions
+}
+
+func (r *Relayer) peerUp(now time.Duration, e PeerUp) []Action {
+	delete(r.dialling, e.Peer)
+	delete(r.failed, e.Peer)
+	r.neighbours[e.Peer] = &neighbour{outbound: e.Outbound, lastHeard: now}
+	r.sentUp = nil
+	return []Action{r.send(now, e.Peer, Frame{Digest: r.digest(), HasDigest: true})}
+}
+
+func (r *Relayer) peerDown(now time.Duration, peer string) []Action {
+	delete(r.dialling, peer)
+	var actions []Action
+	if lost := r.neighbours[peer]; lost != nil {
+		delete(r.neighbours, peer)
+		if !lost.outbound {
+			actions = append(actions, ChildLost{Peer: peer})
+		}
+	}
+	r.failed[peer] = now
+	if r.parent == peer {
+		r.parent = ""
+	}
+	return append(actions, r.choosePeers()...)
+}
+
+func (r *Relayer) receive(now time.Duration, e Received) []Action {
+	from := r.neighbours[e.Peer]
+	if from == nil {
+		return nil
+	}
+	from.lastHeard = now
+	if e.Frame.Subtree != nil {
+		from.subtree = e.Frame.Subtree
+	}
+	var actions []Action
+	if e.Frame.HasDigest {
+		if missing := r.missing(e.Frame.Digest); len(missing) > 0 {
+			actions = append(actions, r.send(now, e.Peer, Frame{Items: missing}))
+		}
+	}
+	for _, item := range e.Frame.Items {
+		actions = append(actions, r.accept(now, e.Peer, item)...)
+	}
+	if e.Frame.Leaving && r.parent == e.Peer {
+		r.failed[e.Peer] = now
+		r.parent = ""
+		actions = append(actions, Hangup{Peer: e.Peer})
+		actions = append(actions, r.choosePeers()...)
+	}
+	return actions
+}
+
+// accept keeps an item if it is newer than the held one and passes it on to every neighbour but its sender.
+func (r *Relayer) accept(now time.Duration, sender string, item Item) []Action {
+	held, ok := r.items[item.Key]
+	if ok && !held.Version.Less(item.Version) {
+		return nil
+	}
+	r.items[item.Key] = item
+	if sender != "" && item.Key == (Key{Kind: Progress, Name: r.options.Self}) {
+		// A state from before a restart of this host; publish the current one above its version.
+		r.sentUp = nil
+	}
+	actions := []Action{Deliver{Item: item}}
+	for _, peer := range r.peers() {
+		if peer != sender {
+			actions = append(actions, r.send(now, peer, Frame{Items: []Item{item}}))
+		}
+	}
+	return actions
+}
+
+func (r *Relayer) tick(now time.Duration) []Action {
+	var actions []Action
+	for _, peer := range r.peers() {
+		n := r.neighbours[peer]
+		if now-n.lastHeard > silenceTimeout {
+			actions = append(actions, Hangup{Peer: peer})
+			actions = append(actions, r.peerDown(now, peer)...)
+		}
+	}
+	for peer, at := range r.failed {
+		if now-at > redialInterval {
+			delete(r.failed, peer)
+		}
+	}
+	actions = append(actions, r.choosePeers()...)
+	actions = append(actions, r.reportProgress(now)...)
+	for _, peer := range r.peers() {
+		if now-r.neighbours[peer].lastSent >= heartbeatInterval {
+			actions = append(actions, r.send(now, peer, Frame{}))
+		}
+	}
+	return actions
+}
+
+// choosePeers dials a parent if there is none, or all other roots if this host is a root. Of two roots, the later one in
+// the order dials.
+func (r *Relayer) choosePeers() []Action {
+	if r.IsRoot() {
+		return r.dialRoots()
+	}
+	if r.parent != "" {
+		return nil
+	}
+	candidates := r.tree.Parents(r.options.Self)
+	for _, candidate := range candidates {
+		if _, failed := r.failed[candidate]; failed {
+			continue
+		}
+		r.parent = candidate
+		if r.neighbours[candidate] != nil || r.dialling[candidate] {
+			return nil
+		}
+		r.dialling[candidate] = true
+		return []Action{Dial{Peer: candidate}}
+	}
+	return nil
+}
+
+func (r *Relayer) dialRoots() []Action {
+	var actions []Action
+	if r.parent != "" && r.neighbours[r.parent] != nil && !r.tree.IsRoot(r.parent) {
+		actions = append(actions, Hangup{Peer: r.parent})
+	}
+	r.parent = ""
+	for _, root := range r.tree.Order[:r.tree.position(r.options.Self)] {
+		_, failed := r.failed[root]
+		if failed || r.neighbours[root] != nil || r.dialling[root] {
+			continue
+		}
+		r.dialling[root] = true
+		actions = append(actions, Dial{Peer: root})
+	}
+	return actions
+}
+
+// reportProgress sends the histogram of configuration revisions to the parent when it changed. Roots publish the
+// histogram of their own subtree as an item instead.
+func (r *Relayer) reportProgress(now time.Duration) []Action {
+	subtree := r.subtree()
+	if slices.Equal(subtree, r.sentUp) {
+		return nil
+	}
+	if r.IsRoot() {
+		r.sentUp = subtree
+		return r.accept(now, "", r.progressItem(subtree))
+	}
+	if r.parent == "" || r.neighbours[r.parent] == nil {
+		return nil
+	}
+	r.sentUp = subtree
+	return []Action{r.send(now, r.parent, Frame{Subtree: subtree})}
+}
+
+func (r *Relayer) subtree() []RevisionCount {
+	hosts := map[uint64]uint32{r.inForce: 1}
+	for peer, n := range r.neighbours {
+		if n.outbound || (r.IsRoot() && r.tree.IsRoot(peer)) {
+			continue
+		}
+		for _, count := range n.subtree {
+			hosts[count.Revision] += count.Hosts
+		}
+	}
+	counts := make([]RevisionCount, 0, len(hosts))
+	for revision, number := range hosts {
+		counts = append(counts, RevisionCount{Revision: revision, Hosts: number})
+	}
+	counts = sortCounts(counts)
+	for len(counts) > maxRevisions {
+		last := len(counts) - 1
+		counts[last-1] = RevisionCount{Revision: counts[last].Revision, Hosts: counts[last].Hosts + counts[last-1].Hosts}
+		counts = counts[:last]
+	}
+	return counts
+}
+
+// sortCounts orders a histogram by revision, newest first.
+func sortCounts(counts []RevisionCount) []RevisionCount {
+	sort.Slice(counts, func(i, j int) bool { return counts[i].Revision > counts[j].Revision })
+	return counts
+}
+
+func (r *Relayer) digest() []DigestEntry {
+	entries := make([]DigestEntry, 0, len(r.items))
+	for key, item := range r.items {
+		if key.Kind != Beacon {
+			entries = append(entries, DigestEntry{Key: key, Version: item.Version})
+		}
+	}
+	return entries
+}
+
+// missing returns the items that are newer here than in the digest of a peer.
+func (r *Relayer) missing(digest []DigestEntry) []Item {
+	theirs := make(map[Key]Version, len(digest))
+	for _, entry := range digest {
+		theirs[entry.Key] = entry.Version
+	}
+	var items []Item
+	for key, item := range r.items {
+		version, ok := theirs[key]
+		if !ok || version.Less(item.Version) {
+			items = append(items, item)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return lessKey(items[i].Key, items[j].Key) })
+	return items
+}
+
+func (r *Relayer) send(now time.Duration, peer string, frame Frame) Action {
+	if n := r.neighbours[peer]; n != nil {
+		n.lastSent = now
+	}
+	return Send{Peer: peer, Frame: frame}
+}
+
+// peers returns the names of the neighbours in a fixed order, so that every run takes the same course.
+func (r *Relayer) peers() []string {
+	names := make([]string, 0, len(r.neighbours))
+	for name := range r.neighbours {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func lessKey(a, b Key) bool {
+	if a.Kind != b.Kind {
+		return a.Kind < b.Kind
+	}
+	return a.Name < b.Name
+}
--- /dev/null
+++ b/core/relayer/types.go
@@ -0,0 +1,129 @@
+package relayer
+
+// Kind is the kind of an item.
+type Kind uint8
+
+// Kinds of items. Beacons expire quickly and are therefore not part of the digest that two peers exchange.
+const (
+	Config Kind = iota + 1
+	Table
+	Beacon
+	Member
+	Suspect
+	Progress
+)
+
+// Version orders the states of an item.
+type Version struct {
+	Term uint64
+	Seq  uint64
+}
+
+// Less reports whether v is older than other.
+func (v Version) Less(other Version) bool {
+	if v.Term != other.Term {
+		return v.Term < other.Term
+	}
+	return v.Seq < other.Seq
+}
+
+// Key identifies an item.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// Item is one versioned value that every host holds. Deleted items keep their version, so that an older state cannot
+// return.
+type Item struct {
+	Key
+	Version Version
+	Deleted bool
+	Body    []byte
+}
+
+// DigestEntry tells a peer which version of an item the sender holds.
+type DigestEntry struct {
+	Key     Key
+	Version Version
+}
+
+// RevisionCount is the number of hosts of a subtree that have a configuration revision in force.
+type RevisionCount struct {
+	Revision uint64
+	Hosts    uint32
+}
+
+// Frame is one message between two neighbours of the tree. An empty frame is a heartbeat.
+type Frame struct {
+	Digest    []DigestEntry // every item that the sender holds
+	HasDigest bool
+	Items     []Item
+	Subtree   []RevisionCount // progress below the sender, sent to its parent
+	Leaving   bool            // the sender closes; its children should choose another parent
+}
+
+// Event is an input of the relayer.
+type Event interface{ event() }
+
+// Action is an output of the relayer.
+type Action interface{ action() }
+
+// Ticked lets time pass; it is expected every 100 ms.
+type Ticked struct{}
+
+// Hosts replaces the list of hosts from which the tree is built.
+type Hosts struct{ Names []string }
+
+// PeerUp reports a usable connection.
+type PeerUp struct {
+	Peer     string
+	Outbound bool // dialled by this host
+}
+
+// PeerDown reports a closed connection or a failed dial.
+type PeerDown struct{ Peer string }
+
+// Received is a frame from a neighbour.
+type Received struct {
+	Peer  string
+	Frame Frame
+}
+
+// Published is a new state of an item that originates at this host.
+type Published struct{ Item Item }
+
+// InForce reports the configuration revision that this host applies.
+type InForce struct{ Revision uint64 }
+
+func (Ticked) event()    {}
+func (Hosts) event()     {}
+func (PeerUp) event()    {}
+func (PeerDown) event()  {}
+func (Received) event()  {}
+func (Published) event() {}
+func (InForce) event()   {}
+
+// Dial asks for a connection to a peer.
+type Dial struct{ Peer string }
+
+// Hangup asks to close the connection to a peer.
+type Hangup struct{ Peer string }
+
+// Send asks to send a frame to a connected peer.
+type Send struct {
+	Peer  string
+	Frame Frame
+}
+
+// Deliver hands a newly accepted item to this host.
+type Deliver struct{ Item Item }
+
+// ChildLost reports that an inbound neighbour has been silent or disconnected for longer than the loss timeout.
+type ChildLost struct{ Peer string }
+
+func (Dial) action()      {}
+func (Hangup) action()    {}
+func (Send) action()      {}
+func (Deliver) action()   {}
+func (ChildLost) action() {}
--- /dev/null
+++ b/rhubarbtrackd/internal/dispatcher/wire.go
@@ -0,0 +1,82 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbtrack.example/core/slicer"
+)
+
+// FormatFence returns the header value of a fence, empty for none.
+func FormatFence(fence slicer.Fence) string {
+	if fence == (slicer.Fence{}) {
+		return ""
+	}
+	return fmt.Sprintf("%d.%d.%d", fence.Slice, fence.Term, fence.Epoch)
+}
+
+// ParseFence reads the header value of a fence.
+func ParseFence(value string) (slicer.Fence, error) {
+	if value == "" {
+		return slicer.Fence{}, nil
+	}
+	parts := strings.Split(value, ".")
+	if len(parts) != 3 {
+		return slicer.Fence{}, errors.Newf("malformed %s", HeaderFence)
+	}
+	slice, sliceErr := strconv.ParseUint(parts[0], 10, 32)
+	term, termErr := strconv.ParseUint(parts[1], 10, 64)
+	epoch, epochErr := strconv.ParseUint(parts[2], 10, 64)
+	if sliceErr != nil || termErr != nil || epochErr != nil {
+		return slicer.Fence{}, errors.Newf("malformed %s", HeaderFence)
+	}
+	return slicer.Fence{Slice: uint32(slice), Term: term, Epoch: epoch}, nil
+}
+
+// onceBody hides the type of a body from the transport, which would otherwise send a request without a body, or with a
+// body that it can rewind, again by itself when a connection breaks.
+type onceBody struct {
+	reader io.Reader
+}
+
+func (b *onceBody) Read(p []byte) (int, error) { return b.reader.Read(p) }
+func (b *onceBody) Close() error               { return nil }
+
+// RoundTrip sends a request exactly once. It tells a request that certainly did not leave this host (NotRun) from one
+// that may have arrived (Unknown).
+func RoundTrip(transport http.RoundTripper, request *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	reader := io.Reader(http.NoBody)
+	if request.Body != nil {
+		reader = request.Body
+	}
+	request.Body = &onceBody{reader: reader}
+	request.GetBody = nil
+	response, err := transport.RoundTrip(request)
+	if err == nil {
+		return response, nil
+	}
+	failure := &Error{Op: "dispatch", Kind: Unknown, Reason: ReasonConnection, Err: err}
+	var netErr net.Error
+	if errors.Is(err, context.DeadlineExceeded) || (errors.As(err, &netErr) && netErr.Timeout()) {
+		failure.Reason = ReasonDeadline
+	}
+	if !connected.Load() {
+		failure.Kind = NotRun
+		failure.Reason = ReasonUnreachable
+	}
+	return nil, failure
+}
--- /dev/null
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -0,0 +1,111 @@
+// Package eventlog writes the numbered log events of the daemon.
+//
+// Every event has a fixed number, name and level, so that operators can search and alert on numbers. The catalogue is
+// docs/events.md; a test keeps it complete.
+//
+// # Usage
+//
+//	logger := eventlog.New(zapLogger)
+//	logger.Log(eventlog.StoreUnavailable, zap.Error(err))
+package eventlog
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is one kind of log event.
+type Event struct {
+	Number  int
+	Name    string // kebab case
+	Level   zapcore.Level
+	Meaning string
+}
+
+// Catalogue lists all events in the order of their numbers.
+var Catalogue []Event
+
+func register(number int, name string, level zapcore.Level, meaning string) Event {
+	event := Event{Number: number, Name: name, Level: level, Meaning: meaning}
+	Catalogue = append(Catalogue, event)
+	return event
+}
+
+// Events of the process.
+var (
+	DaemonStarted  = register(100, "daemon-started", zap.InfoLevel, "The daemon listens on all its addresses.")
+	DaemonStopping = register(101, "daemon-stopping", zap.InfoLevel, "Shutdown has begun: readiness is withdrawn, requests in flight end.")
+	DaemonStopped  = register(102, "daemon-stopped", zap.InfoLevel, "All requests have ended and the listeners are closed.")
+	SettingsFailed = register(103, "settings-failed", zap.ErrorLevel, "The settings are invalid; every fault is listed.")
+	ListenFailed   = register(104, "listen-failed", zap.ErrorLevel, "A listener could not be opened or failed.")
+	TLSReloaded    = register(105, "tls-reloaded", zap.InfoLevel, "Certificate, key and authority were read again.")
+	TLSFailed      = register(106, "tls-reload-failed", zap.ErrorLevel, "The TLS files could not be read; the former ones stay in use.")
+)
+
+// Events of the store.
+var (
+	StoreUnavailable = register(200, "store-unavailable", zap.WarnLevel, "A call to the store failed; the daemon goes on with what it knows.")
+	StoreAvailable   = register(201, "store-available", zap.InfoLevel, "The store answers again.")
+	WatchCompacted   = register(202, "watch-compacted", zap.InfoLevel, "A watch was too old; all objects are listed again.")
+	ObjectRefused    = register(203, "object-refused", zap.ErrorLevel, "A configuration object cannot be decoded; its former state stays in force.")
+)
+
+// Events of hosts and the relay tree.
+var (
+	PeerConnected    = register(300, "peer-connected", zap.InfoLevel, "A connection to another host was established.")
+	PeerDisconnected = register(301, "peer-disconnected", zap.InfoLevel, "A connection to another host ended.")
+	PeerRefused      = register(302, "peer-refused", zap.WarnLevel, "A process failed the authentication of hosts.")
+	FrameRefused     = register(303, "frame-refused", zap.WarnLevel, "A message of another host could not be decoded.")
+	RingOverflow     = register(304, "ring-overflow", zap.WarnLevel, "A bounded queue between two tasks was full; the message was dropped.")
+)
+
+// Events of ownership.
+var (
+	TakeoverStarted  = register(400, "takeover-started", zap.InfoLevel, "This host became a candidate for controller of a service.")
+	ControllerActive = register(401, "controller-active", zap.InfoLevel, "This host is the controller of a service.")
+	ControllerLost   = register(402, "controller-lost", zap.WarnLevel, "This host lost the right to act as controller of a service.")
+	OrderRefused     = register(403, "order-refused", zap.WarnLevel, "An upstream refused an order.")
+	SliceMoved       = register(404, "slice-moved", zap.InfoLevel, "A slice has a new owner.")
+	ControllerNote   = register(405, "controller-note", zap.InfoLevel, "The controller records a decision; the fields say which.")
+	TableRefused     = register(406, "table-refused", zap.ErrorLevel, "A table could not be decoded; its former state stays in force.")
+)
+
+// Events of requests. They are sampled, since an outage makes many of them.
+var (
+	RequestRefused   = register(500, "request-refused", zap.DebugLevel, "A request was answered as not run.")
+	RequestUnknown   = register(501, "request-unknown", zap.WarnLevel, "The outcome of a request is unknown.")
+	ResponseAborted  = register(502, "response-aborted", zap.WarnLevel, "A response ended early; the caller's connection was closed.")
+	RequestCondemned = register(503, "request-condemned", zap.ErrorLevel, "A request crashed an upstream while it ran alone; it is refused from now on.")
+	AdmissionGained  = register(504, "admission-gained", zap.InfoLevel, "This host admits requests to an upstream.")
+	AdmissionLost    = register(505, "admission-lost", zap.InfoLevel, "This host no longer admits requests to an upstream.")
+	UpstreamCold     = register(506, "upstream-cold", zap.WarnLevel, "An upstream turned cold; its load ramps up again.")
+	UpstreamCrashed  = register(507, "upstream-crashed", zap.WarnLevel, "An upstream broke connections or came back as a new incarnation.")
+)
+
+// Events of operators.
+var (
+	OperatorCall    = register(600, "operator-call", zap.InfoLevel, "An operator changed the configuration.")
+	OperatorRefused = register(601, "operator-refused", zap.WarnLevel, "A call of an operator was refused.")
+)
+
+// Logger writes events.
+type Logger struct {
+	zap *zap.Logger
+}
+
+// New returns a logger that writes to z.
+func New(z *zap.Logger) *Logger {
+	return &Logger{zap: z}
+}
+
+// Log writes one event with its number and name.
+func (l *Logger) Log(event Event, fields ...zap.Field) {
+	if entry := l.zap.Check(event.Level, event.Name); entry != nil {
+		entry.Write(append([]zap.Field{zap.Int("event", event.Number)}, fields...)...)
+	}
+}
+
+// With returns a logger whose events carry the given fields.
+func (l *Logger) With(fields ...zap.Field) *Logger {
+	return &Logger{zap: l.zap.With(fields...)}
+}
--- /dev/null
+++ b/rhubarbtrackd/internal/peerer/peerer.go
@@ -0,0 +1,264 @@
+// Package peerer holds the WebSocket connections between hosts.
+//
+// Two classes of connections exist: relay connections form the tree over which items are distributed, control
+// connections carry the messages between a controller, its witnesses and its admission hosts. Each connection has one
+// reading and one writing goroutine, joined to the rest of the process by a bounded ring. When the ring of a relay
+// connection is full, the connection is closed and its peer synchronises anew; when the ring of a control connection is
+// full, the message is dropped, because every control message is repeated.
+//
+// # Usage
+//
+//	p := peerer.New(options)
+//	mux.Handle("/peer/", p.Handler())
+//	p.Dial("host-2", "127.0.0.1:8081", peerer.Relay)
+//	p.Send("host-2", peerer.Relay, data)
+package peerer
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+)
+
+// Class is the purpose of a connection.
+type Class string
+
+// Classes of connections.
+const (
+	Relay   Class = "relay"
+	Control Class = "control"
+)
+
+const (
+	ringSize        = 512
+	writeTimeout    = 2 * time.Second
+	dialTimeout     = time.Second
+	maxMessageBytes = 4 << 20
+
+	headerPeer = "Rhubarbtrack-Peer"
+)
+
+// Options of a Peerer. The callbacks are called from the reading goroutines and must not block for long.
+type Options struct {
+	Self      string
+	Secret    string // shared by all hosts
+	Scheme    string // ws or wss
+	Transport http.RoundTripper
+	Up        func(peer string, class Class, outbound bool)
+	Down      func(peer string, class Class)
+	Message   func(peer string, class Class, data []byte)
+	Refused   func(address string)
+	Dropped   func(peer string, class Class) // a full ring
+}
+
+type key struct {
+	peer  string
+	class Class
+}
+
+type connection struct {
+	key    key
+	socket *websocket.Conn
+	ring   chan []byte
+	cancel context.CancelFunc
+}
+
+// Peerer is safe for concurrent use.
+type Peerer struct {
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+
+	mu          sync.Mutex
+	connections map[key]*connection
+	dialling    map[key]bool
+}
+
+// New returns a Peerer without connections.
+func New(options Options) *Peerer {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Peerer{
+		options:     options,
+		ctx:         ctx,
+		cancel:      cancel,
+		connections: map[key]*connection{},
+		dialling:    map[key]bool{},
+	}
+}
+
+// Close ends all connections and waits for their goroutines.
+func (p *Peerer) Close() {
+	p.cancel()
+	p.wait.Wait()
+}
+
+// Handler accepts connections of other hosts below /peer/.
+func (p *Peerer) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /peer/relay", func(w http.ResponseWriter, r *http.Request) { p.accept(w, r, Relay) })
+	mux.HandleFunc("GET /peer/control", func(w http.ResponseWriter, r *http.Request) { p.accept(w, r, Control) })
+	return mux
+}
+
+// Authorized reports whether a request comes from a host of the system.
+func (p *Peerer) Authorized(r *http.Request) bool {
+	want := "Bearer " + p.options.Secret
+	return subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) == 1
+}
+
+// Authorize marks a request as coming from this host.
+func (p *Peerer) Authorize(header http.Header) {
+	header.Set("Authorization", "Bearer "+p.options.Secret)
+	header.Set(headerPeer, p.options.Self)
+}
+
+func (p *Peerer) accept(w http.ResponseWriter, r *http.Request, class Class) {
+	peer := r.Header.Get(headerPeer)
+	if !p.Authorized(r) || peer == "" || len(peer) > 63 {
+		p.options.Refused(r.RemoteAddr)
+		http.Error(w, "not a host of this system", http.StatusForbidden)
+		return
+	}
+	socket, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	p.run(key{peer: peer, class: class}, socket, false)
+}
+
+// Dial connects to a peer in the background. A failure is reported as Down. A connection attempt that is already under
+// way is not repeated.
+func (p *Peerer) Dial(peer, address string, class Class) {
+	k := key{peer: peer, class: class}
+	p.mu.Lock()
+	busy := p.dialling[k] || p.connections[k] != nil || p.ctx.Err() != nil
+	if !busy {
+		p.dialling[k] = true
+		p.wait.Add(1)
+	}
+	p.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		defer p.wait.Done()
+		p.dial(k, address)
+	}()
+}
+
+func (p *Peerer) dial(k key, address string) {
+	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
+	defer cancel()
+	header := http.Header{}
+	p.Authorize(header)
+	url := p.options.Scheme + "://" + address + "/peer/" + string(k.class)
+	socket, _, err := websocket.Dial(ctx, url, &websocket.DialOptions{
+		HTTPClient: &http.Client{Transport: p.options.Transport},
+		HTTPHeader: header,
+	})
+	p.mu.Lock()
+	delete(p.dialling, k)
+	p.mu.Unlock()
+	if err != nil {
+		p.options.Down(k.peer, k.class)
+		return
+	}
+	p.run(k, socket, true)
+}
+
+// run serves a connection until it ends.
+func (p *Peerer) run(k key, socket *websocket.Conn, outbound bool) {
+	socket.SetReadLimit(maxMessageBytes)
+	ctx, cancel := context.WithCancel(p.ctx)
+	c := &connection{key: k, socket: socket, ring: make(chan []byte, ringSize), cancel: cancel}
+	p.mu.Lock()
+	previous := p.connections[k]
+	p.connections[k] = c
+	p.mu.Unlock()
+	if previous != nil {
+		previous.cancel()
+	}
+	p.options.Up(k.peer, k.class, outbound)
+	p.wait.Add(1)
+	go func() {
+		defer p.wait.Done()
+		c.write(ctx)
+	}()
+	for {
+		kind, data, err := socket.Read(ctx)
+		if err != nil || kind != websocket.MessageBinary {
+			break
+		}
+		p.options.Message(k.peer, k.class, data)
+	}
+	cancel()
+	_ = socket.CloseNow()
+	p.mu.Lock()
+	current := p.connections[k] == c
+	if current {
+		delete(p.connections, k)
+	}
+	p.mu.Unlock()
+	if current {
+		p.options.Down(k.peer, k.class)
+	}
+}
+
+func (c *connection) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case data := <-c.ring:
+			writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+			err := c.socket.Write(writeCtx, websocket.MessageBinary, data)
+			cancel()
+			if err != nil {
+				c.cancel()
+				return
+			}
+		}
+	}
+}
+
+// Send queues a message for a connected peer. It reports false when there is no connection or its ring is full.
+func (p *Peerer) Send(peer string, class Class, data []byte) bool {
+	p.mu.Lock()
+	c := p.connections[key{peer: peer, class: class}]
+	p.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	select {
+	case c.ring <- data:
+		return true
+	default:
+	}
+	p.options.Dropped(peer, class)
+	if class == Relay {
+		c.cancel()
+	}
+	return false
+}
+
+// Connected reports whether there is a connection to a peer.
+func (p *Peerer) Connected(peer string, class Class) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connections[key{peer: peer, class: class}] != nil
+}
+
+// Hangup closes the connection to a peer.
+func (p *Peerer) Hangup(peer string, class Class) {
+	p.mu.Lock()
+	c := p.connections[key{peer: peer, class: class}]
+	p.mu.Unlock()
+	if c != nil {
+		c.cancel()
+	}
+}
--- /dev/null
+++ b/rhubarbtrackd/internal/settings/settings.go
@@ -0,0 +1,168 @@
+// Package settings reads the settings file of the daemon.
+//
+// The format is strict YAML with keys in kebab case. All faults of a file are reported at once, each with its line:
+// unknown, duplicate, missing and malformed keys, values out of range, and values that contradict each other.
+//
+// # Usage
+//
+//	s, err := settings.Load("/etc/rhubarbtrackd.yaml")
+//	if err != nil {
+//		// err lists every fault as file:line: key: reason
+//	}
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Settings of one daemon.
+type Settings struct {
+	Name           string
+	FailureDomain  string
+	Region         string
+	CallerListen   string // host:port for callers, health and readiness
+	PeerListen     string // host:port for other hosts
+	PeerAdvertise  string // host:port under which other hosts reach PeerListen; default PeerListen
+	OperatorListen string // host:port for operators and metrics; loopback only without TLS
+	Platform       string // base URL of the object API
+	PeerSecret     string // shared by all hosts of the system; empty only while peers listen on loopback
+	TLS            TLS
+	ShutdownGrace  time.Duration // longest wait for requests in flight at shutdown
+	RequestTimeout time.Duration // deadline of a request whose caller states none
+	MaxBody        int64         // bytes of a request body
+	Seed           uint64        // seed of randomised decisions, 0 to derive it from the name
+	LogLevel       string        // debug, info, warn or error
+}
+
+// TLS names PEM files; empty names mean no TLS.
+type TLS struct {
+	Certificate string
+	Key         string
+	Authority   string // CA that signs hosts and operators
+}
+
+// Enabled reports whether the listeners use TLS.
+func (t TLS) Enabled() bool { return t.Certificate != "" }
+
+const (
+	defaultShutdownGrace  = 30 * time.Second
+	defaultRequestTimeout = 10 * time.Second
+	defaultMaxBody        = 16 << 20
+	maxRequestTimeout     = 5 * time.Minute
+	maxMaxBody            = 1 << 30
+)
+
+// Kind classifies errors of this package.
+type Kind int
+
+// Kinds of errors.
+const (
+	Unreadable Kind = iota + 1
+	Invalid
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op     string
+	Kind   Kind
+	Faults []Fault // of an invalid file, in the order of lines
+	Err    error   // of an unreadable file
+}
+
+// Fault is one defect of a settings file. Line is 0 for missing keys.
+type Fault struct {
+	File   string
+	Line   int
+	Key    string
+	Reason string
+}
+
+func (f Fault) String() string {
+	if f.Line == 0 {
+		return fmt.Sprintf("%s: %s: %s", f.File, f.Key, f.Reason)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Key, f.Reason)
+}
+
+func (e *Error) Error() string {
+	if e.Kind == Unreadable {
+		return fmt.Sprintf("%s: %v", e.Op, e.Err)
+	}
+	lines := make([]string, len(e.Faults))
+	for i, fault := range e.Faults {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the cause of an unreadable file.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Load reads and checks a settings file.
+func Load(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, &Error{Op: "read settings", Kind: Unreadable, Err: errors.WithStack(err)}
+	}
+	return Parse(path, content)
+}
+
+// Parse checks the content of a settings file; file is used in faults only.
+func Parse(file string, content []byte) (Settings, error) {
+	s := Settings{
+		ShutdownGrace:  defaultShutdownGrace,
+		RequestTimeout: defaultRequestTimeout,
+		MaxBody:        defaultMaxBody,
+		LogLevel:       "info",
+	}
+	p := parser{file: file, lines: map[string]int{}}
+	p.parse(content, fields(&s))
+	if s.PeerAdvertise == "" {
+		s.PeerAdvertise = s.PeerListen
+	}
+	p.checkTogether(s)
+	if len(p.faults) > 0 {
+		return Settings{}, &Error{Op: "check settings", Kind: Invalid, Faults: p.sorted()}
+	}
+	return s, nil
+}
+
+func (p *parser) checkTogether(s Settings) {
+	tls := s.TLS
+	if tls.Enabled() != (tls.Key != "") || (tls.Authority != "" && !tls.Enabled()) || (tls.Enabled() && tls.Authority == "") {
+		p.fault("tls-certificate", "tls-certificate, tls-key and tls-authority must be given together")
+	}
+	if s.OperatorListen != "" && !tls.Enabled() && !isLoopback(s.OperatorListen) {
+		p.fault("operator-listen", "must be a loopback address without TLS")
+	}
+	if s.PeerListen != "" && s.PeerSecret == "" && !tls.Enabled() && !isLoopback(s.PeerListen) {
+		p.fault("peer-secret", "required when peers listen beyond loopback without TLS")
+	}
+	seen := map[string]string{}
+	for _, listener := range []struct{ key, address string }{
+		{"caller-listen", s.CallerListen}, {"peer-listen", s.PeerListen}, {"operator-listen", s.OperatorListen},
+	} {
+		if listener.address == "" || strings.HasSuffix(listener.address, ":0") {
+			continue
+		}
+		if other, ok := seen[listener.address]; ok {
+			p.fault(listener.key, "same address as "+other)
+		}
+		seen[listener.address] = listener.key
+	}
+}
+
+func isLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
