Add assigner.Plan

The controller needs a first version to be wired against. Plan places slices whose owner does not serve on the least loaded upstream, and moves further slices within a budget while an upstream is more than 10% off the mean load per slot. Cold upstreams receive no more than their present capacity and keep the slices that they had; slices leave a straggler only after 30 s.

Hot keys are isolated in place and transferred by a later plan, because their slice has no ID before. A cooled key is transferred to the owner of its range before it is folded, so that folding never changes the owner of a key.

--- /dev/null
+++ b/core/assigner/assigner.go
@@ -0,0 +1,150 @@
+// Package assigner decides which upstream owns which slice of a service that is partitioned by key.
+//
+// Plan compares the table with the state of the upstreams and the measured load, and returns the changes to make. It
+// moves every slice whose owner no longer serves, and, within a churn budget, slices that balance the load. Keys that
+// carry a large part of the load get a slice of their own and return to their range when they cool down.
+//
+// # Usage
+//
+//	moves := assigner.Plan(now, assigner.Input{
+//		Table:     &table,
+//		Upstreams: upstreams,
+//		SliceLoad: loads,
+//		KeyLoad:   sketch.Top(now, 512),
+//		Moving:    moving,
+//		Budget:    churn.Available(now),
+//	})
+//
+// The caller carries out the moves in their order and passes those that are not finished as Moving of the next call. A
+// slice in Moving is left alone unless its target no longer serves; then a transfer from its present owner names another
+// target, which may be that owner.
+// Load has one unit everywhere: slots in use on average. It should be measured as demand (request rate times the usual
+// service time), since an upstream that is slow for a moment would otherwise appear to have heavier slices.
+package assigner
+
+import (
+	"time"
+
+	"rhubarbtrack.example/core/slicer"
+)
+
+// State says whether an upstream can own slices.
+type State int
+
+// States of an upstream.
+const (
+	// InService upstreams bear the load of all their slots.
+	InService State = iota
+	// Cold upstreams have just started and bear the load Capacity now.
+	Cold
+	// Drained upstreams are wanted empty by an operator or are leaving.
+	Drained
+	// TakenOut upstreams belong to a failure domain that is taken out of service.
+	TakenOut
+	// Lost upstreams do not answer.
+	Lost
+)
+
+// Serves reports whether an upstream in this state may keep or receive slices.
+func (s State) Serves() bool {
+	return s == InService || s == Cold
+}
+
+// Upstream is the state of one upstream of the service.
+type Upstream struct {
+	Name            string
+	FailureDomain   string
+	State           State
+	Slots           float64       // load that it bears when it is warm
+	Capacity        float64       // load that it bears now; read only while Cold
+	Straggling      bool          // slower than its peers at present
+	StragglingSince time.Duration // start of the present slow period
+}
+
+// KeyLoad is the measured load of one key.
+type KeyLoad struct {
+	Key  string
+	Load float64 // slots in use
+}
+
+// Input is everything that Plan depends on besides the time.
+type Input struct {
+	Table     *slicer.Table
+	Upstreams []Upstream
+	SliceLoad map[uint32]float64 // by slice, hot keys included
+	KeyLoad   []KeyLoad          // heaviest keys, usually from a Sketch; order does not matter
+	Moving    map[uint32]string  // target of each slice whose move has not finished
+	Budget    int                // moves that may be made by choice; moves off upstreams that do not serve are free
+}
+
+// Kind is the kind of a change.
+type Kind int
+
+// Kinds of changes.
+const (
+	// Transfer gives the slice to the upstream To.
+	Transfer Kind = iota
+	// Isolate gives Key a slice of its own, with the owner of the range Slice.
+	Isolate
+	// Fold returns the hot key Key, whose slice is Slice, to its range, which has the same owner.
+	Fold
+)
+
+// Reason says why a change is made.
+type Reason int
+
+// Reasons of changes.
+const (
+	// Unassigned slices have no owner.
+	Unassigned Reason = iota
+	// OwnerGone slices belong to an upstream that is drained, taken out, lost or no longer configured.
+	OwnerGone
+	// Balance changes even out load and slice count.
+	Balance
+	// Straggler changes move load off an upstream that has been slow for LastingStraggler.
+	Straggler
+	// HotKey changes isolate a key with a large load.
+	HotKey
+	// CooledKey changes return a hot key to its range.
+	CooledKey
+)
+
+// Move is one change of the table.
+type Move struct {
+	Kind   Kind
+	Slice  uint32
+	Key    string // for Isolate and Fold
+	From   string // owner before, may be empty
+	To     string // owner after
+	Reason Reason
+}
+
+const (
+	// LastingStraggler is the time after which slices are moved off a straggler. Most slow periods of upstreams last
+	// moments, and moving slices for them would cost more than it saves.
+	LastingStraggler = 30 * time.Second
+	// StragglerShare is the part of its slots that a lasting straggler is expected to bear.
+	StragglerShare = 0.5
+	// StartTolerance is the deviation from the mean relative load at which balancing starts, as a share of the mean.
+	// The gap to StopTolerance keeps noise in the measured load from causing moves.
+	StartTolerance = 0.10
+	// StopTolerance is the deviation at which balancing stops, as a share of the mean.
+	StopTolerance = 0.03
+	// CountWeight is the part of the mean slice load that every slice weighs beyond its own load, so that idle slices
+	// are spread as well.
+	CountWeight = 0.1
+)
+
+// Plan returns the changes to make now, in the order in which to start them. Equal inputs give equal results.
+func Plan(now time.Duration, in Input) []Move {
+	board := newBoard(now, in)
+	moves := board.planHotKeys(in)
+	moves = append(moves, board.place()...)
+	spent := 0
+	for _, move := range moves {
+		if move.Kind == Transfer && move.Reason == CooledKey {
+			spent++
+		}
+	}
+	return append(moves, board.balance(in.Budget-spent)...)
+}
