Add deltas, chunks, edits and validation to slicer

Tables need to reach the store in objects below 1 MB and the entry hosts as deltas. Apply refuses stale and out-of-order deltas and replaces ranges and maps instead of modifying them, so that readers keep a consistent copy.

Isolating, folding, splitting and merging raise the epoch of the range whose set of keys changes, and IDs are never given twice (Table.LastID). Otherwise a delayed request with the fence of a range could still run at the owner of the range after one of its keys had been isolated and moved away. A property test tracks all fences under which a key was ever held and guards against this.

--- a/core/assigner/hot.go
+++ b/core/assigner/hot.go
@@ -37,7 +37,7 @@
 		if i.fixed || i.load >= below || b.byName[hot.Owner] == nil {
 			continue
 		}
-		home, ok := rangeOf(b.table, hot.Low)
+		home, ok := b.table.RangeOf(hot.Low)
 		if !ok || b.byName[home.Owner] == nil || b.all[home.ID].fixed {
 			continue
 		}
@@ -95,17 +95,3 @@
 	slices.SortFunc(hot, func(x, y slicer.Slice) int { return cmp.Compare(x.ID, y.ID) })
 	return hot
 }
-
-// rangeOf returns the range that holds the hash.
-func rangeOf(table *slicer.Table, hash uint64) (slicer.Slice, bool) {
-	next, _ := slices.BinarySearchFunc(table.Ranges, hash, func(s slicer.Slice, hash uint64) int {
-		if s.Low <= hash {
-			return -1
-		}
-		return 1
-	})
-	if next == 0 {
-		return slicer.Slice{}, false
-	}
-	return table.Ranges[next-1], true
-}
--- /dev/null
+++ b/core/slicer/chunk.go
@@ -0,0 +1,85 @@
+package slicer
+
+import (
+	"maps"
+	"slices"
+)
+
+const (
+	// MaxChunkSlices bounds the number of slices of a chunk.
+	MaxChunkSlices = 1024
+	// MaxChunkBytes bounds the estimated encoded size of a chunk. Values of the store end at 1 MB, and half of that
+	// leaves room for codecs that expand text.
+	MaxChunkBytes = 512 << 10
+	// entryBytes is an upper estimate of the encoded size of a slice or an admission without its text: five numbers of
+	// up to 20 digits and their field names.
+	entryBytes = 150
+)
+
+// Chunk is a part of a table that is stored as one object.
+type Chunk struct {
+	Service   string
+	Version   Version // version of the table
+	Index     int     // position, from 0
+	Count     int     // number of chunks of the table
+	LastID    uint32
+	Slices    []Slice
+	Admission map[string]Admission
+}
+
+// Chunks cuts the table into chunks of at most MaxChunkSlices slices and an estimated size of at most MaxChunkBytes.
+// Equal tables give equal chunks.
+func (t *Table) Chunks() []Chunk {
+	var chunks []Chunk
+	size := MaxChunkBytes
+	reserve := func(bytes int) *Chunk {
+		if size+bytes > MaxChunkBytes || len(chunks[len(chunks)-1].Slices) == MaxChunkSlices {
+			chunks = append(chunks, Chunk{Service: t.Service, Version: t.Version, Index: len(chunks), LastID: t.LastID,
+				Admission: map[string]Admission{}})
+			size = 0
+		}
+		size += bytes
+		return &chunks[len(chunks)-1]
+	}
+	hot := slices.SortedFunc(maps.Values(t.Hot), byID)
+	for _, slice := range append(slices.Clone(t.Ranges), hot...) {
+		chunk := reserve(entryBytes + len(slice.HotKey) + len(slice.Owner))
+		chunk.Slices = append(chunk.Slices, slice)
+	}
+	for _, upstream := range slices.Sorted(maps.Keys(t.Admission)) {
+		admission := t.Admission[upstream]
+		reserve(entryBytes + len(upstream) + len(admission.Host)).Admission[upstream] = admission
+	}
+	for i := range chunks {
+		chunks[i].Count = len(chunks)
+	}
+	return chunks
+}
+
+// Assemble joins the chunks of one version of a table, in any order. Errors are of kind Incomplete (a chunk is missing,
+// occurs twice or belongs to another version; read them again) and Invalid.
+func Assemble(chunks []Chunk) (Table, error) {
+	if len(chunks) == 0 || len(chunks) != chunks[0].Count {
+		return Table{}, fail("assemble", Incomplete, "%d chunks", len(chunks))
+	}
+	first := chunks[0]
+	table := Table{Service: first.Service, Version: first.Version, LastID: first.LastID,
+		Admission: map[string]Admission{}}
+	seen := make([]bool, first.Count)
+	var all []Slice
+	for _, chunk := range chunks {
+		if chunk.Service != first.Service || chunk.Version != first.Version || chunk.Count != first.Count {
+			return Table{}, fail("assemble", Incomplete, "chunk %d belongs to another version", chunk.Index)
+		}
+		if chunk.Index < 0 || chunk.Index >= first.Count || seen[chunk.Index] {
+			return Table{}, fail("assemble", Incomplete, "chunk %d occurs twice or is out of range", chunk.Index)
+		}
+		seen[chunk.Index] = true
+		all = append(all, chunk.Slices...)
+		maps.Copy(table.Admission, chunk.Admission)
+	}
+	if err := table.fill(all); err != nil {
+		return Table{}, err
+	}
+	return table, nil
+}
--- a/core/slicer/slicer.go
+++ b/core/slicer/slicer.go
@@ -10,6 +10,10 @@
 //	if ok && slice.Owner != "" {
 //		// route to slice.Owner with the fence of the slice
 //	}
+//
+// A controller changes a clone of the table (Assign, Isolate, Fold, Split, Merge), gives it a later Version, stores its
+// Chunks, and publishes the Diff. Entry hosts bring their copy up to date with Apply, which refuses a delta that does not
+// start at the version they have.
 package slicer
 
 import (
@@ -65,11 +69,12 @@
 	Ranges    []Slice              // sorted by Low; the first Low is 0
 	Hot       map[string]Slice     // by key, at most MaxHotKeys
 	Admission map[string]Admission // by upstream
+	LastID    uint32               // highest ID given to a slice so far; IDs are never given twice
 }
 
 // New returns a table whose hash space is cut into count ranges of equal size without owners. Count must be positive.
 func New(service string, count int) Table {
-	table := Table{Service: service, Hot: map[string]Slice{}, Admission: map[string]Admission{}}
+	table := Table{Service: service, Hot: map[string]Slice{}, Admission: map[string]Admission{}, LastID: uint32(count)}
 	width := math.MaxUint64/uint64(count) + 1
 	for i := range count {
 		table.Ranges = append(table.Ranges, Slice{ID: uint32(i + 1), Low: uint64(i) * width})
@@ -98,6 +103,7 @@
 		Ranges:    append([]Slice(nil), t.Ranges...),
 		Hot:       make(map[string]Slice, len(t.Hot)),
 		Admission: make(map[string]Admission, len(t.Admission)),
+		LastID:    t.LastID,
 	}
 	for key, slice := range t.Hot {
 		clone.Hot[key] = slice
