--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -25,6 +25,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"rhubarbtrack.example/core/slicer"
 )
 
@@ -72,7 +74,7 @@
 	Table     *slicer.Table
 	Upstreams []Upstream
 	SliceLoad map[uint32]float64 // by slice, hot keys included
-	KeyLoad   []KeyLoad          // heaviest keys, usually from a Sketch; order does not matter
+	KeyLoad   []KeyLoad          // heaviest keys, from the Sketch of each admission host, in any order
 	Moving    map[uint32]string  // target of each slice whose move has not finished
 	Budget    int                // moves that may be made by choice; moves off upstreams that do not serve are free
 }
@@ -140,11 +142,24 @@
 	board := newBoard(now, in)
 	moves := board.planHotKeys(in)
 	moves = append(moves, board.place()...)
-	spent := 0
-	for _, move := range moves {
-		if move.Kind == Transfer && move.Reason == CooledKey {
-			spent++
-		}
+	return append(moves, board.balance(in.Budget-Voluntary(moves))...)
+}
+
+// Apply makes the change in the table. It returns an error of slicer without a change if the table no longer fits, for
+// instance because the slice has another owner than From.
+func (m Move) Apply(table *slicer.Table) error {
+	slice, ok := table.Find(m.Slice)
+	if !ok || slice.Owner != m.From {
+		return &slicer.Error{Op: "move", Kind: slicer.Conflict,
+			Err: errors.Newf("slice %d does not belong to %q", m.Slice, m.From)}
+	}
+	switch m.Kind {
+	case Isolate:
+		_, err := table.Isolate(m.Key)
+		return err
+	case Fold:
+		return table.Fold(m.Key)
+	default:
+		return table.Assign(m.Slice, m.To)
 	}
-	return append(moves, board.balance(in.Budget-spent)...)
 }
--- a/core/assigner/hot.go
+++ b/core/assigner/hot.go
@@ -68,11 +68,7 @@
 			b.all[move.Slice].fixed = true // its load still contains the key
 		}
 	}()
-	keys := slices.Clone(in.KeyLoad)
-	slices.SortFunc(keys, func(x, y KeyLoad) int {
-		return cmp.Or(cmp.Compare(y.Load, x.Load), cmp.Compare(x.Key, y.Key))
-	})
-	for _, key := range keys {
+	for _, key := range sumKeys(in.KeyLoad) {
 		if len(moves) == free || key.Load < from {
 			return moves
 		}
@@ -95,3 +91,18 @@
 	slices.SortFunc(hot, func(x, y slicer.Slice) int { return cmp.Compare(x.ID, y.ID) })
 	return hot
 }
+
+// sumKeys returns the keys with their summed load, heaviest first. A key that has just moved may be listed by two
+// admission hosts.
+func sumKeys(keys []KeyLoad) []KeyLoad {
+	sums := make(map[string]float64, len(keys))
+	for _, key := range keys {
+		sums[key.Key] += key.Load
+	}
+	all := make([]KeyLoad, 0, len(sums))
+	for key, load := range sums {
+		all = append(all, KeyLoad{Key: key, Load: load})
+	}
+	slices.SortFunc(all, byLoad)
+	return all
+}
