core: merge, validate and encode configuration objects

configurator does not import the codec, since the codec depends on its types; Merge takes the decoder as an argument instead. References, overlapping windows and fields that stored tables depend on are checked by Check before an operator's change is written and not by Merge, because a host must accept every accepted object in any order.

--- a/core/configurator/configurator.go
+++ b/core/configurator/configurator.go
@@ -6,7 +6,11 @@
 // # Usage
 //
 //	snapshot := configurator.New()
-//	snapshot.Services["shelf-marks"] = configurator.Service{Name: "shelf-marks", Keyed: true}
+//	changed, err := snapshot.Merge(configurator.Object{Name: name, Version: 7, Body: body}, encoder.Decode)
+//	if err != nil {
+//		// snapshot is unchanged, configurator.FieldsOf(err) names the fields at fault
+//	}
+//	err = snapshot.Check(upstream, now) // before an operator's change is written
 package configurator
 
 import "time"
@@ -73,10 +77,11 @@
 type Snapshot struct {
 	Revision       uint64 // highest store revision merged
 	Services       map[string]Service
-	Upstreams      map[string]Upstream
+	Upstreams      map[string]Upstream // by Upstream.ID, "<service>.<name>"
 	FailureDomains map[string]FailureDomain
 	Windows        map[string]Window
 	Versions       map[string]uint64 // store revision of each object by name, deleted ones included
+	Origins        map[string]Origin // write that produced each object by name, deleted ones excluded
 }
 
 // New returns an empty snapshot.
@@ -87,5 +92,6 @@
 		FailureDomains: map[string]FailureDomain{},
 		Windows:        map[string]Window{},
 		Versions:       map[string]uint64{},
+		Origins:        map[string]Origin{},
 	}
 }
--- /dev/null
+++ b/core/configurator/configurator_test.go
@@ -0,0 +1,224 @@
+package configurator_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/encoder"
+)
+
+func marks() configurator.Service {
+	return configurator.Service{
+		Name: "shelf-marks", Keyed: true, KeyHeader: "Shelf-Mark", SliceCount: 320,
+		Rules: []configurator.Rule{{Method: "POST", Path: "/print/**", Class: configurator.NeverRepeat}},
+	}
+}
+
+func printer() configurator.Upstream {
+	return configurator.Upstream{
+		Name: "p1", Service: "shelf-marks", FailureDomain: "east", Address: "10.0.0.1:80", Slots: 6, Connections: 130,
+	}
+}
+
+func cleaning() configurator.Window {
+	return configurator.Window{
+		Name: "east-weekly", FailureDomain: "east", Weekday: time.Sunday, Start: 3 * time.Hour, Length: time.Hour,
+		TimeZone: "Europe/Bratislava",
+	}
+}
+
+func merge(t *testing.T, snapshot *configurator.Snapshot, version uint64, value configurator.Value) {
+	t.Helper()
+	body, err := encoder.Encode(value, configurator.Origin{Writer: "ana", Operation: "op"})
+	assert.NilError(t, err)
+	changed, err := snapshot.Merge(configurator.Object{Name: value.ObjectName(), Version: version, Body: body}, encoder.Decode)
+	assert.NilError(t, err)
+	assert.Assert(t, changed)
+}
+
+func filled(t *testing.T) *configurator.Snapshot {
+	t.Helper()
+	snapshot := configurator.New()
+	merge(t, snapshot, 1, marks())
+	merge(t, snapshot, 2, configurator.FailureDomain{Name: "east"})
+	merge(t, snapshot, 3, printer())
+	merge(t, snapshot, 4, cleaning())
+	return snapshot
+}
+
+// A stale read, a late watch event or a lagging peer must not revert an accepted change or a deletion.
+func TestMergeKeepsNewest(t *testing.T) {
+	snapshot := filled(t)
+	drained := printer()
+	drained.Drained = true
+	merge(t, snapshot, 9, drained)
+	old, err := encoder.Encode(printer(), configurator.Origin{})
+	assert.NilError(t, err)
+	name := printer().ObjectName()
+	late := []configurator.Object{
+		{Name: name, Version: 8, Body: old},
+		{Name: name, Version: 9, Body: old},
+		{Name: name, Version: 7, Deleted: true},
+		{Name: name, Version: 5, Body: []byte("{")},
+	}
+	for _, object := range late {
+		changed, err := snapshot.Merge(object, encoder.Decode)
+		assert.NilError(t, err)
+		assert.Assert(t, !changed)
+	}
+	assert.DeepEqual(t, snapshot.Upstreams["shelf-marks.p1"], drained)
+	changed, err := snapshot.Merge(configurator.Object{Name: name, Version: 11, Deleted: true}, encoder.Decode)
+	assert.NilError(t, err)
+	assert.Assert(t, changed)
+	changed, err = snapshot.Merge(configurator.Object{Name: name, Version: 10, Body: old}, encoder.Decode)
+	assert.NilError(t, err)
+	assert.Assert(t, !changed)
+	_, found := snapshot.Lookup(name)
+	assert.Assert(t, !found)
+	assert.Equal(t, snapshot.Revision, uint64(11))
+}
+
+// Hosts receive the same versions in different orders and must end with the same configuration.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var objects []configurator.Object
+		for version := range uint64(rapid.IntRange(1, 12).Draw(t, "versions")) {
+			upstream := printer()
+			upstream.Slots = int(version) + 1
+			body, err := encoder.Encode(upstream, configurator.Origin{})
+			assert.NilError(t, err)
+			deleted := rapid.Bool().Draw(t, "deleted")
+			name := upstream.ObjectName()
+			objects = append(objects, configurator.Object{Name: name, Version: version + 1, Body: body, Deleted: deleted})
+		}
+		ordered, shuffled := configurator.New(), configurator.New()
+		for _, object := range objects {
+			_, err := ordered.Merge(object, encoder.Decode)
+			assert.NilError(t, err)
+		}
+		for _, object := range rapid.Permutation(objects).Draw(t, "order") {
+			_, err := shuffled.Merge(object, encoder.Decode)
+			assert.NilError(t, err)
+		}
+		assert.DeepEqual(t, ordered, shuffled)
+	})
+}
+
+// A malformed or invalid object must leave the snapshot as it was and name the field.
+func TestMergeRefusesBadObject(t *testing.T) {
+	cases := []struct {
+		name, object, body string
+		kind               configurator.Kind
+		field              string
+	}{
+		{"other kind", "table/x/1", `{}`, configurator.Misnamed, ""},
+		{"empty name", "config/service/", `{}`, configurator.Misnamed, ""},
+		{"no json", "config/failure-domain/west", `{`, configurator.Unreadable, ""},
+		{"unknown field", "config/failure-domain/west", `{"name":"west","out":true}`, configurator.Unreadable, "out"},
+		{"wrong type", "config/failure-domain/west", `{"name":1}`, configurator.Unreadable, "name"},
+		{"other name", "config/failure-domain/west", `{"name":"east"}`, configurator.Misnamed, "name"},
+		{"bad value", "config/failure-domain/West", `{"name":"West"}`, configurator.Invalid, "name"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			snapshot := filled(t)
+			before := snapshot.Clone()
+			object := configurator.Object{Name: test.object, Version: 50, Body: []byte(test.body)}
+			changed, err := snapshot.Merge(object, encoder.Decode)
+			assert.Assert(t, !changed)
+			var typed *configurator.Error
+			assert.Assert(t, asError(err, &typed))
+			assert.Equal(t, typed.Kind, test.kind)
+			assert.Equal(t, fieldNames(err), test.field)
+			assert.DeepEqual(t, snapshot, before)
+		})
+	}
+}
+
+// Every field with a bound must be refused by its name, and all faults of an object at once.
+func TestValidate(t *testing.T) {
+	cases := []struct {
+		name   string
+		value  configurator.Value
+		fields string
+	}{
+		{"service", marks(), ""},
+		{"upstream", printer(), ""},
+		{"window", cleaning(), ""},
+		{"name with dot", with(marks(), func(s *configurator.Service) { s.Name = "a.b" }), "name"},
+		{"two keys", with(marks(), func(s *configurator.Service) { s.KeySegment = 1 }), "key-segment"},
+		{"header", with(marks(), func(s *configurator.Service) { s.KeyHeader = "a b" }), "key-header"},
+		{"no slices", with(marks(), func(s *configurator.Service) { s.SliceCount = 0 }), "slice-count"},
+		{"key without keyed", with(marks(), func(s *configurator.Service) { s.Keyed = false }), "key-header,slice-count"},
+		{"rule", with(marks(), func(s *configurator.Service) {
+			s.Rules = []configurator.Rule{{Path: "/"}, {Method: "post", Path: "a/[", Class: 7}}
+		}), "rules[1].method,rules[1].path,rules[1].path,rules[1].class"},
+		{"rule with inner **", with(marks(), func(s *configurator.Service) {
+			s.Rules = []configurator.Rule{{Path: "/**/x"}}
+		}), "rules[0].path"},
+		{"address", with(printer(), func(u *configurator.Upstream) { u.Address = "host:80" }), "address"},
+		{"port", with(printer(), func(u *configurator.Upstream) { u.Address = "10.0.0.1:0" }), "address"},
+		{"slots", with(printer(), func(u *configurator.Upstream) { u.Slots = 0 }), "slots"},
+		{"connections", with(printer(), func(u *configurator.Upstream) { u.Connections = 5 }), "connections"},
+		{"references", with(printer(), func(u *configurator.Upstream) { u.Service, u.FailureDomain = "", "-" }),
+			"service,failure-domain"},
+		{"domain", configurator.FailureDomain{Name: strings.Repeat("a", 64)}, "name"},
+		{"weekday", with(cleaning(), func(w *configurator.Window) { w.Weekday = 7 }), "weekday"},
+		{"start", with(cleaning(), func(w *configurator.Window) { w.Start = 24 * time.Hour }), "start"},
+		{"length", with(cleaning(), func(w *configurator.Window) { w.Length = 0 }), "length-minutes"},
+		{"long", with(cleaning(), func(w *configurator.Window) { w.Length = 25 * time.Hour }), "length-minutes"},
+		{"host zone", with(cleaning(), func(w *configurator.Window) { w.TimeZone = "Local" }), "time-zone"},
+		{"unknown zone", with(cleaning(), func(w *configurator.Window) { w.TimeZone = "Europe/Nowhere" }), "time-zone"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			assert.Equal(t, fieldNames(test.value.Validate()), test.fields)
+		})
+	}
+}
+
+// A change that would leave a dangling reference, recut a table or overlap windows must be refused before it is written.
+func TestCheck(t *testing.T) {
+	now := time.Date(2026, time.January, 7, 12, 0, 0, 0, time.UTC)
+	cases := []struct {
+		name   string
+		value  configurator.Value
+		fields string
+	}{
+		{"unchanged service", marks(), ""},
+		{"slice count", with(marks(), func(s *configurator.Service) { s.SliceCount++ }), "slice-count"},
+		{"references", with(printer(), func(u *configurator.Upstream) { u.Service, u.FailureDomain = "x", "y" }),
+			"service,failure-domain"},
+		{"same window", cleaning(), ""},
+		{"window of unknown domain", with(cleaning(), func(w *configurator.Window) { w.FailureDomain = "x" }), "failure-domain"},
+		{"adjacent", with(cleaning(), func(w *configurator.Window) { w.Name, w.Start = "w", 4*time.Hour }), ""},
+		{"overlapping", with(cleaning(), func(w *configurator.Window) { w.Name, w.Start = "w", 3*time.Hour+59*time.Minute }),
+			"start"},
+		{"across the week", with(cleaning(), func(w *configurator.Window) {
+			w.Name, w.Weekday, w.Start, w.Length = "w", time.Saturday, 23*time.Hour, 5*time.Hour
+		}), "start"},
+		// 02:00 in Reykjavik is 03:00 in Bratislava in winter and 04:00 in summer.
+		{"overlapping in winter only", with(cleaning(), func(w *configurator.Window) {
+			w.Name, w.Start, w.TimeZone = "w", 2*time.Hour, "Atlantic/Reykjavik"
+		}), "start"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			assert.Equal(t, fieldNames(filled(t).Check(test.value, now)), test.fields)
+		})
+	}
+}
+
+// Objects that others refer to must not be deleted.
+func TestCheckDelete(t *testing.T) {
+	snapshot := filled(t)
+	for _, name := range []string{"config/service/shelf-marks", "config/failure-domain/east"} {
+		assert.Equal(t, fieldNames(snapshot.CheckDelete(name)), "name")
+	}
+	assert.NilError(t, snapshot.CheckDelete(printer().ObjectName()))
+}
