--- /dev/null
+++ b/platformsim/internal/responder/faults.go
@@ -0,0 +1,73 @@
+package responder
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// faults are the switches of `PUT /v1/faults`. A call replaces all of them, so an absent one is off.
+type faults struct {
+	Down          bool   `json:"down"`
+	SlowMS        int64  `json:"slow-ms"`
+	LoseAnswers   bool   `json:"lose-answers"`
+	CutWatches    bool   `json:"cut-watches"`
+	StaleReads    bool   `json:"stale-reads"`
+	HostListLagMS int64  `json:"host-list-lag-ms"`
+	CompactBefore uint64 `json:"compact-before"`
+}
+
+func (r *Responder) putFaults(w http.ResponseWriter, request *http.Request) {
+	var next faults
+	if err := json.NewDecoder(request.Body).Decode(&next); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.store.SetStale(next.StaleReads)
+	r.store.Compact(next.CompactBefore)
+	r.mu.Lock()
+	r.faults = next
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.mu.Unlock()
+	w.WriteHeader(http.StatusOK)
+}
+
+func (r *Responder) currentFaults() faults {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
+}
+
+// injectFaults delays the call or closes its connection without an answer.
+func (r *Responder) injectFaults(request *http.Request) {
+	current := r.currentFaults()
+	if current.Down {
+		panic(http.ErrAbortHandler)
+	}
+	if current.SlowMS <= 0 {
+		return
+	}
+	select {
+	case <-request.Context().Done():
+	case <-time.After(time.Duration(current.SlowMS) * time.Millisecond):
+	}
+}
+
+// loseAnswer closes the connection of a write that has taken effect.
+func (r *Responder) loseAnswer(tookEffect bool) {
+	if tookEffect && r.currentFaults().LoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// abortWatchOnFault closes the connection of a watch while the store is down or watches are cut. Otherwise it returns a
+// channel that is closed when the faults change.
+func (r *Responder) abortWatchOnFault() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.faults.Down || r.faults.CutWatches {
+		panic(http.ErrAbortHandler)
+	}
+	return r.changed
+}
