upstreamsim: serve fenced leases, slots, cold start, drain and fault switches

Cause: the daemon is being written and needs an upstream that speaks docs/protocols.md. The fence check and the slot are taken in one step, and orders exclude that step, because the in-flight number in the reply to a revocation must count every request that passed the check.

--- /dev/null
+++ b/upstreamsim/internal/freezer/freezer.go
@@ -0,0 +1,92 @@
+// Package freezer simulates a paused process: while it is frozen, nothing proceeds, but the clock goes on.
+//
+// Usage:
+//
+//	process := freezer.New()
+//	process.Freeze(2 * time.Second)
+//	process.Wait()
+//	finished := process.Run(ctx, serviceTime, deadline)
+package freezer
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Freezer is safe for concurrent use.
+type Freezer struct {
+	mu     sync.Mutex
+	frozen bool
+	// change is closed when the process freezes or resumes.
+	change chan struct{}
+}
+
+// New returns a running process.
+func New() *Freezer {
+	return &Freezer{change: make(chan struct{})}
+}
+
+// Freeze pauses the process for the duration. It has no effect on a process that is already frozen.
+func (f *Freezer) Freeze(duration time.Duration) {
+	if !f.set(true) {
+		return
+	}
+	time.AfterFunc(duration, func() { f.set(false) })
+}
+
+// Wait returns as soon as the process is not frozen.
+func (f *Freezer) Wait() {
+	for {
+		frozen, change := f.state()
+		if !frozen {
+			return
+		}
+		<-change
+	}
+}
+
+// Run takes the given running time, not counting the time spent frozen. It returns false when the context or the
+// deadline channel ended it early; a frozen process notices that only when it resumes.
+func (f *Freezer) Run(ctx context.Context, work time.Duration, deadline <-chan time.Time) bool {
+	for {
+		f.Wait()
+		_, change := f.state()
+		started := time.Now()
+		timer := time.NewTimer(work)
+		select {
+		case <-timer.C:
+			f.Wait()
+			return true
+		case <-ctx.Done():
+			timer.Stop()
+			f.Wait()
+			return false
+		case <-deadline:
+			timer.Stop()
+			f.Wait()
+			return false
+		case <-change:
+			timer.Stop()
+			work = max(0, work-time.Since(started))
+		}
+	}
+}
+
+func (f *Freezer) state() (bool, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.frozen, f.change
+}
+
+func (f *Freezer) set(frozen bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.frozen == frozen {
+		return false
+	}
+	f.frozen = frozen
+	close(f.change)
+	f.change = make(chan struct{})
+	return true
+}
--- /dev/null
+++ b/upstreamsim/internal/leaser/leaser.go
@@ -0,0 +1,155 @@
+// Package leaser decides which slices the upstream holds. It is a state machine without I/O: the time since the start of
+// the process is an argument of each call.
+//
+// Usage:
+//
+//	lease := leaser.New("incarnation", true)
+//	reply := lease.Apply(now, order)
+//	ok := lease.Holds(now, leaser.Grant{Slice: 12, Term: 7, Epoch: 3})
+package leaser
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Refusals of an order, as they appear in the reply.
+const (
+	StaleTerm    = "stale-term"
+	StaleNonce   = "stale-nonce"
+	ExpiredNonce = "expired-nonce"
+)
+
+// Grant is the right to serve a slice, fenced by term and epoch.
+type Grant struct {
+	Slice uint64
+	Term  uint64
+	Epoch uint64
+}
+
+// SliceEpoch names a slice in an order.
+type SliceEpoch struct {
+	Slice uint64
+	Epoch uint64
+}
+
+// Order is a controller's order. An empty nonce makes it a query.
+type Order struct {
+	Term     uint64
+	Nonce    string
+	Lifetime time.Duration
+	Add      []SliceEpoch
+	Remove   []SliceEpoch
+}
+
+// Reply is the answer to an order. Error is empty when the order was accepted.
+type Reply struct {
+	Term     uint64
+	Nonce    string
+	Error    string
+	Held     []Grant
+	LastHeld []Grant
+}
+
+// Lease is the state of the upstream's grants. It is safe for concurrent use.
+type Lease struct {
+	mu          sync.Mutex
+	prefix      string
+	checkFences bool
+	term        uint64
+	nonces      uint64
+	nonce       string
+	issued      time.Duration
+	end         time.Duration
+	held        map[uint64]Grant
+	lastHeld    []Grant
+}
+
+// New returns a lease without slices. Nonces begin with the prefix, which must differ between runs of the process. When
+// checkFences is false, orders of any term are accepted.
+func New(prefix string, checkFences bool) *Lease {
+	return &Lease{prefix: prefix, checkFences: checkFences, held: map[uint64]Grant{}}
+}
+
+// Apply carries out an order or refuses it.
+func (l *Lease) Apply(now time.Duration, order Order) Reply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	refusal := l.refusal(now, order)
+	if refusal != StaleTerm {
+		l.term = max(l.term, order.Term)
+	}
+	if refusal == "" && order.Nonce != "" {
+		l.accept(order)
+	}
+	return l.reply(now, refusal)
+}
+
+// Holds reports whether the slice is held under exactly this term and epoch.
+func (l *Lease) Holds(now time.Duration, grant Grant) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	held, ok := l.held[grant.Slice]
+	return ok && held == grant
+}
+
+func (l *Lease) refusal(now time.Duration, order Order) string {
+	if l.checkFences && order.Term < l.term {
+		return StaleTerm
+	}
+	if order.Nonce == "" {
+		return ""
+	}
+	if order.Nonce != l.nonce {
+		return StaleNonce
+	}
+	if l.issued+order.Lifetime <= now {
+		return ExpiredNonce
+	}
+	return ""
+}
+
+func (l *Lease) accept(order Order) {
+	l.end = l.issued + order.Lifetime
+	for _, removed := range order.Remove {
+		// A removal that names an older epoch must not take away a later grant of the same slice.
+		if held, ok := l.held[removed.Slice]; ok && held.Epoch <= removed.Epoch {
+			delete(l.held, removed.Slice)
+		}
+	}
+	for _, added := range order.Add {
+		l.held[added.Slice] = Grant{Slice: added.Slice, Term: order.Term, Epoch: added.Epoch}
+	}
+	if len(order.Add) > 0 {
+		l.lastHeld = nil
+	}
+}
+
+func (l *Lease) expire(now time.Duration) {
+	if len(l.held) == 0 || now < l.end {
+		return
+	}
+	l.lastHeld = sorted(l.held)
+	l.held = map[uint64]Grant{}
+}
+
+// reply issues a fresh nonce, which makes the previous one invalid.
+func (l *Lease) reply(now time.Duration, refusal string) Reply {
+	l.nonces++
+	l.nonce = fmt.Sprintf("%s-%d", l.prefix, l.nonces)
+	l.issued = now
+	return Reply{Term: l.term, Nonce: l.nonce, Error: refusal, Held: sorted(l.held), LastHeld: l.lastHeld}
+}
+
+func sorted(held map[uint64]Grant) []Grant {
+	grants := make([]Grant, 0, len(held))
+	for _, grant := range held {
+		grants = append(grants, grant)
+	}
+	sort.Slice(grants, func(i, j int) bool { return grants[i].Slice < grants[j].Slice })
+	return grants
+}
--- /dev/null
+++ b/upstreamsim/internal/recorder/recorder.go
@@ -0,0 +1,120 @@
+// Package recorder keeps evidence of every executed request: how often it ran, under which fence, and from when to when.
+//
+// Usage:
+//
+//	log := recorder.New(file)
+//	run := log.Begin(recorder.Execution{RequestID: "r1", Key: "k", StartNS: time.Now().UnixNano()})
+//	log.End(run, time.Now().UnixNano(), true)
+package recorder
+
+import (
+	"encoding/json"
+	"io"
+	"sync"
+)
+
+// Execution is one run of a request. Times are wall-clock nanoseconds, so that runs of several processes of one machine
+// can be compared. EndNS is zero while it runs, and stays zero when the process ends first.
+type Execution struct {
+	RequestID string
+	Key       string
+	Method    string
+	// Fenced says whether the request carried a fence.
+	Fenced    bool
+	Slice     uint64
+	Term      uint64
+	Epoch     uint64
+	StartNS   int64
+	EndNS     int64
+	Completed bool
+}
+
+// wireExecution is the form of an execution in the file and in the answer of `GET /-/runs`.
+type wireExecution struct {
+	Index     int    `json:"index"`
+	RequestID string `json:"request-id"`
+	Key       string `json:"key"`
+	Method    string `json:"method"`
+	Fenced    bool   `json:"fenced"`
+	Slice     uint64 `json:"slice"`
+	Term      uint64 `json:"term"`
+	Epoch     uint64 `json:"epoch"`
+	StartNS   int64  `json:"start-ns"`
+	EndNS     int64  `json:"end-ns"`
+	Completed bool   `json:"completed"`
+}
+
+type wireRun struct {
+	RequestID  string          `json:"request-id"`
+	Key        string          `json:"key"`
+	Count      int             `json:"count"`
+	Executions []wireExecution `json:"executions"`
+}
+
+// Recorder is safe for concurrent use. It keeps every execution until the process ends.
+type Recorder struct {
+	mu         sync.Mutex
+	executions []Execution
+	file       *json.Encoder
+}
+
+// New returns an empty recorder. When file is not nil, every beginning and end is also appended to it as a line of JSON,
+// which keeps the evidence of a process that is killed.
+func New(file io.Writer) *Recorder {
+	r := &Recorder{}
+	if file != nil {
+		r.file = json.NewEncoder(file)
+	}
+	return r
+}
+
+// Begin records the start of a run and returns its index for End.
+func (r *Recorder) Begin(execution Execution) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.executions = append(r.executions, execution)
+	index := len(r.executions) - 1
+	return index, r.append(index)
+}
+
+// End records the end of a run.
+func (r *Recorder) End(index int, endNS int64, completed bool) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.executions[index].EndNS = endNS
+	r.executions[index].Completed = completed
+	return r.append(index)
+}
+
+// MarshalJSON returns the list of executed request ids with their keys, counts and executions.
+func (r *Recorder) MarshalJSON() ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := make([]wireRun, 0, len(r.executions))
+	position := map[string]int{}
+	for index, execution := range r.executions {
+		at, ok := position[execution.RequestID]
+		if !ok {
+			at = len(runs)
+			position[execution.RequestID] = at
+			runs = append(runs, wireRun{RequestID: execution.RequestID, Key: execution.Key})
+		}
+		runs[at].Count++
+		runs[at].Executions = append(runs[at].Executions, encode(index, execution))
+	}
+	return json.Marshal(runs)
+}
+
+func (r *Recorder) append(index int) error {
+	if r.file == nil {
+		return nil
+	}
+	return r.file.Encode(encode(index, r.executions[index]))
+}
+
+func encode(index int, e Execution) wireExecution {
+	return wireExecution{
+		Index: index, RequestID: e.RequestID, Key: e.Key, Method: e.Method, Fenced: e.Fenced, Slice: e.Slice,
+		Term: e.Term, Epoch: e.Epoch, StartNS: e.StartNS, EndNS: e.EndNS, Completed: e.Completed,
+	}
+}
--- /dev/null
+++ b/upstreamsim/internal/responder/request.go
@@ -0,0 +1,286 @@
+package responder
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"rhubarbtrack.example/upstreamsim/internal/executor"
+	"rhubarbtrack.example/upstreamsim/internal/leaser"
+	"rhubarbtrack.example/upstreamsim/internal/recorder"
+)
+
+// Headers between router and upstream.
+const (
+	headerRequestID   = "Rhubarbtrack-Request-Id"
+	headerKey         = "Rhubarbtrack-Key"
+	headerFence       = "Rhubarbtrack-Fence"
+	headerDeadline    = "Rhubarbtrack-Deadline-Ms"
+	headerIncarnation = "Rhubarbtrack-Incarnation"
+	headerOutcome     = "Rhubarbtrack-Outcome"
+	headerReason      = "Rhubarbtrack-Reason"
+	headerMark        = "Demo-Mark"
+)
+
+// Reasons of a refusal.
+const (
+	reasonShed     = "shed"
+	reasonCold     = "cold"
+	reasonDraining = "draining"
+	reasonNotOwner = "not-owner"
+	reasonDeadline = "deadline"
+)
+
+const (
+	maxBodyBytes = 8 << 20
+	// shedTime is how long a refusal occupies the upstream. Without it refusals would take no time, and no amount of
+	// excess work could push a fragile upstream over twice what it bears.
+	shedTime = 5 * time.Millisecond
+	// crashStatus is the exit status of a simulated crash.
+	crashStatus = 3
+)
+
+// call is a request of the service after its headers were read.
+type call struct {
+	id       string
+	key      string
+	method   string
+	path     string
+	digest   string
+	fence    leaser.Grant
+	fenced   bool
+	mark     string
+	deadline <-chan time.Time
+	late     bool
+}
+
+func (r *Responder) serveRequest(w http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxBodyBytes))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r.process.Wait()
+	current := decodeCall(request, body)
+	reason, verdict := r.admit(current)
+	if reason != "" {
+		refuse(w, reason)
+		return
+	}
+	switch verdict {
+	case executor.Crash:
+		r.options.Exit(crashStatus)
+	case executor.Shed:
+		r.shed(w, request.Context(), reasonShed)
+	case executor.ShedCold:
+		r.shed(w, request.Context(), reasonCold)
+	case executor.Run:
+		r.execute(w, request.Context(), current)
+	}
+}
+
+// admit checks the fence and takes a slot in one step, so that the reply to an order that revokes a slice never misses a
+// request of that slice in its in-flight number.
+func (r *Responder) admit(current call) (string, executor.Verdict) {
+	r.admission.RLock()
+	defer r.admission.RUnlock()
+	if reason := r.refusal(current); reason != "" {
+		return reason, executor.Shed
+	}
+	return "", r.capacity.Begin()
+}
+
+// refusal returns the reason why the request must not run, or an empty string.
+func (r *Responder) refusal(current call) string {
+	r.mu.Lock()
+	draining := r.draining
+	r.mu.Unlock()
+	if draining {
+		return reasonDraining
+	}
+	if current.late {
+		return reasonDeadline
+	}
+	if !r.options.CheckFences {
+		return ""
+	}
+	if !current.fenced && !r.options.Keyed {
+		return ""
+	}
+	if !current.fenced || !r.lease.Holds(r.options.Now(), current.fence) {
+		return reasonNotOwner
+	}
+	return ""
+}
+
+func (r *Responder) shed(w http.ResponseWriter, ctx context.Context, reason string) {
+	r.process.Run(ctx, shedTime, nil)
+	r.capacity.EndShed()
+	refuse(w, reason)
+}
+
+func (r *Responder) execute(w http.ResponseWriter, ctx context.Context, current call) {
+	r.sampleLoad()
+	index, err := r.runs.Begin(recorder.Execution{
+		RequestID: current.id, Key: current.key, Method: current.method, Fenced: current.fenced,
+		Slice: current.fence.Slice, Term: current.fence.Term, Epoch: current.fence.Epoch,
+		StartNS: r.options.WallNS(),
+	})
+	if err != nil {
+		// A run without evidence would make the checks of the harness worthless.
+		r.options.Exit(1)
+	}
+	active := r.currentFaults()
+	if active.CrashOn != "" && active.CrashOn == current.mark {
+		r.options.Exit(crashStatus)
+	}
+	completed := r.process.Run(ctx, r.serviceTime(active), current.deadline)
+	if r.runs.End(index, r.options.WallNS(), completed) != nil {
+		r.options.Exit(1)
+	}
+	r.capacity.End(completed)
+	r.sampleLoad()
+	if !completed {
+		r.answerStopped(w, current)
+		return
+	}
+	r.process.Run(ctx, time.Duration(active.LateMS)*time.Millisecond, nil)
+	r.answer(w, r.newResponse(current), active)
+}
+
+func (r *Responder) serviceTime(active faults) time.Duration {
+	spread := time.Duration(0)
+	if r.options.ServiceSpread > 0 {
+		r.mu.Lock()
+		spread = time.Duration(r.random.Int64N(int64(2*r.options.ServiceSpread))) - r.options.ServiceSpread
+		r.mu.Unlock()
+	}
+	work := max(0, r.options.ServiceTime+spread)
+	if active.SlowFactor > 0 {
+		work = time.Duration(float64(work) * active.SlowFactor)
+	}
+	return work + time.Duration(active.SlowMS)*time.Millisecond
+}
+
+func (r *Responder) sampleLoad() {
+	r.load.Set(r.options.Now(), r.capacity.InFlight())
+}
+
+// answerStopped reports a request that began and was stopped by its deadline. After a cancellation nobody reads it.
+func (r *Responder) answerStopped(w http.ResponseWriter, current call) {
+	w.Header().Set(headerRequestID, current.id)
+	w.Header().Set(headerIncarnation, r.options.Incarnation)
+	w.Header().Set(headerOutcome, "unknown")
+	w.WriteHeader(http.StatusGatewayTimeout)
+}
+
+func refuse(w http.ResponseWriter, reason string) {
+	w.Header().Set(headerOutcome, "not-run")
+	w.Header().Set(headerReason, reason)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func decodeCall(request *http.Request, body []byte) call {
+	sum := sha256.Sum256(body)
+	current := call{
+		id:     request.Header.Get(headerRequestID),
+		key:    request.Header.Get(headerKey),
+		method: request.Method,
+		path:   request.URL.RequestURI(),
+		digest: hex.EncodeToString(sum[:]),
+		mark:   request.Header.Get(headerMark),
+	}
+	current.fence, current.fenced = decodeFence(request.Header.Get(headerFence))
+	remaining, err := strconv.ParseInt(request.Header.Get(headerDeadline), 10, 64)
+	if err == nil {
+		current.late = remaining <= 0
+		current.deadline = time.After(time.Duration(remaining) * time.Millisecond)
+	}
+	return current
+}
+
+// decodeFence reads `<slice>.<term>.<epoch>`.
+func decodeFence(text string) (leaser.Grant, bool) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 3 {
+		return leaser.Grant{}, false
+	}
+	var numbers [3]uint64
+	for i, part := range parts {
+		number, err := strconv.ParseUint(part, 10, 64)
+		if err != nil {
+			return leaser.Grant{}, false
+		}
+		numbers[i] = number
+	}
+	return leaser.Grant{Slice: numbers[0], Term: numbers[1], Epoch: numbers[2]}, true
+}
+
+// response is the service's own answer. It names the request and the digest of its body, so that a caller can check that
+// the answer belongs to its own request.
+type response struct {
+	RequestID   string `json:"request-id"`
+	Key         string `json:"key"`
+	Method      string `json:"method"`
+	Path        string `json:"path"`
+	Digest      string `json:"digest"`
+	Incarnation string `json:"incarnation"`
+	Padding     string `json:"padding"`
+}
+
+func (r *Responder) newResponse(current call) response {
+	return response{
+		RequestID: current.id, Key: current.key, Method: current.method, Path: current.path, Digest: current.digest,
+		Incarnation: r.options.Incarnation, Padding: strings.Repeat("x", r.options.ResponseBytes),
+	}
+}
+
+func (r *Responder) answer(w http.ResponseWriter, own response, active faults) {
+	if active.Cross {
+		own = r.exchange(own)
+	}
+	body, err := json.Marshal(own)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(headerRequestID, own.RequestID)
+	w.Header().Set(headerIncarnation, r.options.Incarnation)
+	if active.Truncate {
+		r.truncate(w, body)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
+}
+
+// exchange returns the previous answer and keeps the given one for the next request.
+func (r *Responder) exchange(own response) response {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	previous := r.crossed
+	r.crossed = &own
+	if previous == nil {
+		return own
+	}
+	return *previous
+}
+
+// truncate sends half of the body and closes the connection. Every second answer has no Content-Length, so that the
+// missing last chunk is the only sign.
+func (r *Responder) truncate(w http.ResponseWriter, body []byte) {
+	r.mu.Lock()
+	r.cut++
+	announced := r.cut%2 == 1
+	r.mu.Unlock()
+	if announced {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	_, _ = w.Write(body[:len(body)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/upstreamsim/internal/runner/runner.go
@@ -0,0 +1,91 @@
+// Package runner parses the command line and runs the simulator.
+//
+// Usage:
+//
+//	os.Exit(runner.Main(os.Args[1:], os.Stdout, os.Stderr))
+package runner
+
+import (
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"rhubarbtrack.example/upstreamsim/internal/responder"
+)
+
+type options struct {
+	Listen        string  `long:"listen" default:"127.0.0.1:0" description:"address to listen on"`
+	Slots         int     `long:"slots" default:"6" description:"requests that run at once"`
+	ServiceTime   float64 `long:"service-time-ms" default:"5" description:"mean running time of a request in ms"`
+	ServiceSpread float64 `long:"service-spread-ms" description:"uniform spread of the running time to both sides in ms"`
+	ResponseBytes int     `long:"response-bytes" default:"64" description:"padding of each response in bytes"`
+	NoFence       bool    `long:"no-fence" description:"do not check fences: accept any term and run any request"`
+	NoKeys        bool    `long:"no-keys" description:"run requests that carry no fence, for a service without keys"`
+	Fragile       bool    `long:"fragile" description:"crash above twice the work that is borne"`
+	Warm          bool    `long:"warm" description:"start with all slots usable"`
+	Seed          uint64  `long:"seed" default:"1" description:"seed of the running times"`
+	RunsFile      string  `long:"runs-file" description:"file to which each run is appended as lines of JSON"`
+}
+
+// Main runs the program until it is ended and returns its exit status. The first line that it writes to stdout names the
+// address on which it listens.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var parsed options
+	if _, err := flags.NewParser(&parsed, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return 2
+	}
+	if parsed.Slots < 1 {
+		_, _ = fmt.Fprintln(stderr, "--slots must be at least 1")
+		return 2
+	}
+	if err := serve(parsed, stdout); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+	}
+	return 1
+}
+
+func serve(parsed options, stdout io.Writer) error {
+	var runsFile io.Writer
+	if parsed.RunsFile != "" {
+		file, err := os.OpenFile(parsed.RunsFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+		if err != nil {
+			return err
+		}
+		runsFile = file
+	}
+	listener, err := net.Listen("tcp", parsed.Listen)
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	handler := responder.New(responder.Options{
+		Incarnation:   rand.Text(),
+		Now:           func() time.Duration { return time.Since(start) },
+		WallNS:        func() int64 { return time.Now().UnixNano() },
+		Exit:          os.Exit,
+		RunsFile:      runsFile,
+		Slots:         parsed.Slots,
+		Warm:          parsed.Warm,
+		Fragile:       parsed.Fragile,
+		CheckFences:   !parsed.NoFence,
+		Keyed:         !parsed.NoKeys,
+		ServiceTime:   milliseconds(parsed.ServiceTime),
+		ServiceSpread: milliseconds(parsed.ServiceSpread),
+		ResponseBytes: parsed.ResponseBytes,
+		Seed:          parsed.Seed,
+	})
+	_, _ = fmt.Fprintf(stdout, "listening on %s\n", listener.Addr())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	return server.Serve(listener)
+}
+
+func milliseconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Millisecond))
+}
