--- a/upstreamsim/internal/responder/control.go
+++ b/upstreamsim/internal/responder/control.go
@@ -143,12 +143,11 @@
 	if next.TurnCold {
 		r.capacity.TurnCold()
 	}
-	w.Header().Set("Content-Length", "0")
-	w.WriteHeader(http.StatusOK)
-	_ = http.NewResponseController(w).Flush()
+	// The process freezes before the answer is sent, so that nothing runs after the harness has read it.
 	if next.FreezeMS > 0 {
 		r.process.Freeze(time.Duration(next.FreezeMS) * time.Millisecond)
 	}
+	w.WriteHeader(http.StatusOK)
 }
 
 func (r *Responder) getRuns(w http.ResponseWriter, _ *http.Request) {
