Add classifier

Cause: retries, hedges and queue weights need one decision on whether a request may be repeated. The first matching rule wins; without a match GET, HEAD and OPTIONS are safe, all others are never repeated. Paths with empty or dot segments and malformed patterns give never-repeat, because an upstream may resolve such a path to one that another rule covers, and the intent of a malformed rule is unknown.

--- /dev/null
+++ b/core/classifier/classifier.go
@@ -0,0 +1,88 @@
+// Package classifier decides whether a request may be repeated.
+//
+// # Usage
+//
+//	class := classifier.Classify(service.Rules, request.Method, pathBelowService)
+//
+// The path is the decoded path below the service. Patterns are those of path.Match; a trailing "/**" also matches any
+// number of further segments, and an empty pattern matches every path. A leading slash is optional on both sides.
+package classifier
+
+import (
+	"path"
+	"strings"
+
+	"rhubarbtrack.example/core/configurator"
+)
+
+const anyRest = "/**"
+
+// Classify returns the class of the first rule that matches. Without a match, GET, HEAD and OPTIONS are safe and all
+// other methods are never repeated.
+//
+// Paths with empty, "." or ".." segments are never repeated, because the upstream may resolve them to a path for which
+// another rule holds. A malformed pattern ends the search with NeverRepeat, because its intended class is unknown.
+func Classify(rules []configurator.Rule, method, requestPath string) configurator.Class {
+	requestPath = strings.TrimPrefix(requestPath, "/")
+	if ambiguous(requestPath) {
+		return configurator.NeverRepeat
+	}
+	for _, rule := range rules {
+		if rule.Method != "" && rule.Method != method {
+			continue
+		}
+		matched, err := matches(rule.Path, requestPath)
+		if err != nil {
+			return configurator.NeverRepeat
+		}
+		if matched {
+			return rule.Class
+		}
+	}
+	switch method {
+	case "GET", "HEAD", "OPTIONS":
+		return configurator.Safe
+	default:
+		return configurator.NeverRepeat
+	}
+}
+
+func matches(pattern, requestPath string) (bool, error) {
+	if pattern == "" || pattern == "**" || pattern == anyRest {
+		return true, nil
+	}
+	pattern = strings.TrimPrefix(pattern, "/")
+	prefix, open := strings.CutSuffix(pattern, anyRest)
+	if !open {
+		return path.Match(pattern, requestPath)
+	}
+	return path.Match(prefix, firstSegments(requestPath, strings.Count(prefix, "/")+1))
+}
+
+// firstSegments returns the first count segments of requestPath, or all of it when it has fewer.
+func firstSegments(requestPath string, count int) string {
+	for i := range len(requestPath) {
+		if requestPath[i] != '/' {
+			continue
+		}
+		count--
+		if count == 0 {
+			return requestPath[:i]
+		}
+	}
+	return requestPath
+}
+
+// ambiguous reports whether an upstream could read the path as a different one. A single trailing slash is allowed.
+func ambiguous(requestPath string) bool {
+	rest := strings.TrimSuffix(requestPath, "/")
+	if rest == "" {
+		return requestPath != ""
+	}
+	for segment := range strings.SplitSeq(rest, "/") {
+		if segment == "" || segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
