--- /dev/null
+++ b/core/detector/detector.go
@@ -0,0 +1,2 @@
+// Package detector finds requests that crash upstreams.
+package detector
