--- /dev/null
+++ b/core/controller/plan.go
@@ -0,0 +1,215 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rhubarbtrack.example/core/slicer"
+)
+
+// Input is what Plan decides on.
+type Input struct {
+	Slices    []SliceState    // ascending by ID
+	Upstreams []UpstreamState // ascending by name
+	Budget    int             // moves that may begin now
+	Voluntary bool            // false: only slices without an owner may move
+}
+
+// SliceState describes a slice to Plan.
+type SliceState struct {
+	ID     uint32
+	HotKey string
+	Owner  string // empty when the slice has none
+	Moving bool   // under way already; Owner is the next owner
+}
+
+// UpstreamState describes an upstream to Plan.
+type UpstreamState struct {
+	Name          string
+	FailureDomain string
+	Slots         int
+	Incarnation   string
+	InFlight      int  // -1 when unknown
+	Eligible      bool // may receive slices: reachable, not drained, its failure domain not taken out
+	Leaving       bool // is to be emptied
+}
+
+// Move gives a slice to an upstream.
+type Move struct {
+	Slice uint32
+	To    string
+}
+
+// EvenPlan assigns slices in proportion to slots: first those without an owner, then those of leaving upstreams, then
+// single slices from the fullest to the emptiest upstream.
+func EvenPlan(_ time.Duration, input Input) []Move {
+	plan := newEvenPlan(input)
+	for _, s := range input.Slices {
+		if s.Owner == "" && !s.Moving {
+			plan.move(s, "")
+		}
+	}
+	if !input.Voluntary {
+		return plan.moves
+	}
+	for _, s := range input.Slices {
+		if plan.leaving[s.Owner] && !s.Moving {
+			plan.move(s, s.Owner)
+		}
+	}
+	plan.even()
+	return plan.moves
+}
+
+type evenPlan struct {
+	input   Input
+	slots   map[string]int // of eligible upstreams
+	count   map[string]int
+	leaving map[string]bool
+	moves   []Move
+}
+
+func newEvenPlan(input Input) *evenPlan {
+	plan := &evenPlan{input: input, slots: map[string]int{}, count: map[string]int{}, leaving: map[string]bool{}}
+	for _, upstream := range input.Upstreams {
+		if upstream.Eligible {
+			plan.slots[upstream.Name] = max(upstream.Slots, 1)
+		}
+		plan.leaving[upstream.Name] = upstream.Leaving
+	}
+	for _, s := range input.Slices {
+		plan.count[s.Owner]++
+	}
+	return plan
+}
+
+func (p *evenPlan) move(s SliceState, from string) {
+	to := p.emptiest()
+	if to == "" || len(p.moves) >= p.input.Budget {
+		return
+	}
+	p.count[from]--
+	p.count[to]++
+	p.moves = append(p.moves, Move{Slice: s.ID, To: to})
+}
+
+// load compares upstreams by the slices per slot that they would have with extra more slices.
+func (p *evenPlan) load(name string, extra int) float64 {
+	return float64(p.count[name]+extra) / float64(p.slots[name])
+}
+
+func (p *evenPlan) emptiest() string {
+	best := ""
+	for _, upstream := range p.input.Upstreams {
+		if p.slots[upstream.Name] == 0 {
+			continue
+		}
+		if best == "" || p.load(upstream.Name, 1) < p.load(best, 1) {
+			best = upstream.Name
+		}
+	}
+	return best
+}
+
+func (p *evenPlan) even() {
+	for _, s := range p.input.Slices {
+		to := p.emptiest()
+		if to == "" || p.slots[s.Owner] == 0 || s.Moving || p.moved(s.ID) {
+			continue
+		}
+		if p.load(s.Owner, 0) > p.load(to, 1) {
+			p.move(s, s.Owner)
+		}
+	}
+}
+
+func (p *evenPlan) moved(id uint32) bool {
+	return slices.ContainsFunc(p.moves, func(move Move) bool { return move.Slice == id })
+}
+
+// plan begins the moves that Plan asks for, within the bound on moves at once.
+func (c *Controller) plan(now time.Duration) {
+	if !c.keyed() || now < c.planAt {
+		return
+	}
+	c.planAt = now + planInterval
+	input := c.input(now)
+	if input.Budget <= 0 {
+		return
+	}
+	for _, move := range c.options.Plan(now, input) {
+		if input.Budget == 0 {
+			return
+		}
+		if c.beginMove(move, input) {
+			input.Budget--
+		}
+	}
+}
+
+func (c *Controller) beginMove(move Move, input Input) bool {
+	s := c.slices[move.Slice]
+	index, known := slices.BinarySearchFunc(input.Upstreams, move.To, func(upstream UpstreamState, name string) int {
+		return cmp.Compare(upstream.Name, name)
+	})
+	if s == nil || !known || !input.Upstreams[index].Eligible {
+		return false
+	}
+	voluntary := s.stage == owned && s.owner != move.To && input.Voluntary
+	if s.stage != unowned && !voluntary {
+		return false
+	}
+	c.begin(s, move.To)
+	return true
+}
+
+func (c *Controller) input(now time.Duration) Input {
+	input := Input{
+		Budget:    c.options.MaxMoves,
+		Voluntary: now >= c.settled && c.finished && !c.store.down,
+	}
+	for _, id := range c.order {
+		s := c.slices[id]
+		state := SliceState{ID: id, HotKey: s.hotKey, Owner: s.owner, Moving: s.stage != owned && s.stage != unowned}
+		switch s.stage {
+		case stopping, revoking:
+			state.Owner = s.target
+		case unowned:
+			state.Owner = ""
+		}
+		if state.Moving && s.stage != unresolved {
+			input.Budget--
+		}
+		input.Slices = append(input.Slices, state)
+	}
+	for _, name := range c.names() {
+		upstream := c.upstreams[name]
+		input.Upstreams = append(input.Upstreams, UpstreamState{
+			Name:          name,
+			FailureDomain: upstream.config.FailureDomain,
+			Slots:         upstream.config.Slots,
+			Incarnation:   upstream.incarnation,
+			InFlight:      upstream.inFlight,
+			Eligible:      upstream.answered && upstream.failedSince == 0 && !c.closed(upstream),
+			Leaving:       c.closed(upstream),
+		})
+	}
+	return input
+}
+
+func (c *Controller) addSlice(entry slicer.Slice) {
+	s := &slice{id: entry.ID, low: entry.Low, hotKey: entry.HotKey, owner: entry.Owner, epoch: entry.Epoch}
+	if s.owner != "" {
+		c.upstream(s.owner)
+	}
+	c.slices[s.id] = s
+}
+
+func (c *Controller) sortOrder() {
+	c.order = c.order[:0]
+	for id := range c.slices {
+		c.order = append(c.order, id)
+	}
+	slices.Sort(c.order)
+}
