--- a/rhubarbtrackd/internal/dispatcher/message.go
+++ b/rhubarbtrackd/internal/dispatcher/message.go
@@ -29,7 +29,7 @@
 type Request struct {
 	ID             string // same for all attempts of a caller's request
 	Service        string
-	Upstream       string // name within the service
+	Upstream       string // <service>.<name>
 	Class          configurator.Class
 	Fence          slicer.Fence // zero for services not partitioned by key
 	Signature      uint64
--- a/rhubarbtrackd/internal/dispatcher/worker.go
+++ b/rhubarbtrackd/internal/dispatcher/worker.go
@@ -30,6 +30,7 @@
 	version    leaseVersion
 	releasing  uint64 // epoch of a lease that is to be returned, 0 for none
 	active     bool   // a lease was applied and has not ended
+	epoch      uint64 // highest epoch of a lease that was applied
 
 	held   atomic.Pointer[heldLease]
 	status atomic.Pointer[Status]
@@ -196,6 +197,7 @@
 		w.endLease()
 		return
 	}
+	w.epoch = max(w.epoch, lease.Epoch)
 	w.step(admitter.LeaseRenewed{Epoch: lease.Epoch, SentAt: e.sentAt})
 	w.held.Store(&heldLease{term: e.version.term, epoch: lease.Epoch, until: e.sentAt + admitter.DefaultLease})
 	if !w.active {
@@ -246,11 +248,7 @@
 	w.active = false
 	w.log(eventlog.AdmissionLost)
 	// The highest epoch ends every lease of this upstream; a later one is granted with a later message.
-	w.step(admitter.LeaseEnded{Epoch: w.lastEpoch()})
-}
-
-func (w *worker) lastEpoch() uint64 {
-	return w.admitter.LeaseEpoch()
+	w.step(admitter.LeaseEnded{Epoch: w.epoch})
 }
 
 // returnLease gives a lease back once nothing is in flight. It is repeated with every message that asks for it.
--- a/rhubarbtrackd/internal/distributor/distributor.go
+++ b/rhubarbtrackd/internal/distributor/distributor.go
@@ -50,9 +50,9 @@
 	Dial    func(peer, address string)
 	Hangup  func(peer string)
 	Send    func(peer string, frame relayer.Frame)
-	Deliver func(item relayer.Item)       // called from the goroutine of Run
-	Members func(members []framer.Member) // called from the goroutine of Run when the list changed
-	Dropped func()                        // the ring was full
+	Deliver func(item relayer.Item)                               // called from the goroutine of Run
+	Members func(members []framer.Member, listed map[string]bool) // called from Run; listed: by the platform
+	Dropped func()                                                // the ring was full
 	Store   *storer.Client
 	Log     *eventlog.Logger
 }
@@ -277,7 +277,11 @@
 	}
 	sort.Strings(names)
 	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
-	d.options.Members(all)
+	listed := make(map[string]bool, len(d.listed))
+	for name := range d.listed {
+		listed[name] = true
+	}
+	d.options.Members(all, listed)
 	d.step(now, relayer.Hosts{Names: names})
 }
 
--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -68,6 +68,19 @@
 	SliceMoved       = register(404, "slice-moved", zap.InfoLevel, "A slice has a new owner.")
 	ControllerNote   = register(405, "controller-note", zap.InfoLevel, "The controller records a decision; the fields say which.")
 	TableRefused     = register(406, "table-refused", zap.ErrorLevel, "A table could not be decoded; its former state stays in force.")
+	ElectionNote     = register(407, "election-note", zap.InfoLevel, "The election of a controller made progress; the field code says which.")
+
+	TableTakeoverStarted  = register(410, "table-takeover-started", zap.InfoLevel, "A new controller asks all upstreams what they hold.")
+	TableTakeoverFinished = register(411, "table-takeover-finished", zap.InfoLevel, "A new controller knows the owner of every slice.")
+	UpstreamRestarted     = register(412, "upstream-restarted", zap.WarnLevel, "An upstream has a new incarnation; its grants are gone.")
+	UpstreamExpired       = register(413, "upstream-expired", zap.WarnLevel, "All grants of a silent upstream have expired.")
+	UpstreamReturned      = register(414, "upstream-returned", zap.InfoLevel, "A silent upstream answers again.")
+	MoveStarted           = register(415, "move-started", zap.InfoLevel, "A slice is being moved to another upstream.")
+	ExcessRevoked         = register(416, "excess-revoked", zap.WarnLevel, "An upstream held a slice that belongs to another one; it was revoked.")
+	AssignedProvisionally = register(417, "assigned-provisionally", zap.WarnLevel, "A slice of a lost upstream was assigned while the store is unavailable.")
+	AdmissionAssigned     = register(418, "admission-assigned", zap.InfoLevel, "A host was given the admission of an upstream.")
+	AdmissionExpired      = register(419, "admission-expired", zap.WarnLevel, "The admission lease of a silent host has expired.")
+	ControllerSuperseded  = register(420, "controller-superseded", zap.WarnLevel, "An upstream or the store knows a higher term; this controller stops.")
 )
 
 // Events of requests. They are sampled, since an outage makes many of them.
--- a/rhubarbtrackd/internal/forwarder/forwarder.go
+++ b/rhubarbtrackd/internal/forwarder/forwarder.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"rhubarbtrack.example/core/configurator"
-	"rhubarbtrack.example/core/slicer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
 )
--- /dev/null
+++ b/rhubarbtrackd/internal/granter/worker.go
@@ -0,0 +1,200 @@
+package granter
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbtrack.example/core/controller"
+	"rhubarbtrack.example/core/elector"
+	"rhubarbtrack.example/core/hasher"
+	"rhubarbtrack.example/core/witness"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
+)
+
+const (
+	ringSize = 2048
+	// tickInterval is below the 50 ms that elector and controller need.
+	tickInterval = 25 * time.Millisecond
+)
+
+// worker owns the elector and the controller of one service.
+type worker struct {
+	granter    *Granter
+	service    string
+	cancel     context.CancelFunc
+	ring       chan any
+	elector    *elector.Elector
+	controller *controller.Controller
+	beaconSeq  uint64
+
+	right atomic.Pointer[elector.Right]
+}
+
+func newWorker(g *Granter, service string, cancel context.CancelFunc) *worker {
+	options := controller.Options{Service: service, Host: g.options.Self, Incarnation: g.options.Incarnation}
+	if g.options.Plan != nil {
+		options.Plan = g.options.Plan(service)
+	}
+	return &worker{
+		granter: g,
+		service: service,
+		cancel:  cancel,
+		ring:    make(chan any, ringSize),
+		elector: elector.New(elector.Options{
+			Service: service,
+			Self:    witness.Holder{Host: g.options.Self, Incarnation: g.options.Incarnation},
+			Started: g.options.Clock(),
+			Seed:    g.options.Seed ^ hasher.Sum(service),
+		}),
+		controller: controller.New(options),
+	}
+}
+
+func (w *worker) put(event any) {
+	select {
+	case w.ring <- event:
+	default:
+		w.granter.options.Dropped(w.service)
+	}
+}
+
+func (w *worker) putHosts(hosts Hosts) {
+	w.put(elector.Hosts{Hosts: hosts.Elector})
+	w.put(controller.Hosts{Hosts: hosts.Controller})
+}
+
+func (w *worker) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			w.stepElector(ctx, elector.Tick{})
+			w.stepController(ctx, controller.Tick{})
+		case event := <-w.ring:
+			switch e := event.(type) {
+			case elector.Event:
+				w.stepElector(ctx, e)
+			case controller.Event:
+				w.stepController(ctx, e)
+			}
+		}
+	}
+}
+
+func (w *worker) stepElector(ctx context.Context, event elector.Event) {
+	now := w.granter.options.Clock()
+	for _, action := range w.elector.Step(now, event) {
+		switch a := action.(type) {
+		case elector.SendConfirm:
+			w.sendConfirm(a)
+		case elector.ReadRecord:
+			go w.readRecord(ctx, a)
+		case elector.WriteRecord:
+			go w.writeRecord(ctx, a)
+		case elector.Right:
+			w.right.Store(&a)
+			w.stepController(ctx, controller.Right{Term: a.Term, Adopted: a.Adopted, Until: a.Until})
+		case elector.Log:
+			w.logElection(a)
+		}
+	}
+}
+
+func (w *worker) sendConfirm(a elector.SendConfirm) {
+	if a.Witness != w.granter.options.Self {
+		w.granter.options.Send(a.Witness, framer.Message{Service: w.service, Confirm: &a.Request})
+		return
+	}
+	reply := w.granter.confirm(a.Request)
+	w.put(elector.Answered{Reply: reply})
+}
+
+func (w *worker) stepController(ctx context.Context, event controller.Event) {
+	now := w.granter.options.Clock()
+	for _, action := range w.controller.Step(now, event) {
+		switch a := action.(type) {
+		case controller.SendOrder:
+			go w.sendOrder(ctx, a)
+		case controller.SendLeases:
+			w.sendLeases(a)
+		case controller.WriteTable:
+			go w.writeTable(ctx, a)
+		case controller.ReadTable:
+			go w.readTable(ctx, a)
+		case controller.PublishTable:
+			w.granter.options.PublishTable(w.service, a)
+		case controller.PublishBeacon:
+			w.publishBeacon(a)
+		case controller.Log:
+			w.logDecision(a)
+		}
+	}
+}
+
+func (w *worker) sendLeases(a controller.SendLeases) {
+	if a.Host == w.granter.options.Self {
+		w.granter.options.ApplyLeases(a)
+		return
+	}
+	w.granter.options.Send(a.Host, framer.Message{Service: w.service, Leases: &a})
+}
+
+func (w *worker) publishBeacon(a controller.PublishBeacon) {
+	w.beaconSeq++
+	w.granter.options.PublishBeacon(framer.Beacon{
+		Service:  a.Service,
+		Term:     a.Term,
+		Seq:      w.beaconSeq,
+		Table:    a.Table,
+		Revision: a.Revision,
+		Holder:   w.granter.options.Self,
+	})
+}
+
+var electionEvents = map[elector.Code]eventlog.Event{
+	elector.CandidacyStarted: eventlog.TakeoverStarted,
+	elector.RightAcquired:    eventlog.ControllerActive,
+	elector.RightLost:        eventlog.ControllerLost,
+}
+
+func (w *worker) logElection(a elector.Log) {
+	event, ok := electionEvents[a.Code]
+	if !ok {
+		event = eventlog.ElectionNote
+	}
+	w.granter.options.Log.Log(event, zap.String("service", w.service), zap.Uint64("term", a.Term), zap.Int("code", int(a.Code)))
+}
+
+func (w *worker) logDecision(a controller.Log) {
+	event, ok := decisionEvents[a.Code]
+	if !ok {
+		event = eventlog.ControllerNote
+	}
+	w.granter.options.Log.Log(event,
+		zap.String("service", w.service), zap.Uint64("term", a.Term), zap.String("upstream", a.Upstream),
+		zap.String("host", a.Host), zap.Int("slices", a.Slices))
+}
+
+var decisionEvents = map[controller.Code]eventlog.Event{
+	controller.TakeoverStarted:       eventlog.TableTakeoverStarted,
+	controller.TakeoverFinished:      eventlog.TableTakeoverFinished,
+	controller.UpstreamRestarted:     eventlog.UpstreamRestarted,
+	controller.UpstreamExpired:       eventlog.UpstreamExpired,
+	controller.UpstreamReturned:      eventlog.UpstreamReturned,
+	controller.MoveStarted:           eventlog.MoveStarted,
+	controller.MoveFinished:          eventlog.SliceMoved,
+	controller.ExcessRevoked:         eventlog.ExcessRevoked,
+	controller.AssignedProvisionally: eventlog.AssignedProvisionally,
+	controller.StoreLost:             eventlog.StoreUnavailable,
+	controller.StoreReturned:         eventlog.StoreAvailable,
+	controller.AdmissionAssigned:     eventlog.AdmissionAssigned,
+	controller.AdmissionExpired:      eventlog.AdmissionExpired,
+	controller.Superseded:            eventlog.ControllerSuperseded,
+}
--- a/rhubarbtrackd/internal/locator/locator.go
+++ b/rhubarbtrackd/internal/locator/locator.go
@@ -68,16 +68,6 @@
 	Table    slicer.Version
 }
 
-// Beacon is the proof of a controller that it has the right to act.
-type Beacon struct {
-	Service  string
-	Term     uint64
-	Seq      uint64
-	Table    slicer.Version
-	Revision uint64 // of the configuration that the controller applies
-	Holder   string // host of the controller
-}
-
 type state struct {
 	config  *configurator.Snapshot
 	tables  map[string]*slicer.Table
@@ -86,7 +76,7 @@
 }
 
 type heard struct {
-	Beacon
+	framer.Beacon
 	at time.Duration
 	// caughtUp is the last time at which this host had everything that the beacon names.
 	caughtUp time.Duration
@@ -137,7 +127,7 @@
 func (l *Locator) Members() map[string]framer.Member { return l.state.Load().members }
 
 // Holder returns the last known controller of a service.
-func (l *Locator) Holder(service string) (Beacon, bool) {
+func (l *Locator) Holder(service string) (framer.Beacon, bool) {
 	beacon, ok := l.state.Load().beacons[service]
 	return beacon.Beacon, ok
 }
@@ -176,7 +166,7 @@
 }
 
 // SetBeacon notes a beacon. One of an older term is ignored.
-func (l *Locator) SetBeacon(now time.Duration, beacon Beacon) {
+func (l *Locator) SetBeacon(now time.Duration, beacon framer.Beacon) {
 	l.update(func(next *state) {
 		previous := next.beacons[beacon.Service]
 		if beacon.Term < previous.Term {
@@ -262,7 +252,7 @@
 
 func (s *state) routeTo(table *slicer.Table, owner string) (Route, error) {
 	const op = "locate"
-	upstream, ok := s.config.Upstreams[configurator.Upstream{Service: table.Service, Name: owner}.ID()]
+	upstream, ok := s.config.Upstreams[owner]
 	if !ok {
 		return Route{}, &Error{Op: op, Kind: Unassigned, Err: errors.Newf("upstream %q is not configured", owner)}
 	}
--- a/rhubarbtrackd/internal/receiver/run.go
+++ b/rhubarbtrackd/internal/receiver/run.go
@@ -123,7 +123,7 @@
 	request := &dispatcher.Request{
 		ID:             j.id,
 		Service:        j.service.Name,
-		Upstream:       route.Upstream.Name,
+		Upstream:       route.Upstream.ID(),
 		Class:          j.class,
 		Fence:          route.Fence,
 		Signature:      j.signature,
@@ -134,7 +134,7 @@
 		Body:           j.body.reader(),
 		ContentLength:  j.body.length(),
 	}
-	observation := Observation{Service: j.service.Name, Upstream: route.Upstream.Name, Started: true}
+	observation := Observation{Service: j.service.Name, Upstream: route.Upstream.ID(), Started: true}
 	r.options.Observe(now, observation)
 	response, err := r.options.Forward(ctx, route.Host, request)
 	end := r.options.Clock()
@@ -145,7 +145,7 @@
 		observation.Refused = dispatcher.AsError(err).Kind == dispatcher.NotRun
 	}
 	r.options.Observe(end, observation)
-	return route.Upstream.Name, response, err
+	return route.Upstream.ID(), response, err
 }
 
 func (r *Receiver) locate(now time.Duration, j *job, avoid []string) (locator.Route, error) {
--- /dev/null
+++ b/rhubarbtrackd/internal/runner/assembler.go
@@ -0,0 +1,344 @@
+package runner
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbtrack.example/core/admitter"
+	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/controller"
+	"rhubarbtrack.example/core/elector"
+	"rhubarbtrack.example/core/relayer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
+	"rhubarbtrack.example/rhubarbtrackd/internal/distributor"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/forwarder"
+	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/granter"
+	"rhubarbtrack.example/rhubarbtrackd/internal/locator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/meter"
+	"rhubarbtrack.example/rhubarbtrackd/internal/peerer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/receiver"
+	"rhubarbtrack.example/rhubarbtrackd/internal/settings"
+	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
+)
+
+// assemble builds the parts. Nothing runs yet.
+func assemble(s settings.Settings, log *eventlog.Logger) *daemon {
+	start := time.Now()
+	d := &daemon{
+		settings:    s,
+		incarnation: newIncarnation(),
+		log:         log,
+		clock:       func() time.Duration { return time.Since(start) },
+		meter:       meter.New(),
+		store:       storer.New(s.Platform, transport(8)),
+		locator:     locator.New(),
+	}
+	d.chooser = newChooser(seedOf(s), d.locator)
+	d.peerer = peerer.New(peerer.Options{
+		Self:      s.Name,
+		Secret:    s.PeerSecret,
+		Scheme:    "ws",
+		Transport: transport(0),
+		Up:        d.peerUp,
+		Down:      d.peerDown,
+		Message:   d.peerMessage,
+		Refused:   func(address string) { log.Log(eventlog.PeerRefused, zap.String("address", address)) },
+		Dropped:   func(_ string, class peerer.Class) { d.meter.Dropped("peer-" + string(class)) },
+	})
+	d.distributor = distributor.New(distributor.Options{
+		Self:    d.self(),
+		Started: uint64(start.UnixNano()),
+		Seed:    treeSeed,
+		Clock:   d.clock,
+		Dial:    func(peer, address string) { d.peerer.Dial(peer, address, peerer.Relay) },
+		Hangup:  func(peer string) { d.peerer.Hangup(peer, peerer.Relay) },
+		Send:    d.sendFrame,
+		Deliver: d.deliver,
+		Members: d.setMembers,
+		Dropped: func() { d.meter.Dropped("distributor") },
+		Store:   d.store,
+		Log:     log,
+	})
+	d.dispatcher = dispatcher.New(dispatcher.Options{
+		Self:          s.Name,
+		Incarnation:   d.incarnation,
+		Clock:         d.clock,
+		Transport:     transport(upstreamConnections),
+		Scheme:        "http",
+		Upstream:      d.upstream,
+		Keyed:         d.keyed,
+		Observe:       func(time.Duration, admitter.Action) {},
+		StopAnswer:    d.sendStopAnswer,
+		LeaseReturned: d.sendLeaseReturned,
+		Log:           log,
+	})
+	d.granter = granter.New(granter.Options{
+		Self:          s.Name,
+		Incarnation:   d.incarnation,
+		FailureDomain: s.FailureDomain,
+		Seed:          seedOf(s),
+		Clock:         d.clock,
+		Store:         d.store,
+		Transport:     transport(2),
+		Scheme:        "http",
+		Send:          d.sendControl,
+		ApplyLeases:   d.dispatcher.ApplyLeases,
+		PublishTable:  d.publishTable,
+		PublishBeacon: d.publishBeacon,
+		Dropped:       func(string) { d.meter.Dropped("granter") },
+		Log:           log,
+	})
+	d.forwarder = forwarder.New(forwarder.Options{
+		Self:       s.Name,
+		Scheme:     "http",
+		Transport:  transport(peerConnections),
+		Authorize:  d.peerer.Authorize,
+		Authorized: d.peerer.Authorized,
+		Dispatch:   d.dispatcher.Dispatch,
+	})
+	d.receiver = receiver.New(receiver.Options{
+		Clock:          d.clock,
+		Locator:        d.locator,
+		Forward:        d.forwarder.Forward,
+		Pick:           d.chooser.pick,
+		Retry:          d.chooser.retry,
+		Observe:        d.chooser.observe,
+		Count:          d.meter.Request,
+		Ready:          d.ready,
+		RequestTimeout: s.RequestTimeout,
+		MaxBody:        s.MaxBody,
+		Log:            log,
+	})
+	return d
+}
+
+// transport returns a transport with at most the given number of connections to one address, 0 for no bound.
+func transport(connections int) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: max(connections, 2),
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true, // bodies pass unchanged
+	}
+}
+
+// peerHandler tells forwarded requests from the connections between hosts. Forwarded paths do not pass a mux, because it
+// would redirect paths that it does not consider clean.
+func peerHandler(peers, forward http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/forward/") {
+			forward.ServeHTTP(w, r)
+			return
+		}
+		peers.ServeHTTP(w, r)
+	})
+}
+
+func (d *daemon) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", d.meter.Handler())
+	return mux
+}
+
+func (d *daemon) peerUp(peer string, class peerer.Class, outbound bool) {
+	d.log.Log(eventlog.PeerConnected, zap.String("peer", peer), zap.String("class", string(class)))
+	if class == peerer.Relay {
+		d.distributor.Put(relayer.PeerUp{Peer: peer, Outbound: outbound})
+	}
+}
+
+func (d *daemon) peerDown(peer string, class peerer.Class) {
+	d.log.Log(eventlog.PeerDisconnected, zap.String("peer", peer), zap.String("class", string(class)))
+	if class == peerer.Relay {
+		d.distributor.Put(relayer.PeerDown{Peer: peer})
+	}
+}
+
+func (d *daemon) peerMessage(peer string, class peerer.Class, data []byte) {
+	if class == peerer.Relay {
+		frame, err := framer.DecodeFrame(data)
+		if err != nil {
+			d.log.Log(eventlog.FrameRefused, zap.String("peer", peer), zap.Error(err))
+			return
+		}
+		d.distributor.Put(relayer.Received{Peer: peer, Frame: frame})
+		return
+	}
+	message, err := framer.DecodeMessage(data)
+	if err != nil {
+		d.log.Log(eventlog.FrameRefused, zap.String("peer", peer), zap.Error(err))
+		return
+	}
+	d.receiveControl(peer, message)
+}
+
+func (d *daemon) receiveControl(peer string, message framer.Message) {
+	if message.Leases != nil {
+		d.dispatcher.ApplyLeases(*message.Leases)
+		return
+	}
+	d.granter.Receive(peer, message)
+}
+
+func (d *daemon) sendFrame(peer string, frame relayer.Frame) {
+	data, err := framer.EncodeFrame(frame)
+	if err != nil {
+		d.log.Log(eventlog.FrameRefused, zap.Error(err))
+		return
+	}
+	d.peerer.Send(peer, peerer.Relay, data)
+}
+
+// sendControl sends a control message. Without a connection one is dialled and the message is dropped, because every
+// control message is repeated.
+func (d *daemon) sendControl(host string, message framer.Message) {
+	if host == d.settings.Name {
+		d.receiveControl(host, message)
+		return
+	}
+	data, err := framer.EncodeMessage(message)
+	if err != nil {
+		d.log.Log(eventlog.FrameRefused, zap.Error(err))
+		return
+	}
+	if d.peerer.Send(host, peerer.Control, data) {
+		return
+	}
+	if member, ok := d.locator.Members()[host]; ok {
+		d.peerer.Dial(host, member.Address, peerer.Control)
+	}
+}
+
+// deliver puts an item into force on this host.
+func (d *daemon) deliver(item relayer.Item) {
+	switch item.Kind {
+	case relayer.Config:
+		d.deliverConfig(item)
+	case relayer.Table:
+		table, err := framer.DecodeTable(item.Body)
+		if err != nil {
+			d.log.Log(eventlog.TableRefused, zap.String("service", item.Name), zap.Error(err))
+			return
+		}
+		d.locator.SetTable(&table)
+	case relayer.Beacon:
+		beacon, err := framer.DecodeBeacon(item.Name, item.Body)
+		if err != nil {
+			d.log.Log(eventlog.FrameRefused, zap.Error(err))
+			return
+		}
+		now := d.clock()
+		d.locator.SetBeacon(now, beacon)
+		d.locator.Refresh(now)
+	}
+}
+
+func (d *daemon) deliverConfig(item relayer.Item) {
+	object := configurator.Object{Name: item.Name, Version: item.Version.Seq, Body: item.Body, Deleted: item.Deleted}
+	if err := d.locator.MergeConfig(object); err != nil {
+		d.log.Log(eventlog.ObjectRefused, zap.String("object", item.Name), zap.Error(err))
+		return
+	}
+	config := d.locator.Config()
+	d.granter.SetConfig(config)
+	d.distributor.Put(relayer.InForce{Revision: config.Revision})
+}
+
+func (d *daemon) setMembers(members []framer.Member, listed map[string]bool) {
+	d.locator.SetMembers(members)
+	var hosts granter.Hosts
+	for _, member := range members {
+		leaving := member.State == framer.Leaving
+		if member.State != framer.Lost {
+			hosts.Controller = append(hosts.Controller, controller.Host{
+				Name: member.Name, FailureDomain: member.FailureDomain, Leaving: leaving,
+			})
+		}
+		if member.State != framer.Lost || listed[member.Name] {
+			hosts.Elector = append(hosts.Elector, elector.Host{
+				Name: member.Name, FailureDomain: member.FailureDomain, Leaving: leaving,
+			})
+		}
+	}
+	d.granter.SetHosts(hosts)
+}
+
+func (d *daemon) publishTable(service string, a controller.PublishTable) {
+	body, err := framer.EncodeTable(a.Table)
+	if err != nil {
+		d.log.Log(eventlog.TableRefused, zap.String("service", service), zap.Error(err))
+		return
+	}
+	d.distributor.Publish(relayer.Item{
+		Key:     relayer.Key{Kind: relayer.Table, Name: service},
+		Version: relayer.Version{Term: a.Table.Version.Term, Seq: a.Table.Version.Seq},
+		Body:    body,
+	})
+}
+
+func (d *daemon) publishBeacon(beacon framer.Beacon) {
+	body, err := framer.EncodeBeacon(beacon)
+	if err != nil {
+		d.log.Log(eventlog.FrameRefused, zap.Error(err))
+		return
+	}
+	d.distributor.Publish(relayer.Item{
+		Key:     relayer.Key{Kind: relayer.Beacon, Name: beacon.Service},
+		Version: relayer.Version{Term: beacon.Term, Seq: beacon.Seq},
+		Body:    body,
+	})
+}
+
+// sendHeartbeats tells the controllers which admission leases this host holds, and asks for renewal.
+func (d *daemon) sendHeartbeats(now time.Duration) {
+	for service := range d.locator.Config().Services {
+		beacon, ok := d.locator.Holder(service)
+		if !ok {
+			continue
+		}
+		held := d.dispatcher.Held(now, service)
+		if len(held) == 0 && !d.candidate(service) {
+			continue
+		}
+		d.sendControl(beacon.Holder, framer.Message{Service: service, Heartbeat: &controller.Heartbeat{
+			Host:          d.settings.Name,
+			Incarnation:   d.incarnation,
+			FailureDomain: d.settings.FailureDomain,
+			Leaving:       d.stopping.Load(),
+			Sent:          now,
+			Leases:        held,
+		}})
+	}
+}
+
+// candidate reports whether this host should be known to the controller of a service: it has an admission role there, or
+// is one of the hosts that may get one. Bounding their number keeps the controller's work independent of the fleet.
+func (d *daemon) candidate(service string) bool {
+	if table := d.locator.Table(service); table != nil {
+		for _, admission := range table.Admission {
+			if admission.Host == d.settings.Name {
+				return true
+			}
+		}
+	}
+	return locator.IsCandidate(d.locator.Members(), service, d.settings.Name)
+}
+
+func (d *daemon) sendStopAnswer(service string, answer controller.StopAnswer) {
+	if beacon, ok := d.locator.Holder(service); ok {
+		d.sendControl(beacon.Holder, framer.Message{Service: service, StopAnswer: &answer})
+	}
+}
+
+func (d *daemon) sendLeaseReturned(service string, returned controller.LeaseReturned) {
+	if beacon, ok := d.locator.Holder(service); ok {
+		d.sendControl(beacon.Holder, framer.Message{Service: service, LeaseReturned: &returned})
+	}
+}
--- /dev/null
+++ b/rhubarbtrackd/internal/runner/runner.go
@@ -0,0 +1,267 @@
+// Package runner assembles the daemon: it builds the parts, joins them by function fields, opens the listeners and ends
+// everything in order.
+//
+// # Usage
+//
+//	err := runner.Run(ctx, settings, logger)
+//
+// Run returns after a graceful shutdown, which begins when ctx is done: readiness is withdrawn, roles are handed on,
+// requests in flight end, and only then the listeners close.
+package runner
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/hasher"
+	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
+	"rhubarbtrack.example/rhubarbtrackd/internal/distributor"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/forwarder"
+	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/granter"
+	"rhubarbtrack.example/rhubarbtrackd/internal/locator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/meter"
+	"rhubarbtrack.example/rhubarbtrackd/internal/peerer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/receiver"
+	"rhubarbtrack.example/rhubarbtrackd/internal/settings"
+	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
+)
+
+const (
+	// treeSeed orders the hosts of the relay tree. It is the same on every host.
+	treeSeed          = 1
+	heartbeatInterval = 200 * time.Millisecond
+	refreshInterval   = 50 * time.Millisecond
+	statusInterval    = time.Second
+	headerTimeout     = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	dialTimeout       = 500 * time.Millisecond
+	// upstreamConnections bounds the connections of the admission host to one upstream: its slots at today's sizes are
+	// 6, and requests beyond the admission limit are never sent.
+	upstreamConnections = 64
+	// peerConnections bounds the data connections to one other host.
+	peerConnections = 256
+	// leaveDelay lets the balancer and the platform's lagging host list notice that this host is leaving.
+	leaveDelay = 2 * time.Second
+)
+
+// Kind classifies errors of this package.
+type Kind int
+
+// Kinds of errors.
+const (
+	CannotListen Kind = iota + 1
+	Serving
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// daemon holds the parts of one process.
+type daemon struct {
+	settings    settings.Settings
+	incarnation string
+	log         *eventlog.Logger
+	clock       func() time.Duration
+	meter       *meter.Meter
+	store       *storer.Client
+	locator     *locator.Locator
+	peerer      *peerer.Peerer
+	distributor *distributor.Distributor
+	granter     *granter.Granter
+	dispatcher  *dispatcher.Dispatcher
+	forwarder   *forwarder.Forwarder
+	receiver    *receiver.Receiver
+	chooser     *chooser
+	stopping    atomic.Bool
+}
+
+// Run serves until ctx is done, then shuts down gracefully.
+func Run(ctx context.Context, s settings.Settings, logger *zap.Logger) error {
+	d := assemble(s, eventlog.New(logger.With(zap.String("host", s.Name))))
+	listeners, err := d.listen()
+	if err != nil {
+		d.log.Log(eventlog.ListenFailed, zap.Error(err))
+		return err
+	}
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.distributor.Run(background)
+	go d.every(background, heartbeatInterval, d.sendHeartbeats)
+	go d.every(background, refreshInterval, d.refresh)
+	go d.every(background, statusInterval, d.recordStatus)
+	failed := make(chan error, len(listeners))
+	for _, l := range listeners {
+		go func() { failed <- l.server.Serve(l.socket) }()
+	}
+	d.log.Log(eventlog.DaemonStarted,
+		zap.String("caller-listen", listeners[0].socket.Addr().String()),
+		zap.String("peer-listen", listeners[1].socket.Addr().String()),
+		zap.String("operator-listen", listeners[2].socket.Addr().String()))
+	select {
+	case err := <-failed:
+		d.log.Log(eventlog.ListenFailed, zap.Error(err))
+		return &Error{Op: "serve", Kind: Serving, Err: err}
+	case <-ctx.Done():
+	}
+	d.shutdown(listeners, cancel)
+	return nil
+}
+
+type listener struct {
+	socket net.Listener
+	server *http.Server
+}
+
+func (d *daemon) listen() ([]listener, error) {
+	peers := http.NewServeMux()
+	peers.Handle("/peer/", d.peerer.Handler())
+	forward := d.forwarder.Handler()
+	wanted := []struct {
+		address string
+		handler http.Handler
+	}{
+		{d.settings.CallerListen, d.receiver},
+		{d.settings.PeerListen, peerHandler(peers, forward)},
+		{d.settings.OperatorListen, d.operatorHandler()},
+	}
+	var listeners []listener
+	for _, w := range wanted {
+		socket, err := net.Listen("tcp", w.address)
+		if err != nil {
+			for _, opened := range listeners {
+				_ = opened.socket.Close()
+			}
+			return nil, &Error{Op: "listen on " + w.address, Kind: CannotListen, Err: errors.WithStack(err)}
+		}
+		listeners = append(listeners, listener{socket: socket, server: &http.Server{
+			Handler:           w.handler,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+		}})
+	}
+	return listeners, nil
+}
+
+// shutdown ends the process without cutting a request.
+func (d *daemon) shutdown(listeners []listener, cancel context.CancelFunc) {
+	d.log.Log(eventlog.DaemonStopping)
+	d.stopping.Store(true)
+	d.distributor.Leave()
+	ctx, done := context.WithTimeout(context.Background(), d.settings.ShutdownGrace)
+	defer done()
+	d.awaitHandover(ctx)
+	for _, l := range listeners {
+		_ = l.server.Shutdown(ctx)
+	}
+	cancel()
+	d.granter.Close()
+	d.dispatcher.Close()
+	d.peerer.Close()
+	_ = d.meter.Close()
+	d.log.Log(eventlog.DaemonStopped)
+}
+
+// awaitHandover waits until this host admits to no upstream, so that no request of another entry host is turned away.
+func (d *daemon) awaitHandover(ctx context.Context) {
+	timer := time.NewTimer(leaveDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return
+	}
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for len(d.dispatcher.Statuses(d.clock())) > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *daemon) every(ctx context.Context, interval time.Duration, task func(now time.Duration)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			task(d.clock())
+		}
+	}
+}
+
+// ready reports whether the balancer may send callers to this host.
+func (d *daemon) ready() bool {
+	return !d.stopping.Load() && d.distributor.Connected() && d.locator.AllFresh(d.clock())
+}
+
+func (d *daemon) refresh(now time.Duration) {
+	d.locator.Refresh(now)
+}
+
+func (d *daemon) recordStatus(now time.Duration) {
+	for _, status := range d.dispatcher.Statuses(now) {
+		d.meter.Admission(status.Service, status.Upstream, status.Limit, status.InFlight, status.Queued)
+	}
+	d.meter.Terms(d.granter.Holding())
+	d.meter.Peers(d.distributor.Connected(), d.locator.Config().Revision)
+}
+
+func newIncarnation() string {
+	var id [8]byte
+	_, _ = rand.Read(id[:]) // never fails
+	return hex.EncodeToString(id[:])
+}
+
+func seedOf(s settings.Settings) uint64 {
+	if s.Seed != 0 {
+		return s.Seed
+	}
+	return hasher.Sum(s.Name)
+}
+
+// upstream returns the configuration of an upstream by its id.
+func (d *daemon) upstream(_, id string) (configurator.Upstream, bool) {
+	upstream, ok := d.locator.Config().Upstreams[id]
+	return upstream, ok
+}
+
+func (d *daemon) keyed(service string) bool {
+	return d.locator.Config().Services[service].Keyed
+}
+
+func (d *daemon) self() framer.Member {
+	return framer.Member{
+		Name:          d.settings.Name,
+		Address:       d.settings.PeerAdvertise,
+		FailureDomain: d.settings.FailureDomain,
+		State:         framer.Live,
+	}
+}
