--- /dev/null
+++ b/loadgen/internal/sender/sender_test.go
@@ -0,0 +1,131 @@
+package sender_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/loadgen/internal/picker"
+	"rhubarbtrack.example/loadgen/internal/planner"
+	"rhubarbtrack.example/loadgen/internal/sender"
+)
+
+// answer is a scripted reaction of the server.
+type answer func(w http.ResponseWriter, request *http.Request)
+
+func ok(w http.ResponseWriter, request *http.Request) {
+	echo(w, request, request.Header.Get("Rhubarbtrack-Request-Id"), "")
+}
+
+func otherID(w http.ResponseWriter, request *http.Request) { echo(w, request, "other", "") }
+
+func otherBody(w http.ResponseWriter, request *http.Request) {
+	echo(w, request, request.Header.Get("Rhubarbtrack-Request-Id"), "other")
+}
+
+func notRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Rhubarbtrack-Outcome", "not-run")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func unknown(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Rhubarbtrack-Outcome", "unknown")
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+func plainRefusal(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func reset(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func truncated(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, `{"request-id"`)
+	panic(http.ErrAbortHandler)
+}
+
+func cleanlyTruncated(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, `{"request-id"`)
+}
+
+func echo(w http.ResponseWriter, request *http.Request, id, extra string) {
+	body, _ := io.ReadAll(request.Body)
+	sum := sha256.Sum256([]byte(string(body) + extra))
+	w.Header().Set("Rhubarbtrack-Request-Id", id)
+	_, _ = fmt.Fprintf(w, `{"request-id":"%s","key":"k","digest":"%s"}`, id, hex.EncodeToString(sum[:]))
+}
+
+// Guards against a request that is sent again although it may have run, against one that is given up although it did not
+// run, and against an answer that is accepted although it is not whole or belongs to another request.
+func TestSend(t *testing.T) {
+	tests := []struct {
+		name     string
+		kind     planner.Kind
+		answers  []answer
+		outcome  sender.Outcome
+		attempts int
+	}{
+		{name: "answered", kind: planner.NeverRepeat, answers: []answer{ok}, outcome: sender.Answered, attempts: 1},
+		{name: "never-repeat after not-run", kind: planner.NeverRepeat, answers: []answer{notRun, ok}, outcome: sender.Answered, attempts: 2},
+		{name: "idempotent after not-run", kind: planner.Idempotent, answers: []answer{notRun, notRun, ok}, outcome: sender.Answered, attempts: 3},
+		{name: "never-repeat unknown", kind: planner.NeverRepeat, answers: []answer{unknown, ok}, outcome: sender.Unknown, attempts: 1},
+		{name: "never-repeat refused without outcome", kind: planner.NeverRepeat, answers: []answer{plainRefusal, ok}, outcome: sender.Unknown, attempts: 1},
+		{name: "never-repeat reset", kind: planner.NeverRepeat, answers: []answer{reset, ok}, outcome: sender.Unknown, attempts: 1},
+		{name: "not-run, then reset", kind: planner.NeverRepeat, answers: []answer{notRun, reset, ok}, outcome: sender.Unknown, attempts: 2},
+		{name: "broken off", kind: planner.NeverRepeat, answers: []answer{truncated, ok}, outcome: sender.Unknown, attempts: 1},
+		{name: "cleanly truncated", kind: planner.Safe, answers: []answer{cleanlyTruncated}, outcome: sender.Mismatched, attempts: 1},
+		{name: "other request", kind: planner.Safe, answers: []answer{otherID}, outcome: sender.Mismatched, attempts: 1},
+		{name: "other body", kind: planner.NeverRepeat, answers: []answer{otherBody}, outcome: sender.Mismatched, attempts: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var received atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+				count := int(received.Add(1))
+				test.answers[min(count, len(test.answers))-1](w, request)
+			}))
+			defer server.Close()
+			send := newSender(server.URL)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			result := send.Send(ctx, planner.Arrival{ID: "r1", Key: "k", Kind: test.kind})
+			assert.Equal(t, result.Outcome, test.outcome, result.Reason)
+			assert.Equal(t, int(received.Load()), test.attempts)
+		})
+	}
+}
+
+// Guards against a request that is reported as unknown although no attempt reached a server, or that is sent on past its
+// deadline.
+func TestSendEndsAtDeadline(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(notRun))
+	closed := httptest.NewServer(http.HandlerFunc(ok))
+	closed.Close()
+	defer server.Close()
+	for _, url := range []string{server.URL, closed.URL} {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		result := newSender(url).Send(ctx, planner.Arrival{ID: "r1", Kind: planner.NeverRepeat})
+		cancel()
+		assert.Equal(t, result.Outcome, sender.NotRun, result.Reason)
+	}
+}
+
+func newSender(url string) *sender.Sender {
+	return sender.New(sender.Options{
+		Client:  &http.Client{Transport: &http.Transport{}},
+		Entries: picker.New(1, []string{strings.TrimPrefix(url, "http://")}),
+		Service: "s",
+		Observe: func(sender.Attempt) {},
+	})
+}
