upstreamsim, loadgen: identify requests by an id that the router passes on

Cause: the receiver replaces Rhubarbtrack-Request-Id by its own id and removes callers' headers of that prefix, so runs could not be compared with what the caller was told. The receiver also rounds Retry-After up to 1 s, so a probe now makes one attempt instead of waiting. Conclusion: runs are recorded under Demo-Request-Id, with the router's id beside it; the tests cover both.

--- a/loadgen/internal/runner/runner.go
+++ b/loadgen/internal/runner/runner.go
@@ -195,7 +195,7 @@
 		time.Sleep(probeInterval)
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		id := fmt.Sprintf("%s-probe-%d", r.options.IDPrefix, r.probes.Add(1))
-		r.send.Send(ctx, planner.Arrival{ID: id, Key: key, Kind: planner.Safe})
+		r.send.Try(ctx, planner.Arrival{ID: id, Key: key, Kind: planner.Safe})
 		cancel()
 	}
 }
--- a/loadgen/internal/sender/sender.go
+++ b/loadgen/internal/sender/sender.go
@@ -26,11 +26,13 @@
 
 const (
 	headerRequestID = "Rhubarbtrack-Request-Id"
-	headerKey       = "Rhubarbtrack-Key"
-	headerDeadline  = "Rhubarbtrack-Deadline-Ms"
-	headerOutcome   = "Rhubarbtrack-Outcome"
-	headerReason    = "Rhubarbtrack-Reason"
-	outcomeNotRun   = "not-run"
+	// headerCallerID carries the request's id to the upstream; the router replaces Rhubarbtrack-Request-Id by its own.
+	headerCallerID = "Demo-Request-Id"
+	headerKey      = "Rhubarbtrack-Key"
+	headerDeadline = "Rhubarbtrack-Deadline-Ms"
+	headerOutcome  = "Rhubarbtrack-Outcome"
+	headerReason   = "Rhubarbtrack-Reason"
+	outcomeNotRun  = "not-run"
 )
 
 const (
@@ -117,6 +119,12 @@
 	}
 }
 
+// Try makes one attempt and reports whether it was answered.
+func (s *Sender) Try(ctx context.Context, arrival planner.Arrival) bool {
+	outcome, _, _ := s.attempt(ctx, arrival)
+	return outcome == Answered
+}
+
 func (s *Sender) attempt(ctx context.Context, arrival planner.Arrival) (Outcome, string, time.Duration) {
 	started := time.Now()
 	outcome, reason, pause := s.exchange(ctx, arrival)
@@ -181,11 +189,12 @@
 		return nil, err
 	}
 	request.Header.Set(headerRequestID, arrival.ID)
+	request.Header.Set(headerCallerID, arrival.ID)
 	if arrival.Key != "" {
 		request.Header.Set(s.options.KeyHeader, arrival.Key)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		request.Header.Set(headerDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+		request.Header.Set(headerDeadline, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
 	}
 	return request, nil
 }
@@ -202,20 +211,21 @@
 func verify(arrival planner.Arrival, body string, header http.Header, content []byte) string {
 	var echo struct {
 		RequestID string `json:"request-id"`
+		RouterID  string `json:"router-id"`
 		Key       string `json:"key"`
 		Digest    string `json:"digest"`
 	}
 	if err := json.Unmarshal(content, &echo); err != nil {
 		return "body is not whole: " + err.Error()
 	}
-	if header.Get(headerRequestID) != arrival.ID {
-		return "header names request " + header.Get(headerRequestID)
-	}
 	if echo.RequestID != arrival.ID {
-		return "body names request " + echo.RequestID
+		return "body names another request"
+	}
+	if header.Get(headerRequestID) != echo.RouterID {
+		return "header and body name different requests"
 	}
 	if arrival.Key != "" && echo.Key != arrival.Key {
-		return "body names key " + echo.Key
+		return "body names another key"
 	}
 	sum := sha256.Sum256([]byte(body))
 	if echo.Digest != hex.EncodeToString(sum[:]) {
--- a/upstreamsim/internal/recorder/recorder.go
+++ b/upstreamsim/internal/recorder/recorder.go
@@ -16,7 +16,9 @@
 // Execution is one run of a request. Times are wall-clock nanoseconds, so that runs of several processes of one machine
 // can be compared. EndNS is zero while it runs, and stays zero when the process ends first.
 type Execution struct {
+	// RequestID is the caller's id of the request, RouterID that of the router.
 	RequestID string
+	RouterID  string
 	Key       string
 	Method    string
 	// Fenced says whether the request carried a fence.
@@ -33,6 +35,7 @@
 type wireExecution struct {
 	Index     int    `json:"index"`
 	RequestID string `json:"request-id"`
+	RouterID  string `json:"router-id"`
 	Key       string `json:"key"`
 	Method    string `json:"method"`
 	Fenced    bool   `json:"fenced"`
@@ -114,7 +117,7 @@
 
 func encode(index int, e Execution) wireExecution {
 	return wireExecution{
-		Index: index, RequestID: e.RequestID, Key: e.Key, Method: e.Method, Fenced: e.Fenced, Slice: e.Slice,
-		Term: e.Term, Epoch: e.Epoch, StartNS: e.StartNS, EndNS: e.EndNS, Completed: e.Completed,
+		Index: index, RequestID: e.RequestID, RouterID: e.RouterID, Key: e.Key, Method: e.Method,
+		Fenced: e.Fenced, Slice: e.Slice, Term: e.Term, Epoch: e.Epoch, StartNS: e.StartNS, EndNS: e.EndNS, Completed: e.Completed,
 	}
 }
--- a/upstreamsim/internal/responder/request.go
+++ b/upstreamsim/internal/responder/request.go
@@ -1,6 +1,7 @@
 package responder
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -26,6 +27,8 @@
 	headerOutcome     = "Rhubarbtrack-Outcome"
 	headerReason      = "Rhubarbtrack-Reason"
 	headerMark        = "Demo-Mark"
+	// headerCallerID is set by the harness and passed on by the router, which replaces the ids below its own prefix.
+	headerCallerID = "Demo-Request-Id"
 )
 
 // Reasons of a refusal.
@@ -48,7 +51,9 @@
 
 // call is a request of the service after its headers were read.
 type call struct {
+	// id is the harness's id of the request, or the router's when there is none.
 	id       string
+	routerID string
 	key      string
 	method   string
 	path     string
@@ -127,7 +132,7 @@
 func (r *Responder) execute(w http.ResponseWriter, ctx context.Context, current call) {
 	r.sampleLoad()
 	index, err := r.runs.Begin(recorder.Execution{
-		RequestID: current.id, Key: current.key, Method: current.method, Fenced: current.fenced,
+		RequestID: current.id, RouterID: current.routerID, Key: current.key, Method: current.method, Fenced: current.fenced,
 		Slice: current.fence.Slice, Term: current.fence.Term, Epoch: current.fence.Epoch,
 		StartNS: r.options.WallNS(),
 	})
@@ -173,7 +178,7 @@
 
 // answerStopped reports a request that began and was stopped by its deadline. After a cancellation nobody reads it.
 func (r *Responder) answerStopped(w http.ResponseWriter, current call) {
-	w.Header().Set(headerRequestID, current.id)
+	w.Header().Set(headerRequestID, current.routerID)
 	w.Header().Set(headerIncarnation, r.options.Incarnation)
 	w.Header().Set(headerOutcome, "unknown")
 	w.WriteHeader(http.StatusGatewayTimeout)
@@ -188,12 +193,13 @@
 func decodeCall(request *http.Request, body []byte) call {
 	sum := sha256.Sum256(body)
 	current := call{
-		id:     request.Header.Get(headerRequestID),
-		key:    request.Header.Get(headerKey),
-		method: request.Method,
-		path:   request.URL.RequestURI(),
-		digest: hex.EncodeToString(sum[:]),
-		mark:   request.Header.Get(headerMark),
+		id:       cmp.Or(request.Header.Get(headerCallerID), request.Header.Get(headerRequestID)),
+		routerID: request.Header.Get(headerRequestID),
+		key:      request.Header.Get(headerKey),
+		method:   request.Method,
+		path:     request.URL.RequestURI(),
+		digest:   hex.EncodeToString(sum[:]),
+		mark:     request.Header.Get(headerMark),
 	}
 	current.fence, current.fenced = decodeFence(request.Header.Get(headerFence))
 	remaining, err := strconv.ParseInt(request.Header.Get(headerDeadline), 10, 64)
@@ -225,6 +231,7 @@
 // the answer belongs to its own request.
 type response struct {
 	RequestID   string `json:"request-id"`
+	RouterID    string `json:"router-id"`
 	Key         string `json:"key"`
 	Method      string `json:"method"`
 	Path        string `json:"path"`
@@ -235,7 +242,7 @@
 
 func (r *Responder) newResponse(current call) response {
 	return response{
-		RequestID: current.id, Key: current.key, Method: current.method, Path: current.path, Digest: current.digest,
+		RequestID: current.id, RouterID: current.routerID, Key: current.key, Method: current.method, Path: current.path, Digest: current.digest,
 		Incarnation: r.options.Incarnation, Padding: strings.Repeat("x", r.options.ResponseBytes),
 	}
 }
@@ -249,7 +256,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(headerRequestID, own.RequestID)
+	w.Header().Set(headerRequestID, own.RouterID)
 	w.Header().Set(headerIncarnation, r.options.Incarnation)
 	if active.Truncate {
 		r.truncate(w, body)
--- a/upstreamsim/internal/responder/responder_test.go
+++ b/upstreamsim/internal/responder/responder_test.go
@@ -144,6 +144,15 @@
 	assert.Assert(t, strings.Contains(body, `"request-id":"r1"`))
 }
 
+// Guards against evidence under the router's id, which the caller does not know.
+func TestRunIsRecordedUnderCallersID(t *testing.T) {
+	u := start(t, responder.Options{})
+	answer, body, _ := u.call(t, "POST", "/print", "", "Rhubarbtrack-Request-Id", "r1", "Demo-Request-Id", "c1")
+	assert.Equal(t, answer.Header.Get("Rhubarbtrack-Request-Id"), "r1")
+	assert.Assert(t, strings.Contains(body, `"request-id":"c1","router-id":"r1"`), body)
+	assert.DeepEqual(t, u.runs(t), map[string]int{"c1": 1})
+}
+
 // Guards against a crash that leaves no evidence of the request that caused it.
 func TestCrashOnMarkIsRecorded(t *testing.T) {
 	var evidence strings.Builder
