Add balancer: choice among upstreams of a service not partitioned by key

Cause: such services need a choice by evidence, because reports lag or mislead. Power of two choices over latency with decay, age of the oldest request in flight, failures and reports weighted by age. Stragglers are ejected, at most a third of all and half of a failure domain; hedges take at most 5% of the traffic.

--- /dev/null
+++ b/core/balancer/balancer.go
@@ -0,0 +1,324 @@
+// Package balancer chooses among the upstreams of a service that is not partitioned by key.
+//
+// Its evidence is what this host observed: requests in flight and their age, latencies, failures and sheds. Reports about
+// an upstream weigh less the older they are, and they can only add to the load that the host sees itself:
+//
+//   - A report that says idle while the upstream is slow loses its weight, because the host compares the latencies that it
+//     observes with those of the other upstreams. A distrusted upstream is taken to be as loaded as the average.
+//   - A report that says healthy while the upstream fails has no effect, because health is no input: failures and sheds of
+//     the host's own requests lower the share of an upstream and eject it.
+//
+// Two upstreams are drawn at random and the better one is taken, which avoids that all hosts choose the same one.
+// Stragglers are ejected, but never more than a share of all upstreams and of those in one failure domain. After a while
+// an ejected upstream gets one request on trial.
+//
+// # Usage
+//
+//	choices := balancer.New(balancer.Options{Seed: seed})
+//	choices.SetTargets(now, targets)
+//	attempt, ok := choices.Pick(now, class, nil)
+//	if delay, ok := choices.HedgeAfter(now, attempt); ok {
+//		// after delay without a response: hedge, ok := choices.Hedge(now, attempt)
+//	}
+//	cancel, ok := choices.Observe(now, balancer.Ended{Attempt: attempt, Outcome: balancer.Succeeded})
+package balancer
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"rhubarbtrack.example/core/configurator"
+)
+
+// Defaults of Options.
+const (
+	DefaultHedgeShare       = 0.05
+	DefaultEjectShare       = 1.0 / 3
+	DefaultDomainEjectShare = 0.5
+)
+
+// Options configures a Balancer. Zero values select the defaults.
+type Options struct {
+	Seed             uint64
+	HedgeShare       float64 // hedges per request
+	EjectShare       float64 // of all upstreams that may be ejected at once
+	DomainEjectShare float64 // of the upstreams of one failure domain that may be ejected at once
+}
+
+// Target is an upstream that may be chosen.
+type Target struct {
+	Name          string
+	FailureDomain string
+	Slots         int
+	Cold          bool // its limit is still rising
+	Drained       bool // receives no new requests
+}
+
+// Attempt is one request sent to a chosen upstream. It must be ended by Observe.
+type Attempt struct {
+	ID       uint64
+	Upstream string
+	Class    configurator.Class
+}
+
+// Outcome is the end of an attempt.
+type Outcome int
+
+// Outcomes.
+const (
+	Succeeded Outcome = iota
+	Failed            // error, broken connection or time-out
+	Shed              // refused without being run, because of load
+	Cancelled         // by the caller, or as the loser of a hedge
+)
+
+// Ended reports the end of an attempt.
+type Ended struct {
+	Attempt Attempt
+	Outcome Outcome
+}
+
+// Reported carries a load report about an upstream.
+type Reported struct {
+	Upstream string
+	InFlight int
+	Age      time.Duration // since the report was made
+}
+
+// Balancer chooses upstreams for one service on one host. It is not safe for concurrent use.
+type Balancer struct {
+	options  Options
+	random   *rand.Rand
+	targets  []*target
+	byName   map[string]*target
+	attempts map[uint64]attempt
+	nextID   uint64
+	budget   float64 // hedges that may be sent
+	success  float64 // share of recent attempts of all upstreams that did not fail
+	group    histogram
+	judgedAt time.Duration
+	eligible []*target // buffer of draw
+}
+
+type attempt struct {
+	target *target
+	start  time.Duration
+	pair   uint64 // the other attempt of a hedged request, 0 when there is none
+}
+
+// New returns a balancer without upstreams.
+func New(options Options) *Balancer {
+	if options.HedgeShare == 0 {
+		options.HedgeShare = DefaultHedgeShare
+	}
+	if options.EjectShare == 0 {
+		options.EjectShare = DefaultEjectShare
+	}
+	if options.DomainEjectShare == 0 {
+		options.DomainEjectShare = DefaultDomainEjectShare
+	}
+	return &Balancer{
+		options:  options,
+		random:   rand.New(rand.NewPCG(options.Seed, 1)),
+		byName:   map[string]*target{},
+		attempts: map[uint64]attempt{},
+		success:  1,
+	}
+}
+
+// SetTargets replaces the list of upstreams. Evidence about those that stay is kept.
+func (b *Balancer) SetTargets(now time.Duration, targets []Target) {
+	known := b.byName
+	b.byName = make(map[string]*target, len(targets))
+	b.targets = b.targets[:0]
+	for _, settings := range targets {
+		t, ok := known[settings.Name]
+		if !ok {
+			t = newTarget(now)
+		}
+		t.Target = settings
+		t.Slots = max(t.Slots, 1)
+		b.byName[settings.Name] = t
+		b.targets = append(b.targets, t)
+	}
+}
+
+// Pick chooses an upstream that is not excluded. It reports false when all are drained or excluded.
+func (b *Balancer) Pick(now time.Duration, class configurator.Class, exclude []string) (Attempt, bool) {
+	b.judge(now)
+	b.budget = min(b.budget+b.options.HedgeShare, maxSavedHedges)
+	chosen := b.choose(now, class, exclude)
+	if chosen == nil {
+		return Attempt{}, false
+	}
+	return b.begin(now, chosen, class, 0), true
+}
+
+func (b *Balancer) begin(now time.Duration, chosen *target, class configurator.Class, pair uint64) Attempt {
+	b.nextID++
+	b.attempts[b.nextID] = attempt{target: chosen, start: now, pair: pair}
+	chosen.pending = append(chosen.pending, pending{id: b.nextID, start: now})
+	return Attempt{ID: b.nextID, Upstream: chosen.Name, Class: class}
+}
+
+func (b *Balancer) choose(now time.Duration, class configurator.Class, exclude []string) *target {
+	if trial := b.trial(now, class, exclude); trial != nil {
+		return trial
+	}
+	if chosen := b.draw(now, func(t *target) bool {
+		return !t.Drained && !t.ejected && !slices.Contains(exclude, t.Name)
+	}); chosen != nil {
+		return chosen
+	}
+	return b.draw(now, func(t *target) bool { return !t.Drained && !slices.Contains(exclude, t.Name) })
+}
+
+// trial returns an ejected upstream whose time is over. Requests that are never repeated cannot be hedged and are used
+// only when no other request came for a while.
+func (b *Balancer) trial(now time.Duration, class configurator.Class, exclude []string) *target {
+	if class == configurator.NeverRepeat {
+		now -= maxEjection
+	}
+	for _, t := range b.targets {
+		if t.ejected && now >= t.ejectedUntil && len(t.pending) == 0 && !t.Drained && !slices.Contains(exclude, t.Name) {
+			return t
+		}
+	}
+	return nil
+}
+
+// draw takes the better of two different upstreams for which open holds.
+func (b *Balancer) draw(now time.Duration, open func(*target) bool) *target {
+	b.eligible = b.eligible[:0]
+	for _, t := range b.targets {
+		if open(t) {
+			b.eligible = append(b.eligible, t)
+		}
+	}
+	switch count := len(b.eligible); count {
+	case 0:
+		return nil
+	case 1:
+		return b.eligible[0]
+	default:
+		first := b.random.IntN(count)
+		second := b.random.IntN(count - 1)
+		if second >= first {
+			second++
+		}
+		return b.better(now, b.eligible[first], b.eligible[second])
+	}
+}
+
+func (b *Balancer) better(now time.Duration, first, second *target) *target {
+	if b.cost(now, second) < b.cost(now, first) {
+		return second
+	}
+	return first
+}
+
+// cost estimates the time that a further request takes at t, with failures counted as repeated work.
+func (b *Balancer) cost(now time.Duration, t *target) float64 {
+	latency := max(b.expected(now, t), float64(t.oldest(now)))
+	slots := float64(t.Slots)
+	if t.Cold {
+		slots = 1
+	}
+	load := float64(len(t.pending)) + t.reported(now, b.meanReported(now, t)) + 1
+	return max(latency, 1) * math.Max(load/slots, 0.5+load/slots/2) / max(t.success*t.success, minSuccess)
+}
+
+// expected returns the mean latency of t. Old evidence gives way to the mean of all upstreams, so that an upstream that is
+// avoided because it was slow is tried again.
+func (b *Balancer) expected(now time.Duration, t *target) float64 {
+	count := t.latency.count(now)
+	return (float64(t.latency.mean())*count + float64(b.group.mean())) / (count + 1)
+}
+
+// meanReported returns the mean reported load, which stands in for a report that is not trusted.
+func (b *Balancer) meanReported(now time.Duration, distrusted *target) float64 {
+	if distrusted.trust == 1 {
+		return 0
+	}
+	sum := 0.0
+	for _, t := range b.targets {
+		sum += float64(t.report) * t.reportWeight(now)
+	}
+	return sum / float64(len(b.targets))
+}
+
+// Observe applies the end of an attempt. When it was the winner of a hedged request, the loser is returned; the caller
+// cancels it and ends it with Cancelled.
+func (b *Balancer) Observe(now time.Duration, ended Ended) (Attempt, bool) {
+	known, ok := b.attempts[ended.Attempt.ID]
+	if !ok {
+		return Attempt{}, false
+	}
+	delete(b.attempts, ended.Attempt.ID)
+	known.target.end(ended.Attempt.ID)
+	b.record(now, known, ended.Outcome)
+	loser, ok := b.attempts[known.pair]
+	if !ok || ended.Outcome != Succeeded {
+		return Attempt{}, false
+	}
+	return Attempt{ID: known.pair, Upstream: loser.target.Name, Class: ended.Attempt.Class}, true
+}
+
+func (b *Balancer) record(now time.Duration, known attempt, outcome Outcome) {
+	took := now - known.start
+	t := known.target
+	switch outcome {
+	case Succeeded:
+		t.latency.add(now, took)
+		b.group.add(now, took)
+		t.succeed(true)
+		b.success += (1 - b.success) / successMemory
+		b.settleTrial(now, t, took)
+	case Failed, Shed:
+		t.succeed(false)
+		b.success -= b.success / successMemory
+		if t.ejected {
+			t.eject(now)
+		}
+	case Cancelled:
+		// The request took at least this long, which is evidence against an upstream only when it is more than usual.
+		if took > t.latency.mean() {
+			t.latency.add(now, took)
+		}
+	}
+}
+
+// settleTrial ends or renews the ejection of an upstream that answered a request.
+func (b *Balancer) settleTrial(now time.Duration, t *target, took time.Duration) {
+	if !t.ejected || now < t.ejectedUntil {
+		return
+	}
+	if took > stragglerFactor*b.group.quantile(0.5) {
+		t.eject(now)
+		return
+	}
+	t.restore()
+}
+
+// Report applies a load report.
+func (b *Balancer) Report(now time.Duration, reported Reported) {
+	t, ok := b.byName[reported.Upstream]
+	if !ok || now-reported.Age < t.reportedAt {
+		return
+	}
+	t.report = reported.InFlight
+	t.reportedAt = now - reported.Age
+}
+
+// Ejected returns the number of upstreams that are ejected.
+func (b *Balancer) Ejected() int {
+	count := 0
+	for _, t := range b.targets {
+		if t.ejected {
+			count++
+		}
+	}
+	return count
+}
