Wire balancer, retrier, hedging and crash suspects into the daemon

Cause: the first control message of an election was lost while its connection was dialled, so the first probe always failed.

--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -38,6 +38,9 @@
 	redialInterval = 2 * time.Second
 	// maxRevisions bounds the progress histogram; older revisions are merged into the oldest kept one.
 	maxRevisions = 8
+	// suspectRetention is how long reports about requests that crash upstreams are kept, and maxSuspects how many.
+	suspectRetention = 10 * time.Minute
+	maxSuspects      = 4096
 )
 
 type neighbour struct {
@@ -58,6 +61,13 @@
 	dialling   map[string]bool
 	inForce    uint64
 	sentUp     []RevisionCount
+	suspects   []suspect // in the order of their arrival
+}
+
+type suspect struct {
+	key     Key
+	version Version
+	at      time.Duration
 }
 
 // New returns a relayer without items and neighbours.
@@ -189,6 +199,10 @@
 		return nil
 	}
 	r.items[item.Key] = item
+	if item.Kind == Suspect {
+		r.suspects = append(r.suspects, suspect{key: item.Key, version: item.Version, at: now})
+		r.expireSuspects(now)
+	}
 	if sender != "" && item.Key == (Key{Kind: Progress, Name: r.options.Self}) {
 		// A state from before a restart of this host; publish the current one above its version.
 		r.sentUp = nil
@@ -216,6 +230,7 @@
 			delete(r.failed, peer)
 		}
 	}
+	r.expireSuspects(now)
 	actions = append(actions, r.choosePeers()...)
 	actions = append(actions, r.reportProgress(now)...)
 	for _, peer := range r.peers() {
@@ -226,6 +241,20 @@
 	return actions
 }
 
+// expireSuspects forgets old reports and, above the bound, the oldest ones.
+func (r *Relayer) expireSuspects(now time.Duration) {
+	for len(r.suspects) > 0 {
+		oldest := r.suspects[0]
+		if len(r.suspects) <= maxSuspects && now-oldest.at < suspectRetention {
+			return
+		}
+		r.suspects = r.suspects[1:]
+		if r.items[oldest.key].Version == oldest.version {
+			delete(r.items, oldest.key)
+		}
+	}
+}
+
 // choosePeers dials a parent if there is none, or all other roots if this host is a root. Of two roots, the later one in
 // the order dials.
 func (r *Relayer) choosePeers() []Action {
--- a/rhubarbtrackd/internal/peerer/peerer.go
+++ b/rhubarbtrackd/internal/peerer/peerer.go
@@ -34,7 +34,10 @@
 )
 
 const (
-	ringSize        = 512
+	ringSize = 512
+	// waitingSize bounds the control messages that wait for a connection. Without them the first message of an election
+	// would be lost, which delays a takeover by 0.3 s.
+	waitingSize     = 16
 	writeTimeout    = 2 * time.Second
 	dialTimeout     = time.Second
 	maxMessageBytes = 4 << 20
@@ -76,7 +79,7 @@
 
 	mu          sync.Mutex
 	connections map[key]*connection
-	dialling    map[key]bool
+	dialling    map[key][][]byte // messages that wait for the connection
 }
 
 // New returns a Peerer without connections.
@@ -87,7 +90,7 @@
 		ctx:         ctx,
 		cancel:      cancel,
 		connections: map[key]*connection{},
-		dialling:    map[key]bool{},
+		dialling:    map[key][][]byte{},
 	}
 }
 
@@ -136,9 +139,10 @@
 func (p *Peerer) Dial(peer, address string, class Class) {
 	k := key{peer: peer, class: class}
 	p.mu.Lock()
-	busy := p.dialling[k] || p.connections[k] != nil || p.ctx.Err() != nil
+	_, busy := p.dialling[k]
+	busy = busy || p.connections[k] != nil || p.ctx.Err() != nil
 	if !busy {
-		p.dialling[k] = true
+		p.dialling[k] = nil
 		p.wait.Add(1)
 	}
 	p.mu.Unlock()
@@ -161,10 +165,10 @@
 		HTTPClient: &http.Client{Transport: p.options.Transport},
 		HTTPHeader: header,
 	})
-	p.mu.Lock()
-	delete(p.dialling, k)
-	p.mu.Unlock()
 	if err != nil {
+		p.mu.Lock()
+		delete(p.dialling, k)
+		p.mu.Unlock()
 		p.options.Down(k.peer, k.class)
 		return
 	}
@@ -179,6 +183,10 @@
 	p.mu.Lock()
 	previous := p.connections[k]
 	p.connections[k] = c
+	for _, data := range p.dialling[k] {
+		c.ring <- data // at most waitingSize messages, which fit the ring
+	}
+	delete(p.dialling, k)
 	p.mu.Unlock()
 	if previous != nil {
 		previous.cancel()
@@ -226,13 +234,19 @@
 	}
 }
 
-// Send queues a message for a connected peer. It reports false when there is no connection or its ring is full.
+// Send queues a message for a peer. It reports false when there is no connection, or its ring is full. A control message
+// may wait for a connection that is being dialled.
 func (p *Peerer) Send(peer string, class Class, data []byte) bool {
 	p.mu.Lock()
-	c := p.connections[key{peer: peer, class: class}]
+	k := key{peer: peer, class: class}
+	c := p.connections[k]
+	waiting, dialling := p.dialling[k]
+	if c == nil && dialling && class == Control && len(waiting) < waitingSize {
+		p.dialling[k] = append(waiting, data)
+	}
 	p.mu.Unlock()
 	if c == nil {
-		return false
+		return dialling
 	}
 	select {
 	case c.ring <- data:
--- a/rhubarbtrackd/internal/receiver/receiver.go
+++ b/rhubarbtrackd/internal/receiver/receiver.go
@@ -15,7 +15,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -23,9 +22,11 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbtrack.example/core/balancer"
 	"rhubarbtrack.example/core/classifier"
 	"rhubarbtrack.example/core/configurator"
-	"rhubarbtrack.example/core/hasher"
+	"rhubarbtrack.example/core/detector"
+	"rhubarbtrack.example/core/retrier"
 	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/forwarder"
@@ -47,12 +48,18 @@
 
 // Options of a receiver. Function fields connect it to the rest of the process.
 type Options struct {
-	Clock          func() time.Duration
-	Locator        *locator.Locator
-	Forward        func(ctx context.Context, host framer.Member, request *dispatcher.Request) (*dispatcher.Response, error)
-	Pick           func(now time.Duration, service string, avoid []string) (upstream string, ok bool)
-	Retry          func(now time.Duration, attempt Attempt) (delay time.Duration, ok bool)
-	Observe        func(now time.Duration, observation Observation)
+	Clock   func() time.Duration
+	Locator *locator.Locator
+	Forward func(ctx context.Context, host framer.Member, request *dispatcher.Request) (*dispatcher.Response, error)
+	// Decisions with state per service, see package chooser.
+	Offer      func(service string)
+	Sent       func(service string, succeeded bool)
+	Allow      func(now time.Duration, service string, attempt retrier.Attempt) retrier.Decision
+	Begin      func(now time.Duration, service string, class configurator.Class, exclude []string) (balancer.Attempt, bool)
+	End        func(now time.Duration, service string, attempt balancer.Attempt, outcome balancer.Outcome) (balancer.Attempt, bool)
+	HedgeAfter func(now time.Duration, service string, first balancer.Attempt) (time.Duration, bool)
+	Hedge      func(now time.Duration, service string, first balancer.Attempt) (balancer.Attempt, bool)
+
 	Count          func(service, outcome string, latency time.Duration)
 	Ready          func() bool
 	RequestTimeout time.Duration
@@ -60,25 +67,6 @@
 	Log            *eventlog.Logger
 }
 
-// Attempt describes a failed attempt that may be repeated.
-type Attempt struct {
-	Service    string
-	Class      configurator.Class
-	Number     int // of attempts that reached an upstream, 1 for the first
-	NotRun     bool
-	RetryAfter time.Duration
-}
-
-// Observation is what this host saw of one attempt.
-type Observation struct {
-	Service  string
-	Upstream string
-	Latency  time.Duration
-	Started  bool // the attempt begins; otherwise it has ended
-	Failed   bool
-	Refused  bool
-}
-
 // Receiver is an http.Handler for callers.
 type Receiver struct {
 	options Options
@@ -236,7 +224,7 @@
 		body:        newReplayBody(http.MaxBytesReader(w, request.Body, r.options.MaxBody), request.ContentLength),
 		timeout:     timeout,
 	}
-	j.signature = signatureOf(j, below)
+	j.signature = detector.Sign(service.Name, j.method, below, j.key, j.idempotency)
 	cleanHeader(j.header, service)
 	return j, nil
 }
@@ -288,11 +276,6 @@
 	return min(time.Duration(milliseconds)*time.Millisecond, callerTimeout), true
 }
 
-// signatureOf identifies a request that is sent again by its caller, through any host.
-func signatureOf(j *job, below string) uint64 {
-	return hasher.Sum(strings.Join([]string{j.service.Name, j.method, url.PathEscape(below), j.key, j.idempotency}, "\x00"))
-}
-
 func newRequestID() string {
 	var id [16]byte
 	_, _ = rand.Read(id[:]) // never fails
--- a/rhubarbtrackd/internal/receiver/run.go
+++ b/rhubarbtrackd/internal/receiver/run.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"rhubarbtrack.example/core/balancer"
 	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/retrier"
 	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/locator"
 )
@@ -19,62 +21,66 @@
 	safetyMargin = 5 * time.Millisecond
 )
 
+// result is the end of one attempt. Attempt is set for services that are not partitioned by key.
+type result struct {
+	response *dispatcher.Response
+	failure  *dispatcher.Error
+	attempt  balancer.Attempt
+}
+
 // run makes attempts until one is answered, the deadline comes near, or the class of the request forbids another one.
 func (r *Receiver) run(ctx context.Context, j *job) (*dispatcher.Response, error) {
+	r.options.Offer(j.service.Name)
 	var avoid []string
 	sent := 0
 	for {
-		table := r.options.Locator.Changed()
-		upstream, response, err := r.attempt(ctx, j, avoid)
-		if err == nil {
-			return response, nil
+		changed := r.options.Locator.Changed()
+		end := r.attempt(ctx, j, avoid)
+		if end.failure == nil {
+			r.options.Sent(j.service.Name, true)
+			return end.response, nil
 		}
-		failure := dispatcher.AsError(err)
-		if failure.Reroutable && failure.Kind == dispatcher.NotRun && j.body.replayable() {
-			if waitErr := r.awaitTable(ctx, table, failure); waitErr != nil {
-				return nil, waitErr
+		if end.failure.Reroutable && end.failure.Kind == dispatcher.NotRun && j.body.replayable() {
+			if err := r.awaitTable(ctx, changed, end.failure); err != nil {
+				return nil, err
 			}
 			continue
 		}
+		r.options.Sent(j.service.Name, false)
 		sent++
-		again := Attempt{
-			Service:    j.service.Name,
-			Class:      j.class,
-			Number:     sent,
-			NotRun:     failure.Kind == dispatcher.NotRun,
-			RetryAfter: failure.RetryAfter,
+		if !r.repeat(ctx, j, sent, end.failure) {
+			return nil, end.failure
 		}
-		if !r.mayRepeat(ctx, j, again, failure) {
-			return nil, failure
+		if end.attempt.Upstream != "" {
+			avoid = append(avoid, end.attempt.Upstream)
 		}
-		avoid = append(avoid, upstream)
 	}
 }
 
-// mayRepeat asks the retry budget and waits for its delay.
-func (r *Receiver) mayRepeat(ctx context.Context, j *job, again Attempt, failure *dispatcher.Error) bool {
-	if ctx.Err() != nil || !j.body.replayable() {
-		return false
-	}
-	if failure.Kind == dispatcher.Unknown && j.class == configurator.NeverRepeat {
+// repeat asks the retry budget whether a failed request may be sent again, and waits for its delay.
+func (r *Receiver) repeat(ctx context.Context, j *job, sent int, failure *dispatcher.Error) bool {
+	if ctx.Err() != nil || !j.body.replayable() || final(failure) {
 		return false
 	}
-	if !sentToUpstream(failure) {
-		// The admission host refused it early, for example because its queue is full. Asking again adds load there.
-		return false
+	now := r.options.Clock()
+	again := retrier.Attempt{
+		Class:      j.class,
+		Knowledge:  retrier.Unknown,
+		Number:     sent,
+		RetryAfter: failure.RetryAfter,
+		Deadline:   now + timeLeft(ctx) - safetyMargin,
 	}
-	delay, ok := r.options.Retry(r.options.Clock(), again)
-	if !ok || !timeLeft(ctx, delay) {
-		return false
+	if failure.Kind == dispatcher.NotRun {
+		again.Knowledge = retrier.NotRun
 	}
-	return pause(ctx, delay, nil)
+	decision := r.options.Allow(now, j.service.Name, again)
+	return decision.Retry && pause(ctx, decision.Delay, nil)
 }
 
-// sentToUpstream reports whether an upstream itself, or the connection to it, caused the failure.
-func sentToUpstream(failure *dispatcher.Error) bool {
+// final reports whether another attempt would have the same end.
+func final(failure *dispatcher.Error) bool {
 	switch failure.Reason {
-	case "shed", "cold", "draining", "not-owner", dispatcher.ReasonConnection, dispatcher.ReasonUnreachable,
-		dispatcher.ReasonCrossed, dispatcher.ReasonUnframed:
+	case "condemned", "duplicate", "too-late", dispatcher.ReasonDeadline, dispatcher.ReasonCallerLeft:
 		return true
 	default:
 		return false
@@ -88,16 +94,16 @@
 		return &dispatcher.Error{Op: "route", Kind: dispatcher.NotRun, Reason: dispatcher.ReasonOverloaded}
 	}
 	defer r.waiting.Add(-1)
-	if !timeLeft(ctx, 0) || !pause(ctx, reroutePause, changed) {
-		failure.Reroutable = false
+	if timeLeft(ctx) <= safetyMargin || !pause(ctx, reroutePause, changed) {
 		return failure
 	}
 	return nil
 }
 
-func timeLeft(ctx context.Context, delay time.Duration) bool {
-	deadline, ok := ctx.Deadline()
-	return !ok || time.Until(deadline) > delay+safetyMargin
+// timeLeft returns the time until the deadline, which every request has.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline)
 }
 
 // pause waits for a time or an earlier signal and reports whether ctx is still valid.
@@ -113,14 +119,58 @@
 	return true
 }
 
-// attempt routes the request once.
-func (r *Receiver) attempt(ctx context.Context, j *job, avoid []string) (string, *dispatcher.Response, error) {
+// attempt routes the request once, or twice at the same time when it is hedged.
+func (r *Receiver) attempt(ctx context.Context, j *job, avoid []string) result {
 	now := r.options.Clock()
-	route, err := r.locate(now, j, avoid)
+	if j.service.Keyed {
+		route, err := r.options.Locator.Locate(now, j.service.Name, j.key)
+		if err != nil {
+			return result{failure: notRouted(err)}
+		}
+		return r.forward(ctx, j, route)
+	}
+	first, ok := r.options.Begin(now, j.service.Name, j.class, avoid)
+	if !ok {
+		return result{failure: notRouted(&locator.Error{Op: "locate", Kind: locator.Unassigned})}
+	}
+	delay, hedged := r.options.HedgeAfter(now, j.service.Name, first)
+	if !hedged || j.class == configurator.NeverRepeat || !j.body.replayable() {
+		end := r.forwardTo(ctx, j, first)
+		r.finish(ctx, j, end)
+		return end
+	}
+	return r.race(ctx, j, first, delay)
+}
+
+// forwardTo runs a request on the upstream of a balancer's attempt and reports the end to the balancer.
+func (r *Receiver) forwardTo(ctx context.Context, j *job, chosen balancer.Attempt) result {
+	route, err := r.options.Locator.LocateUpstream(r.options.Clock(), j.service.Name, chosen.Upstream)
 	if err != nil {
-		return "", nil, notRouted(err)
+		return result{failure: notRouted(err), attempt: chosen}
 	}
-	request := &dispatcher.Request{
+	end := r.forward(ctx, j, route)
+	end.attempt = chosen
+	return end
+}
+
+// finish tells the balancer how an attempt ended and returns the attempt that lost against it.
+func (r *Receiver) finish(ctx context.Context, j *job, end result) (balancer.Attempt, bool) {
+	outcome := balancer.Succeeded
+	switch {
+	case end.failure == nil:
+	case ctx.Err() != nil:
+		outcome = balancer.Cancelled
+	case end.failure.Kind == dispatcher.NotRun:
+		outcome = balancer.Shed
+	default:
+		outcome = balancer.Failed
+	}
+	return r.options.End(r.options.Clock(), j.service.Name, end.attempt, outcome)
+}
+
+// forward sends the request along a route.
+func (r *Receiver) forward(ctx context.Context, j *job, route locator.Route) result {
+	response, err := r.options.Forward(ctx, route.Host, &dispatcher.Request{
 		ID:             j.id,
 		Service:        j.service.Name,
 		Upstream:       route.Upstream.ID(),
@@ -133,34 +183,15 @@
 		Header:         j.header,
 		Body:           j.body.reader(),
 		ContentLength:  j.body.length(),
-	}
-	observation := Observation{Service: j.service.Name, Upstream: route.Upstream.ID(), Started: true}
-	r.options.Observe(now, observation)
-	response, err := r.options.Forward(ctx, route.Host, request)
-	end := r.options.Clock()
-	observation.Started = false
-	observation.Latency = end - now
+	})
 	if err != nil {
-		observation.Failed = true
-		observation.Refused = dispatcher.AsError(err).Kind == dispatcher.NotRun
-	}
-	r.options.Observe(end, observation)
-	return route.Upstream.ID(), response, err
-}
-
-func (r *Receiver) locate(now time.Duration, j *job, avoid []string) (locator.Route, error) {
-	if j.service.Keyed {
-		return r.options.Locator.Locate(now, j.service.Name, j.key)
-	}
-	upstream, ok := r.options.Pick(now, j.service.Name, avoid)
-	if !ok {
-		return locator.Route{}, &locator.Error{Op: "locate", Kind: locator.Unassigned}
+		return result{failure: dispatcher.AsError(err)}
 	}
-	return r.options.Locator.LocateUpstream(now, j.service.Name, upstream)
+	return result{response: response}
 }
 
 // notRouted turns a failed lookup into a refusal. Each kind may pass with a newer table or beacon.
-func notRouted(err error) error {
+func notRouted(err error) *dispatcher.Error {
 	reason := "unassigned"
 	if locator.KindOf(err) == locator.Stale {
 		reason = "stale-table"
--- a/rhubarbtrackd/internal/runner/assembler.go
+++ b/rhubarbtrackd/internal/runner/assembler.go
@@ -8,11 +8,11 @@
 
 	"go.uber.org/zap"
 
-	"rhubarbtrack.example/core/admitter"
 	"rhubarbtrack.example/core/configurator"
 	"rhubarbtrack.example/core/controller"
 	"rhubarbtrack.example/core/elector"
 	"rhubarbtrack.example/core/relayer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/chooser"
 	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/distributor"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
@@ -25,6 +25,7 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/receiver"
 	"rhubarbtrack.example/rhubarbtrackd/internal/settings"
 	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/suspector"
 )
 
 // assemble builds the parts. Nothing runs yet.
@@ -39,7 +40,7 @@
 		store:       storer.New(s.Platform, transport(8)),
 		locator:     locator.New(),
 	}
-	d.chooser = newChooser(seedOf(s), d.locator)
+	d.chooser = chooser.New(seedOf(s), d.locator)
 	d.peerer = peerer.New(peerer.Options{
 		Self:      s.Name,
 		Secret:    s.PeerSecret,
@@ -65,6 +66,7 @@
 		Store:   d.store,
 		Log:     log,
 	})
+	d.suspector = suspector.New(d.distributor.Publish, log)
 	d.dispatcher = dispatcher.New(dispatcher.Options{
 		Self:          s.Name,
 		Incarnation:   d.incarnation,
@@ -73,7 +75,8 @@
 		Scheme:        "http",
 		Upstream:      d.upstream,
 		Keyed:         d.keyed,
-		Observe:       func(time.Duration, admitter.Action) {},
+		Judge:         d.suspector.Judge,
+		Observe:       d.suspector.Observe,
 		StopAnswer:    d.sendStopAnswer,
 		LeaseReturned: d.sendLeaseReturned,
 		Log:           log,
@@ -106,9 +109,13 @@
 		Clock:          d.clock,
 		Locator:        d.locator,
 		Forward:        d.forwarder.Forward,
-		Pick:           d.chooser.pick,
-		Retry:          d.chooser.retry,
-		Observe:        d.chooser.observe,
+		Offer:          d.chooser.Offer,
+		Sent:           d.chooser.Sent,
+		Allow:          d.chooser.Allow,
+		Begin:          d.chooser.Begin,
+		End:            d.chooser.End,
+		HedgeAfter:     d.chooser.HedgeAfter,
+		Hedge:          d.chooser.Hedge,
 		Count:          d.meter.Request,
 		Ready:          d.ready,
 		RequestTimeout: s.RequestTimeout,
@@ -196,8 +203,8 @@
 	d.peerer.Send(peer, peerer.Relay, data)
 }
 
-// sendControl sends a control message. Without a connection one is dialled and the message is dropped, because every
-// control message is repeated.
+// sendControl sends a control message, over a new connection if there is none. A message that cannot be sent is dropped,
+// because every control message is repeated.
 func (d *daemon) sendControl(host string, message framer.Message) {
 	if host == d.settings.Name {
 		d.receiveControl(host, message)
@@ -213,6 +220,7 @@
 	}
 	if member, ok := d.locator.Members()[host]; ok {
 		d.peerer.Dial(host, member.Address, peerer.Control)
+		d.peerer.Send(host, peerer.Control, data)
 	}
 }
 
@@ -237,6 +245,8 @@
 		now := d.clock()
 		d.locator.SetBeacon(now, beacon)
 		d.locator.Refresh(now)
+	case relayer.Suspect:
+		d.suspector.Deliver(d.clock(), item)
 	}
 }
 
--- a/rhubarbtrackd/internal/runner/runner.go
+++ b/rhubarbtrackd/internal/runner/runner.go
@@ -24,6 +24,7 @@
 
 	"rhubarbtrack.example/core/configurator"
 	"rhubarbtrack.example/core/hasher"
+	"rhubarbtrack.example/rhubarbtrackd/internal/chooser"
 	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/distributor"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
@@ -36,6 +37,7 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/receiver"
 	"rhubarbtrack.example/rhubarbtrackd/internal/settings"
 	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/suspector"
 )
 
 const (
@@ -93,7 +95,8 @@
 	dispatcher  *dispatcher.Dispatcher
 	forwarder   *forwarder.Forwarder
 	receiver    *receiver.Receiver
-	chooser     *chooser
+	chooser     *chooser.Chooser
+	suspector   *suspector.Suspector
 	stopping    atomic.Bool
 }
 
--- /dev/null
+++ b/rhubarbtrackd/internal/suspector/suspector.go
@@ -0,0 +1,104 @@
+// Package suspector shares the suspicion of requests that crash upstreams among all hosts.
+//
+// It wraps the detector of this host, which the admitters ask before each dispatch, and floods its reports as items.
+//
+// # Usage
+//
+//	s := suspector.New(publish, log)
+//	verdict := s.Judge(now, signature)
+//	s.Observe(now, admitter.CrashSeen{Signatures: signatures})
+//	s.Deliver(now, item) // a report of another host
+package suspector
+
+import (
+	"encoding/binary"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbtrack.example/core/admitter"
+	"rhubarbtrack.example/core/detector"
+	"rhubarbtrack.example/core/relayer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+)
+
+// Suspector is safe for concurrent use.
+type Suspector struct {
+	publish func(item relayer.Item)
+	log     *eventlog.Logger
+
+	mu       sync.Mutex
+	detector *detector.Detector
+}
+
+// New returns a suspector without suspects.
+func New(publish func(item relayer.Item), log *eventlog.Logger) *Suspector {
+	return &Suspector{publish: publish, log: log, detector: detector.New(detector.Options{})}
+}
+
+// Judge returns the verdict on a request signature.
+func (s *Suspector) Judge(now time.Duration, signature uint64) detector.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.detector.Verdict(now, signature)
+}
+
+// Observe takes what an admitter has seen. Actions that do not concern suspects are ignored.
+func (s *Suspector) Observe(now time.Duration, action admitter.Action) {
+	var event detector.Event
+	switch a := action.(type) {
+	case admitter.CrashSeen:
+		event = detector.Crash{Signatures: a.Signatures, Alone: a.Alone}
+	case admitter.CrashDisproved:
+		event = detector.Disproved{Signatures: a.Signatures}
+	case admitter.RanAlone:
+		event = detector.RanAlone{Signature: a.Signature}
+	default:
+		return
+	}
+	s.mu.Lock()
+	reports := s.detector.Observe(now, event)
+	s.mu.Unlock()
+	for _, report := range reports {
+		if report.Verdict == detector.Condemned {
+			s.log.Log(eventlog.RequestCondemned, zap.String("signature", strconv.FormatUint(report.Signature, 16)))
+		}
+		s.publish(encode(report))
+	}
+}
+
+// Deliver takes a report of another host.
+func (s *Suspector) Deliver(now time.Duration, item relayer.Item) {
+	report, ok := decode(item)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.detector.Observe(now, detector.Reported{Reports: []detector.Report{report}})
+}
+
+// encode maps the version of a report to the version of its item; of two equal versions the stricter verdict wins.
+func encode(report detector.Report) relayer.Item {
+	body := binary.BigEndian.AppendUint64(nil, report.Signature)
+	body = binary.BigEndian.AppendUint64(body, uint64(report.Age))
+	return relayer.Item{
+		Key:     relayer.Key{Kind: relayer.Suspect, Name: strconv.FormatUint(report.Signature, 16)},
+		Version: relayer.Version{Term: report.Version, Seq: uint64(report.Verdict)},
+		Body:    body,
+	}
+}
+
+func decode(item relayer.Item) (detector.Report, bool) {
+	if len(item.Body) != 16 {
+		return detector.Report{}, false
+	}
+	return detector.Report{
+		Signature: binary.BigEndian.Uint64(item.Body),
+		Verdict:   detector.Verdict(item.Version.Seq),
+		Version:   item.Version.Term,
+		Age:       time.Duration(binary.BigEndian.Uint64(item.Body[8:])),
+	}, true
+}
