rhubarbtrackd: serve the operators' calls

A change is recorded in the audit trail before it is written and the record is completed with the outcome, so a daemon that stops in between leaves a record whose outcome GetChange resolves from the object itself.

A write whose answer was lost is resolved by reading back. An unchanged object does not prove that the write failed, since it may still arrive, and an object of another writer may have replaced ours; both stay unknown until a retry with the same operation id settles them. A retry of a creation consults the audit trail, because the object may have been deleted since and the condition alone would create it again.

Paths of rules get a bound, which keeps every object and its audit record below the value limit of the store.

--- a/core/configurator/configurator_test.go
+++ b/core/configurator/configurator_test.go
@@ -161,6 +161,9 @@
 		{"rule with inner **", with(marks(), func(s *configurator.Service) {
 			s.Rules = []configurator.Rule{{Path: "/**/x"}}
 		}), "rules[0].path"},
+		{"rule with long path", with(marks(), func(s *configurator.Service) {
+			s.Rules = []configurator.Rule{{Path: "/" + strings.Repeat("a", 256)}}
+		}), "rules[0].path"},
 		{"address", with(printer(), func(u *configurator.Upstream) { u.Address = "host:80" }), "address"},
 		{"port", with(printer(), func(u *configurator.Upstream) { u.Address = "10.0.0.1:0" }), "address"},
 		{"slots", with(printer(), func(u *configurator.Upstream) { u.Slots = 0 }), "slots"},
--- a/core/configurator/validate.go
+++ b/core/configurator/validate.go
@@ -16,6 +16,7 @@
 	MaxSliceCount  = 65_536 // 64 chunks of a stored table
 	MaxKeySegment  = 32
 	MaxRules       = 256
+	MaxPathLength  = 256 // with MaxRules it keeps an object far below the 1 MiB of the store
 	MaxSlots       = 4_096
 	MaxConnections = 65_535
 	// MaxWindowLength is one day, so that a weekly window cannot overlap itself.
@@ -100,6 +101,7 @@
 		"%q is not an upper-case method", r.Method)
 	// A pattern that can never match would silently weaken a never-repeat rule.
 	faults.require(strings.HasPrefix(r.Path, "/"), field+".path", "%q does not start with /", r.Path)
+	faults.require(len(r.Path) <= MaxPathLength, field+".path", "is longer than %d bytes", MaxPathLength)
 	pattern := strings.TrimSuffix(r.Path, "/**")
 	faults.require(!strings.Contains(pattern, "**"), field+".path", "%q has ** before its end", r.Path)
 	_, err := path.Match(pattern, "")
--- /dev/null
+++ b/rhubarbtrackd/internal/operator/errors.go
@@ -0,0 +1,142 @@
+package operator
+
+import (
+	"fmt"
+	"strings"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"rhubarbtrack.example/core/configurator"
+	rhubarbtrackv1 "rhubarbtrack.example/schema/gen/rhubarbtrack/v1"
+)
+
+// Kind classifies the errors of this package and of the Store functions.
+type Kind int
+
+// Kinds of errors.
+const (
+	// Invalid means that fields of the request are at fault.
+	Invalid Kind = iota + 1
+	// Conflict means that the expected version is not the current one.
+	Conflict
+	// NotFound means that the object or operation does not exist.
+	NotFound
+	// NotAccepted means that the change certainly had no effect.
+	NotAccepted
+	// Unknown means that the change may have taken effect.
+	Unknown
+	// Capacity means that taking out a failure domain would leave too little capacity.
+	Capacity
+	// Denied means that the caller's role does not allow the call.
+	Denied
+	// Unauthenticated means that the caller is not known.
+	Unauthenticated
+)
+
+var kinds = []struct {
+	kind  Kind
+	name  string
+	code  connect.Code
+	fault rhubarbtrackv1.FaultKind
+}{
+	{Invalid, "invalid", connect.CodeInvalidArgument, rhubarbtrackv1.FaultKind_FAULT_KIND_INVALID},
+	{Conflict, "conflict", connect.CodeAborted, rhubarbtrackv1.FaultKind_FAULT_KIND_CONFLICT},
+	{NotFound, "not found", connect.CodeNotFound, rhubarbtrackv1.FaultKind_FAULT_KIND_NOT_FOUND},
+	{NotAccepted, "not accepted", connect.CodeUnavailable, rhubarbtrackv1.FaultKind_FAULT_KIND_NOT_ACCEPTED},
+	{Unknown, "unknown", connect.CodeUnknown, rhubarbtrackv1.FaultKind_FAULT_KIND_UNKNOWN},
+	{Capacity, "capacity", connect.CodeFailedPrecondition, rhubarbtrackv1.FaultKind_FAULT_KIND_CAPACITY},
+	{Denied, "denied", connect.CodePermissionDenied, rhubarbtrackv1.FaultKind_FAULT_KIND_DENIED},
+	{Unauthenticated, "unauthenticated", connect.CodeUnauthenticated, rhubarbtrackv1.FaultKind_FAULT_KIND_UNAUTHENTICATED},
+}
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	for _, entry := range kinds {
+		if entry.kind == k {
+			return entry.name
+		}
+	}
+	return "unclassified"
+}
+
+// Error is the error of this package.
+type Error struct {
+	Op         string // call, or store function
+	Kind       Kind
+	Err        error  // cause, may be nil
+	Operation  string // operation id of the change
+	Fields     []configurator.FieldError
+	Expected   uint64 // versions of a Conflict
+	Current    uint64
+	Stored     Object // current object, set by Store functions for a Conflict
+	Shortfalls []Shortfall
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	var text strings.Builder
+	text.WriteString(e.Kind.String())
+	switch e.Kind {
+	case Conflict:
+		fmt.Fprintf(&text, ": expected version %d, current version %d", e.Expected, e.Current)
+	case Unknown:
+		fmt.Fprintf(&text, ", check operation %s", e.Operation)
+	}
+	for _, field := range e.Fields {
+		fmt.Fprintf(&text, "; %s: %s", field.Field, field.Problem)
+	}
+	for _, shortfall := range e.Shortfalls {
+		fmt.Fprintf(&text, "; %s", shortfall.Text)
+	}
+	if e.Err != nil {
+		fmt.Fprintf(&text, ": %v", e.Err)
+	}
+	return text.String()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// kindOf returns the kind of err. An error of no kind leaves the outcome of a write open.
+func kindOf(err error) Kind {
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed.Kind
+	}
+	return Unknown
+}
+
+// invalid turns an error of configurator into one with its fields.
+func invalid(err error) *Error {
+	return &Error{Kind: Invalid, Fields: configurator.FieldsOf(err)}
+}
+
+func invalidField(field, problem string) *Error {
+	return &Error{Kind: Invalid, Fields: []configurator.FieldError{{Field: field, Problem: problem}}}
+}
+
+// connectError presents an error with a Fault as its detail.
+func connectError(err *Error) error {
+	code, fault := connect.CodeInternal, rhubarbtrackv1.FaultKind_FAULT_KIND_UNSPECIFIED
+	for _, entry := range kinds {
+		if entry.kind == err.Kind {
+			code, fault = entry.code, entry.fault
+		}
+	}
+	message := &rhubarbtrackv1.Fault{
+		Kind:            fault,
+		OperationId:     err.Operation,
+		ExpectedVersion: err.Expected,
+		CurrentVersion:  err.Current,
+		Shortfalls:      shortfallMessages(err.Shortfalls),
+	}
+	for _, field := range err.Fields {
+		message.Fields = append(message.Fields, &rhubarbtrackv1.FieldFault{Field: field.Field, Problem: field.Problem})
+	}
+	converted := connect.NewError(code, err)
+	if detail, detailErr := connect.NewErrorDetail(message); detailErr == nil {
+		converted.AddDetail(detail)
+	}
+	return converted
+}
--- /dev/null
+++ b/rhubarbtrackd/internal/operator/operator_test.go
@@ -0,0 +1,441 @@
+package operator_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/rhubarbtrackd/internal/operator"
+	rhubarbtrackv1 "rhubarbtrack.example/schema/gen/rhubarbtrack/v1"
+	"rhubarbtrack.example/schema/gen/rhubarbtrack/v1/rhubarbtrackv1connect"
+)
+
+type client = rhubarbtrackv1connect.OperatorServiceClient
+
+func domain(name string) *rhubarbtrackv1.Resource {
+	value := &rhubarbtrackv1.Resource_FailureDomain{FailureDomain: &rhubarbtrackv1.FailureDomain{Name: name}}
+	return &rhubarbtrackv1.Resource{Value: value}
+}
+
+func service(slices uint32) *rhubarbtrackv1.Resource {
+	value := &rhubarbtrackv1.Service{Name: "shelf-marks", Keyed: true, SliceCount: slices}
+	return &rhubarbtrackv1.Resource{Value: &rhubarbtrackv1.Resource_Service{Service: value}}
+}
+
+func upstream(name, domain string) *rhubarbtrackv1.Resource {
+	value := &rhubarbtrackv1.Upstream{
+		Name: name, Service: "shelf-marks", FailureDomain: domain, Address: "10.0.0.1:80", Slots: 6, Connections: 130,
+	}
+	return &rhubarbtrackv1.Resource{Value: &rhubarbtrackv1.Resource_Upstream{Upstream: value}}
+}
+
+func put(t *testing.T, c client, resource *rhubarbtrackv1.Resource, expected uint64, operation string) (
+	*rhubarbtrackv1.ChangeResult, error) {
+	t.Helper()
+	response, err := c.PutResource(t.Context(), connect.NewRequest(&rhubarbtrackv1.PutResourceRequest{
+		Resource: resource, ExpectedVersion: expected, OperationId: operation,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg.GetResult(), nil
+}
+
+func mustPut(t *testing.T, c client, resource *rhubarbtrackv1.Resource, expected uint64, operation string) uint64 {
+	t.Helper()
+	result, err := put(t, c, resource, expected, operation)
+	assert.NilError(t, err)
+	return result.GetVersion()
+}
+
+func drain(t *testing.T, c client, drained bool, expected uint64, operation string) (*rhubarbtrackv1.ChangeResult, error) {
+	t.Helper()
+	response, err := c.DrainUpstream(t.Context(), connect.NewRequest(&rhubarbtrackv1.DrainUpstreamRequest{
+		Name: "shelf-marks.p1", Drained: drained, ExpectedVersion: expected, OperationId: operation,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg.GetResult(), nil
+}
+
+func remove(t *testing.T, c client, name string, expected uint64, operation string) (*rhubarbtrackv1.ChangeResult, error) {
+	t.Helper()
+	response, err := c.DeleteResource(t.Context(), connect.NewRequest(&rhubarbtrackv1.DeleteResourceRequest{
+		Kind: rhubarbtrackv1.ResourceKind_RESOURCE_KIND_FAILURE_DOMAIN, Name: name,
+		ExpectedVersion: expected, OperationId: operation,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg.GetResult(), nil
+}
+
+// faultOf returns the Fault of a refused call.
+func faultOf(t *testing.T, err error) *rhubarbtrackv1.Fault {
+	t.Helper()
+	var refusal *connect.Error
+	assert.Assert(t, errors.As(err, &refusal), "%v", err)
+	assert.Equal(t, len(refusal.Details()), 1, "%v", err)
+	message, valueErr := refusal.Details()[0].Value()
+	assert.NilError(t, valueErr)
+	return message.(*rhubarbtrackv1.Fault)
+}
+
+// change returns "<state> <version>" of GetChange.
+func change(t *testing.T, f *fixture, operation string) string {
+	t.Helper()
+	response, err := f.as("ana", operator.RoleConfigure).GetChange(t.Context(),
+		connect.NewRequest(&rhubarbtrackv1.GetChangeRequest{OperationId: operation}))
+	assert.NilError(t, err)
+	found := response.Msg.GetChange()
+	return strings.ToLower(strings.TrimPrefix(found.GetState().String(), "CHANGE_STATE_"))
+}
+
+// filled creates the failure domains east and west, a service and two upstreams; it returns the version of p1.
+func filled(t *testing.T, f *fixture) uint64 {
+	t.Helper()
+	ana := f.as("ana", operator.RoleConfigure)
+	mustPut(t, ana, domain("east"), 0, "fill-1")
+	mustPut(t, ana, domain("west"), 0, "fill-2")
+	mustPut(t, ana, service(2), 0, "fill-3")
+	mustPut(t, ana, upstream("p2", "east"), 0, "fill-4")
+	return mustPut(t, ana, upstream("p1", "west"), 0, "fill-5")
+}
+
+// A retry must not take effect again, also when its first attempt was replaced or undone in the meantime.
+func TestRetryTakesEffectOnce(t *testing.T) {
+	f := newFixture(t)
+	ana := f.as("ana", operator.RoleConfigure)
+	version := filled(t, f)
+	first, err := drain(t, ana, true, version, "op-1")
+	assert.NilError(t, err)
+	retry, err := drain(t, ana, true, version, "op-1")
+	assert.NilError(t, err)
+	assert.Equal(t, retry.GetVersion(), first.GetVersion())
+	assert.Assert(t, retry.GetRepeatedChange())
+	_, err = drain(t, ana, false, first.GetVersion(), "op-2")
+	assert.NilError(t, err)
+	late, err := drain(t, ana, true, version, "op-1")
+	assert.NilError(t, err)
+	assert.Equal(t, late.GetVersion(), first.GetVersion())
+	created := mustPut(t, ana, domain("north"), 0, "op-3")
+	_, err = remove(t, ana, "north", created, "op-4")
+	assert.NilError(t, err)
+	again, err := remove(t, ana, "north", created, "op-4")
+	assert.NilError(t, err)
+	assert.Assert(t, again.GetRepeatedChange())
+	// Without the audit trail this retry would create the object a second time.
+	recreated, err := put(t, ana, domain("north"), 0, "op-3")
+	assert.NilError(t, err)
+	assert.Assert(t, recreated.GetRepeatedChange())
+	assert.Equal(t, f.store.writes, 9)
+}
+
+// Refusals must name the cause in a typed way and have no effect.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name  string
+		call  func(t *testing.T, f *fixture, version uint64) error
+		kind  rhubarbtrackv1.FaultKind
+		field string
+	}{
+		{"conflict", func(t *testing.T, f *fixture, version uint64) error {
+			_, err := put(t, f.as("ana", operator.RoleConfigure), upstream("p1", "east"), version-1, "x")
+			return err
+		}, rhubarbtrackv1.FaultKind_FAULT_KIND_CONFLICT, ""},
+		{"exists", func(t *testing.T, f *fixture, _ uint64) error {
+			_, err := put(t, f.as("ana", operator.RoleConfigure), upstream("p1", "east"), 0, "x")
+			return err
+		}, rhubarbtrackv1.FaultKind_FAULT_KIND_CONFLICT, ""},
+		{"unknown domain", func(t *testing.T, f *fixture, version uint64) error {
+			_, err := put(t, f.as("ana", operator.RoleConfigure), upstream("p1", "north"), version, "x")
+			return err
+		}, rhubarbtrackv1.FaultKind_FAULT_KIND_INVALID, "failure-domain"},
+		{"bad address", func(t *testing.T, f *fixture, version uint64) error {
+			resource := upstream("p1", "west")
+			resource.GetUpstream().Address = "p1"
+			_, err := put(t, f.as("ana", operator.RoleConfigure), resource, version, "x")
+			return err
+		}, rhubarbtrackv1.FaultKind_FAULT_KIND_INVALID, "address"},
+		{"no operation", func(t *testing.T, f *fixture, version uint64) error {
+			_, err := drain(t, f.as("ana", operator.RoleOperate), true, version, "")
+			return err
+		}, rhubarbtrackv1.FaultKind_FAULT_KIND_INVALID, "operation-id"},
+		{"reused operation", func(t *testing.T, f *fixture, version uint64) error {
+			_, err := drain(t, f.as("ana", operator.RoleOperate), true, version, "fill-5")
+			return err
+		}, rhubarbtrackv1.FaultKind_FAULT_KIND_INVALID, "operation-id"},
+		{"reused superseded operation", func(t *testing.T, f *fixture, _ uint64) error {
+			_, err := put(t, f.as("ana", operator.RoleConfigure), domain("south"), 0, "fill-1")
+			return err
+		}, rhubarbtrackv1.FaultKind_FAULT_KIND_INVALID, "operation-id"},
+		{"take out by replacement", func(t *testing.T, f *fixture, _ uint64) error {
+			resource := domain("south")
+			resource.GetFailureDomain().TakenOut = true
+			_, err := put(t, f.as("ana", operator.RoleConfigure), resource, 0, "x")
+			return err
+		}, rhubarbtrackv1.FaultKind_FAULT_KIND_INVALID, "taken-out"},
+		{"referenced", func(t *testing.T, f *fixture, _ uint64) error {
+			_, err := remove(t, f.as("ana", operator.RoleConfigure), "west", 5, "x")
+			return err
+		}, rhubarbtrackv1.FaultKind_FAULT_KIND_INVALID, "name"},
+		{"absent", func(t *testing.T, f *fixture, _ uint64) error {
+			_, err := remove(t, f.as("ana", operator.RoleConfigure), "south", 3, "x")
+			return err
+		}, rhubarbtrackv1.FaultKind_FAULT_KIND_NOT_FOUND, ""},
+		{"role", func(t *testing.T, f *fixture, version uint64) error {
+			_, err := put(t, f.as("olga", operator.RoleOperate), upstream("p1", "west"), version, "x")
+			return err
+		}, rhubarbtrackv1.FaultKind_FAULT_KIND_DENIED, ""},
+		{"drain by viewer", func(t *testing.T, f *fixture, version uint64) error {
+			_, err := drain(t, f.as("vera", operator.RoleView), true, version, "x")
+			return err
+		}, rhubarbtrackv1.FaultKind_FAULT_KIND_DENIED, ""},
+		{"stranger", func(t *testing.T, f *fixture, version uint64) error {
+			_, err := drain(t, f.as("", 0), true, version, "x")
+			return err
+		}, rhubarbtrackv1.FaultKind_FAULT_KIND_UNAUTHENTICATED, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t)
+			version := filled(t, f)
+			_, before, err := f.store.list(t.Context(), "config/")
+			assert.NilError(t, err)
+			known := len(f.store.records(t, f))
+			refusal := faultOf(t, test.call(t, f, version))
+			assert.Equal(t, refusal.GetKind(), test.kind)
+			if test.field != "" {
+				assert.Equal(t, refusal.GetFields()[0].GetField(), test.field)
+			}
+			if test.kind == rhubarbtrackv1.FaultKind_FAULT_KIND_CONFLICT {
+				assert.Equal(t, refusal.GetCurrentVersion(), version)
+			}
+			_, after, err := f.store.list(t.Context(), "config/")
+			assert.NilError(t, err)
+			assert.DeepEqual(t, before, after)
+			records := f.store.records(t, f)
+			assert.Equal(t, len(records), known+1, "a refused attempt is missing in the audit trail")
+			assert.Assert(t, strings.HasSuffix(records[known], " refused"), records[known])
+		})
+	}
+}
+
+// A lost answer must never become a false success or a false refusal.
+func TestLostAnswer(t *testing.T) {
+	cases := []struct {
+		name   string
+		next   fault
+		kind   rhubarbtrackv1.FaultKind // unspecified for success
+		writes int
+		state  string
+	}{
+		{"write took effect", loseAnswer, rhubarbtrackv1.FaultKind_FAULT_KIND_UNSPECIFIED, 1, "accepted"},
+		{"write lost", loseRequest, rhubarbtrackv1.FaultKind_FAULT_KIND_UNKNOWN, 0, "unknown"},
+		{"write refused", refuse, rhubarbtrackv1.FaultKind_FAULT_KIND_NOT_ACCEPTED, 0, "refused"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t)
+			ana := f.as("ana", operator.RoleConfigure)
+			version := filled(t, f)
+			f.store.writes, f.store.next = 0, test.next
+			_, err := drain(t, ana, true, version, "op-1")
+			if test.kind == rhubarbtrackv1.FaultKind_FAULT_KIND_UNSPECIFIED {
+				assert.NilError(t, err)
+			} else {
+				assert.Equal(t, faultOf(t, err).GetKind(), test.kind)
+				assert.Equal(t, faultOf(t, err).GetOperationId(), "op-1")
+			}
+			assert.Equal(t, f.store.writes, test.writes)
+			assert.Equal(t, change(t, f, "op-1"), test.state)
+			_, err = drain(t, ana, true, version, "op-1")
+			assert.NilError(t, err)
+			assert.Equal(t, f.store.writes, 1)
+			assert.Equal(t, change(t, f, "op-1"), "accepted")
+		})
+	}
+}
+
+// A change of another operator after a lost answer must leave the outcome unknown instead of being taken for ours.
+func TestLostAnswerOvertaken(t *testing.T) {
+	f := newFixture(t)
+	version := filled(t, f)
+	f.store.next = loseAnswer
+	f.store.overtake = func() {
+		object := f.store.objects["config/upstream/shelf-marks.p1"]
+		f.store.revision++
+		object.Version = f.store.revision
+		object.Value = []byte(strings.Replace(string(object.Value), `"writer":"ana"`, `"writer":"eva"`, 1))
+		f.store.objects[object.Name] = object
+	}
+	_, err := drain(t, f.as("ana", operator.RoleOperate), true, version, "op-1")
+	assert.Equal(t, faultOf(t, err).GetKind(), rhubarbtrackv1.FaultKind_FAULT_KIND_UNKNOWN)
+}
+
+// A deletion carries no operation in the store and is resolved by the absence of the object.
+func TestLostAnswerOfDeletion(t *testing.T) {
+	f := newFixture(t)
+	ana := f.as("ana", operator.RoleConfigure)
+	version := mustPut(t, ana, domain("north"), 0, "op-1")
+	f.store.next = loseAnswer
+	_, err := remove(t, ana, "north", version, "op-2")
+	assert.NilError(t, err)
+	assert.Equal(t, change(t, f, "op-2"), "accepted")
+}
+
+// During an outage reads must be answered with their age, and changes refused; the refusals reach the trail afterwards.
+func TestStoreOutage(t *testing.T) {
+	f := newFixture(t)
+	ana := f.as("ana", operator.RoleConfigure)
+	version := filled(t, f)
+	known := f.store.records(t, f)
+	f.store.setDown(true)
+	list, err := ana.ListResources(t.Context(), connect.NewRequest(&rhubarbtrackv1.ListResourcesRequest{}))
+	assert.NilError(t, err)
+	assert.Equal(t, len(list.Msg.GetResources()), 5)
+	assert.Equal(t, list.Msg.GetFreshness().GetAge().GetSeconds(), int64(90))
+	assert.Assert(t, list.Msg.GetFreshness().GetStoreDown())
+	status, err := ana.GetStatus(t.Context(), connect.NewRequest(&rhubarbtrackv1.GetStatusRequest{}))
+	assert.NilError(t, err)
+	assert.Assert(t, !status.Msg.GetStatus().GetHealthy())
+	_, err = drain(t, ana, true, version, "op-1")
+	assert.Equal(t, faultOf(t, err).GetKind(), rhubarbtrackv1.FaultKind_FAULT_KIND_NOT_ACCEPTED)
+	assert.Equal(t, change(t, f, "op-1"), "refused")
+	assert.Equal(t, change(t, f, "op-elsewhere"), "unknown")
+	f.store.setDown(false)
+	assert.NilError(t, f.server.Maintain(t.Context()))
+	records := f.store.records(t, f)
+	assert.DeepEqual(t, records[len(known):], []string{"ana DrainUpstream config/upstream/shelf-marks.p1 refused"})
+}
+
+// The bound of records kept in memory must hold in an outage of any length.
+func TestAuditBacklogIsBounded(t *testing.T) {
+	f := newFixture(t)
+	f.store.setDown(true)
+	ana := f.as("ana", operator.RoleConfigure)
+	for range 300 {
+		_, err := remove(t, ana, "east", 1, "op")
+		assert.Assert(t, err != nil)
+	}
+	waiting, dropped := f.server.AuditBacklog()
+	assert.Equal(t, waiting, 256)
+	assert.Equal(t, dropped, 44)
+}
+
+// Two daemons that number their records independently must not overwrite or skip records.
+func TestAuditOfTwoDaemons(t *testing.T) {
+	f := newFixture(t)
+	other := newFixture(t)
+	other.server.Store = f.server.Store
+	for i, operation := range []string{"a", "b", "c", "d", "e", "f"} {
+		from := []*fixture{f, other, other, f, f, other}[i]
+		mustPut(t, from.as("ana", operator.RoleConfigure), domain("d-"+operation), 0, operation)
+	}
+	records := f.store.records(t, f)
+	assert.Equal(t, len(records), 6)
+	for i, operation := range []string{"a", "b", "c", "d", "e", "f"} {
+		assert.Equal(t, records[i], "ana PutResource config/failure-domain/d-"+operation+" accepted")
+	}
+}
+
+// Records past their retention must go, or the trail would grow without a bound.
+func TestAuditRetention(t *testing.T) {
+	f := newFixture(t)
+	ana := f.as("ana", operator.RoleConfigure)
+	filled(t, f)
+	f.now = f.now.AddDate(0, 0, 30)
+	mustPut(t, ana, domain("north"), 0, "op-1")
+	assert.NilError(t, f.server.Maintain(t.Context()))
+	_, kept, err := f.store.list(t.Context(), "audit/2026-12-04/")
+	assert.NilError(t, err)
+	assert.Equal(t, len(kept), 5)
+	f.now = f.now.AddDate(0, 0, 1)
+	assert.NilError(t, f.server.Maintain(t.Context()))
+	_, kept, err = f.store.list(t.Context(), "audit/")
+	assert.NilError(t, err)
+	assert.Equal(t, len(kept), 1)
+}
+
+// Taking out a failure domain must name the shortfall and proceed only when forced.
+func TestTakeOut(t *testing.T) {
+	f := newFixture(t)
+	filled(t, f)
+	olga := f.as("olga", operator.RoleOperate)
+	take := func(force bool, operation string) (*connect.Response[rhubarbtrackv1.TakeOutFailureDomainResponse], error) {
+		return olga.TakeOutFailureDomain(t.Context(), connect.NewRequest(&rhubarbtrackv1.TakeOutFailureDomainRequest{
+			Name: "east", Force: force, ExpectedVersion: 2, OperationId: operation,
+		}))
+	}
+	_, err := take(false, "op-1")
+	assert.Equal(t, faultOf(t, err).GetKind(), rhubarbtrackv1.FaultKind_FAULT_KIND_CAPACITY)
+	assert.Equal(t, faultOf(t, err).GetShortfalls()[0].GetSlotsLeft(), uint32(6))
+	response, err := take(true, "op-1")
+	assert.NilError(t, err)
+	assert.Equal(t, len(response.Msg.GetShortfalls()), 1)
+	assert.Assert(t, response.Msg.GetResult().GetResource().GetFailureDomain().GetTakenOut())
+}
+
+// An unreadable object must not block its own replacement.
+func TestReplaceUnreadableObject(t *testing.T) {
+	f := newFixture(t)
+	version, err := f.store.put(t.Context(), "config/failure-domain/north", []byte("{"), 0)
+	assert.NilError(t, err)
+	mustPut(t, f.as("ana", operator.RoleConfigure), domain("north"), version, "op-1")
+}
+
+// The owner of a key must be answered with the fence that is in force.
+func TestGetOwner(t *testing.T) {
+	f := newFixture(t)
+	filled(t, f)
+	response, err := f.as("vera", operator.RoleView).GetOwner(t.Context(),
+		connect.NewRequest(&rhubarbtrackv1.GetOwnerRequest{Service: "shelf-marks", Key: "QA76.73"}))
+	assert.NilError(t, err)
+	owner := response.Msg.GetOwner()
+	assert.Equal(t, owner.GetSlice().GetOwner(), "p1")
+	assert.Equal(t, owner.GetSlice().GetTerm(), uint64(7))
+	assert.Equal(t, owner.GetSlice().GetAdmissionHost(), "entry-1")
+	assert.Equal(t, owner.GetAddress(), "10.0.0.1:80")
+}
+
+// A watch must deliver changes and deletions after the given revision, each once.
+func TestWatch(t *testing.T) {
+	f := newFixture(t)
+	ana := f.as("ana", operator.RoleConfigure)
+	version := mustPut(t, ana, domain("north"), 0, "op-1")
+	request := connect.NewRequest(&rhubarbtrackv1.WatchRequest{FromRevision: version})
+	request.Header().Set("Authorization", "vera view")
+	stream, err := ana.Watch(t.Context(), request)
+	assert.NilError(t, err)
+	defer stream.Close()
+	assert.Assert(t, stream.Receive())
+	assert.Equal(t, len(stream.Msg().GetResources()), 0)
+	mustPut(t, ana, domain("south"), 0, "op-2")
+	assert.Assert(t, stream.Receive())
+	assert.Equal(t, stream.Msg().GetResources()[0].GetFailureDomain().GetName(), "south")
+	_, err = remove(t, ana, "north", version, "op-3")
+	assert.NilError(t, err)
+	assert.Assert(t, stream.Receive())
+	assert.Equal(t, stream.Msg().GetDeletions()[0].GetObject(), "config/failure-domain/north")
+}
+
+// A page of another origin must not be able to use a listener on loopback.
+func TestCrossOriginIsRefused(t *testing.T) {
+	f := newFixture(t)
+	body := strings.NewReader(`{}`)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost,
+		f.url+rhubarbtrackv1connect.OperatorServiceGetStatusProcedure, body)
+	assert.NilError(t, err)
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Authorization", "vera view")
+	request.Header.Set("Origin", "https://elsewhere.example")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusForbidden)
+}
--- /dev/null
+++ b/rhubarbtrackd/internal/operator/record.go
@@ -0,0 +1,173 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"rhubarbtrack.example/core/configurator"
+	rhubarbtrackv1 "rhubarbtrack.example/schema/gen/rhubarbtrack/v1"
+)
+
+// auditPrefix is the prefix of the names of all audit records; a day and a number follow.
+const auditPrefix = "audit/"
+
+// dayLayout is the format of a day in names of records.
+const dayLayout = "2006-01-02"
+
+// result is the outcome of an audited call.
+type result int
+
+const (
+	started  result = iota + 1 // recorded before the change was sent
+	accepted                   // taken by the store
+	refused                    // without effect
+	unknown                    // the answer was lost and could not be resolved
+	repeated                   // a retry of a change that had taken effect
+)
+
+var results = []struct {
+	result  result
+	name    string
+	message rhubarbtrackv1.AuditResult
+}{
+	{started, "started", rhubarbtrackv1.AuditResult_AUDIT_RESULT_STARTED},
+	{accepted, "accepted", rhubarbtrackv1.AuditResult_AUDIT_RESULT_ACCEPTED},
+	{refused, "refused", rhubarbtrackv1.AuditResult_AUDIT_RESULT_REFUSED},
+	{unknown, "unknown", rhubarbtrackv1.AuditResult_AUDIT_RESULT_UNKNOWN},
+	{repeated, "repeated", rhubarbtrackv1.AuditResult_AUDIT_RESULT_REPEATED},
+}
+
+// record is one attempted change.
+type record struct {
+	name          string // of the stored record, "" while it is not stored
+	version       uint64 // of the stored record
+	time          time.Time
+	origin        configurator.Origin
+	call          string
+	object        string
+	before        string
+	after         string
+	versionBefore uint64
+	versionAfter  uint64
+	result        result
+	problem       string
+}
+
+// maxRecordedLength bounds the names in records of refused attempts, whose names were not validated.
+const maxRecordedLength = 256
+
+func newRecord(c *change, now time.Time) *record {
+	origin := configurator.Origin{Writer: c.origin.Writer, Operation: shortened(c.origin.Operation)}
+	return &record{time: now, origin: origin, call: c.call, object: shortened(c.object), versionBefore: c.expected}
+}
+
+func shortened(text string) string {
+	if len(text) <= maxRecordedLength {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxRecordedLength], "")
+}
+
+type wireRecord struct {
+	Time          time.Time `json:"time"`
+	Writer        string    `json:"writer"`
+	Operation     string    `json:"operation"`
+	Call          string    `json:"call"`
+	Object        string    `json:"object"`
+	Before        string    `json:"before"`
+	After         string    `json:"after"`
+	VersionBefore uint64    `json:"version-before"`
+	VersionAfter  uint64    `json:"version-after"`
+	Result        string    `json:"result"`
+	Problem       string    `json:"problem"`
+}
+
+func (r *record) encode() ([]byte, error) {
+	wire := wireRecord{
+		Time:          r.time,
+		Writer:        r.origin.Writer,
+		Operation:     r.origin.Operation,
+		Call:          r.call,
+		Object:        r.object,
+		Before:        r.before,
+		After:         r.after,
+		VersionBefore: r.versionBefore,
+		VersionAfter:  r.versionAfter,
+		Problem:       r.problem,
+	}
+	for _, entry := range results {
+		if entry.result == r.result {
+			wire.Result = entry.name
+		}
+	}
+	return json.Marshal(wire)
+}
+
+func decodeRecord(object Object) (record, error) {
+	var wire wireRecord
+	if err := json.Unmarshal(object.Value, &wire); err != nil {
+		return record{}, errors.Wrapf(err, "audit record %s", object.Name)
+	}
+	decoded := record{
+		name:          object.Name,
+		version:       object.Version,
+		time:          wire.Time,
+		origin:        configurator.Origin{Writer: wire.Writer, Operation: wire.Operation},
+		call:          wire.Call,
+		object:        wire.Object,
+		before:        wire.Before,
+		after:         wire.After,
+		versionBefore: wire.VersionBefore,
+		versionAfter:  wire.VersionAfter,
+		problem:       wire.Problem,
+	}
+	for _, entry := range results {
+		if entry.name == wire.Result {
+			decoded.result = entry.result
+		}
+	}
+	return decoded, nil
+}
+
+// sameAttempt reports whether both records describe the same call, whatever its outcome.
+func (r *record) sameAttempt(other *record) bool {
+	return r.origin == other.origin && r.call == other.call && r.object == other.object && r.time.Equal(other.time)
+}
+
+func (r *record) day() string { return r.time.UTC().Format(dayLayout) }
+
+func recordName(day string, number int) string {
+	return fmt.Sprintf("%s%s/%05d", auditPrefix, day, number)
+}
+
+// chunkPrefix is the prefix of the names of recordsPerChunk records.
+func chunkPrefix(day string, chunk int) string {
+	return fmt.Sprintf("%s%s/%03d", auditPrefix, day, chunk)
+}
+
+func recordMessage(r *record) *rhubarbtrackv1.AuditRecord {
+	message := &rhubarbtrackv1.AuditRecord{
+		Name:          r.name,
+		Time:          timestamppb.New(r.time),
+		Writer:        r.origin.Writer,
+		Call:          r.call,
+		Object:        r.object,
+		OperationId:   r.origin.Operation,
+		Before:        r.before,
+		After:         r.after,
+		VersionBefore: r.versionBefore,
+		VersionAfter:  r.versionAfter,
+		Problem:       r.problem,
+	}
+	for _, entry := range results {
+		if entry.result == r.result {
+			message.Result = entry.message
+		}
+	}
+	return message
+}
