Serve the operators' calls from the daemon

The controllers publish the recent peak of the slots in use with their beacons; the capacity check before a take-out compares it with the slots that stay.

--- a/rhubarbtrackd/internal/framer/record.go
+++ b/rhubarbtrackd/internal/framer/record.go
@@ -82,6 +82,7 @@
 	Table    slicer.Version
 	Revision uint64 // of the configuration that the controller applies
 	Holder   string // host of the controller
+	InUse    uint64 // slots in use of all upstreams, the recent peak
 }
 
 type wireBeacon struct {
@@ -91,6 +92,7 @@
 	TableSeq  uint64 `cbor:"4,keyasint"`
 	Revision  uint64 `cbor:"5,keyasint"`
 	Holder    string `cbor:"6,keyasint"`
+	InUse     uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // EncodeBeacon returns the body of a beacon item.
@@ -102,6 +104,7 @@
 		TableSeq:  beacon.Table.Seq,
 		Revision:  beacon.Revision,
 		Holder:    beacon.Holder,
+		InUse:     beacon.InUse,
 	})
 }
 
@@ -118,5 +121,6 @@
 		Table:    slicer.Version{Term: wire.TableTerm, Seq: wire.TableSeq},
 		Revision: wire.Revision,
 		Holder:   wire.Holder,
+		InUse:    wire.InUse,
 	}, nil
 }
--- a/rhubarbtrackd/internal/granter/worker.go
+++ b/rhubarbtrackd/internal/granter/worker.go
@@ -30,6 +30,7 @@
 	elector    *elector.Elector
 	controller *controller.Controller
 	beaconSeq  uint64
+	demand     demand
 
 	right atomic.Pointer[elector.Right]
 }
@@ -82,6 +83,9 @@
 			case elector.Event:
 				w.stepElector(ctx, e)
 			case controller.Event:
+				if reply, ok := e.(controller.OrderReply); ok && !reply.Failed {
+					w.demand.note(w.granter.options.Clock(), reply.Upstream, reply.InFlight)
+				}
 				w.stepController(ctx, e)
 			}
 		}
@@ -155,6 +159,7 @@
 		Table:    a.Table,
 		Revision: a.Revision,
 		Holder:   w.granter.options.Self,
+		InUse:    w.demand.peak(w.granter.options.Clock()),
 	})
 }
 
--- a/rhubarbtrackd/internal/runner/assembler.go
+++ b/rhubarbtrackd/internal/runner/assembler.go
@@ -122,6 +122,7 @@
 		MaxBody:        s.MaxBody,
 		Log:            log,
 	})
+	d.operators = newOperators(d)
 	return d
 }
 
@@ -148,12 +149,6 @@
 	})
 }
 
-func (d *daemon) operatorHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", d.meter.Handler())
-	return mux
-}
-
 func (d *daemon) peerUp(peer string, class peerer.Class, outbound bool) {
 	d.log.Log(eventlog.PeerConnected, zap.String("peer", peer), zap.String("class", string(class)))
 	if class == peerer.Relay {
--- /dev/null
+++ b/rhubarbtrackd/internal/runner/operators.go
@@ -0,0 +1,322 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/planner"
+	"rhubarbtrack.example/core/relayer"
+	"rhubarbtrack.example/core/slicer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/operator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
+)
+
+const (
+	// probeInterval is how old the knowledge about the store may be when an operator asks, and probeTimeout how long a
+	// probe may take.
+	probeInterval = 2 * time.Second
+	probeTimeout  = 500 * time.Millisecond
+	// maintainInterval is the time between two clean-ups of the audit trail.
+	maintainInterval = time.Minute
+	// localOperator names callers of the operators' listener without TLS, which is bound to loopback.
+	localOperator = "local"
+)
+
+// operators joins the operators' calls with the parts of the daemon.
+type operators struct {
+	daemon *daemon
+	server *operator.Server
+
+	mu       sync.Mutex
+	probedAt time.Duration
+	probed   bool
+	down     bool
+	goodAt   time.Duration // of the last answer of the store to a probe
+}
+
+func newOperators(d *daemon) *operators {
+	o := &operators{daemon: d}
+	o.server = &operator.Server{
+		Store: operator.Store{
+			List:   o.list,
+			Get:    o.get,
+			Put:    o.put,
+			Delete: o.delete,
+		},
+		Identify:   identify,
+		Now:        time.Now,
+		Snapshot:   o.view,
+		Changed:    d.locator.Changed,
+		Table:      o.table,
+		Hosts:      o.hosts,
+		Rollout:    o.rollout,
+		Problems:   o.problems,
+		Shortfalls: o.shortfalls,
+		Accepted:   o.accepted,
+	}
+	return o
+}
+
+// handler serves the operators' calls and the metrics.
+func (o *operators) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(o.server.Handler())
+	mux.Handle("GET /metrics", o.daemon.meter.Handler())
+	return mux
+}
+
+// identify names the caller. Without TLS the listener accepts loopback connections only, whose callers have all roles.
+func identify(request *http.Request) (operator.Identity, error) {
+	if request.TLS == nil {
+		return operator.Identity{Name: localOperator, Role: operator.RoleConfigure}, nil
+	}
+	if len(request.TLS.VerifiedChains) == 0 {
+		return operator.Identity{}, errors.New("no verified client certificate")
+	}
+	subject := request.TLS.VerifiedChains[0][0].Subject
+	for _, unit := range subject.OrganizationalUnit {
+		if role, ok := roles[unit]; ok {
+			return operator.Identity{Name: subject.CommonName, Role: role}, nil
+		}
+	}
+	return operator.Identity{}, errors.Newf("the certificate of %q names no role", subject.CommonName)
+}
+
+// roles maps the organizational unit of a client certificate to a role.
+var roles = map[string]operator.Role{
+	"view":      operator.RoleView,
+	"operate":   operator.RoleOperate,
+	"configure": operator.RoleConfigure,
+}
+
+// storeError maps an error of the store to the kinds that the operators' calls tell apart.
+func storeError(op string, err error) error {
+	var failure *storer.Error
+	if !errors.As(err, &failure) {
+		return err
+	}
+	switch failure.Kind {
+	case storer.Conflict, storer.NotFound:
+		return &operator.Error{Op: op, Kind: operator.Conflict, Stored: operatorObject(failure.Current), Err: err}
+	case storer.Unknown:
+		return err
+	default:
+		return &operator.Error{Op: op, Kind: operator.NotAccepted, Err: err}
+	}
+}
+
+func operatorObject(object storer.Object) operator.Object {
+	return operator.Object{Name: object.Name, Version: object.Version, Value: object.Value}
+}
+
+func (o *operators) list(ctx context.Context, prefix string) (uint64, []operator.Object, error) {
+	objects, revision, err := o.daemon.store.List(ctx, prefix)
+	if err != nil {
+		return 0, nil, storeError("list", err)
+	}
+	converted := make([]operator.Object, len(objects))
+	for i, object := range objects {
+		converted[i] = operatorObject(object)
+	}
+	return revision, converted, nil
+}
+
+func (o *operators) get(ctx context.Context, name string) (operator.Object, error) {
+	object, err := o.daemon.store.Get(ctx, name)
+	if storer.KindOf(err) == storer.NotFound {
+		return operator.Object{Name: name}, nil
+	}
+	if err != nil {
+		return operator.Object{}, storeError("get", err)
+	}
+	return operatorObject(object), nil
+}
+
+func (o *operators) put(ctx context.Context, name string, value []byte, expected uint64) (uint64, error) {
+	condition := storer.IfAbsent()
+	if expected > 0 {
+		condition = storer.IfVersion(expected)
+	}
+	version, err := o.daemon.store.Put(ctx, name, value, condition)
+	if err != nil {
+		return 0, storeError("put", err)
+	}
+	return version, nil
+}
+
+func (o *operators) delete(ctx context.Context, name string, expected uint64) (uint64, error) {
+	version, err := o.daemon.store.Delete(ctx, name, storer.IfVersion(expected))
+	if err != nil {
+		return 0, storeError("delete", err)
+	}
+	return version, nil
+}
+
+// view returns the configuration in force. It asks the store when the last probe is too old.
+func (o *operators) view() operator.View {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if now := o.daemon.clock(); !o.probed || now-o.probedAt >= probeInterval {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		_, err := o.daemon.store.Get(ctx, "probe")
+		cancel()
+		o.probed = true
+		o.probedAt = o.daemon.clock()
+		o.down = err != nil && storer.KindOf(err) != storer.NotFound
+		if !o.down {
+			o.goodAt = o.probedAt
+		}
+	}
+	return operator.View{
+		Snapshot:  o.daemon.locator.Config(),
+		Age:       o.daemon.clock() - o.goodAt,
+		StoreDown: o.down,
+	}
+}
+
+func (o *operators) table(service string) (slicer.Table, bool) {
+	table := o.daemon.locator.Table(service)
+	if table == nil {
+		return slicer.Table{}, false
+	}
+	return *table, true
+}
+
+var hostStates = map[framer.MemberState]operator.HostState{
+	framer.Live:    operator.Live,
+	framer.Leaving: operator.Leaving,
+	framer.Lost:    operator.Dead,
+}
+
+func (o *operators) hosts() []operator.Host {
+	duties := o.duties()
+	var hosts []operator.Host
+	for name, member := range o.daemon.locator.Members() {
+		hosts = append(hosts, operator.Host{
+			Name:          name,
+			Address:       member.Address,
+			FailureDomain: member.FailureDomain,
+			State:         hostStates[member.State],
+			Duties:        duties[name],
+		})
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Name < hosts[j].Name })
+	return hosts
+}
+
+// duties lists the duties of all hosts as far as tables and beacons show them.
+func (o *operators) duties() map[string][]operator.Duty {
+	duties := map[string][]operator.Duty{}
+	for service := range o.daemon.locator.Config().Services {
+		if beacon, ok := o.daemon.locator.Holder(service); ok {
+			duties[beacon.Holder] = append(duties[beacon.Holder], operator.Duty{Kind: operator.Controller, Subject: service})
+		}
+		table := o.daemon.locator.Table(service)
+		if table == nil {
+			continue
+		}
+		for upstream, admission := range table.Admission {
+			duty := operator.Duty{Kind: operator.Admission, Subject: upstream}
+			duties[admission.Host] = append(duties[admission.Host], duty)
+		}
+	}
+	for _, list := range duties {
+		sort.Slice(list, func(i, j int) bool {
+			if list[i].Kind != list[j].Kind {
+				return list[i].Kind < list[j].Kind
+			}
+			return list[i].Subject < list[j].Subject
+		})
+	}
+	return duties
+}
+
+// rollout counts the hosts that have a revision in force, from the progress that the roots publish.
+func (o *operators) rollout(revision uint64) operator.Rollout {
+	progress := operator.Rollout{Revision: revision}
+	for _, count := range o.daemon.distributor.Progress() {
+		progress.Hosts += int(count.Hosts)
+		if count.Revision >= revision {
+			progress.InForce += int(count.Hosts)
+		}
+	}
+	return progress
+}
+
+func (o *operators) problems() []operator.Problem {
+	now := o.daemon.clock()
+	var problems []operator.Problem
+	for service := range o.daemon.locator.Config().Services {
+		if !o.daemon.locator.Fresh(now, service) {
+			problems = append(problems, operator.Problem{
+				Subject: "service " + service,
+				Text:    "no controller is known to act; this host takes no new requests",
+			})
+		}
+	}
+	if !o.daemon.distributor.Connected() {
+		problems = append(problems, operator.Problem{
+			Subject: "host " + o.daemon.settings.Name,
+			Text:    "not connected to the other hosts",
+		})
+	}
+	sort.Slice(problems, func(i, j int) bool { return problems[i].Subject < problems[j].Subject })
+	return problems
+}
+
+// shortfalls compares the slots that stay with the slots in use, which the controllers publish with their beacons.
+func (o *operators) shortfalls(snapshot *configurator.Snapshot, domain string) []operator.Shortfall {
+	status := planner.Status{Demand: map[string]float64{}}
+	for _, upstream := range snapshot.Upstreams {
+		out := snapshot.FailureDomains[upstream.FailureDomain].TakenOut
+		status.Upstreams = append(status.Upstreams, planner.Upstream{
+			Name:          upstream.ID(),
+			Service:       upstream.Service,
+			FailureDomain: upstream.FailureDomain,
+			Slots:         upstream.Slots,
+			Capacity:      upstream.Slots,
+			Serving:       !upstream.Drained && !out,
+		})
+	}
+	for service := range snapshot.Services {
+		if beacon, ok := o.daemon.locator.Holder(service); ok {
+			status.Demand[service] = float64(beacon.InUse)
+		}
+	}
+	var shortfalls []operator.Shortfall
+	for _, missing := range planner.New(planner.DefaultPace, time.LoadLocation).Shortfalls(status, domain) {
+		shortfalls = append(shortfalls, operator.Shortfall{
+			Service:     missing.Service,
+			SlotsNeeded: missing.Needed,
+			SlotsLeft:   missing.Available,
+			Text:        fmt.Sprintf("%d slots are needed, %d would be left", missing.Needed, missing.Available),
+		})
+	}
+	return shortfalls
+}
+
+// accepted puts an accepted change into force here and floods it, so that no host waits for the watch of a root.
+func (o *operators) accepted(object configurator.Object) {
+	o.daemon.distributor.Publish(relayer.Item{
+		Key:     relayer.Key{Kind: relayer.Config, Name: object.Name},
+		Version: relayer.Version{Seq: object.Version},
+		Deleted: object.Deleted,
+		Body:    object.Body,
+	})
+}
+
+// maintain keeps the audit trail within its bound.
+func (o *operators) maintain(time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), maintainInterval/2)
+	defer cancel()
+	// A failure is repeated with the next run; the store's state is logged elsewhere.
+	_ = o.server.Maintain(ctx)
+}
--- a/rhubarbtrackd/internal/runner/runner.go
+++ b/rhubarbtrackd/internal/runner/runner.go
@@ -97,6 +97,7 @@
 	receiver    *receiver.Receiver
 	chooser     *chooser.Chooser
 	suspector   *suspector.Suspector
+	operators   *operators
 	stopping    atomic.Bool
 }
 
@@ -114,6 +115,7 @@
 	go d.every(background, heartbeatInterval, d.sendHeartbeats)
 	go d.every(background, refreshInterval, d.refresh)
 	go d.every(background, statusInterval, d.recordStatus)
+	go d.every(background, maintainInterval, d.operators.maintain)
 	failed := make(chan error, len(listeners))
 	for _, l := range listeners {
 		go func() { failed <- l.server.Serve(l.socket) }()
@@ -147,7 +149,7 @@
 	}{
 		{d.settings.CallerListen, d.receiver},
 		{d.settings.PeerListen, peerHandler(peers, forward)},
-		{d.settings.OperatorListen, d.operatorHandler()},
+		{d.settings.OperatorListen, d.operators.handler()},
 	}
 	var listeners []listener
 	for _, w := range wanted {
