relayer: detect lost frames by checksum

Cause: a frame that is lost while its connection stays up (a full queue between two tasks drops it) left a host without an item until the next reconnection. Found by the property test, which cuts hosts off without closing connections.

--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -14,9 +14,12 @@
 package relayer
 
 import (
+	"fmt"
 	"slices"
 	"sort"
 	"time"
+
+	"rhubarbtrack.example/core/hasher"
 )
 
 // Options of a relayer.
@@ -38,6 +41,10 @@
 	redialInterval = 2 * time.Second
 	// maxRevisions bounds the progress histogram; older revisions are merged into the oldest kept one.
 	maxRevisions = 8
+	// checksumInterval is the longest time between two checksums to a neighbour. A frame that was lost without the loss of
+	// its connection, for instance by a full queue, is noticed by a checksum that differs for differenceTimeout.
+	checksumInterval  = 500 * time.Millisecond
+	differenceTimeout = time.Second
 	// suspectRetention is how long reports about requests that crash upstreams are kept, and maxSuspects how many.
 	suspectRetention = 10 * time.Minute
 	maxSuspects      = 4096
@@ -47,6 +54,9 @@
 	outbound  bool
 	lastHeard time.Duration
 	lastSent  time.Duration
+	summedAt  time.Duration // latest checksum sent
+	differs   bool          // since differsAt no checksum of this neighbour was equal to the one here
+	differsAt time.Duration
 	subtree   []RevisionCount
 }
 
@@ -55,6 +65,7 @@
 	options    Options
 	tree       Tree
 	items      map[Key]Item
+	checksum   uint64
 	neighbours map[string]*neighbour
 	parent     string                   // the parent that is connected or being dialled, empty for roots
 	failed     map[string]time.Duration // candidates that could not be reached, with the time of the failure
@@ -174,7 +185,7 @@
 	if e.Frame.Subtree != nil {
 		from.subtree = e.Frame.Subtree
 	}
-	var actions []Action
+	actions := r.compare(now, e.Peer, from, e.Frame.Checksum)
 	if e.Frame.HasDigest {
 		if missing := r.missing(e.Frame.Digest); len(missing) > 0 {
 			actions = append(actions, r.send(now, e.Peer, Frame{Items: missing}))
@@ -192,6 +203,36 @@
 	return actions
 }
 
+// compare sends a digest to a neighbour whose items have differed for too long. The neighbour does the same, so both get
+// what they lack.
+func (r *Relayer) compare(now time.Duration, peer string, from *neighbour, checksum uint64) []Action {
+	switch {
+	case checksum == 0:
+		return nil
+	case checksum == r.checksum:
+		from.differs = false
+		return nil
+	case !from.differs:
+		from.differs = true
+		from.differsAt = now
+		return nil
+	case now-from.differsAt < differenceTimeout:
+		return nil
+	}
+	from.differsAt = now
+	return []Action{r.send(now, peer, Frame{Digest: r.digest(), HasDigest: true})}
+}
+
+// digestible reports whether items of a kind are part of digests and checksums. The others expire.
+func digestible(kind Kind) bool {
+	return kind != Beacon && kind != Suspect
+}
+
+// fingerprint is the part of an item in the checksum.
+func fingerprint(key Key, version Version) uint64 {
+	return hasher.Sum(fmt.Sprintf("%d/%s/%d/%d", key.Kind, key.Name, version.Term, version.Seq))
+}
+
 // accept keeps an item if it is newer than the held one and passes it on to every neighbour but its sender.
 func (r *Relayer) accept(now time.Duration, sender string, item Item) []Action {
 	held, ok := r.items[item.Key]
@@ -199,6 +240,12 @@
 		return nil
 	}
 	r.items[item.Key] = item
+	if digestible(item.Kind) {
+		if ok {
+			r.checksum ^= fingerprint(held.Key, held.Version)
+		}
+		r.checksum ^= fingerprint(item.Key, item.Version)
+	}
 	if item.Kind == Suspect {
 		r.suspects = append(r.suspects, suspect{key: item.Key, version: item.Version, at: now})
 		r.expireSuspects(now)
@@ -234,8 +281,10 @@
 	actions = append(actions, r.choosePeers()...)
 	actions = append(actions, r.reportProgress(now)...)
 	for _, peer := range r.peers() {
-		if now-r.neighbours[peer].lastSent >= heartbeatInterval {
-			actions = append(actions, r.send(now, peer, Frame{}))
+		n := r.neighbours[peer]
+		if now-n.lastSent >= heartbeatInterval || now-n.summedAt >= checksumInterval {
+			n.summedAt = now
+			actions = append(actions, r.send(now, peer, Frame{Checksum: r.checksum}))
 		}
 	}
 	return actions
@@ -346,7 +395,7 @@
 func (r *Relayer) digest() []DigestEntry {
 	entries := make([]DigestEntry, 0, len(r.items))
 	for key, item := range r.items {
-		if key.Kind != Beacon {
+		if digestible(key.Kind) {
 			entries = append(entries, DigestEntry{Key: key, Version: item.Version})
 		}
 	}
--- a/core/relayer/types.go
+++ b/core/relayer/types.go
@@ -54,8 +54,9 @@
 	Hosts    uint32
 }
 
-// Frame is one message between two neighbours of the tree. An empty frame is a heartbeat.
+// Frame is one message between two neighbours of the tree. A frame with nothing but a checksum is a heartbeat.
 type Frame struct {
+	Checksum  uint64        // over the versions of all items that the sender holds, except those that expire; 0 for none
 	Digest    []DigestEntry // every item that the sender holds
 	HasDigest bool
 	Items     []Item
--- a/rhubarbtrackd/internal/framer/framer.go
+++ b/rhubarbtrackd/internal/framer/framer.go
@@ -89,11 +89,12 @@
 	Items     []wireItem  `cbor:"3,keyasint,omitempty"`
 	Subtree   []wireCount `cbor:"4,keyasint,omitempty"`
 	Leaving   bool        `cbor:"5,keyasint,omitempty"`
+	Checksum  uint64      `cbor:"6,keyasint,omitempty"`
 }
 
 // EncodeFrame returns the encoding of a frame of the relay tree.
 func EncodeFrame(frame relayer.Frame) ([]byte, error) {
-	wire := wireFrame{HasDigest: frame.HasDigest, Leaving: frame.Leaving}
+	wire := wireFrame{HasDigest: frame.HasDigest, Leaving: frame.Leaving, Checksum: frame.Checksum}
 	for _, entry := range frame.Digest {
 		wire.Digest = append(wire.Digest, wireItem{
 			Kind: uint8(entry.Key.Kind),
@@ -124,7 +125,7 @@
 	if err := decode("decode relay frame", data, &wire); err != nil {
 		return relayer.Frame{}, err
 	}
-	frame := relayer.Frame{HasDigest: wire.HasDigest, Leaving: wire.Leaving}
+	frame := relayer.Frame{HasDigest: wire.HasDigest, Leaving: wire.Leaving, Checksum: wire.Checksum}
 	for _, entry := range wire.Digest {
 		frame.Digest = append(frame.Digest, relayer.DigestEntry{Key: entry.key(), Version: entry.version()})
 	}
