demo: run the system as processes and compare outcomes with runs

Cause: at-most-once and exclusive ownership can be judged only from both sides, what callers were told and what upstreams ran. The evidence of the killed upstream is read from its file of runs, because the process cannot be asked any more.

--- /dev/null
+++ b/demo/internal/configurer/configurer.go
@@ -0,0 +1,132 @@
+// Package configurer writes hosts and configuration objects into the platform's store.
+//
+// Usage:
+//
+//	store := configurer.New("http://127.0.0.1:8500")
+//	err := store.CreateService(ctx, configurer.Service{Name: "shelf-marks", Keyed: true})
+//	err = store.SetTakenOut(ctx, "domain-a", true)
+package configurer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const callTimeout = 5 * time.Second
+
+// Host is an entry of the platform's list of hosts.
+type Host struct {
+	Name          string
+	Address       string
+	FailureDomain string
+}
+
+// Service is a configuration object of a service.
+type Service struct {
+	Name  string
+	Keyed bool
+}
+
+// Upstream is a configuration object of an upstream.
+type Upstream struct {
+	Name          string
+	Service       string
+	FailureDomain string
+	Address       string
+	Slots         int
+	ChecksFence   bool
+}
+
+// Store is a client of the platform.
+type Store struct {
+	base   string
+	client *http.Client
+}
+
+// New returns a client of the platform at the base URL.
+func New(base string) *Store {
+	return &Store{base: base, client: &http.Client{Timeout: callTimeout}}
+}
+
+// AddHost lists a host as live.
+func (s *Store) AddHost(ctx context.Context, host Host) error {
+	_, err := s.call(ctx, http.MethodPut, "/v1/hosts/"+host.Name, encodeHost(host), nil, nil)
+	return err
+}
+
+// RemoveHost removes a host from the list.
+func (s *Store) RemoveHost(ctx context.Context, name string) error {
+	_, err := s.call(ctx, http.MethodDelete, "/v1/hosts/"+name, nil, nil, nil)
+	return err
+}
+
+// CreateService writes the object of a service that must not exist.
+func (s *Store) CreateService(ctx context.Context, service Service) error {
+	return s.create(ctx, "config/service/"+service.Name, encodeService(service))
+}
+
+// CreateUpstream writes the object of an upstream that must not exist.
+func (s *Store) CreateUpstream(ctx context.Context, upstream Upstream) error {
+	return s.create(ctx, "config/upstream/"+upstream.Service+"."+upstream.Name, encodeUpstream(upstream))
+}
+
+// CreateFailureDomain writes the object of a failure domain that must not exist.
+func (s *Store) CreateFailureDomain(ctx context.Context, name string) error {
+	return s.create(ctx, failureDomainName(name), encodeFailureDomain(name, false))
+}
+
+// SetTakenOut takes a failure domain out of service or back by an update of its current version.
+func (s *Store) SetTakenOut(ctx context.Context, name string, takenOut bool) error {
+	var current struct {
+		Version uint64 `json:"version"`
+	}
+	path := "/v1/objects/" + failureDomainName(name)
+	if _, err := s.call(ctx, http.MethodGet, path, nil, nil, &current); err != nil {
+		return err
+	}
+	match := http.Header{"If-Match": {fmt.Sprintf(`"%d"`, current.Version)}}
+	_, err := s.call(ctx, http.MethodPut, path, encodeFailureDomain(name, takenOut), match, nil)
+	return err
+}
+
+func (s *Store) create(ctx context.Context, name string, body any) error {
+	_, err := s.call(ctx, http.MethodPut, "/v1/objects/"+name, body, http.Header{"If-None-Match": {"*"}}, nil)
+	return err
+}
+
+// call sends a request and returns its status. Every status but 200 is an error.
+func (s *Store) call(ctx context.Context, method, path string, body any, header http.Header, into any) (int, error) {
+	var content []byte
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return 0, errors.Wrap(err, "configurer: encode")
+		}
+		content = encoded
+	}
+	request, err := http.NewRequestWithContext(ctx, method, s.base+path, bytes.NewReader(content))
+	if err != nil {
+		return 0, errors.Wrap(err, "configurer: request")
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	answer, err := s.client.Do(request)
+	if err != nil {
+		return 0, errors.Wrap(err, "configurer")
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return answer.StatusCode, errors.Newf("configurer: %s %s: %s", method, path, answer.Status)
+	}
+	if into == nil {
+		return answer.StatusCode, nil
+	}
+	return answer.StatusCode, errors.Wrap(json.NewDecoder(answer.Body).Decode(into), "configurer: decode")
+}
--- /dev/null
+++ b/demo/internal/runner/daemon.go
@@ -0,0 +1,89 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbtrack.example/demo/internal/configurer"
+	"rhubarbtrack.example/demo/internal/launcher"
+)
+
+// daemon is a rhubarbtrackd that the demo started.
+type daemon struct {
+	name          string
+	failureDomain string
+	callers       string
+	peers         string
+	operators     string
+	process       *launcher.Process
+}
+
+// startDaemons lists all hosts and starts their daemons.
+func (s *scenario) startDaemons(ctx context.Context) error {
+	addresses, err := freeAddresses(3 * len(daemonDomains))
+	if err != nil {
+		return err
+	}
+	for i, domain := range daemonDomains {
+		s.daemons = append(s.daemons, &daemon{
+			name: fmt.Sprintf("host-%d", i+1), failureDomain: domain,
+			callers: addresses[3*i], peers: addresses[3*i+1], operators: addresses[3*i+2],
+		})
+	}
+	for _, d := range s.daemons {
+		host := configurer.Host{Name: d.name, Address: d.peers, FailureDomain: d.failureDomain}
+		if err := s.store.AddHost(ctx, host); err != nil {
+			return err
+		}
+	}
+	for _, d := range s.daemons {
+		if err := s.startDaemon(d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *scenario) startDaemon(d *daemon) error {
+	path := filepath.Join(s.work, d.name+".yaml")
+	if err := os.WriteFile(path, []byte(settingsOf(d, s.platform)), 0o600); err != nil {
+		return errors.Wrap(err, "demo: write settings")
+	}
+	process, err := s.processes.Start(d.name, "rhubarbtrackd", "--settings", path)
+	d.process = process
+	return err
+}
+
+// settingsOf returns the settings file of a daemon.
+func settingsOf(d *daemon, platform string) string {
+	lines := []string{
+		"name: " + d.name,
+		"failure-domain: " + d.failureDomain,
+		"caller-listen: " + d.callers,
+		"peer-listen: " + d.peers,
+		"operator-listen: " + d.operators,
+		"platform: " + platform,
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
+
+// freeAddresses returns addresses on loopback that were free a moment ago. All are held before the first is released, so
+// that they differ.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "demo: find a free port")
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
--- /dev/null
+++ b/demo/internal/runner/scenario.go
@@ -0,0 +1,380 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbtrack.example/demo/internal/checker"
+	"rhubarbtrack.example/demo/internal/collector"
+	"rhubarbtrack.example/demo/internal/configurer"
+	"rhubarbtrack.example/demo/internal/launcher"
+)
+
+// Times of the scenario, counted from the start of the load.
+const (
+	takeOutAt      = 4 * time.Second
+	takeBackAt     = 12 * time.Second
+	killDaemonAt   = 17 * time.Second
+	removeHostAt   = 19 * time.Second
+	killUpstreamAt = 22 * time.Second
+	loadLength     = 30 * time.Second
+)
+
+const (
+	// emptiedAfter is the time after which a failure domain that was taken out receives no new work (G4).
+	emptiedAfter = 4 * time.Second
+	// requestDeadline is longer than the 3 s within which a key is served again after a loss.
+	requestDeadline = 5 * time.Second
+	readyLimit      = 15 * time.Second
+	readyInterval   = 100 * time.Millisecond
+	slots           = 6
+	serviceTimeMS   = 5
+	serviceSpreadMS = 2
+)
+
+const (
+	keyedService   = "shelf-marks"
+	unkeyedService = "label-templates"
+)
+
+// failureDomains are the domains of the demo; the first one is taken out of service and back.
+var failureDomains = []string{"domain-a", "domain-b", "domain-c"}
+
+// daemonDomains places five daemons, since the controller record names five witnesses. The daemon with the index
+// killedDaemon is killed.
+var daemonDomains = []string{"domain-a", "domain-a", "domain-b", "domain-b", "domain-c"}
+
+const killedDaemon = 2
+
+// upstream is an upstream that the demo started.
+type upstream struct {
+	name          string
+	service       string
+	failureDomain string
+	address       string
+	runsFile      string
+	process       *launcher.Process
+	killed        bool
+}
+
+type scenario struct {
+	options   options
+	work      string
+	processes *launcher.Launcher
+	out       io.Writer
+	start     time.Time
+
+	store     *configurer.Store
+	platform  string
+	daemons   []*daemon
+	upstreams []*upstream
+	loadStart time.Time
+	absences  []checker.Absence
+}
+
+func (s *scenario) run(ctx context.Context) (*summary, error) {
+	if err := s.startPlatform(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.startUpstreams(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.writeConfiguration(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.startDaemons(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.awaitReady(ctx); err != nil {
+		return nil, err
+	}
+	loads, err := s.startLoads()
+	if err != nil {
+		return nil, err
+	}
+	if err := s.disturb(ctx); err != nil {
+		return nil, err
+	}
+	return s.conclude(ctx, loads)
+}
+
+func (s *scenario) startPlatform(ctx context.Context) error {
+	process, err := s.processes.Start("platform", "platformsim", "--listen", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	address, err := process.Address(ctx)
+	if err != nil {
+		return err
+	}
+	s.platform = "http://" + address
+	s.store = configurer.New(s.platform)
+	return nil
+}
+
+func (s *scenario) startUpstreams(ctx context.Context) error {
+	for index, domain := range failureDomains {
+		for n := range 2 {
+			if err := s.startUpstream(ctx, keyedService, domain, 2*index+n+1); err != nil {
+				return err
+			}
+		}
+		if err := s.startUpstream(ctx, unkeyedService, domain, index+1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *scenario) startUpstream(ctx context.Context, service, domain string, number int) error {
+	u := &upstream{name: fmt.Sprintf("u%d", number), service: service, failureDomain: domain}
+	label := service + "." + u.name
+	u.runsFile = filepath.Join(s.work, label+".runs")
+	args := []string{
+		"--listen", "127.0.0.1:0", "--slots", strconv.Itoa(slots), "--service-time-ms", strconv.Itoa(serviceTimeMS),
+		"--service-spread-ms", strconv.Itoa(serviceSpreadMS), "--runs-file", u.runsFile,
+		"--seed", strconv.Itoa(number),
+	}
+	if service == unkeyedService {
+		args = append(args, "--no-keys")
+	}
+	if s.options.NoFence {
+		args = append(args, "--no-fence")
+	}
+	process, err := s.processes.Start(label, "upstreamsim", args...)
+	if err != nil {
+		return err
+	}
+	u.process = process
+	if u.address, err = process.Address(ctx); err != nil {
+		return err
+	}
+	s.upstreams = append(s.upstreams, u)
+	return nil
+}
+
+func (s *scenario) writeConfiguration(ctx context.Context) error {
+	for _, name := range failureDomains {
+		if err := s.store.CreateFailureDomain(ctx, name); err != nil {
+			return err
+		}
+	}
+	for _, service := range []configurer.Service{{Name: keyedService, Keyed: true}, {Name: unkeyedService}} {
+		if err := s.store.CreateService(ctx, service); err != nil {
+			return err
+		}
+	}
+	for _, u := range s.upstreams {
+		err := s.store.CreateUpstream(ctx, configurer.Upstream{
+			Name: u.name, Service: u.service, FailureDomain: u.failureDomain, Address: u.address, Slots: slots,
+			ChecksFence: !s.options.NoFence,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitReady waits until every daemon is ready to serve callers.
+func (s *scenario) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for _, d := range s.daemons {
+		for !isReady(ctx, d.callers) {
+			select {
+			case <-ctx.Done():
+				return errors.Newf("daemon %s is not ready after %s", d.name, readyLimit)
+			case <-time.After(readyInterval):
+			}
+		}
+	}
+	s.say("%d daemons and %d upstreams are ready", len(s.daemons), len(s.upstreams))
+	return nil
+}
+
+func isReady(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// load is a load generator of one service.
+type load struct {
+	service string
+	result  string
+	process *launcher.Process
+}
+
+func (s *scenario) startLoads() ([]load, error) {
+	s.loadStart = time.Now()
+	keyed, err := s.startLoad(keyedService, s.options.KeyedRate, s.options.Keys)
+	if err != nil {
+		return nil, err
+	}
+	unkeyed, err := s.startLoad(unkeyedService, s.options.UnkeyedRate, 0)
+	if err != nil {
+		return nil, err
+	}
+	return []load{keyed, unkeyed}, nil
+}
+
+func (s *scenario) startLoad(service string, rate float64, keys int) (load, error) {
+	l := load{service: service, result: filepath.Join(s.work, service+".json")}
+	args := []string{
+		"--service", service, "--rate", fmt.Sprint(rate), "--keys", strconv.Itoa(keys),
+		"--duration-s", fmt.Sprint(loadLength.Seconds()), "--deadline-ms", fmt.Sprint(requestDeadline.Milliseconds()),
+		"--seed", fmt.Sprint(s.options.Seed), "--id-prefix", service, "--json", l.result,
+	}
+	for _, d := range s.daemons {
+		args = append(args, "--entry", d.callers)
+	}
+	process, err := s.processes.Start("load-"+service, "loadgen", args...)
+	l.process = process
+	return l, err
+}
+
+// disturb takes a failure domain out of service and back, and kills a daemon and an upstream, while the load runs.
+func (s *scenario) disturb(ctx context.Context) error {
+	steps := []struct {
+		at    time.Duration
+		kills bool
+		do    func(context.Context) error
+	}{
+		{at: takeOutAt, do: s.takeOut},
+		{at: takeBackAt, do: s.takeBack},
+		{at: killDaemonAt, kills: true, do: s.killDaemon},
+		{at: removeHostAt, kills: true, do: s.removeHost},
+		{at: killUpstreamAt, kills: true, do: s.killUpstream},
+	}
+	for _, step := range steps {
+		if step.kills && s.options.NoKills {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "demo")
+		case <-time.After(time.Until(s.loadStart.Add(step.at))):
+		}
+		if err := step.do(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *scenario) takeOut(ctx context.Context) error {
+	domain := failureDomains[0]
+	if err := s.store.SetTakenOut(ctx, domain, true); err != nil {
+		return err
+	}
+	accepted := time.Now()
+	s.absences = []checker.Absence{{FailureDomain: domain, From: accepted.Add(emptiedAfter).UnixNano()}}
+	s.say("took %s out of service", domain)
+	return nil
+}
+
+func (s *scenario) takeBack(ctx context.Context) error {
+	domain := failureDomains[0]
+	s.absences[0].Until = time.Now().UnixNano()
+	if err := s.store.SetTakenOut(ctx, domain, false); err != nil {
+		return err
+	}
+	s.say("returned %s to service", domain)
+	return nil
+}
+
+func (s *scenario) killDaemon(context.Context) error {
+	d := s.daemons[killedDaemon]
+	d.process.Kill()
+	s.say("killed daemon %s (process %d)", d.name, d.process.ID())
+	return nil
+}
+
+// removeHost removes the killed daemon from the platform's list, which lags behind the loss.
+func (s *scenario) removeHost(ctx context.Context) error {
+	return s.store.RemoveHost(ctx, s.daemons[killedDaemon].name)
+}
+
+// killUpstream kills the last upstream with keys. It is in a domain that was not taken out.
+func (s *scenario) killUpstream(context.Context) error {
+	var victim *upstream
+	for _, u := range s.upstreams {
+		if u.service == keyedService {
+			victim = u
+		}
+	}
+	victim.process.Kill()
+	victim.killed = true
+	s.say("killed upstream %s.%s (process %d)", victim.service, victim.name, victim.process.ID())
+	return nil
+}
+
+// conclude waits for the load to end and compares its results with the evidence of the upstreams.
+func (s *scenario) conclude(ctx context.Context, loads []load) (*summary, error) {
+	result := &summary{}
+	var requests []checker.Request
+	for _, l := range loads {
+		// A status of 3 reports mismatched answers, which the result names as well.
+		waited := l.process.Wait(ctx)
+		loaded, err := collector.LoadResult(l.result)
+		if err != nil {
+			return nil, errors.CombineErrors(err, waited)
+		}
+		result.services = append(result.services, serviceResult{service: l.service, result: loaded})
+		requests = append(requests, loaded.Requests...)
+	}
+	executions, err := s.collectRuns(ctx, result)
+	if err != nil {
+		return nil, err
+	}
+	result.neverRepeat = len(requests)
+	result.executions = len(executions)
+	result.findings = checker.Check(requests, executions, s.absences)
+	result.exited = s.processes.Exited()
+	result.elapsed = time.Since(s.start)
+	return result, nil
+}
+
+func (s *scenario) collectRuns(ctx context.Context, result *summary) ([]checker.Execution, error) {
+	var all []checker.Execution
+	for _, u := range s.upstreams {
+		executions, err := s.runsOf(ctx, u, result)
+		if err != nil {
+			return nil, err
+		}
+		for i := range executions {
+			executions[i].Upstream = u.service + "." + u.name
+			executions[i].FailureDomain = u.failureDomain
+		}
+		all = append(all, executions...)
+	}
+	return all, nil
+}
+
+func (s *scenario) runsOf(ctx context.Context, u *upstream, result *summary) ([]checker.Execution, error) {
+	if u.killed {
+		return collector.RunsFile(u.runsFile)
+	}
+	executions, peak, err := collector.Runs(ctx, u.address)
+	result.peakInFlight = max(result.peakInFlight, peak)
+	return executions, err
+}
+
+func (s *scenario) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(s.out, "%6.2fs %s\n", time.Since(s.start).Seconds(), fmt.Sprintf(format, args...))
+}
