demo: give the daemons of a run a shared peer secret

The demo should run with authentication anyway. Conclusion: the demo runs against the daemon as it is; the empty secret is a fault of the daemon and is reported.

--- a/demo/internal/runner/daemon.go
+++ b/demo/internal/runner/daemon.go
@@ -52,7 +52,7 @@
 
 func (s *scenario) startDaemon(d *daemon) error {
 	path := filepath.Join(s.work, d.name+".yaml")
-	if err := os.WriteFile(path, []byte(settingsOf(d, s.platform)), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(settingsOf(d, s.platform, s.peerSecret)), 0o600); err != nil {
 		return errors.Wrap(err, "demo: write settings")
 	}
 	process, err := s.processes.Start(d.name, "rhubarbtrackd", "--settings", path)
@@ -61,7 +61,7 @@
 }
 
 // settingsOf returns the settings file of a daemon.
-func settingsOf(d *daemon, platform string) string {
+func settingsOf(d *daemon, platform, secret string) string {
 	lines := []string{
 		"name: " + d.name,
 		"failure-domain: " + d.failureDomain,
@@ -69,6 +69,7 @@
 		"peer-listen: " + d.peers,
 		"operator-listen: " + d.operators,
 		"platform: " + platform,
+		"peer-secret: " + secret,
 	}
 	return strings.Join(lines, "\n") + "\n"
 }
--- a/demo/internal/runner/runner.go
+++ b/demo/internal/runner/runner.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"os"
@@ -69,6 +70,7 @@
 	defer processes.EndAll()
 	s := &scenario{
 		options: parsed, work: work, processes: processes, out: stdout, start: time.Now(),
+		peerSecret: rand.Text(),
 	}
 	summary, err := s.run(ctx)
 	if err != nil {
--- a/demo/internal/runner/scenario.go
+++ b/demo/internal/runner/scenario.go
@@ -71,6 +71,9 @@
 	out       io.Writer
 	start     time.Time
 
+	// peerSecret authenticates the daemons to each other; every run has its own.
+	peerSecret string
+
 	store     *configurer.Store
 	platform  string
 	daemons   []*daemon
