rhubarbtrackd: look up every operation id before a change

A retry that reads the object again sends the newer version as the expected one, so the condition of the store alone would let the operation take effect twice once another change has replaced its result. Every change consults the newest audit records, at the cost of a few reads per change.

--- a/rhubarbtrackd/internal/operator/change.go
+++ b/rhubarbtrackd/internal/operator/change.go
@@ -95,14 +95,13 @@
 	if current.version != 0 && current.origin == c.origin {
 		return c.repeat(current)
 	}
-	if current.version != c.expected || c.expected == 0 {
-		earlier, fault := s.earlier(ctx, c)
-		if fault != nil {
-			return outcome{}, nil, fault
-		}
-		if earlier != nil {
-			return c.repeatRecord(earlier)
-		}
+	// The versions alone do not show a retry that has read a newer version, or that creates a deleted object again.
+	earlier, fault := s.earlier(ctx, c)
+	if fault != nil {
+		return outcome{}, nil, fault
+	}
+	if earlier != nil {
+		return c.repeatRecord(earlier)
 	}
 	if current.version == 0 && c.expected != 0 {
 		return outcome{}, nil, notFound(c.object)
