rhubarbctl: add the operators' command-line tool

Nouns and verbs follow the GitHub command line: one package per verb with an options struct whose dependencies are function fields.

A change whose connection broke ends with its own exit code and the operation id to check, since only a failed dial proves that the daemon did not receive it. apply reads the fields of stored objects through their codec, so that a file and the store cannot differ in what they accept.

--- /dev/null
+++ b/rhubarbctl/commander/commander.go
@@ -0,0 +1,125 @@
+// Package commander assembles the command line of rhubarbctl and runs it.
+//
+// # Usage
+//
+//	os.Exit(commander.Run(ctx, commander.System(), os.Args[1:], os.Getenv))
+package commander
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"rhubarbtrack.example/rhubarbctl/internal/command/apply"
+	auditlist "rhubarbtrack.example/rhubarbctl/internal/command/audit/list"
+	changeget "rhubarbtrack.example/rhubarbctl/internal/command/change/get"
+	"rhubarbtrack.example/rhubarbctl/internal/command/completion"
+	"rhubarbtrack.example/rhubarbctl/internal/command/failuredomain/bringback"
+	domaincreate "rhubarbtrack.example/rhubarbctl/internal/command/failuredomain/create"
+	domaindelete "rhubarbtrack.example/rhubarbctl/internal/command/failuredomain/delete"
+	domainlist "rhubarbtrack.example/rhubarbctl/internal/command/failuredomain/list"
+	"rhubarbtrack.example/rhubarbctl/internal/command/failuredomain/takeout"
+	hostlist "rhubarbtrack.example/rhubarbctl/internal/command/host/list"
+	servicedelete "rhubarbtrack.example/rhubarbctl/internal/command/service/delete"
+	servicelist "rhubarbtrack.example/rhubarbctl/internal/command/service/list"
+	serviceset "rhubarbtrack.example/rhubarbctl/internal/command/service/set"
+	"rhubarbtrack.example/rhubarbctl/internal/command/service/slices"
+	"rhubarbtrack.example/rhubarbctl/internal/command/status"
+	upstreamdelete "rhubarbtrack.example/rhubarbctl/internal/command/upstream/delete"
+	"rhubarbtrack.example/rhubarbctl/internal/command/upstream/drain"
+	upstreamlist "rhubarbtrack.example/rhubarbctl/internal/command/upstream/list"
+	upstreamset "rhubarbtrack.example/rhubarbctl/internal/command/upstream/set"
+	windowdelete "rhubarbtrack.example/rhubarbctl/internal/command/window/delete"
+	windowlist "rhubarbtrack.example/rhubarbctl/internal/command/window/list"
+	windowset "rhubarbtrack.example/rhubarbctl/internal/command/window/set"
+	"rhubarbtrack.example/rhubarbctl/internal/dialer"
+	"rhubarbtrack.example/rhubarbctl/internal/printer"
+	"rhubarbtrack.example/rhubarbctl/internal/provider"
+	"rhubarbtrack.example/rhubarbctl/internal/registrar"
+	"rhubarbtrack.example/rhubarbctl/internal/reporter"
+)
+
+// Streams are the standard streams of a command.
+type Streams = printer.Streams
+
+// System returns the streams of the process.
+func System() *Streams { return printer.System() }
+
+// Run runs one command line, without the name of the program, and returns its exit code. The exit codes are part of the
+// help text. Getenv reads the token; the other variables of the environment are read by go-flags.
+func Run(ctx context.Context, streams *Streams, args []string, getenv func(name string) string) int {
+	settings := &dialer.Settings{}
+	client := func() (dialer.Client, error) { return settings.Client(getenv(dialer.TokenVariable)) }
+	parser, err := newParser(settings, provider.New(ctx, streams, client))
+	if err != nil {
+		return reporter.Report(streams, err)
+	}
+	_, err = parser.ParseArgs(args)
+	return reporter.Report(streams, err)
+}
+
+func newParser(settings *dialer.Settings, p *provider.Provider) (*flags.Parser, error) {
+	parser := flags.NewNamedParser("rhubarbctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "Operates rhubarbtrack"
+	parser.LongDescription = description()
+	parser.CommandHandler = execute
+	if _, err := parser.AddGroup("Connection", "Connection to a daemon", settings); err != nil {
+		return nil, err
+	}
+	for _, noun := range nouns(p) {
+		if err := noun.Add(parser.Command); err != nil {
+			return nil, err
+		}
+	}
+	for _, verb := range []registrar.Verb{status.New(p, nil), apply.New(p, nil), completion.New(p, nil)} {
+		if err := verb.Add(parser.Command); err != nil {
+			return nil, err
+		}
+	}
+	return parser, nil
+}
+
+func nouns(p *provider.Provider) []registrar.Noun {
+	return []registrar.Noun{
+		{Name: "service", Short: "Services", Verbs: []registrar.Verb{
+			servicelist.New(p, nil), serviceset.New(p, nil), slices.New(p, nil), servicedelete.New(p, nil),
+		}},
+		{Name: "upstream", Short: "Upstreams", Verbs: []registrar.Verb{
+			upstreamlist.New(p, nil), upstreamset.New(p, nil), drain.New(p, nil), upstreamdelete.New(p, nil),
+		}},
+		{Name: "failure-domain", Short: "Failure domains", Verbs: []registrar.Verb{
+			domainlist.New(p, nil), domaincreate.New(p, nil), takeout.New(p, nil), bringback.New(p, nil),
+			domaindelete.New(p, nil),
+		}},
+		{Name: "window", Short: "Weekly cleaning windows", Verbs: []registrar.Verb{
+			windowlist.New(p, nil), windowset.New(p, nil), windowdelete.New(p, nil),
+		}},
+		{Name: "change", Short: "Issued changes", Verbs: []registrar.Verb{changeget.New(p, nil)}},
+		{Name: "audit", Short: "Audit trail", Verbs: []registrar.Verb{auditlist.New(p, nil)}},
+		{Name: "host", Short: "Hosts", Verbs: []registrar.Verb{hostlist.New(p, nil)}},
+	}
+}
+
+// execute refuses arguments that no command takes, which go-flags would ignore.
+func execute(command flags.Commander, args []string) error {
+	if len(args) > 0 {
+		return reporter.Failure("arguments", reporter.CodeUsage, "unexpected argument %q", args[0])
+	}
+	if command == nil {
+		return nil
+	}
+	return command.Execute(args)
+}
+
+func description() string {
+	var text strings.Builder
+	text.WriteString("Operates rhubarbtrack through the operators' listener of any of its hosts.\n\n")
+	fmt.Fprintf(&text, "The variable %s holds the bearer token, if the listener asks for one.\n\n", dialer.TokenVariable)
+	text.WriteString("Exit codes:\n\n")
+	for _, entry := range reporter.ExitCodes {
+		fmt.Fprintf(&text, "%d: %s\n", entry.Code, entry.Text)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/rhubarbctl/internal/command/failuredomain/list/list_test.go
@@ -0,0 +1,40 @@
+package list_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/jessevdk/go-flags"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/rhubarbctl/internal/command/failuredomain/list"
+	"rhubarbtrack.example/rhubarbctl/internal/printer"
+	"rhubarbtrack.example/rhubarbctl/internal/provider"
+	rhubarbtrackv1 "rhubarbtrack.example/schema/gen/rhubarbtrack/v1"
+)
+
+// Scripts rely on the order of the columns.
+func TestList(t *testing.T) {
+	var out, warning strings.Builder
+	var asked *rhubarbtrackv1.ListResourcesRequest
+	p := &provider.Provider{Context: t.Context(), Streams: &printer.Streams{Out: &out, Err: &warning}}
+	p.Calls.ListResources = func(_ context.Context, request *rhubarbtrackv1.ListResourcesRequest) (
+		*rhubarbtrackv1.ListResourcesResponse, error) {
+		asked = request
+		return &rhubarbtrackv1.ListResourcesResponse{
+			Freshness: &rhubarbtrackv1.Freshness{StoreDown: true},
+			Resources: []*rhubarbtrackv1.Resource{{
+				Value:   &rhubarbtrackv1.Resource_FailureDomain{FailureDomain: &rhubarbtrackv1.FailureDomain{Name: "east", TakenOut: true}},
+				Version: 7, Writer: "ana", OperationId: "op-1",
+			}},
+		}, nil
+	}
+	verb := list.New(p, nil)
+	_, err := flags.ParseArgs(verb.Options, []string{})
+	assert.NilError(t, err)
+	assert.NilError(t, verb.Options.Execute(nil))
+	assert.Equal(t, asked.GetKind(), rhubarbtrackv1.ResourceKind_RESOURCE_KIND_FAILURE_DOMAIN)
+	assert.Equal(t, out.String(), "east\ttrue\t7\tana\top-1\n")
+	assert.Equal(t, warning.String(), "rhubarbctl: the store does not answer, the state shown is 0s old\n")
+}
--- /dev/null
+++ b/rhubarbctl/internal/command/failuredomain/takeout/takeout_test.go
@@ -0,0 +1,91 @@
+package takeout_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/rhubarbctl/internal/command/failuredomain/takeout"
+	"rhubarbtrack.example/rhubarbctl/internal/printer"
+	"rhubarbtrack.example/rhubarbctl/internal/provider"
+	"rhubarbtrack.example/rhubarbctl/internal/reporter"
+	rhubarbtrackv1 "rhubarbtrack.example/schema/gen/rhubarbtrack/v1"
+)
+
+// setUp returns dependencies in which the change is in force from the second look on and slices leave one a look.
+func setUp(t *testing.T, out *strings.Builder, slept *time.Duration) *provider.Provider {
+	looks, slices := 0, 3
+	p := &provider.Provider{
+		Context:      t.Context(),
+		Streams:      &printer.Streams{Out: out, Err: out},
+		NewOperation: func() string { return "op-1" },
+		Sleep: func(_ context.Context, duration time.Duration) error {
+			*slept += duration
+			return nil
+		},
+	}
+	p.Calls.GetResource = func(context.Context, *rhubarbtrackv1.GetResourceRequest) (
+		*rhubarbtrackv1.GetResourceResponse, error) {
+		return &rhubarbtrackv1.GetResourceResponse{Resource: &rhubarbtrackv1.Resource{Version: 7}}, nil
+	}
+	p.Calls.TakeOutFailureDomain = func(context.Context, *rhubarbtrackv1.TakeOutFailureDomainRequest) (
+		*rhubarbtrackv1.TakeOutFailureDomainResponse, error) {
+		result := &rhubarbtrackv1.ChangeResult{Version: 8, OperationId: "op-1"}
+		return &rhubarbtrackv1.TakeOutFailureDomainResponse{Result: result}, nil
+	}
+	p.Calls.GetChange = func(context.Context, *rhubarbtrackv1.GetChangeRequest) (
+		*rhubarbtrackv1.GetChangeResponse, error) {
+		looks++
+		rollout := &rhubarbtrackv1.Rollout{Hosts: 2, HostsInForce: uint32(min(looks, 2))}
+		return &rhubarbtrackv1.GetChangeResponse{Change: &rhubarbtrackv1.Change{Rollout: rollout}}, nil
+	}
+	p.Calls.ListResources = func(context.Context, *rhubarbtrackv1.ListResourcesRequest) (
+		*rhubarbtrackv1.ListResourcesResponse, error) {
+		service := &rhubarbtrackv1.Service{Name: "marks", Keyed: true}
+		upstream := &rhubarbtrackv1.Upstream{Name: "p1", Service: "marks", FailureDomain: "east"}
+		return &rhubarbtrackv1.ListResourcesResponse{Resources: []*rhubarbtrackv1.Resource{
+			{Value: &rhubarbtrackv1.Resource_Service{Service: service}},
+			{Value: &rhubarbtrackv1.Resource_Upstream{Upstream: upstream}},
+		}}, nil
+	}
+	p.Calls.ListSlices = func(context.Context, *rhubarbtrackv1.ListSlicesRequest) (
+		*rhubarbtrackv1.ListSlicesResponse, error) {
+		slices--
+		return &rhubarbtrackv1.ListSlicesResponse{Slices: make([]*rhubarbtrackv1.Slice, slices)}, nil
+	}
+	return p
+}
+
+// --wait must end only when the change is in force everywhere and no slice is left, or at its limit with its own code.
+func TestTakeOut(t *testing.T) {
+	cases := []struct {
+		name  string
+		args  []string
+		code  int
+		slept time.Duration
+		last  string
+	}{
+		{"no wait", []string{"east", "-y"}, reporter.CodeOK, 0, "failure-domain east\t8\top-1\tfalse"},
+		{"wait", []string{"east", "-y", "--wait"}, reporter.CodeOK, 3 * time.Second, "failure-domain east\t8\top-1\tfalse"},
+		{"limit", []string{"east", "-y", "--wait", "--wait-limit", "1s"}, reporter.CodeTimeout, time.Second,
+			"waiting: in force on 1 of 2 hosts"},
+		{"unconfirmed", []string{"east"}, reporter.CodeUsage, 0, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			var out strings.Builder
+			var slept time.Duration
+			verb := takeout.New(setUp(t, &out, &slept), nil)
+			_, err := flags.ParseArgs(verb.Options, test.args)
+			assert.NilError(t, err)
+			assert.Equal(t, reporter.Code(verb.Options.Execute(nil)), test.code)
+			assert.Equal(t, slept, test.slept)
+			lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+			assert.Equal(t, lines[len(lines)-1], test.last)
+		})
+	}
+}
--- /dev/null
+++ b/rhubarbctl/internal/command/window/delete/delete_test.go
@@ -0,0 +1,27 @@
+package delete_test
+
+import (
+	"testing"
+
+	"github.com/jessevdk/go-flags"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/rhubarbctl/internal/command/window/delete"
+	"rhubarbtrack.example/rhubarbctl/internal/converter"
+	"rhubarbtrack.example/rhubarbctl/internal/provider"
+)
+
+// The command must address its own kind of object.
+func TestDelete(t *testing.T) {
+	var got *delete.Options
+	verb := delete.New(&provider.Provider{}, func(o *delete.Options) error {
+		got = o
+		return nil
+	})
+	_, err := flags.ParseArgs(verb.Options, []string{"east-weekly", "--yes"})
+	assert.NilError(t, err)
+	assert.NilError(t, verb.Options.Execute(nil))
+	assert.Equal(t, got.Args.Name, "east-weekly")
+	assert.Equal(t, got.Kind, converter.Window)
+	assert.Assert(t, got.Confirm.Yes)
+}
--- /dev/null
+++ b/rhubarbctl/internal/registrar/registrar.go
@@ -0,0 +1,54 @@
+// Package registrar adds nouns and verbs to the command line.
+//
+// # Usage
+//
+//	noun := registrar.Noun{Name: "service", Short: "Services", Verbs: []registrar.Verb{list.New(provider, nil)}}
+//	err := noun.Add(parser.Command)
+package registrar
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// Verb is one command.
+type Verb struct {
+	Name     string
+	Short    string
+	Long     string
+	Examples []string // each starts with "$ "
+	Options  flags.Commander
+}
+
+// Noun groups the verbs of one kind of object.
+type Noun struct {
+	Name  string
+	Short string
+	Verbs []Verb
+}
+
+// Add adds the verb to a noun or to the parser.
+func (v Verb) Add(parent *flags.Command) error {
+	long := v.Long
+	if len(v.Examples) > 0 {
+		long += "\n\nExamples:\n\n" + strings.Join(v.Examples, "\n")
+	}
+	_, err := parent.AddCommand(v.Name, v.Short, long, v.Options)
+	return errors.Wrapf(err, "command %s", v.Name)
+}
+
+// Add adds the noun and its verbs to the parser.
+func (n Noun) Add(parent *flags.Command) error {
+	command, err := parent.AddCommand(n.Name, n.Short, n.Short+".", &struct{}{})
+	if err != nil {
+		return errors.Wrapf(err, "noun %s", n.Name)
+	}
+	for _, verb := range n.Verbs {
+		if err := verb.Add(command); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/rhubarbctl/internal/reporter/reporter_test.go
@@ -0,0 +1,53 @@
+package reporter_test
+
+import (
+	"net"
+	"strings"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/rhubarbctl/internal/printer"
+	"rhubarbtrack.example/rhubarbctl/internal/reporter"
+	rhubarbtrackv1 "rhubarbtrack.example/schema/gen/rhubarbtrack/v1"
+)
+
+func refusal(t *testing.T, code connect.Code, kind rhubarbtrackv1.FaultKind) error {
+	t.Helper()
+	refused := connect.NewError(code, errors.New("text"))
+	detail, err := connect.NewErrorDetail(&rhubarbtrackv1.Fault{Kind: kind, OperationId: "op-1"})
+	assert.NilError(t, err)
+	refused.AddDetail(detail)
+	return refused
+}
+
+// A change without an answer must be reported as unknown unless it certainly was not sent.
+func TestChange(t *testing.T) {
+	dial := &net.OpError{Op: "dial", Err: errors.New("refused")}
+	read := &net.OpError{Op: "read", Err: errors.New("reset")}
+	cases := []struct {
+		name string
+		err  error
+		code int
+		hint bool
+	}{
+		{"success", nil, reporter.CodeOK, false},
+		{"no connection", connect.NewError(connect.CodeUnavailable, dial), reporter.CodeNotAccepted, false},
+		{"connection lost", connect.NewError(connect.CodeUnavailable, read), reporter.CodeUnknown, true},
+		{"time limit", connect.NewError(connect.CodeDeadlineExceeded, errors.New("late")), reporter.CodeUnknown, true},
+		{"conflict", refusal(t, connect.CodeAborted, rhubarbtrackv1.FaultKind_FAULT_KIND_CONFLICT), reporter.CodeConflict, false},
+		{"unknown", refusal(t, connect.CodeUnknown, rhubarbtrackv1.FaultKind_FAULT_KIND_UNKNOWN), reporter.CodeUnknown, true},
+		{"store down", refusal(t, connect.CodeUnavailable, rhubarbtrackv1.FaultKind_FAULT_KIND_NOT_ACCEPTED),
+			reporter.CodeNotAccepted, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			var message strings.Builder
+			code := reporter.Report(&printer.Streams{Out: &message, Err: &message}, reporter.Change(test.err, "op-1"))
+			assert.Equal(t, code, test.code)
+			assert.Equal(t, strings.Contains(message.String(), "change get op-1"), test.hint, message.String())
+		})
+	}
+}
