relayer: repeat beacons as pulses in one frame per tick

Cause: every beacon travelled as an item of its own, with about 110 bytes and a frame each; with one controller per 32 upstreams that is most of the control traffic of a large fleet. Also: hosts of a failure domain that is taken out of service withdraw their readiness and hand on their roles; an empty peer secret works on loopback.

--- a/bench/main.go
+++ b/bench/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"rhubarbtrack.example/bench/internal/printer"
+	"rhubarbtrack.example/bench/internal/relay"
 )
 
 // Seed of all measures, so that every run gives the same figures.
@@ -15,7 +16,7 @@
 type group func(seed uint64) []printer.Line
 
 func main() {
-	if err := run(nil); err != nil {
+	if err := run([]group{relay.Measure}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/rhubarbtrackd/internal/framer/framer.go
+++ b/core/framer/framer.go
@@ -83,6 +83,12 @@
 	Hosts    uint32
 }
 
+type wirePulse struct {
+	_      struct{} `cbor:",toarray"`
+	Beacon uint32
+	Seq    uint64
+}
+
 type wireFrame struct {
 	Digest    []wireItem  `cbor:"1,keyasint,omitempty"`
 	HasDigest bool        `cbor:"2,keyasint,omitempty"`
@@ -90,6 +96,7 @@
 	Subtree   []wireCount `cbor:"4,keyasint,omitempty"`
 	Leaving   bool        `cbor:"5,keyasint,omitempty"`
 	Checksum  uint64      `cbor:"6,keyasint,omitempty"`
+	Pulses    []wirePulse `cbor:"7,keyasint,omitempty"`
 }
 
 // EncodeFrame returns the encoding of a frame of the relay tree.
@@ -113,6 +120,9 @@
 			Body:    item.Body,
 		})
 	}
+	for _, pulse := range frame.Pulses {
+		wire.Pulses = append(wire.Pulses, wirePulse{Beacon: pulse.Beacon, Seq: pulse.Seq})
+	}
 	for _, count := range frame.Subtree {
 		wire.Subtree = append(wire.Subtree, wireCount{Revision: count.Revision, Hosts: count.Hosts})
 	}
@@ -137,6 +147,9 @@
 			Body:    item.Body,
 		})
 	}
+	for _, pulse := range wire.Pulses {
+		frame.Pulses = append(frame.Pulses, relayer.Pulse{Beacon: pulse.Beacon, Seq: pulse.Seq})
+	}
 	for _, count := range wire.Subtree {
 		frame.Subtree = append(frame.Subtree, relayer.RevisionCount{Revision: count.Revision, Hosts: count.Hosts})
 	}
--- a/rhubarbtrackd/internal/framer/record.go
+++ b/core/framer/record.go
@@ -74,7 +74,8 @@
 	return stamp, table, err
 }
 
-// Beacon is the proof of a controller that it has the right to act.
+// Beacon is the proof of a controller that it has the right to act. Seq is not part of the body, so that repeated beacons
+// have equal bodies; it travels as the version of the item.
 type Beacon struct {
 	Service  string
 	Term     uint64
@@ -87,7 +88,6 @@
 
 type wireBeacon struct {
 	Term      uint64 `cbor:"1,keyasint"`
-	Seq       uint64 `cbor:"2,keyasint"`
 	TableTerm uint64 `cbor:"3,keyasint"`
 	TableSeq  uint64 `cbor:"4,keyasint"`
 	Revision  uint64 `cbor:"5,keyasint"`
@@ -99,7 +99,6 @@
 func EncodeBeacon(beacon Beacon) ([]byte, error) {
 	return encode("encode beacon", wireBeacon{
 		Term:      beacon.Term,
-		Seq:       beacon.Seq,
 		TableTerm: beacon.Table.Term,
 		TableSeq:  beacon.Table.Seq,
 		Revision:  beacon.Revision,
@@ -117,7 +116,6 @@
 	return Beacon{
 		Service:  service,
 		Term:     wire.Term,
-		Seq:      wire.Seq,
 		Table:    slicer.Version{Term: wire.TableTerm, Seq: wire.TableSeq},
 		Revision: wire.Revision,
 		Holder:   wire.Holder,
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -57,6 +57,7 @@
 	summedAt  time.Duration // latest checksum sent
 	differs   bool          // since differsAt no checksum of this neighbour was equal to the one here
 	differsAt time.Duration
+	askedAt   time.Duration // latest digest sent because of an unknown beacon
 	subtree   []RevisionCount
 }
 
@@ -73,6 +74,8 @@
 	inForce    uint64
 	sentUp     []RevisionCount
 	suspects   []suspect // in the order of their arrival
+	beacons    map[uint32]Key
+	pulses     map[uint32]pendingPulse
 }
 
 type suspect struct {
@@ -95,6 +98,8 @@
 		neighbours: map[string]*neighbour{},
 		failed:     map[string]time.Duration{},
 		dialling:   map[string]bool{},
+		beacons:    map[uint32]Key{},
+		pulses:     map[uint32]pendingPulse{},
 	}
 }
 
@@ -194,6 +199,7 @@
 	for _, item := range e.Frame.Items {
 		actions = append(actions, r.accept(now, e.Peer, item)...)
 	}
+	actions = append(actions, r.acceptPulses(now, e.Peer, e.Frame.Pulses)...)
 	if e.Frame.Leaving && r.parent == e.Peer {
 		r.failed[e.Peer] = now
 		r.parent = ""
@@ -239,6 +245,13 @@
 	if ok && !held.Version.Less(item.Version) {
 		return nil
 	}
+	if ok && repeats(held, item) {
+		return r.pulse(sender, item)
+	}
+	if item.Kind == Beacon {
+		delete(r.beacons, beaconPrint(held))
+		r.beacons[beaconPrint(item)] = item.Key
+	}
 	r.items[item.Key] = item
 	if digestible(item.Kind) {
 		if ok {
@@ -278,6 +291,7 @@
 		}
 	}
 	r.expireSuspects(now)
+	actions = append(actions, r.sendPulses(now)...)
 	actions = append(actions, r.choosePeers()...)
 	actions = append(actions, r.reportProgress(now)...)
 	for _, peer := range r.peers() {
--- a/core/relayer/types.go
+++ b/core/relayer/types.go
@@ -48,6 +48,13 @@
 	Version Version
 }
 
+// Pulse says that a beacon was published again with an unchanged body. It replaces the whole item, because beacons are
+// repeated every second and would otherwise be most of the traffic of a large fleet.
+type Pulse struct {
+	Beacon uint32 // fingerprint of name, term and body
+	Seq    uint64
+}
+
 // RevisionCount is the number of hosts of a subtree that have a configuration revision in force.
 type RevisionCount struct {
 	Revision uint64
@@ -60,6 +67,7 @@
 	Digest    []DigestEntry // every item that the sender holds
 	HasDigest bool
 	Items     []Item
+	Pulses    []Pulse
 	Subtree   []RevisionCount // progress below the sender, sent to its parent
 	Leaving   bool            // the sender closes; its children should choose another parent
 }
--- a/rhubarbtrackd/internal/distributor/distributor.go
+++ b/rhubarbtrackd/internal/distributor/distributor.go
@@ -19,9 +19,9 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/relayer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
-	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
 )
 
@@ -118,12 +118,18 @@
 // Connected reports whether this host is part of the tree.
 func (d *Distributor) Connected() bool { return d.connected.Load() }
 
-// Leave announces that this host gets no new roles and that its children should choose another parent.
-func (d *Distributor) Leave() {
-	d.ring <- call(func(now time.Duration) {
-		d.options.Self.State = framer.Leaving
-		d.announce(now)
-	})
+// SetState announces whether this host may take roles.
+func (d *Distributor) SetState(state framer.MemberState) {
+	select {
+	case d.ring <- call(func(now time.Duration) {
+		if d.options.Self.State != state {
+			d.options.Self.State = state
+			d.announce(now)
+		}
+	}):
+	default:
+		d.options.Dropped()
+	}
 }
 
 // Run owns the state until ctx is done.
--- a/rhubarbtrackd/internal/forwarder/forwarder.go
+++ b/rhubarbtrackd/internal/forwarder/forwarder.go
@@ -20,8 +20,8 @@
 	"time"
 
 	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
-	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
 )
 
 const (
--- a/rhubarbtrackd/internal/granter/calls.go
+++ b/rhubarbtrackd/internal/granter/calls.go
@@ -11,10 +11,10 @@
 
 	"rhubarbtrack.example/core/controller"
 	"rhubarbtrack.example/core/elector"
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/slicer"
 	"rhubarbtrack.example/core/witness"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
-	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
 )
 
--- a/rhubarbtrackd/internal/granter/demand.go
+++ b/rhubarbtrackd/internal/granter/demand.go
@@ -33,7 +33,8 @@
 	d.peak(now)
 }
 
-// peak returns the decayed maximum of the slots in use.
+// peak returns the decayed maximum of the slots in use, in steps of an eighth, so that small changes do not make a new
+// beacon.
 func (d *demand) peak(now time.Duration) uint64 {
 	sum := 0
 	for upstream, r := range d.reports {
@@ -46,5 +47,8 @@
 	decay := math.Exp2(-float64(now-d.at) / float64(demandMemory))
 	d.highest = max(d.highest*decay, float64(sum))
 	d.at = now
-	return uint64(math.Ceil(d.highest))
+	if d.highest < 1 {
+		return uint64(math.Ceil(d.highest))
+	}
+	return uint64(math.Ceil(math.Exp2(math.Ceil(math.Log2(d.highest)*8) / 8)))
 }
--- a/rhubarbtrackd/internal/granter/granter.go
+++ b/rhubarbtrackd/internal/granter/granter.go
@@ -22,9 +22,9 @@
 	"rhubarbtrack.example/core/configurator"
 	"rhubarbtrack.example/core/controller"
 	"rhubarbtrack.example/core/elector"
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/witness"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
-	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
 )
 
--- a/rhubarbtrackd/internal/granter/worker.go
+++ b/rhubarbtrackd/internal/granter/worker.go
@@ -9,10 +9,10 @@
 
 	"rhubarbtrack.example/core/controller"
 	"rhubarbtrack.example/core/elector"
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/hasher"
 	"rhubarbtrack.example/core/witness"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
-	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
 )
 
 const (
--- a/rhubarbtrackd/internal/locator/candidate.go
+++ b/rhubarbtrackd/internal/locator/candidate.go
@@ -1,8 +1,8 @@
 package locator
 
 import (
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/hasher"
-	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
 )
 
 // candidates is the number of hosts per service that offer themselves for admission roles. One controller serves at most
--- a/rhubarbtrackd/internal/locator/locator.go
+++ b/rhubarbtrackd/internal/locator/locator.go
@@ -21,8 +21,8 @@
 
 	"rhubarbtrack.example/core/configurator"
 	"rhubarbtrack.example/core/encoder"
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/slicer"
-	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
 )
 
 // FreshFor is how long a beacon of a service keeps its table usable. It leaves one second for the propagation of a
--- a/rhubarbtrackd/internal/peerer/peerer.go
+++ b/rhubarbtrackd/internal/peerer/peerer.go
@@ -18,6 +18,7 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -110,7 +111,8 @@
 
 // Authorized reports whether a request comes from a host of the system.
 func (p *Peerer) Authorized(r *http.Request) bool {
-	want := "Bearer " + p.options.Secret
+	// An empty secret, which the settings allow on loopback only, loses the space before it on the wire.
+	want := strings.TrimSpace("Bearer " + p.options.Secret)
 	return subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) == 1
 }
 
--- a/rhubarbtrackd/internal/receiver/receiver.go
+++ b/rhubarbtrackd/internal/receiver/receiver.go
@@ -26,11 +26,11 @@
 	"rhubarbtrack.example/core/classifier"
 	"rhubarbtrack.example/core/configurator"
 	"rhubarbtrack.example/core/detector"
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/retrier"
 	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/forwarder"
-	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/locator"
 )
 
--- a/rhubarbtrackd/internal/runner/assembler.go
+++ b/rhubarbtrackd/internal/runner/assembler.go
@@ -11,13 +11,13 @@
 	"rhubarbtrack.example/core/configurator"
 	"rhubarbtrack.example/core/controller"
 	"rhubarbtrack.example/core/elector"
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/relayer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/chooser"
 	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/distributor"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/forwarder"
-	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/granter"
 	"rhubarbtrack.example/rhubarbtrackd/internal/locator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/meter"
@@ -316,7 +316,7 @@
 			Host:          d.settings.Name,
 			Incarnation:   d.incarnation,
 			FailureDomain: d.settings.FailureDomain,
-			Leaving:       d.stopping.Load(),
+			Leaving:       d.leaving(),
 			Sent:          now,
 			Leases:        held,
 		}})
--- a/rhubarbtrackd/internal/runner/operators.go
+++ b/rhubarbtrackd/internal/runner/operators.go
@@ -11,10 +11,10 @@
 	"github.com/cockroachdb/errors"
 
 	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/planner"
 	"rhubarbtrack.example/core/relayer"
 	"rhubarbtrack.example/core/slicer"
-	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/operator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
 )
--- a/rhubarbtrackd/internal/runner/runner.go
+++ b/rhubarbtrackd/internal/runner/runner.go
@@ -23,13 +23,13 @@
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/hasher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/chooser"
 	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/distributor"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/forwarder"
-	"rhubarbtrack.example/rhubarbtrackd/internal/framer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/granter"
 	"rhubarbtrack.example/rhubarbtrackd/internal/locator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/meter"
@@ -99,6 +99,7 @@
 	suspector   *suspector.Suspector
 	operators   *operators
 	stopping    atomic.Bool
+	announced   atomic.Uint32 // framer.MemberState of the last SetState
 }
 
 // Run serves until ctx is done, then shuts down gracefully.
@@ -174,7 +175,7 @@
 func (d *daemon) shutdown(listeners []listener, cancel context.CancelFunc) {
 	d.log.Log(eventlog.DaemonStopping)
 	d.stopping.Store(true)
-	d.distributor.Leave()
+	d.distributor.SetState(framer.Leaving)
 	ctx, done := context.WithTimeout(context.Background(), d.settings.ShutdownGrace)
 	defer done()
 	d.awaitHandover(ctx)
@@ -224,11 +225,24 @@
 
 // ready reports whether the balancer may send callers to this host.
 func (d *daemon) ready() bool {
-	return !d.stopping.Load() && d.distributor.Connected() && d.locator.AllFresh(d.clock())
+	return !d.leaving() && d.distributor.Connected() && d.locator.AllFresh(d.clock())
+}
+
+// leaving reports whether this host should get no new roles and no new callers: it shuts down, or its failure domain is
+// taken out of service. It still handles what reaches it.
+func (d *daemon) leaving() bool {
+	return d.stopping.Load() || d.locator.Config().FailureDomains[d.settings.FailureDomain].TakenOut
 }
 
 func (d *daemon) refresh(now time.Duration) {
 	d.locator.Refresh(now)
+	state := framer.Live
+	if d.leaving() {
+		state = framer.Leaving
+	}
+	if framer.MemberState(d.announced.Swap(uint32(state))) != state {
+		d.distributor.SetState(state)
+	}
 }
 
 func (d *daemon) recordStatus(now time.Duration) {
