--- a/rhubarbtrackd/internal/peerer/peerer.go
+++ b/rhubarbtrackd/internal/peerer/peerer.go
@@ -52,6 +52,7 @@
 	Secret    string // shared by all hosts
 	Scheme    string // ws or wss
 	Transport http.RoundTripper
+	Verify    func(r *http.Request, name string) bool // of the certificate of a peer
 	Up        func(peer string, class Class, outbound bool)
 	Down      func(peer string, class Class)
 	Message   func(peer string, class Class, data []byte)
@@ -113,7 +114,10 @@
 func (p *Peerer) Authorized(r *http.Request) bool {
 	// An empty secret, which the settings allow on loopback only, loses the space before it on the wire.
 	want := strings.TrimSpace("Bearer " + p.options.Secret)
-	return subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) == 1
+	if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) != 1 {
+		return false
+	}
+	return p.options.Verify(r, r.Header.Get(headerPeer))
 }
 
 // Authorize marks a request as coming from this host.
--- a/rhubarbtrackd/internal/runner/assembler.go
+++ b/rhubarbtrackd/internal/runner/assembler.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -23,29 +22,43 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/meter"
 	"rhubarbtrack.example/rhubarbtrackd/internal/peerer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/receiver"
+	"rhubarbtrack.example/rhubarbtrackd/internal/securer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/settings"
 	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/suspector"
 )
 
 // assemble builds the parts. Nothing runs yet.
-func assemble(s settings.Settings, log *eventlog.Logger) *daemon {
+func assemble(s settings.Settings, log *eventlog.Logger) (*daemon, error) {
 	start := time.Now()
+	var secure *securer.Securer
+	if s.TLS.Enabled() {
+		var err error
+		secure, err = securer.New(securer.Files{
+			Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority,
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	links := linker{secure: secure}
 	d := &daemon{
+		secure:      secure,
 		settings:    s,
 		incarnation: newIncarnation(),
 		log:         log,
 		clock:       func() time.Duration { return time.Since(start) },
 		meter:       meter.New(),
-		store:       storer.New(s.Platform, transport(8)),
+		store:       storer.New(s.Platform, links.transport(8)),
 		locator:     locator.New(),
 	}
 	d.chooser = chooser.New(seedOf(s), d.locator)
 	d.peerer = peerer.New(peerer.Options{
 		Self:      s.Name,
 		Secret:    s.PeerSecret,
-		Scheme:    "ws",
-		Transport: transport(0),
+		Scheme:    links.scheme("ws"),
+		Verify:    links.verifyPeer,
+		Transport: links.transport(0),
 		Up:        d.peerUp,
 		Down:      d.peerDown,
 		Message:   d.peerMessage,
@@ -71,8 +84,8 @@
 		Self:          s.Name,
 		Incarnation:   d.incarnation,
 		Clock:         d.clock,
-		Transport:     transport(upstreamConnections),
-		Scheme:        "http",
+		Transport:     links.transport(upstreamConnections),
+		Scheme:        links.upstreamScheme(s),
 		Upstream:      d.upstream,
 		Keyed:         d.keyed,
 		Judge:         d.suspector.Judge,
@@ -88,8 +101,8 @@
 		Seed:          seedOf(s),
 		Clock:         d.clock,
 		Store:         d.store,
-		Transport:     transport(2),
-		Scheme:        "http",
+		Transport:     links.transport(2),
+		Scheme:        links.upstreamScheme(s),
 		Send:          d.sendControl,
 		ApplyLeases:   d.dispatcher.ApplyLeases,
 		PublishTable:  d.publishTable,
@@ -99,8 +112,8 @@
 	})
 	d.forwarder = forwarder.New(forwarder.Options{
 		Self:       s.Name,
-		Scheme:     "http",
-		Transport:  transport(peerConnections),
+		Scheme:     links.scheme("http"),
+		Transport:  links.transport(peerConnections),
 		Authorize:  d.peerer.Authorize,
 		Authorized: d.peerer.Authorized,
 		Dispatch:   d.dispatcher.Dispatch,
@@ -123,18 +136,7 @@
 		Log:            log,
 	})
 	d.operators = newOperators(d)
-	return d
-}
-
-// transport returns a transport with at most the given number of connections to one address, 0 for no bound.
-func transport(connections int) *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: max(connections, 2),
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true, // bodies pass unchanged
-	}
+	return d, nil
 }
 
 // peerHandler tells forwarded requests from the connections between hosts. Forwarded paths do not pass a mux, because it
--- a/rhubarbtrackd/internal/runner/runner.go
+++ b/rhubarbtrackd/internal/runner/runner.go
@@ -35,6 +35,7 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/meter"
 	"rhubarbtrack.example/rhubarbtrackd/internal/peerer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/receiver"
+	"rhubarbtrack.example/rhubarbtrackd/internal/securer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/settings"
 	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/suspector"
@@ -46,6 +47,7 @@
 	heartbeatInterval = 200 * time.Millisecond
 	refreshInterval   = 50 * time.Millisecond
 	statusInterval    = time.Second
+	reloadInterval    = 10 * time.Second
 	headerTimeout     = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
@@ -84,6 +86,7 @@
 type daemon struct {
 	settings    settings.Settings
 	incarnation string
+	secure      *securer.Securer // nil without TLS
 	log         *eventlog.Logger
 	clock       func() time.Duration
 	meter       *meter.Meter
@@ -104,7 +107,12 @@
 
 // Run serves until ctx is done, then shuts down gracefully.
 func Run(ctx context.Context, s settings.Settings, logger *zap.Logger) error {
-	d := assemble(s, eventlog.New(logger.With(zap.String("host", s.Name))))
+	log := eventlog.New(logger.With(zap.String("host", s.Name)))
+	d, err := assemble(s, log)
+	if err != nil {
+		log.Log(eventlog.TLSFailed, zap.Error(err))
+		return err
+	}
 	listeners, err := d.listen()
 	if err != nil {
 		d.log.Log(eventlog.ListenFailed, zap.Error(err))
@@ -117,6 +125,9 @@
 	go d.every(background, refreshInterval, d.refresh)
 	go d.every(background, statusInterval, d.recordStatus)
 	go d.every(background, maintainInterval, d.operators.maintain)
+	if d.secure != nil {
+		go d.every(background, reloadInterval, d.reloadTLS)
+	}
 	failed := make(chan error, len(listeners))
 	for _, l := range listeners {
 		go func() { failed <- l.server.Serve(l.socket) }()
@@ -144,14 +155,20 @@
 	peers := http.NewServeMux()
 	peers.Handle("/peer/", d.peerer.Handler())
 	forward := d.forwarder.Handler()
+	links := linker{secure: d.secure}
 	wanted := []struct {
 		address string
 		handler http.Handler
+		secured bool
 	}{
-		{d.settings.CallerListen, d.receiver},
-		{d.settings.PeerListen, peerHandler(peers, forward)},
-		{d.settings.OperatorListen, d.operators.handler()},
+		{d.settings.CallerListen, d.receiver, false}, // the platform's balancer ends the callers' TLS
+		{d.settings.PeerListen, peerHandler(peers, forward), true},
+		{d.settings.OperatorListen, d.operators.handler(), true},
 	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true) // gRPC tools without TLS
 	var listeners []listener
 	for _, w := range wanted {
 		socket, err := net.Listen("tcp", w.address)
@@ -161,7 +178,11 @@
 			}
 			return nil, &Error{Op: "listen on " + w.address, Kind: CannotListen, Err: errors.WithStack(err)}
 		}
+		if w.secured {
+			socket = links.secured(socket)
+		}
 		listeners = append(listeners, listener{socket: socket, server: &http.Server{
+			Protocols:         protocols,
 			Handler:           w.handler,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
@@ -245,6 +266,15 @@
 	}
 }
 
+func (d *daemon) reloadTLS(time.Duration) {
+	changed, err := d.secure.Reload()
+	if err != nil {
+		d.log.Log(eventlog.TLSFailed, zap.Error(err))
+	} else if changed {
+		d.log.Log(eventlog.TLSReloaded)
+	}
+}
+
 func (d *daemon) recordStatus(now time.Duration) {
 	for _, status := range d.dispatcher.Statuses(now) {
 		d.meter.Admission(status.Service, status.Upstream, status.Limit, status.InFlight, status.Queued)
--- a/rhubarbtrackd/internal/settings/parser.go
+++ b/rhubarbtrackd/internal/settings/parser.go
@@ -34,6 +34,7 @@
 		{"tls-certificate", false, setString(&s.TLS.Certificate)},
 		{"tls-key", false, setString(&s.TLS.Key)},
 		{"tls-authority", false, setString(&s.TLS.Authority)},
+		{"upstream-tls", false, setBool(&s.UpstreamTLS)},
 		{"shutdown-grace", false, setDuration(&s.ShutdownGrace, time.Second, 10*time.Minute)},
 		{"request-timeout", false, setDuration(&s.RequestTimeout, 10*time.Millisecond, maxRequestTimeout)},
 		{"max-body-bytes", false, setInteger(&s.MaxBody, 1, maxMaxBody)},
@@ -191,6 +192,16 @@
 	}
 }
 
+func setBool(target *bool) func(string) string {
+	return func(value string) string {
+		if value != "true" && value != "false" {
+			return "must be true or false"
+		}
+		*target = value == "true"
+		return ""
+	}
+}
+
 func setSeed(target *uint64) func(string) string {
 	return func(value string) string {
 		number, err := strconv.ParseUint(value, 10, 64)
--- a/rhubarbtrackd/internal/settings/settings.go
+++ b/rhubarbtrackd/internal/settings/settings.go
@@ -33,6 +33,7 @@
 	Platform       string // base URL of the object API
 	PeerSecret     string // shared by all hosts of the system; empty only while peers listen on loopback
 	TLS            TLS
+	UpstreamTLS    bool          // upstreams are called with https
 	ShutdownGrace  time.Duration // longest wait for requests in flight at shutdown
 	RequestTimeout time.Duration // deadline of a request whose caller states none
 	MaxBody        int64         // bytes of a request body
@@ -138,6 +139,9 @@
 	if tls.Enabled() != (tls.Key != "") || (tls.Authority != "" && !tls.Enabled()) || (tls.Enabled() && tls.Authority == "") {
 		p.fault("tls-certificate", "tls-certificate, tls-key and tls-authority must be given together")
 	}
+	if s.UpstreamTLS && !tls.Enabled() {
+		p.fault("upstream-tls", "needs tls-certificate, tls-key and tls-authority")
+	}
 	if s.OperatorListen != "" && !tls.Enabled() && !isLoopback(s.OperatorListen) {
 		p.fault("operator-listen", "must be a loopback address without TLS")
 	}
