Carry out cleaning windows

The controller of the first service by name drives the planner; the planner's state and its unwritten decisions are kept in the store. Cause of the stored decisions: with only the planner's state in the store, a lost answer followed by a change of host made the successor take its own unwritten take-out for an operator's return.

--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -95,6 +95,19 @@
 	UpstreamCrashed  = register(507, "upstream-crashed", zap.WarnLevel, "An upstream broke connections or came back as a new incarnation.")
 )
 
+// Events of failure domains and cleaning windows.
+var (
+	DomainTakenOut   = register(550, "domain-taken-out", zap.InfoLevel, "A cleaning window takes a failure domain out of service.")
+	DomainEmptied    = register(551, "domain-emptied", zap.InfoLevel, "No slice and no admission is left in a failure domain that is out of service.")
+	DomainReturning  = register(552, "domain-returning", zap.InfoLevel, "A failure domain is put back into service.")
+	DomainReturned   = register(553, "domain-returned", zap.InfoLevel, "All upstreams of a returned failure domain are warm.")
+	WindowLate       = register(554, "window-late", zap.WarnLevel, "A window has started and its failure domain is not empty.")
+	WindowExceeded   = register(555, "window-exceeded", zap.WarnLevel, "A window is not carried out, because the rest has too little capacity.")
+	WindowBlocked    = register(556, "window-blocked", zap.WarnLevel, "A window is not carried out, because another failure domain is out of service.")
+	WindowUnreadable = register(557, "window-unreadable", zap.ErrorLevel, "The time zone of a window is unknown; the window cannot be carried out.")
+	PlannerFailed    = register(558, "planner-failed", zap.WarnLevel, "The planner could not read or write the store; it tries again.")
+)
+
 // Events of operators.
 var (
 	OperatorCall    = register(600, "operator-call", zap.InfoLevel, "An operator changed the configuration.")
--- a/rhubarbtrackd/internal/operator/auditor.go
+++ b/rhubarbtrackd/internal/operator/auditor.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"rhubarbtrack.example/core/configurator"
 )
 
 // Bounds of the audit trail.
@@ -344,3 +346,31 @@
 	}
 	return found, nil
 }
+
+// Decision is a change, or a change that was not made, that the system decided by itself.
+type Decision struct {
+	Writer  string // the part of the system that decided
+	Call    string // name of the decision in kebab case
+	Object  string // name of the object that it concerns
+	After   string // what is to be in force
+	Refused bool   // the change was not made
+	Problem string // why not
+}
+
+// RecordDecision adds a decision of the system to the audit trail. A record that the store does not take is kept in
+// memory and written later.
+func (s *Server) RecordDecision(ctx context.Context, decision Decision) {
+	outcome := accepted
+	if decision.Refused {
+		outcome = refused
+	}
+	s.save(ctx, &record{
+		time:    s.Now(),
+		origin:  configurator.Origin{Writer: decision.Writer},
+		call:    decision.Call,
+		object:  decision.Object,
+		after:   decision.After,
+		result:  outcome,
+		problem: decision.Problem,
+	})
+}
--- a/rhubarbtrackd/internal/runner/assembler.go
+++ b/rhubarbtrackd/internal/runner/assembler.go
@@ -136,6 +136,7 @@
 		Log:            log,
 	})
 	d.operators = newOperators(d)
+	d.scheduler = newScheduler(d)
 	return d, nil
 }
 
--- /dev/null
+++ b/rhubarbtrackd/internal/runner/planning.go
@@ -0,0 +1,108 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+	_ "time/tzdata" // hosts may lack a zone database
+
+	"go.uber.org/zap"
+
+	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/planner"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/operator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/scheduler"
+)
+
+func newScheduler(d *daemon) *scheduler.Scheduler {
+	var operations atomic.Uint64
+	return scheduler.New(scheduler.Options{
+		Host:       d.settings.Name + "-" + d.incarnation,
+		OnDuty:     d.plans,
+		Config:     d.locator.Config,
+		Table:      d.locator.Table,
+		DomainOf:   func(host string) string { return d.locator.Members()[host].FailureDomain },
+		Demand:     d.demand,
+		Get:        d.store.Get,
+		Put:        d.store.Put,
+		Accepted:   d.operators.accepted,
+		Audit:      d.auditPlan,
+		Log:        d.log,
+		Zones:      time.LoadLocation,
+		Operations: func() uint64 { return operations.Add(1) },
+	})
+}
+
+// plans reports whether this host carries out cleaning windows: it controls the first service by name.
+func (d *daemon) plans() bool {
+	first := ""
+	for service := range d.locator.Config().Services {
+		if first == "" || service < first {
+			first = service
+		}
+	}
+	_, holding := d.granter.Holding()[first]
+	return holding
+}
+
+// demand returns the slots in use of a service, as its controller last published them.
+func (d *daemon) demand(service string) float64 {
+	beacon, _ := d.locator.Holder(service)
+	return float64(beacon.InUse)
+}
+
+func (d *daemon) plan(ctx context.Context) {
+	if err := d.scheduler.Run(ctx, time.Now()); err != nil {
+		d.log.Log(eventlog.PlannerFailed, zap.Error(err))
+	}
+}
+
+// planDecisions are the decisions of the planner that belong into the audit trail.
+var planDecisions = map[planner.ActionKind]struct {
+	call    string
+	after   string
+	refused bool
+}{
+	planner.TakeOut:    {call: "window-take-out", after: "taken-out"},
+	planner.Return:     {call: "window-return", after: "in-service"},
+	planner.Exceeded:   {call: "window-skip", refused: true},
+	planner.Blocked:    {call: "window-skip", refused: true},
+	planner.Unreadable: {call: "window-skip", refused: true},
+}
+
+func (d *daemon) auditPlan(action planner.Action) {
+	decision, ok := planDecisions[action.Kind]
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	d.operators.server.RecordDecision(ctx, operator.Decision{
+		Writer:  "planner",
+		Call:    decision.call,
+		Object:  configurator.FailureDomain{Name: action.Domain}.ObjectName(),
+		After:   decision.after,
+		Refused: decision.refused,
+		Problem: problemOf(action),
+	})
+}
+
+func problemOf(action planner.Action) string {
+	switch action.Kind {
+	case planner.Exceeded:
+		var parts []string
+		for _, missing := range action.Shortfalls {
+			parts = append(parts, fmt.Sprintf("service %s lacks %d slots", missing.Service, missing.Missing()))
+		}
+		return "window " + action.Window + ": " + strings.Join(parts, ", ")
+	case planner.Blocked:
+		return "window " + action.Window + ": failure domain " + action.Other + " is out of service"
+	case planner.Unreadable:
+		return "window " + action.Window + ": unknown time zone"
+	default:
+		return ""
+	}
+}
--- a/rhubarbtrackd/internal/runner/runner.go
+++ b/rhubarbtrackd/internal/runner/runner.go
@@ -35,6 +35,7 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/meter"
 	"rhubarbtrack.example/rhubarbtrackd/internal/peerer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/receiver"
+	"rhubarbtrack.example/rhubarbtrackd/internal/scheduler"
 	"rhubarbtrack.example/rhubarbtrackd/internal/securer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/settings"
 	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
@@ -47,6 +48,7 @@
 	heartbeatInterval = 200 * time.Millisecond
 	refreshInterval   = 50 * time.Millisecond
 	statusInterval    = time.Second
+	planInterval      = 2 * time.Second
 	reloadInterval    = 10 * time.Second
 	headerTimeout     = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
@@ -101,6 +103,7 @@
 	chooser     *chooser.Chooser
 	suspector   *suspector.Suspector
 	operators   *operators
+	scheduler   *scheduler.Scheduler
 	stopping    atomic.Bool
 	announced   atomic.Uint32 // framer.MemberState of the last SetState
 }
@@ -124,6 +127,7 @@
 	go d.every(background, heartbeatInterval, d.sendHeartbeats)
 	go d.every(background, refreshInterval, d.refresh)
 	go d.every(background, statusInterval, d.recordStatus)
+	go d.every(background, planInterval, func(time.Duration) { d.plan(background) })
 	go d.every(background, maintainInterval, d.operators.maintain)
 	if d.secure != nil {
 		go d.every(background, reloadInterval, d.reloadTLS)
--- /dev/null
+++ b/rhubarbtrackd/internal/scheduler/scheduler_test.go
@@ -0,0 +1,148 @@
+package scheduler_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/encoder"
+	"rhubarbtrack.example/core/planner"
+	"rhubarbtrack.example/core/slicer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/scheduler"
+	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
+)
+
+// fake is a store and a configuration with two failure domains and a window on Monday from 06:00 to 08:00.
+type fake struct {
+	objects  map[string]storer.Object
+	revision uint64
+	config   *configurator.Snapshot
+	down     bool
+	lose     bool // the next answer is lost after the write took effect
+	audited  []planner.ActionKind
+}
+
+func newFake() *fake {
+	f := &fake{objects: map[string]storer.Object{}, config: configurator.New()}
+	f.config.Services["marks"] = configurator.Service{Name: "marks", Keyed: true}
+	for _, name := range []string{"a", "b"} {
+		f.write(configurator.FailureDomain{Name: name})
+		f.config.Upstreams["marks."+name] = configurator.Upstream{Name: name, Service: "marks", FailureDomain: name, Slots: 6}
+	}
+	f.config.Windows["monday"] = configurator.Window{
+		Name: "monday", FailureDomain: "a", Weekday: time.Monday, Start: 6 * time.Hour, Length: 2 * time.Hour, TimeZone: "UTC",
+	}
+	return f
+}
+
+func (f *fake) write(domain configurator.FailureDomain) {
+	value, err := encoder.Encode(domain, configurator.Origin{Writer: "operator", Operation: "1"})
+	if err != nil {
+		panic(err)
+	}
+	f.put(domain.ObjectName(), value)
+}
+
+func (f *fake) put(name string, value []byte) uint64 {
+	f.revision++
+	f.objects[name] = storer.Object{Name: name, Version: f.revision, Value: value}
+	if _, err := f.config.Merge(configurator.Object{Name: name, Version: f.revision, Body: value}, encoder.Decode); err != nil &&
+		name != "planner/state" {
+		panic(err)
+	}
+	return f.revision
+}
+
+func (f *fake) scheduler() *scheduler.Scheduler {
+	operation := uint64(0)
+	return scheduler.New(scheduler.Options{
+		Host:     "host-1",
+		OnDuty:   func() bool { return true },
+		Config:   func() *configurator.Snapshot { return f.config.Clone() },
+		Table:    func(string) *slicer.Table { table := slicer.New("marks", 4); return &table },
+		DomainOf: func(string) string { return "" },
+		Demand:   func(string) float64 { return 1 },
+		Get: func(_ context.Context, name string) (storer.Object, error) {
+			object, ok := f.objects[name]
+			if f.down {
+				return storer.Object{}, &storer.Error{Kind: storer.Unavailable, Err: errors.New("down")}
+			}
+			if !ok {
+				return storer.Object{}, &storer.Error{Kind: storer.NotFound, Err: errors.New("absent")}
+			}
+			return object, nil
+		},
+		Put: func(_ context.Context, name string, value []byte, _ storer.Condition) (uint64, error) {
+			if f.down {
+				return 0, &storer.Error{Kind: storer.Unavailable, Err: errors.New("down")}
+			}
+			version := f.put(name, value)
+			if f.lose {
+				f.lose = false
+				return 0, &storer.Error{Kind: storer.Unknown, Err: errors.New("lost")}
+			}
+			return version, nil
+		},
+		Accepted:   func(configurator.Object) {},
+		Audit:      func(action planner.Action) { f.audited = append(f.audited, action.Kind) },
+		Log:        eventlog.New(zap.NewNop()),
+		Zones:      time.LoadLocation,
+		Operations: func() uint64 { operation++; return operation },
+	})
+}
+
+// Guards against windows that are missed or never end when the store fails, an answer is lost, or the host changes.
+func TestWindowRunsThroughFaults(t *testing.T) {
+	monday := time.Date(2026, 12, 7, 0, 0, 0, 0, time.UTC)
+	tests := []struct {
+		name   string
+		before func(f *fake)
+	}{
+		{name: "no fault", before: func(*fake) {}},
+		{name: "store down before the window", before: func(f *fake) { f.down = true }},
+		{name: "lost answer", before: func(f *fake) { f.lose = true }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFake()
+			s := f.scheduler()
+			step := func(at time.Time) { _ = s.Run(context.Background(), at) }
+			step(monday.Add(time.Hour))
+			assert.Assert(t, !f.config.FailureDomains["a"].TakenOut)
+			tt.before(f)
+			step(monday.Add(6 * time.Hour))
+			f.down = false
+			s = f.scheduler() // another host takes the duty
+			step(monday.Add(6*time.Hour + 2*time.Second))
+			step(monday.Add(6*time.Hour + 4*time.Second))
+			assert.Assert(t, f.config.FailureDomains["a"].TakenOut)
+			step(monday.Add(8*time.Hour + time.Second))
+			step(monday.Add(8*time.Hour + 3*time.Second))
+			assert.Assert(t, !f.config.FailureDomains["a"].TakenOut)
+		})
+	}
+}
+
+// Guards against a planner that undoes what an operator did.
+func TestOperatorsDecisionHolds(t *testing.T) {
+	f := newFake()
+	s := f.scheduler()
+	start := time.Date(2026, 12, 8, 0, 0, 0, 0, time.UTC)
+	assert.NilError(t, s.Run(context.Background(), start))
+	f.write(configurator.FailureDomain{Name: "b", TakenOut: true})
+	for i := range 5 {
+		assert.NilError(t, s.Run(context.Background(), start.Add(time.Duration(i)*2*time.Second)))
+		assert.Assert(t, f.config.FailureDomains["b"].TakenOut)
+	}
+	f.write(configurator.FailureDomain{Name: "b"})
+	for i := range 5 {
+		assert.NilError(t, s.Run(context.Background(), start.Add(time.Minute+time.Duration(i)*2*time.Second)))
+		assert.Assert(t, !f.config.FailureDomains["b"].TakenOut)
+	}
+}
