--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,7 @@
 	script/tools
 
 build:
-	mkdir -p .bin
-	go build -o .bin/ ./rhubarbtrackd ./rhubarbctl ./platformsim ./upstreamsim ./loadgen ./demo
+	script/build
 
 test:
 	script/test
