Test the request path under failure

Covers repeats by class, true refusals, crossed and cut-off answers, requests that the transport must not send again, stopped slices, old leases, stale tables and internal headers.

--- /dev/null
+++ b/rhubarbtrackd/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,266 @@
+package dispatcher_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/admitter"
+	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/controller"
+	"rhubarbtrack.example/core/detector"
+	"rhubarbtrack.example/core/slicer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+)
+
+const upstreamID = "marks.u1"
+
+// host is a dispatcher that holds the lease of one upstream, which a test server plays.
+type host struct {
+	dispatcher *dispatcher.Dispatcher
+	answers    chan controller.StopAnswer
+	returned   chan controller.LeaseReturned
+	seq        uint64
+	clock      func() time.Duration
+}
+
+func newHost(t *testing.T, address string, keyed bool) *host {
+	start := time.Now()
+	h := &host{
+		answers:  make(chan controller.StopAnswer, 16),
+		returned: make(chan controller.LeaseReturned, 16),
+		clock:    func() time.Duration { return time.Since(start) },
+	}
+	h.dispatcher = dispatcher.New(dispatcher.Options{
+		Self:        "host-1",
+		Incarnation: "a",
+		Clock:       h.clock,
+		Transport:   &http.Transport{},
+		Scheme:      "http",
+		Upstream: func(string, string) (configurator.Upstream, bool) {
+			return configurator.Upstream{Name: "u1", Service: "marks", Address: address, Slots: 6}, true
+		},
+		Keyed:         func(string) bool { return keyed },
+		Judge:         func(time.Duration, uint64) detector.Verdict { return detector.Clear },
+		Observe:       func(time.Duration, admitter.Action) {},
+		StopAnswer:    func(_ string, answer controller.StopAnswer) { h.answers <- answer },
+		LeaseReturned: func(_ string, returned controller.LeaseReturned) { h.returned <- returned },
+		Log:           eventlog.New(zap.NewNop()),
+	})
+	t.Cleanup(h.dispatcher.Close)
+	return h
+}
+
+func (h *host) apply(lease controller.Lease) {
+	h.seq++
+	lease.Upstream = upstreamID
+	lease.Epoch = 1
+	lease.InFlight = -1
+	h.dispatcher.ApplyLeases(controller.SendLeases{
+		Host: "host-1", Incarnation: "a", Service: "marks", Term: 1, Seq: h.seq, HeartbeatSent: h.clock(),
+		Leases: []controller.Lease{lease},
+	})
+}
+
+func (h *host) run(method string, fence slicer.Fence, timeout time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	response, err := h.dispatcher.Dispatch(ctx, &dispatcher.Request{
+		ID: fmt.Sprintf("request-%d", h.clock()), Service: "marks", Upstream: upstreamID, Fence: fence, Method: method, URI: "/marks/x",
+		Header: http.Header{}, Body: strings.NewReader("body"), ContentLength: 4,
+	})
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return string(text), err
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(dispatcher.HeaderRequestID, r.Header.Get(dispatcher.HeaderRequestID))
+}
+
+func hijack(w http.ResponseWriter) net.Conn {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	return connection
+}
+
+// Guards against answers of other requests, cut-off answers that look whole, a false "not run", and a request that
+// the transport sends again by itself.
+func TestAnswers(t *testing.T) {
+	tests := []struct {
+		name    string
+		handler func(w http.ResponseWriter, r *http.Request)
+		kind    dispatcher.Kind // 0: answered
+		reason  string
+		cut     bool // the body breaks off
+	}{
+		{name: "whole", handler: func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			fmt.Fprint(w, "done")
+		}},
+		{name: "other request's answer", kind: dispatcher.Unknown, reason: "crossed-answer", handler: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(dispatcher.HeaderRequestID, "another")
+		}},
+		{name: "other request's refusal", kind: dispatcher.Unknown, reason: "crossed-answer", handler: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(dispatcher.HeaderRequestID, "another")
+			w.Header().Set(dispatcher.HeaderOutcome, "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}},
+		{name: "shed", kind: dispatcher.NotRun, reason: "shed", handler: func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set(dispatcher.HeaderOutcome, "not-run")
+			w.Header().Set(dispatcher.HeaderReason, "shed")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}},
+		{name: "connection broken before the answer", kind: dispatcher.Unknown, reason: "connection", handler: func(w http.ResponseWriter, _ *http.Request) {
+			_ = hijack(w).Close()
+		}},
+		{name: "body cut off", cut: true, handler: func(w http.ResponseWriter, r *http.Request) {
+			connection := hijack(w)
+			fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 100\r\n\r\nhalf",
+				dispatcher.HeaderRequestID, r.Header.Get(dispatcher.HeaderRequestID))
+			_ = connection.Close()
+		}},
+		{name: "body without an end", kind: dispatcher.Unknown, reason: "unframed-body", handler: func(w http.ResponseWriter, r *http.Request) {
+			connection := hijack(w)
+			fmt.Fprintf(connection, "HTTP/1.0 200 OK\r\n%s: %s\r\n\r\nhalf",
+				dispatcher.HeaderRequestID, r.Header.Get(dispatcher.HeaderRequestID))
+			_ = connection.Close()
+		}},
+	}
+	for _, tt := range tests {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(tt.name+"/"+method, func(t *testing.T) {
+				var calls atomic.Int64
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					calls.Add(1)
+					_, _ = io.Copy(io.Discard, r.Body)
+					tt.handler(w, r)
+				}))
+				defer server.Close()
+				h := newHost(t, server.Listener.Addr().String(), false)
+				h.apply(controller.Lease{})
+				text, err := h.run(method, slicer.Fence{}, 5*time.Second)
+				assert.Equal(t, calls.Load(), int64(1))
+				switch {
+				case tt.kind != 0:
+					failure := dispatcher.AsError(err)
+					assert.Equal(t, failure.Kind, tt.kind)
+					assert.Equal(t, failure.Reason, tt.reason)
+				case tt.cut:
+					assert.Assert(t, err != nil)
+				default:
+					assert.NilError(t, err)
+					assert.Equal(t, text, "done")
+				}
+			})
+		}
+	}
+}
+
+// Guards against "unknown" for a request that never left this host.
+func TestUnreachableUpstreamIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	h := newHost(t, address, false)
+	h.apply(controller.Lease{})
+	_, err = h.run(http.MethodPost, slicer.Fence{}, 5*time.Second)
+	failure := dispatcher.AsError(err)
+	assert.Equal(t, failure.Kind, dispatcher.NotRun)
+	assert.Assert(t, failure.Reroutable)
+}
+
+// Guards against new work on a slice after its stop was acknowledged, against an acknowledgement while a request of the
+// slice is in flight, and against a lease that is returned too early.
+func TestStopWaitsForRequestsInFlight(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			close(started)
+			<-finish
+		}
+		echo(w, r)
+	}))
+	defer server.Close()
+	h := newHost(t, server.Listener.Addr().String(), true)
+	fence := slicer.Fence{Slice: 1, Term: 1, Epoch: 1}
+	h.apply(controller.Lease{Serve: []slicer.Fence{fence}})
+	first := make(chan error, 1)
+	go func() {
+		_, err := h.run(http.MethodPost, fence, 10*time.Second)
+		first <- err
+	}()
+	<-started
+	h.apply(controller.Lease{Stop: []slicer.Fence{fence}})
+	// A request that arrives now waits; it is refused as not run when the slice leaves.
+	second := make(chan error, 1)
+	go func() {
+		_, err := h.run(http.MethodPost, fence, 10*time.Second)
+		second <- err
+	}()
+	select {
+	case answer := <-h.answers:
+		t.Fatalf("stopped with a request in flight: %v", answer)
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(finish)
+	assert.NilError(t, <-first)
+	assert.DeepEqual(t, (<-h.answers).Slices, []slicer.Fence{fence})
+	h.apply(controller.Lease{Release: true})
+	failure := dispatcher.AsError(<-second)
+	assert.Equal(t, failure.Kind, dispatcher.NotRun)
+	assert.Assert(t, failure.Reroutable)
+	assert.Equal(t, (<-h.returned).Epoch, uint64(1))
+	assert.Equal(t, calls.Load(), int64(1))
+	_, err := h.run(http.MethodPost, fence, time.Second)
+	assert.Equal(t, dispatcher.AsError(err).Kind, dispatcher.NotRun)
+}
+
+// Guards against a host that admits on the strength of an old message, or of one for an earlier run of this process.
+func TestOldLeasesAreIgnored(t *testing.T) {
+	h := newHost(t, "127.0.0.1:1", false)
+	h.dispatcher.ApplyLeases(controller.SendLeases{
+		Host: "host-1", Incarnation: "earlier", Service: "marks", Term: 9, Seq: 9, HeartbeatSent: h.clock(),
+		Leases: []controller.Lease{{Upstream: upstreamID, Epoch: 1}},
+	})
+	assert.Equal(t, len(h.dispatcher.Held(h.clock(), "marks")), 0)
+	h.dispatcher.ApplyLeases(controller.SendLeases{Host: "host-1", Incarnation: "a", Service: "marks", Term: 2, Seq: 1})
+	h.apply(controller.Lease{}) // term 1
+	assert.Equal(t, len(h.dispatcher.Held(h.clock(), "marks")), 0)
+}
+
+func BenchmarkDispatch(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(echo))
+	defer server.Close()
+	h := newHost(&testing.T{}, server.Listener.Addr().String(), false)
+	h.apply(controller.Lease{})
+	for range 300 { // warms the upstream up
+		_, _ = h.run(http.MethodGet, slicer.Fence{}, time.Second)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		h.apply(controller.Lease{})
+		if _, err := h.run(http.MethodGet, slicer.Fence{}, time.Second); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/rhubarbtrackd/internal/receiver/receiver_test.go
@@ -0,0 +1,269 @@
+package receiver_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/encoder"
+	"rhubarbtrack.example/core/framer"
+	"rhubarbtrack.example/core/slicer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/chooser"
+	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/locator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/receiver"
+)
+
+// answers is the sequence of ends that the fake admission host gives to the attempts of a request.
+type answers []any // string: body of an answer; *dispatcher.Error: failure; truncated: body that breaks off
+
+type truncated string
+
+// entry is a receiver with a locator that knows one keyed service, and a fake in place of the admission host.
+type entry struct {
+	locator  *locator.Locator
+	receiver *receiver.Receiver
+	server   *httptest.Server
+	attempts []*dispatcher.Request
+	bodies   []string
+	answers  answers
+}
+
+func newEntry(t *testing.T, ends answers) *entry {
+	e := &entry{locator: locator.New(), answers: ends}
+	e.put(t, configurator.Service{
+		Name: "marks", Keyed: true, KeyHeader: "Rhubarbtrack-Key", SliceCount: 4,
+		Rules: []configurator.Rule{{Method: "PUT", Path: "/**", Class: configurator.Idempotent}},
+	}, 1)
+	e.put(t, configurator.FailureDomain{Name: "a"}, 2)
+	e.put(t, configurator.Upstream{
+		Name: "u1", Service: "marks", FailureDomain: "a", Address: "127.0.0.1:1", Slots: 6, Connections: 130,
+	}, 3)
+	table := slicer.New("marks", 4)
+	table.Version = slicer.Version{Term: 1, Seq: 1}
+	for i := range table.Ranges {
+		table.Ranges[i].Owner = "marks.u1"
+	}
+	table.Admission["marks.u1"] = slicer.Admission{Host: "host-1", Epoch: 1}
+	e.locator.SetTable(&table)
+	e.locator.SetMembers([]framer.Member{{Name: "host-1", Address: "127.0.0.1:2", State: framer.Live}})
+	e.beacon(time.Millisecond)
+	choices := chooser.New(1, e.locator)
+	for range 100 {
+		choices.Offer("marks") // fills the retry budget
+	}
+	e.receiver = receiver.New(receiver.Options{
+		Clock:          func() time.Duration { return 2 * time.Millisecond },
+		Locator:        e.locator,
+		Forward:        e.forward,
+		Offer:          choices.Offer,
+		Sent:           func(string, bool) {},
+		Allow:          choices.Allow,
+		Begin:          choices.Begin,
+		End:            choices.End,
+		HedgeAfter:     choices.HedgeAfter,
+		Hedge:          choices.Hedge,
+		Count:          func(string, string, time.Duration) {},
+		Ready:          func() bool { return true },
+		RequestTimeout: 300 * time.Millisecond,
+		MaxBody:        1 << 20,
+		Log:            eventlog.New(zap.NewNop()),
+	})
+	e.server = httptest.NewServer(e.receiver)
+	t.Cleanup(e.server.Close)
+	return e
+}
+
+func (e *entry) put(t *testing.T, value configurator.Value, version uint64) {
+	body, err := encoder.Encode(value, configurator.Origin{Writer: "test", Operation: "1"})
+	assert.NilError(t, err)
+	assert.NilError(t, e.locator.MergeConfig(configurator.Object{Name: value.ObjectName(), Version: version, Body: body}))
+}
+
+func (e *entry) beacon(at time.Duration) {
+	e.locator.SetBeacon(at, framer.Beacon{Service: "marks", Term: 1, Table: slicer.Version{Term: 1, Seq: 1}, Revision: 3})
+	e.locator.Refresh(at)
+}
+
+func (e *entry) forward(_ context.Context, _ framer.Member, request *dispatcher.Request) (*dispatcher.Response, error) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil, err
+	}
+	e.attempts = append(e.attempts, request)
+	e.bodies = append(e.bodies, string(body))
+	end := e.answers[min(len(e.attempts), len(e.answers))-1]
+	switch a := end.(type) {
+	case *dispatcher.Error:
+		failure := *a
+		return nil, &failure
+	case truncated:
+		return &dispatcher.Response{
+			Status: 200, Header: http.Header{}, Length: 100,
+			Body: io.NopCloser(io.MultiReader(strings.NewReader(string(a)), &broken{})),
+		}, nil
+	default:
+		text := a.(string)
+		return &dispatcher.Response{
+			Status: 200, Header: http.Header{}, Length: int64(len(text)), Body: io.NopCloser(strings.NewReader(text)),
+		}, nil
+	}
+}
+
+type broken struct{}
+
+func (*broken) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
+
+func (e *entry) call(t *testing.T, method, path, body string, header map[string]string) (*http.Response, string, error) {
+	request, err := http.NewRequest(method, e.server.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("Rhubarbtrack-Key", "QA76")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+func notRun(reason string, reroutable bool) *dispatcher.Error {
+	return &dispatcher.Error{Op: "test", Kind: dispatcher.NotRun, Reason: reason, Reroutable: reroutable}
+}
+
+func unknown(reason string) *dispatcher.Error {
+	return &dispatcher.Error{Op: "test", Kind: dispatcher.Unknown, Reason: reason}
+}
+
+// Guards against a never-repeat request that is sent again after it may have run, against requests that are given up
+// although they may be repeated, and against refusals that say something else than what happened.
+func TestRepeats(t *testing.T) {
+	tests := []struct {
+		name     string
+		method   string
+		ends     answers
+		attempts int
+		status   int
+		outcome  string
+	}{
+		{name: "answered", method: "POST", ends: answers{"ok"}, attempts: 1, status: 200},
+		{name: "never-repeat, unknown", method: "POST", ends: answers{unknown("connection"), "ok"}, attempts: 1, status: 502, outcome: "unknown"},
+		{name: "never-repeat, shed by the upstream", method: "POST", ends: answers{notRun("shed", false), "ok"}, attempts: 2, status: 200},
+		{name: "never-repeat, moved", method: "POST", ends: answers{notRun("moved", true), notRun("moved", true), "ok"}, attempts: 3, status: 200},
+		{name: "safe, unknown", method: "GET", ends: answers{unknown("connection"), "ok"}, attempts: 2, status: 200},
+		{name: "idempotent by rule, unknown", method: "PUT", ends: answers{unknown("crossed-answer"), "ok"}, attempts: 2, status: 200},
+		{name: "method without rule, unknown", method: "DELETE", ends: answers{unknown("connection"), "ok"}, attempts: 1, status: 502, outcome: "unknown"},
+		{name: "attempts are bounded", method: "GET", ends: answers{unknown("connection")}, attempts: 3, status: 502, outcome: "unknown"},
+		{name: "condemned is final", method: "GET", ends: answers{notRun("condemned", false), "ok"}, attempts: 1, status: 503, outcome: "not-run"},
+		{name: "duplicate is final", method: "POST", ends: answers{notRun("duplicate", false), "ok"}, attempts: 1, status: 409, outcome: "not-run"},
+		{name: "deadline after dispatch", method: "GET", ends: answers{unknown("deadline"), "ok"}, attempts: 1, status: 504, outcome: "unknown"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEntry(t, tt.ends)
+			response, _, err := e.call(t, tt.method, "/marks/x", "body", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, tt.status)
+			assert.Equal(t, response.Header.Get("Rhubarbtrack-Outcome"), tt.outcome)
+			assert.Equal(t, len(e.attempts), tt.attempts)
+			for i, body := range e.bodies {
+				assert.Equal(t, body, "body", "attempt %d", i)
+			}
+		})
+	}
+}
+
+// Guards against a request that waits for ever, or is called unknown, when no admission host takes it in time.
+func TestUnroutableEndsAsNotRun(t *testing.T) {
+	e := newEntry(t, answers{notRun("no-lease", true)})
+	response, _, err := e.call(t, "POST", "/marks/x", "", map[string]string{"Rhubarbtrack-Deadline-Ms": "150"})
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 503)
+	assert.Equal(t, response.Header.Get("Rhubarbtrack-Outcome"), "not-run")
+}
+
+// Guards against a cut-off body that the caller takes for a whole one.
+func TestTruncatedAnswerBreaksTheConnection(t *testing.T) {
+	e := newEntry(t, answers{truncated("half")})
+	_, _, err := e.call(t, "GET", "/marks/x", "", nil)
+	assert.Assert(t, err != nil)
+}
+
+// Guards against callers that set headers which only hosts may set, and against requests without a usable key.
+func TestRequestsAreCheckedAndCleaned(t *testing.T) {
+	tests := []struct {
+		name   string
+		path   string
+		body   string
+		header map[string]string
+		status int
+	}{
+		{name: "unknown service", path: "/nothing/x", status: 404},
+		{name: "no key", path: "/marks/x", header: map[string]string{"Rhubarbtrack-Key": ""}, status: 400},
+		{name: "long key", path: "/marks/x", header: map[string]string{"Rhubarbtrack-Key": strings.Repeat("k", 2000)}, status: 400},
+		{name: "malformed deadline", path: "/marks/x", header: map[string]string{"Rhubarbtrack-Deadline-Ms": "soon"}, status: 400},
+		{name: "large body", path: "/marks/x", body: strings.Repeat("b", 2<<20), status: 413},
+		{
+			name: "internal headers", path: "/marks//x/../y", status: 200,
+			header: map[string]string{
+				"Rhubarbtrack-Fence": "1.2.3", "Rhubarbtrack-Class": "2", "Rhubarbtrack-Request-Id": "mine", "Connection": "X-Hop",
+				"X-Hop": "1",
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEntry(t, answers{"ok"})
+			response, _, err := e.call(t, "GET", tt.path, tt.body, tt.header)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, tt.status)
+			if tt.status != 200 {
+				assert.Equal(t, len(e.attempts), 0)
+				return
+			}
+			sent := e.attempts[0]
+			assert.Equal(t, sent.URI, tt.path)
+			assert.Equal(t, sent.Class, configurator.NeverRepeat) // the path is ambiguous
+			assert.Assert(t, sent.ID != "mine")
+			for _, name := range []string{"Rhubarbtrack-Fence", "Rhubarbtrack-Class", "X-Hop"} {
+				assert.Equal(t, sent.Header.Get(name), "")
+			}
+		})
+	}
+}
+
+// Guards against a host that goes on routing with an old table after it lost contact with the controllers.
+func TestStaleTableRefusesNewWork(t *testing.T) {
+	l := newEntry(t, answers{"ok"}).locator
+	assert.Assert(t, l.Fresh(time.Second, "marks"))
+	_, err := l.Locate(3*time.Second+2*time.Millisecond, "marks", "k")
+	assert.Equal(t, locator.KindOf(err), locator.Stale)
+	// A beacon that names a table which has not arrived does not make the old one usable.
+	l.SetBeacon(4*time.Second, framer.Beacon{Service: "marks", Term: 1, Table: slicer.Version{Term: 1, Seq: 2}, Revision: 3})
+	l.Refresh(4 * time.Second)
+	assert.Assert(t, !l.Fresh(4*time.Second, "marks"))
+}
+
+func BenchmarkLocate(b *testing.B) {
+	t := &testing.T{}
+	e := newEntry(t, answers{"ok"})
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := e.locator.Locate(2*time.Millisecond, "marks", "QA76.73"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
