Add load measures against modelled upstreams

Cause: the bounds on cold starts, absences of a failure domain, hedges and retries need figures against a naive baseline. An event loop in virtual time runs admitter, balancer, retrier and detector of 11 hosts against upstreams of 6 slots at the sizes of both users.

--- /dev/null
+++ b/bench/internal/load/load.go
@@ -0,0 +1,126 @@
+// Package load measures admission, retries, crash detection and balancing against modelled upstreams, and against a naive
+// baseline: independent limits on each host, round robin, unlimited retries and no admission.
+//
+// # Usage
+//
+//	lines := load.Measure(seed)
+//
+// Runs use virtual time and a seed, so they give the same figures every time. The model covers 11 hosts and the sizes of
+// both users; the controller, the relay and the store are represented by their delays only.
+package load
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"rhubarbtrack.example/bench/internal/printer"
+)
+
+const (
+	// load is the share of the capacity that callers use: two of three failure domains then run at two thirds.
+	load = 0.45
+	// parallel bounds the runs at the same time, because the machine is shared.
+	parallel = 4
+	warmUp   = 2 * time.Second
+)
+
+// Bounds of section 2 and 8 of the design page.
+const (
+	coldBound          = 1.0 // G3: no more load than a cold upstream can handle
+	leaveBound         = 0   // G4: requests after 4 s
+	moveBound          = 0   // planned moves fail no request
+	hedgeBound         = 0.05
+	amplificationBound = 1.1
+)
+
+// pair holds a figure of the baseline and ours.
+type pair struct{ naive, ours float64 }
+
+// scenario runs one situation and returns its figures by name.
+type scenario func(*world) []figure
+
+type figure struct {
+	name    string
+	value   float64
+	unit    string
+	bound   float64
+	bounded bool
+}
+
+type namedScenario struct {
+	name string
+	user user
+	run  scenario
+}
+
+// Measure runs all scenarios for both users and both routers.
+func Measure(seed uint64) []printer.Line {
+	scenarios := list(seed)
+	results := make([][2][]figure, len(scenarios))
+	slot := make(chan struct{}, parallel)
+	var group sync.WaitGroup
+	for i, s := range scenarios {
+		for kind := range 2 {
+			group.Go(func() {
+				slot <- struct{}{}
+				defer func() { <-slot }()
+				results[i][kind] = s.run(build(s.user, seed, kind == 1))
+			})
+		}
+	}
+	group.Wait()
+	var lines []printer.Line
+	for i, s := range scenarios {
+		lines = append(lines, s.lines(seed, results[i])...)
+	}
+	return lines
+}
+
+func build(user user, seed uint64, withCores bool) *world {
+	w := newWorld(user, seed)
+	if withCores {
+		w.router = newOurs(w, seed)
+	} else {
+		w.router = newNaive(w)
+	}
+	return w
+}
+
+func (s namedScenario) lines(seed uint64, results [2][]figure) []printer.Line {
+	var lines []printer.Line
+	for i, ours := range results[1] {
+		lines = append(lines, printer.Line{
+			Measure:  fmt.Sprintf("%s-%s-%s", s.user.name, s.name, ours.name),
+			Naive:    results[0][i].value,
+			Ours:     ours.value,
+			Bound:    ours.bound,
+			HasBound: ours.bounded,
+			Unit:     ours.unit,
+			Seed:     seed,
+		})
+	}
+	return lines
+}
+
+func list(seed uint64) []namedScenario {
+	var all []namedScenario
+	for _, u := range users {
+		all = append(all,
+			namedScenario{"cold", u, coldPeak(u, seed)},
+			namedScenario{"domain", u, domainLeaves},
+			namedScenario{"overload", u, overload},
+			namedScenario{"all-fail", u, allFail},
+			namedScenario{"poison", u, poison},
+		)
+		for _, count := range []int{1, 2, 4} {
+			for _, length := range []time.Duration{200 * time.Millisecond, 2 * time.Second, 10 * time.Second} {
+				name := fmt.Sprintf("slow-%d-%dms", count, length.Milliseconds())
+				all = append(all, namedScenario{name, u, slowed(count, length)})
+			}
+		}
+	}
+	return all
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/bench/internal/load/load_test.go
@@ -0,0 +1,71 @@
+package load
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against events out of order, which would make all figures wrong.
+func TestLoop(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	var l loop
+	var got, want []int
+	for i := range 1000 {
+		delay := random.IntN(100)
+		want = append(want, delay*1000+i)
+		l.after(time.Duration(delay), func() { got = append(got, delay*1000+i) })
+	}
+	slices.Sort(want)
+	l.until(time.Second)
+	assert.DeepEqual(t, got, want)
+}
+
+// Guards against a model that is more forgiving than docs/protocols.md: a cold upstream bears 1 request and one more for
+// each 20 completed, and refuses the rest.
+func TestColdUpstream(t *testing.T) {
+	w := newWorld(users[0], 1)
+	u := w.other[0]
+	u.restart()
+	completed := 0
+	for range 10 * warmAfter {
+		bears := u.bears()
+		assert.Equal(t, bears, min(1+completed/warmAfter, slots))
+		var refused, answered int
+		for range bears + 1 {
+			u.serve(&request{}, w.fence(0), func(r reply) {
+				answered++
+				if r.outcome.NotRun() {
+					refused++
+				}
+			})
+		}
+		w.until(w.now + deadline)
+		assert.Equal(t, answered, bears+1)
+		assert.Equal(t, refused, 1)
+		completed += bears
+	}
+}
+
+// Guards against figures that change from run to run, and against a router whose requests get lost.
+func TestSameSeedSameFigures(t *testing.T) {
+	for _, withCores := range []bool{false, true} {
+		var runs [2][]sample
+		for i := range runs {
+			w := build(users[1], 1, withCores)
+			w.offer(load)
+			for _, u := range w.all() {
+				w.until(w.now + 20*time.Millisecond)
+				u.crash()
+			}
+			w.stopped = true
+			w.until(w.now + 2*deadline)
+			runs[i] = w.samples
+			assert.Equal(t, len(w.samples), w.offered)
+		}
+		assert.Assert(t, slices.Equal(runs[0], runs[1]))
+	}
+}
--- /dev/null
+++ b/bench/internal/load/naive.go
@@ -0,0 +1,147 @@
+package load
+
+import (
+	"time"
+
+	"rhubarbtrack.example/core/admitter"
+	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/slicer"
+)
+
+const (
+	// naiveRetryDelay is the fixed delay of the unlimited retries.
+	naiveRetryDelay = 5 * time.Millisecond
+	// naiveHealthInterval is the time between two health checks of each host.
+	naiveHealthInterval = time.Second
+	// naiveRelayTime is the longest time until a host has a changed table.
+	naiveRelayTime = 100 * time.Millisecond
+)
+
+// naive is the baseline: every host limits its own requests to each upstream to the slots and sends them directly, in turn
+// where any upstream will do, and repeats failed ones without limit until their deadline.
+type naive struct {
+	w     *world
+	hosts []*naiveHost
+}
+
+type naiveHost struct {
+	table   []route
+	healthy []*upstream // of the service not partitioned by key
+	next    int
+	lanes   map[*upstream]*naiveLane
+}
+
+type naiveLane struct {
+	inFlight int
+	queue    []func()
+}
+
+func newNaive(w *world) *naive {
+	n := &naive{w: w}
+	for range hostCount {
+		h := &naiveHost{table: make([]route, len(w.owners)), lanes: map[*upstream]*naiveLane{}}
+		for slice := 1; slice < len(h.table); slice++ {
+			h.table[slice] = route{w.owners[slice], w.fence(uint32(slice))}
+		}
+		for _, u := range w.all() {
+			h.lanes[u] = &naiveLane{}
+		}
+		n.hosts = append(n.hosts, h)
+	}
+	n.check()
+	w.every(naiveHealthInterval, n.check)
+	return n
+}
+
+func (n *naive) check() {
+	for _, h := range n.hosts {
+		h.healthy = h.healthy[:0]
+		for _, u := range n.w.other {
+			if !u.down && !u.draining {
+				h.healthy = append(h.healthy, u)
+			}
+		}
+	}
+}
+
+func (n *naive) route(r *request) {
+	if r.done {
+		return
+	}
+	h := n.hosts[r.host]
+	if r.keyed {
+		n.enqueue(h, r, h.table[r.slice])
+		return
+	}
+	if len(h.healthy) == 0 {
+		n.w.after(naiveRetryDelay, func() { n.route(r) })
+		return
+	}
+	h.next = (h.next + 1) % len(h.healthy)
+	n.enqueue(h, r, route{owner: h.healthy[h.next]})
+}
+
+func (n *naive) enqueue(h *naiveHost, r *request, to route) {
+	lane := h.lanes[to.owner]
+	if lane.inFlight >= slots {
+		lane.queue = append(lane.queue, func() { n.send(h, r, to) })
+		return
+	}
+	n.send(h, r, to)
+}
+
+func (n *naive) send(h *naiveHost, r *request, to route) {
+	if r.done {
+		return
+	}
+	lane := h.lanes[to.owner]
+	lane.inFlight++
+	wire := n.w.delay(hostDomain(r.host), to.owner.domain)
+	n.w.after(wire, func() {
+		to.owner.serve(r, to.fence, func(got reply) {
+			n.w.after(wire, func() { n.end(lane, r, got) })
+		})
+	})
+}
+
+func (n *naive) end(lane *naiveLane, r *request, got reply) {
+	lane.inFlight--
+	switch {
+	case got.outcome == admitter.Succeeded:
+		n.w.finish(r, true)
+	case r.done:
+	case mayRepeat(r.class, got.outcome):
+		n.w.after(naiveRetryDelay, func() { n.route(r) })
+	default:
+		n.w.finish(r, false)
+	}
+	for len(lane.queue) > 0 && lane.inFlight < slots {
+		next := lane.queue[0]
+		lane.queue = lane.queue[1:]
+		next()
+	}
+}
+
+// move gives the slice to its new owner at once, without waiting for requests in flight.
+func (n *naive) move(slice uint32, to *upstream) {
+	delete(n.w.owners[slice].held, slice)
+	n.w.epochs[slice]++
+	n.w.owners[slice] = to
+	fence := slicer.Fence{Slice: slice, Term: 1, Epoch: n.w.epochs[slice]}
+	to.held[slice] = fence
+	for _, h := range n.hosts {
+		relay := time.Duration(n.w.random.Int64N(int64(naiveRelayTime)))
+		n.w.after(relay, func() { h.table[slice] = route{to, fence} })
+	}
+}
+
+// drain does nothing: the hosts learn it from their health checks.
+func (n *naive) drain([]*upstream, bool) {}
+
+func (n *naive) ready(*upstream) int { return slots }
+
+// mayRepeat is the part of G7 that the baseline keeps: a request that must never be repeated is sent again only when it is
+// known that it was not run.
+func mayRepeat(class configurator.Class, outcome admitter.Outcome) bool {
+	return outcome.NotRun() || class != configurator.NeverRepeat
+}
--- /dev/null
+++ b/bench/internal/load/ours.go
@@ -0,0 +1,471 @@
+package load
+
+import (
+	"slices"
+	"time"
+
+	"rhubarbtrack.example/core/admitter"
+	"rhubarbtrack.example/core/balancer"
+	"rhubarbtrack.example/core/detector"
+	"rhubarbtrack.example/core/retrier"
+	"rhubarbtrack.example/core/slicer"
+)
+
+// Intervals of the design page, and times of the parts that are not modelled.
+const (
+	leaseInterval    = 200 * time.Millisecond
+	beaconInterval   = 500 * time.Millisecond
+	controlInterval  = 300 * time.Millisecond // replies of upstreams to the controller
+	reportInterval   = 500 * time.Millisecond // load reports of upstreams, which arrive as old as this
+	tickInterval     = 10 * time.Millisecond
+	commitTime       = 5 * time.Millisecond  // one write to the store
+	relayTime        = 20 * time.Millisecond // longest time of a table change to an entry host
+	floodTime        = 5 * time.Millisecond  // a detector report to all hosts
+	controllerDomain = 0
+)
+
+// ours routes with the cores of this project: entry hosts choose, one admission host per upstream admits.
+type ours struct {
+	w          *world
+	hosts      []*entryHost
+	admissions map[*upstream]*admission
+	drained    map[*upstream]bool
+	moves      map[uint32]*upstream // target of each move that waits for SliceIdle
+}
+
+// entryHost holds the state of one host that receives requests.
+type entryHost struct {
+	balancer *balancer.Balancer
+	retries  map[bool]*retrier.Retrier // by whether the service is partitioned by key
+	detector *detector.Detector
+	table    []route // by slice
+	legs     map[uint64][]*leg
+}
+
+type route struct {
+	owner *upstream
+	fence slicer.Fence
+}
+
+// admission is the admission host's state for one upstream.
+type admission struct {
+	u    *upstream
+	host int
+	core *admitter.Admitter
+	legs map[admitter.ID]*leg
+}
+
+// leg is one attempt of a request.
+type leg struct {
+	request    *request
+	admission  *admission
+	attempt    balancer.Attempt
+	dispatched time.Duration
+	cancel     func()
+}
+
+// answer is the end of a leg as the entry host sees it.
+type answer struct {
+	succeeded  bool
+	reached    bool // an upstream
+	knowledge  retrier.Knowledge
+	retryAfter time.Duration
+}
+
+func newOurs(w *world, seed uint64) *ours {
+	o := &ours{w: w, admissions: map[*upstream]*admission{}, drained: map[*upstream]bool{}, moves: map[uint32]*upstream{}}
+	for host := range hostCount {
+		o.hosts = append(o.hosts, o.newHost(seed*hostCount+uint64(host)))
+	}
+	for _, u := range w.all() {
+		o.admit(u)
+	}
+	o.beacon()
+	w.every(leaseInterval, o.renew)
+	w.every(beaconInterval, o.beacon)
+	w.every(controlInterval, o.control)
+	w.every(reportInterval, o.report)
+	w.every(tickInterval, o.tick)
+	return o
+}
+
+func (o *ours) newHost(seed uint64) *entryHost {
+	h := &entryHost{
+		balancer: balancer.New(balancer.Options{Seed: seed}),
+		detector: detector.New(detector.Options{}),
+		retries: map[bool]*retrier.Retrier{
+			true:  retrier.New(retrier.Options{Seed: seed}),
+			false: retrier.New(retrier.Options{Seed: seed + 1}),
+		},
+		table: make([]route, len(o.w.owners)),
+		legs:  map[uint64][]*leg{},
+	}
+	for slice := 1; slice < len(h.table); slice++ {
+		h.table[slice] = route{o.w.owners[slice], o.w.fence(uint32(slice))}
+	}
+	return h
+}
+
+// admit sets up the admission host of u in the failure domain of u. Upstreams that are warm at the start of a run have
+// been served for a long time, so their limit is taken from a report of full slots.
+func (o *ours) admit(u *upstream) {
+	host := u.domain + domainCount*(u.index/domainCount%3)
+	a := &admission{u: u, host: host, legs: map[admitter.ID]*leg{}}
+	a.core = admitter.New(admitter.Options{Slots: slots, Keyed: u.keyed, Judge: o.hosts[host].detector.Verdict})
+	o.admissions[u] = a
+	if u.warm {
+		o.step(a, admitter.LoadReported{Incarnation: u.incarnation(), InFlight: slots})
+		o.step(a, admitter.LoadReported{Incarnation: u.incarnation()})
+	}
+	o.step(a, admitter.LeaseRenewed{Epoch: 1, SentAt: o.w.now})
+	var fences []slicer.Fence
+	for _, fence := range u.held {
+		fences = append(fences, fence)
+	}
+	slices.SortFunc(fences, func(a, b slicer.Fence) int { return int(a.Slice) - int(b.Slice) })
+	o.step(a, admitter.SlicesServed{Fences: fences})
+	u.closed = func() {
+		o.w.after(o.w.delay(hostDomain(host), u.domain), func() { o.step(a, admitter.IncarnationSeen{}) })
+	}
+}
+
+func (o *ours) each(action func(*admission)) {
+	for _, u := range o.w.all() {
+		action(o.admissions[u])
+	}
+}
+
+func (o *ours) renew() {
+	o.each(func(a *admission) {
+		o.step(a, admitter.LeaseRenewed{Epoch: 1, SentAt: o.w.now - 2*o.w.delay(controllerDomain, a.u.domain)})
+	})
+}
+
+func (o *ours) tick() {
+	o.each(func(a *admission) {
+		if a.core.Queued() > 0 {
+			o.step(a, admitter.Tick{})
+		}
+	})
+}
+
+// control passes on what the controller learns from the replies of the upstreams.
+func (o *ours) control() {
+	o.each(func(a *admission) {
+		if !a.u.down {
+			o.step(a, admitter.LoadReported{Incarnation: a.u.incarnation(), InFlight: len(a.u.running)})
+		}
+	})
+}
+
+// beacon tells all hosts which upstreams are cold or drained.
+func (o *ours) beacon() {
+	targets := make([]balancer.Target, 0, len(o.w.other))
+	for _, u := range o.w.other {
+		targets = append(targets, balancer.Target{
+			Name:          u.name,
+			FailureDomain: string(rune('a' + u.domain)),
+			Slots:         slots,
+			Cold:          o.admissions[u].core.Cold(),
+			Drained:       o.drained[u],
+		})
+	}
+	for _, h := range o.hosts {
+		h.balancer.SetTargets(o.w.now, targets)
+	}
+}
+
+// report delivers the load reports that upstreams made one interval ago. A slowed upstream reports that it is idle.
+func (o *ours) report() {
+	for _, u := range o.w.other {
+		load := len(u.running)
+		if o.w.now < u.slowUntil {
+			load = 0
+		}
+		o.w.after(reportInterval, func() {
+			for _, h := range o.hosts {
+				h.balancer.Report(o.w.now, balancer.Reported{Upstream: u.name, InFlight: load, Age: reportInterval})
+			}
+		})
+	}
+}
+
+// Entry host.
+
+func (o *ours) route(r *request) {
+	h := o.hosts[r.host]
+	h.retries[r.keyed].Offer()
+	o.w.after(deadline, func() { o.abandon(r) })
+	o.attempt(r)
+}
+
+func (o *ours) attempt(r *request) {
+	if r.done {
+		return
+	}
+	h := o.hosts[r.host]
+	if r.keyed {
+		to := h.table[r.slice]
+		o.send(&leg{request: r, admission: o.admissions[to.owner]}, to.fence)
+		return
+	}
+	picked, ok := h.balancer.Pick(o.w.now, r.class, nil)
+	if !ok {
+		o.w.finish(r, false)
+		return
+	}
+	l := o.sendPicked(r, picked)
+	if delay, ok := h.balancer.HedgeAfter(o.w.now, picked); ok {
+		o.w.after(delay, func() { o.hedge(l) })
+	}
+}
+
+func (o *ours) sendPicked(r *request, picked balancer.Attempt) *leg {
+	u := o.w.other[slices.IndexFunc(o.w.other, func(u *upstream) bool { return u.name == picked.Upstream })]
+	l := &leg{request: r, admission: o.admissions[u], attempt: picked}
+	o.send(l, slicer.Fence{})
+	return l
+}
+
+func (o *ours) hedge(l *leg) {
+	r := l.request
+	if r.done || !slices.Contains(o.hosts[r.host].legs[r.id], l) || o.hosts[r.host].retries[r.keyed].Failing() {
+		return
+	}
+	if picked, ok := o.hosts[r.host].balancer.Hedge(o.w.now, l.attempt); ok {
+		o.sendPicked(r, picked)
+	}
+}
+
+func (o *ours) hop(l *leg) time.Duration {
+	if l.request.host == l.admission.host {
+		return 0
+	}
+	return o.w.delay(hostDomain(l.request.host), hostDomain(l.admission.host))
+}
+
+func (o *ours) send(l *leg, fence slicer.Fence) {
+	r := l.request
+	h := o.hosts[r.host]
+	h.legs[r.id] = append(h.legs[r.id], l)
+	o.w.after(o.hop(l), func() {
+		if r.done {
+			o.end(l, answer{})
+			return
+		}
+		id := admitter.ID(r.id)
+		l.admission.legs[id] = l
+		o.step(l.admission, admitter.Offered{ID: id, Class: r.class, Fence: fence, Deadline: r.deadline, Signature: signature(r)})
+	})
+}
+
+// signature gives poison requests one of their own; all others of a service share few paths.
+func signature(r *request) uint64 {
+	if r.poison {
+		return 1
+	}
+	return 2 + uint64(r.slice)<<8 + r.id%16
+}
+
+// end handles the end of a leg at the entry host.
+func (o *ours) end(l *leg, a answer) {
+	r := l.request
+	h := o.hosts[r.host]
+	h.legs[r.id] = slices.DeleteFunc(h.legs[r.id], func(other *leg) bool { return other == l })
+	if len(h.legs[r.id]) == 0 {
+		delete(h.legs, r.id)
+	}
+	if a.reached {
+		h.retries[r.keyed].Observe(a.succeeded)
+	}
+	if !r.keyed {
+		o.observe(h, l, a)
+	}
+	switch {
+	case r.done:
+	case a.succeeded:
+		o.w.finish(r, true)
+	case len(h.legs[r.id]) == 0:
+		o.retry(r, h, a)
+	}
+}
+
+func (o *ours) observe(h *entryHost, l *leg, a answer) {
+	outcome := balancer.Failed
+	switch {
+	case a.succeeded:
+		outcome = balancer.Succeeded
+	case l.request.done:
+		outcome = balancer.Cancelled
+	case a.knowledge != retrier.Unknown:
+		outcome = balancer.Shed
+	}
+	loser, ok := h.balancer.Observe(o.w.now, balancer.Ended{Attempt: l.attempt, Outcome: outcome})
+	if !ok {
+		return
+	}
+	for _, other := range h.legs[l.request.id] {
+		if other.attempt == loser {
+			o.withdraw(other)
+		}
+	}
+}
+
+func (o *ours) retry(r *request, h *entryHost, a answer) {
+	if a.knowledge == retrier.Rerouted {
+		r.reroutes++
+	} else {
+		r.attempts++
+	}
+	decision := h.retries[r.keyed].Allow(o.w.now, retrier.Attempt{
+		Class: r.class, Knowledge: a.knowledge, Number: r.attempts, Reroutes: r.reroutes, RetryAfter: a.retryAfter,
+		Deadline: r.deadline,
+	})
+	if !decision.Retry {
+		o.w.finish(r, false)
+		return
+	}
+	o.w.after(decision.Delay, func() { o.attempt(r) })
+}
+
+func (o *ours) abandon(r *request) {
+	for _, l := range slices.Clone(o.hosts[r.host].legs[r.id]) {
+		o.withdraw(l)
+	}
+}
+
+func (o *ours) withdraw(l *leg) {
+	o.w.after(o.hop(l), func() {
+		id := admitter.ID(l.request.id)
+		if l.admission.legs[id] != l {
+			return
+		}
+		o.step(l.admission, admitter.CallerLeft{ID: id})
+		if l.dispatched == 0 {
+			o.reply(l, answer{})
+		}
+	})
+}
+
+// Admission host.
+
+func (o *ours) step(a *admission, event admitter.Event) {
+	for _, action := range a.core.Step(o.w.now, event) {
+		o.act(a, action)
+	}
+}
+
+func (o *ours) act(a *admission, action admitter.Action) {
+	switch action := action.(type) {
+	case admitter.Dispatch:
+		o.dispatch(a.legs[action.ID], action.Fence)
+	case admitter.Refuse:
+		knowledge := retrier.NotRun
+		if action.Reason.Reroutable() {
+			knowledge = retrier.Rerouted
+		}
+		o.reply(a.legs[action.ID], answer{knowledge: knowledge, retryAfter: action.RetryAfter})
+	case admitter.Cancel:
+		if l := a.legs[action.ID]; l.cancel != nil {
+			l.cancel()
+		}
+	case admitter.SliceIdle:
+		o.w.after(o.w.delay(controllerDomain, a.u.domain), func() { o.handOver(action.Fence.Slice) })
+	case admitter.CrashSeen:
+		o.flood(a, detector.Crash{Signatures: action.Signatures, Alone: action.Alone})
+	case admitter.CrashDisproved:
+		o.flood(a, detector.Disproved{Signatures: action.Signatures})
+	case admitter.RanAlone:
+		o.flood(a, detector.RanAlone{Signature: action.Signature})
+	}
+}
+
+// flood updates the detector of the admission host at once and those of the other hosts after a while.
+func (o *ours) flood(a *admission, event detector.Event) {
+	reports := o.hosts[a.host].detector.Observe(o.w.now, event)
+	o.w.after(0, func() { o.step(a, admitter.Tick{}) })
+	o.w.after(floodTime, func() {
+		for _, h := range o.hosts {
+			h.detector.Observe(o.w.now, detector.Reported{Reports: reports})
+		}
+	})
+}
+
+func (o *ours) dispatch(l *leg, fence slicer.Fence) {
+	l.dispatched = o.w.now
+	a := l.admission
+	wire := o.w.delay(hostDomain(a.host), a.u.domain)
+	o.w.after(wire, func() {
+		l.cancel = a.u.serve(l.request, fence, func(r reply) {
+			o.w.after(wire, func() { o.ended(l, r) })
+		})
+	})
+}
+
+func (o *ours) ended(l *leg, r reply) {
+	a := l.admission
+	knowledge := retrier.Unknown
+	if r.outcome.NotRun() {
+		knowledge = retrier.NotRun
+	}
+	o.reply(l, answer{succeeded: r.outcome == admitter.Succeeded, reached: r.outcome != admitter.Cancelled, knowledge: knowledge})
+	o.step(a, admitter.Ended{
+		ID:          admitter.ID(l.request.id),
+		Outcome:     r.outcome,
+		Latency:     o.w.now - l.dispatched,
+		Incarnation: r.incarnation,
+	})
+}
+
+func (o *ours) reply(l *leg, result answer) {
+	delete(l.admission.legs, admitter.ID(l.request.id))
+	o.w.after(o.hop(l), func() { o.end(l, result) })
+}
+
+// Controller.
+
+func (o *ours) move(slice uint32, to *upstream) {
+	if _, moving := o.moves[slice]; moving || o.w.owners[slice] == to {
+		return
+	}
+	o.moves[slice] = to
+	from := o.admissions[o.w.owners[slice]]
+	o.w.after(o.w.delay(controllerDomain, from.u.domain), func() {
+		o.step(from, admitter.SlicesStopped{Fences: []slicer.Fence{o.w.fence(slice)}})
+	})
+}
+
+// handOver revokes, commits, grants and routes, once the old admission host has reported the slice as idle.
+func (o *ours) handOver(slice uint32) {
+	to, moving := o.moves[slice]
+	if !moving {
+		return
+	}
+	from, old := o.w.owners[slice], o.w.fence(slice)
+	revoke := 2 * o.w.delay(controllerDomain, from.domain)
+	grant := 2 * o.w.delay(controllerDomain, to.domain)
+	o.w.after(revoke, func() { delete(from.held, slice) })
+	o.w.after(revoke+commitTime+grant, func() {
+		o.w.epochs[slice]++
+		o.w.owners[slice] = to
+		fence := o.w.fence(slice)
+		to.held[slice] = fence
+		delete(o.moves, slice)
+		o.step(o.admissions[to], admitter.SlicesServed{Fences: []slicer.Fence{fence}})
+		for _, h := range o.hosts {
+			relay := time.Duration(o.w.random.Int64N(int64(relayTime)))
+			o.w.after(relay, func() { h.table[slice] = route{to, fence} })
+		}
+		o.w.after(relayTime, func() {
+			o.step(o.admissions[from], admitter.SlicesRemoved{Fences: []slicer.Fence{old}})
+		})
+	})
+}
+
+func (o *ours) drain(leaving []*upstream, drained bool) {
+	for _, u := range leaving {
+		o.drained[u] = drained
+	}
+}
+
+func (o *ours) ready(u *upstream) int { return o.admissions[u].core.Limit() }
