--- a/bench/internal/load/load.go
+++ b/bench/internal/load/load.go
@@ -34,8 +34,6 @@
 	amplificationBound = 1.1
 )
 
-// pair holds a figure of the baseline and ours.
-type pair struct{ naive, ours float64 }
 
 // scenario runs one situation and returns its figures by name.
 type scenario func(*world) []figure
--- /dev/null
+++ b/core/balancer/bench_test.go
@@ -0,0 +1,21 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"rhubarbtrack.example/core/configurator"
+)
+
+// Cost of one pick among 13 upstreams, with its end observed.
+func BenchmarkPick(b *testing.B) {
+	choices := New(Options{Seed: 1})
+	choices.SetTargets(0, targets(13))
+	b.ReportAllocs()
+	now := time.Duration(0)
+	for b.Loop() {
+		now += time.Millisecond
+		picked, _ := choices.Pick(now, configurator.Safe, nil)
+		choices.Observe(now+5*time.Millisecond, Ended{Attempt: picked})
+	}
+}
