admitter: estimate Retry-After of a full queue

Cause: requests refused by a full queue came back after 7.5 ms and were refused again until their attempts were used up. The estimate is now the time in which the queue drains, at most 100 ms.

--- a/bench/internal/load/load.go
+++ b/bench/internal/load/load.go
@@ -34,7 +34,6 @@
 	amplificationBound = 1.1
 )
 
-
 // scenario runs one situation and returns its figures by name.
 type scenario func(*world) []figure
 
--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -51,6 +51,8 @@
 	foreignExpiry = time.Second
 	// maxOldIncarnations is how many earlier incarnations are recognised in late responses.
 	maxOldIncarnations = 4
+	// maxRetryAfter bounds the estimate for a full queue, which is far too long when a slowed upstream recovers.
+	maxRetryAfter = 100 * time.Millisecond
 	// Pauses after the upstream could not take a request at a limit of 1.
 	minPause = 20 * time.Millisecond
 	maxPause = time.Second
@@ -251,7 +253,7 @@
 		entry.waiting, entry.blockedSince = true, a.now
 	}
 	if !a.queue.accepts(entry, a.options.QueueBound) {
-		a.emit(Refuse{ID: offered.ID, Reason: QueueFull, RetryAfter: a.service.value})
+		a.emit(Refuse{ID: offered.ID, Reason: QueueFull, RetryAfter: a.drainTime()})
 		return
 	}
 	if offered.IdempotencyKey != "" {
@@ -318,6 +320,12 @@
 	return wait, a.now+wait+service <= entry.deadline
 }
 
+// drainTime estimates when the queue of now will have been dispatched. A request that returns much earlier is refused
+// again.
+func (a *Admitter) drainTime() time.Duration {
+	return min(time.Duration(a.queue.len())*a.service.at(a.now)/time.Duration(a.ramp.limit), maxRetryAfter)
+}
+
 func (a *Admitter) occupied() int {
 	return len(a.running) + a.foreign
 }
