bench: separate random streams, repeat short slow periods

Cause: keyed figures changed by up to 50% when only the hedging of the other service changed, since both drew from one stream, and periods of 200 ms held too few requests for a 99.9th percentile. Each upstream and each arrival process has its own stream; 200 ms periods are run 11 times and 2 s periods twice.

--- a/bench/internal/load/load.go
+++ b/bench/internal/load/load.go
@@ -23,6 +23,8 @@
 	// parallel bounds the runs at the same time, because the machine is shared.
 	parallel = 4
 	warmUp   = 2 * time.Second
+	// runsPerSeed is more than the number of runs of any scenario, so that different seeds share no run.
+	runsPerSeed = 100
 )
 
 // Bounds of section 2 and 8 of the design page.
@@ -34,8 +36,11 @@
 	amplificationBound = 1.1
 )
 
-// scenario runs one situation and returns its figures by name.
-type scenario func(*world) []figure
+// scenario runs one situation and returns its figures by name. It makes a world for each of its seeds.
+type scenario func(user, builder) []figure
+
+// builder makes a world with one of the two routers, for the given run of a scenario.
+type builder func(user user, run uint64) *world
 
 type figure struct {
 	name    string
@@ -53,7 +58,7 @@
 
 // Measure runs all scenarios for both users and both routers.
 func Measure(seed uint64) []printer.Line {
-	scenarios := list(seed)
+	scenarios := list()
 	results := make([][2][]figure, len(scenarios))
 	slot := make(chan struct{}, parallel)
 	var group sync.WaitGroup
@@ -62,7 +67,9 @@
 			group.Go(func() {
 				slot <- struct{}{}
 				defer func() { <-slot }()
-				results[i][kind] = s.run(build(s.user, seed, kind == 1))
+				results[i][kind] = s.run(s.user, func(u user, run uint64) *world {
+					return build(u, seed*runsPerSeed+run, kind == 1)
+				})
 			})
 		}
 	}
@@ -100,11 +107,11 @@
 	return lines
 }
 
-func list(seed uint64) []namedScenario {
+func list() []namedScenario {
 	var all []namedScenario
 	for _, u := range users {
 		all = append(all,
-			namedScenario{"cold", u, coldPeak(u, seed)},
+			namedScenario{"cold", u, coldPeak},
 			namedScenario{"domain", u, domainLeaves},
 			namedScenario{"overload", u, overload},
 			namedScenario{"all-fail", u, allFail},
--- a/bench/internal/load/scenario.go
+++ b/bench/internal/load/scenario.go
@@ -10,26 +10,23 @@
 
 // coldPeak restarts an upstream of each service under load, with many seeds, and takes the highest ratio of requests
 // present to requests borne while it was cold.
-func coldPeak(u user, seed uint64) scenario {
-	return func(first *world) []figure {
-		_, withCores := first.router.(*ours)
-		peak, failed, count := 0.0, 0, 0
-		for i := range uint64(coldSeeds) {
-			w := build(u, seed*coldSeeds+i, withCores)
-			w.offer(load)
-			w.until(time.Second)
-			w.keyed[0].crash()
-			w.other[0].crash()
-			w.until(4 * time.Second)
-			peak = max(peak, w.keyed[0].peakRatio, w.other[0].peakRatio)
-			s := w.summarize(time.Second+restartTime, 3*time.Second, ofBoth)
-			failed += s.failed
-			count += s.count
-		}
-		return []figure{
-			{name: "peak-in-flight", value: peak, unit: "ratio", bound: coldBound, bounded: true},
-			{name: "failed-after-restart", value: float64(failed) / float64(count), unit: "share"},
-		}
+func coldPeak(u user, build builder) []figure {
+	peak, failed, count := 0.0, 0, 0
+	for run := range uint64(coldSeeds) {
+		w := build(u, run)
+		w.offer(load)
+		w.until(time.Second)
+		w.keyed[0].crash()
+		w.other[0].crash()
+		w.until(4 * time.Second)
+		peak = max(peak, w.keyed[0].peakRatio, w.other[0].peakRatio)
+		s := w.summarize(time.Second+restartTime, 3*time.Second, ofBoth)
+		failed += s.failed
+		count += s.count
+	}
+	return []figure{
+		{name: "peak-in-flight", value: peak, unit: "ratio", bound: coldBound, bounded: true},
+		{name: "failed-after-restart", value: float64(failed) / float64(count), unit: "share"},
 	}
 }
 
@@ -44,7 +41,8 @@
 )
 
 // domainLeaves takes a failure domain out of service, cleans it and lets it return.
-func domainLeaves(w *world) []figure {
+func domainLeaves(u user, build builder) []figure {
+	w := build(u, 0)
 	w.offer(load)
 	quietFrom, leave := warmUp, warmUp+5*time.Second
 	w.until(leave)
@@ -156,7 +154,8 @@
 }
 
 // overload offers twice the capacity.
-func overload(w *world) []figure {
+func overload(u user, build builder) []figure {
+	w := build(u, 0)
 	w.offer(2)
 	from, to := warmUp, warmUp+3*time.Second
 	w.until(to + deadline)
@@ -176,7 +175,8 @@
 }
 
 // allFail lets every upstream answer all requests with an error.
-func allFail(w *world) []figure {
+func allFail(u user, build builder) []figure {
+	w := build(u, 0)
 	w.offer(load)
 	w.until(warmUp)
 	for _, u := range w.all() {
@@ -199,11 +199,12 @@
 )
 
 // poison lets a caller send a request 20 times that crashes every upstream that runs it.
-func poison(w *world) []figure {
+func poison(u user, build builder) []figure {
+	w := build(u, 0)
 	w.offer(load)
 	w.until(warmUp)
 	for i := range poisonCount {
-		w.after(time.Duration(i)*poisonInterval, func() { w.send(false, true) })
+		w.after(time.Duration(i)*poisonInterval, func() { w.send(w.random, false, true) })
 	}
 	w.until(warmUp + poisonCount*poisonInterval + 2*deadline)
 	lost := 0
@@ -217,24 +218,25 @@
 	}
 }
 
-// slowed slows some upstreams of each service tenfold for a while.
+// slowed slows some upstreams of each service tenfold for a while. Short periods are repeated with several seeds, since a
+// single one has few requests.
 func slowed(count int, length time.Duration) scenario {
-	return func(w *world) []figure {
-		w.offer(load)
-		w.until(warmUp)
-		for i := range count {
-			for _, u := range []*upstream{w.keyed[i], w.other[i]} {
-				u.slowBy = 10
-				u.slowUntil = warmUp + length
-			}
-		}
+	return func(u user, build builder) []figure {
+		runs := 1 + uint64(2*time.Second/length)
 		end := warmUp + length + 500*time.Millisecond
-		sent, offered := servedBy(w.other), w.countOffered(ofOther)
-		w.until(end + deadline)
-		extra := float64(servedBy(w.other)-sent)/float64(w.countOffered(ofOther)-offered) - 1
+		all := &world{}
+		sent := 0
+		for run := range runs {
+			w := build(u, run)
+			sent += slowOnce(w, count, length, end)
+			all.samples = append(all.samples, w.samples...)
+		}
+		// Requests whose start lies in the period are compared with those that arrived at upstreams in the period.
+		other := all.summarize(warmUp, end, ofOther)
+		extra := float64(sent)/float64(other.count) - 1
 		figures := []figure{{name: "other-extra-load", value: extra, unit: "share", bound: hedgeBound, bounded: true}}
 		for _, service := range services {
-			s := w.summarize(warmUp, end, service.include)
+			s := all.summarize(warmUp, end, service.include)
 			figures = append(figures,
 				figure{name: service.name + "-p50", value: milliseconds(s.p50), unit: "ms"},
 				figure{name: service.name + "-p99", value: milliseconds(s.p99), unit: "ms"},
@@ -246,13 +248,20 @@
 	}
 }
 
-// countOffered counts the requests of a service that have an answer.
-func (w *world) countOffered(include func(sample) bool) int {
-	count := 0
-	for _, s := range w.samples {
-		if include(s) {
-			count++
+// slowOnce runs one world and returns the number of requests that arrived at the upstreams of the service not
+// partitioned by key.
+func slowOnce(w *world, count int, length, end time.Duration) int {
+	w.offer(load)
+	w.until(warmUp)
+	for i := range count {
+		for _, u := range []*upstream{w.keyed[i], w.other[i]} {
+			u.slowBy = 10
+			u.slowUntil = warmUp + length
 		}
 	}
-	return count
+	sent := servedBy(w.other)
+	w.until(end)
+	sent = servedBy(w.other) - sent
+	w.until(end + deadline)
+	return sent
 }
--- a/bench/internal/load/world.go
+++ b/bench/internal/load/world.go
@@ -71,7 +71,8 @@
 type world struct {
 	loop
 	user    user
-	random  *rand.Rand
+	random  *rand.Rand // for the routers
+	seed    uint64
 	keyed   []*upstream
 	other   []*upstream
 	owners  []*upstream // by slice ID; index 0 is unused
@@ -84,9 +85,10 @@
 }
 
 func newWorld(user user, seed uint64) *world {
-	w := &world{user: user, random: rand.New(rand.NewPCG(seed, 7))}
-	w.keyed = w.upstreams("keyed", user.keyed)
-	w.other = w.upstreams("other", user.other)
+	w := &world{user: user, seed: seed}
+	w.random = w.stream(routerStream)
+	w.keyed = w.upstreams("keyed", user.keyed, firstUpstream)
+	w.other = w.upstreams("other", user.other, firstUpstream+uint64(user.keyed))
 	w.owners = make([]*upstream, user.keyed*slicesPerUpstream+1)
 	w.epochs = make([]uint64, len(w.owners))
 	for slice := 1; slice < len(w.owners); slice++ {
@@ -99,7 +101,20 @@
 	return w
 }
 
-func (w *world) upstreams(prefix string, count int) []*upstream {
+// Streams of random numbers. They are separate, so that a change in the handling of one service does not change the
+// arrivals or the service times of the other.
+const (
+	routerStream uint64 = iota
+	keyedArrivals
+	otherArrivals
+	firstUpstream
+)
+
+func (w *world) stream(number uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(w.seed, number))
+}
+
+func (w *world) upstreams(prefix string, count int, stream uint64) []*upstream {
 	list := make([]*upstream, count)
 	for i := range list {
 		list[i] = &upstream{
@@ -135,46 +150,41 @@
 
 // offer starts Poisson arrivals for both services; load is a share of the capacity of all upstreams.
 func (w *world) offer(load float64) {
-	for _, keyed := range []bool{true, false} {
-		count := len(w.other)
-		if keyed {
-			count = len(w.keyed)
-		}
-		rate := load * float64(count*slots) / meanService.Seconds()
-		w.arrive(keyed, rate)
-	}
+	perSecond := load * slots / meanService.Seconds()
+	w.arrive(w.stream(keyedArrivals), true, perSecond*float64(len(w.keyed)))
+	w.arrive(w.stream(otherArrivals), false, perSecond*float64(len(w.other)))
 }
 
-func (w *world) arrive(keyed bool, rate float64) {
-	gap := time.Duration(w.random.ExpFloat64() / rate * float64(time.Second))
+func (w *world) arrive(random *rand.Rand, keyed bool, rate float64) {
+	gap := time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 	w.after(gap, func() {
 		if w.stopped {
 			return
 		}
-		w.send(keyed, false)
-		w.arrive(keyed, rate)
+		w.send(random, keyed, false)
+		w.arrive(random, keyed, rate)
 	})
 }
 
 // send lets a caller send one request to a random host: 60% are safe, 25% idempotent, 15% never repeated.
-func (w *world) send(keyed, poison bool) *request {
+func (w *world) send(random *rand.Rand, keyed, poison bool) *request {
 	w.nextID++
 	r := &request{
 		id:       w.nextID,
 		keyed:    keyed,
-		host:     w.random.IntN(hostCount),
+		host:     random.IntN(hostCount),
 		start:    w.now,
 		deadline: w.now + deadline,
 		poison:   poison,
 	}
-	switch draw := w.random.IntN(100); {
+	switch draw := random.IntN(100); {
 	case draw < 60:
 		r.class = configurator.Safe
 	case draw < 85:
 		r.class = configurator.Idempotent
 	}
 	if keyed {
-		r.slice = uint32(1 + w.random.IntN(len(w.owners)-1))
+		r.slice = uint32(1 + random.IntN(len(w.owners)-1))
 	}
 	w.offered++
 	w.after(deadline, func() { w.finish(r, false) })
