--- a/bench/internal/load/world.go
+++ b/bench/internal/load/world.go
@@ -119,7 +119,7 @@
 	for i := range list {
 		list[i] = &upstream{
 			loop:   &w.loop,
-			random: w.random,
+			random: w.stream(stream + uint64(i)),
 			name:   fmt.Sprint(prefix, "-", i),
 			index:  i,
 			domain: i % domainCount,
