balancer: renew the ejection when a trial was cancelled

Cause: a trial at an ejected straggler usually loses against its hedge and is cancelled. The ejection was not renewed then, so the next request became a trial at once.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -287,6 +287,9 @@
 		if took > t.latency.mean() {
 			t.latency.add(now, took)
 		}
+		if t.ejected && now >= t.ejectedUntil {
+			t.eject(now) // the hedge of a trial was faster
+		}
 	}
 }
 
--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -217,3 +217,18 @@
 	}
 	assert.Assert(t, h.quantile(0.999) < 2*ms)
 }
+
+// Guards against a straggler that gets one trial after the other because hedges answer before the trials do.
+func TestCancelledTrial(t *testing.T) {
+	b := New(Options{Seed: 1})
+	b.SetTargets(0, targets(9))
+	b.targets[0].eject(0)
+	now := b.targets[0].ejectedUntil
+	trial, _ := b.Pick(now, configurator.Safe, nil)
+	assert.Equal(t, trial.Upstream, "u0")
+	b.Observe(now+20*ms, Ended{Attempt: trial, Outcome: Cancelled})
+	for range 100 {
+		picked, _ := b.Pick(now+20*ms, configurator.Safe, nil)
+		assert.Assert(t, picked.Upstream != "u0")
+	}
+}
