Measure placement against modulo and consistent hashing

The figures are needed before the assigner is tuned. The simulator samples Zipf(0.99) requests at half load, moves 4 slices at once in 1.5 s each, and ramps cold upstreams by 25 successes a slot.

--- /dev/null
+++ b/bench/internal/placement/domain.go
@@ -0,0 +1,170 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"rhubarbtrack.example/bench/internal/printer"
+	"rhubarbtrack.example/core/assigner"
+	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/planner"
+)
+
+// balanced is the imbalance over the least possible at which a return counts as finished.
+const balanced = 1 + assigner.StartTolerance
+
+// domainOutAndBack runs a cleaning window of one failure domain. The naive version is plain consistent hashing of the
+// slices, which starts at the start of the window and gives returned upstreams their full share at once.
+func domainOutAndBack(sim *simulator) []printer.Line {
+	const domain = "1"
+	origin := time.Date(2026, 6, 6, 23, 55, 0, 0, time.UTC).Add(-sim.now)
+	start := time.Date(2026, 6, 7, 0, 0, 0, 0, time.UTC)
+	windows := map[string]configurator.Window{"cleaning": {FailureDomain: domain, Weekday: time.Sunday,
+		Length: 5 * time.Minute, TimeZone: "UTC"}}
+	p := planner.New(sim.pace, func(string) (*time.Location, error) { return time.UTC, nil })
+	var takenOut, emptied, returned, finished time.Time
+	var movesOut, movesBack int
+	outRing, backRing := sim.naiveDomain(domain)
+	sim.transfers = 0
+	for finished.IsZero() && sim.now < settling+20*time.Minute {
+		sim.step()
+		now := origin.Add(sim.now)
+		for _, action := range p.Step(now, sim.status(), windows) {
+			switch action.Kind {
+			case planner.TakeOut:
+				takenOut = now
+				sim.transfers = 0
+				sim.setDomain(domain, assigner.TakenOut)
+			case planner.Emptied:
+				emptied = now
+			case planner.Return:
+				returned = now
+				movesOut, sim.transfers, sim.excess = sim.transfers, 0, 0
+				sim.setDomain(domain, assigner.Cold)
+			}
+		}
+		if !returned.IsZero() && sim.warm(domain) && sim.imbalance(sim.loads()) <= sim.least()*balanced {
+			finished = now
+			movesBack = sim.transfers
+		}
+	}
+	rounds := func(moves int) float64 {
+		return float64((moves+sim.pace.Parallel-1)/sim.pace.Parallel) * sim.pace.Move.Seconds()
+	}
+	return []printer.Line{
+		{Measure: "domain-out-moves", Naive: float64(outRing.moves), Ours: float64(movesOut), Unit: "moves"},
+		{Measure: "domain-out-time", Naive: rounds(outRing.moves), Ours: emptied.Sub(takenOut).Seconds(), Unit: "s"},
+		{Measure: "domain-empty-before-window", Naive: -rounds(outRing.moves), Ours: start.Sub(emptied).Seconds(),
+			Bound: 0, HasBound: true, AtLeast: true, Unit: "s"},
+		{Measure: "domain-back-moves", Naive: float64(backRing.moves), Ours: float64(movesBack), Unit: "moves"},
+		{Measure: "domain-back-time", Naive: rounds(backRing.moves), Ours: finished.Sub(returned).Seconds(), Unit: "s"},
+		{Measure: "cold-upstream-excess-load", Naive: backRing.excess, Ours: max(0, sim.excess), Bound: 0, HasBound: true,
+			Unit: "slots"},
+	}
+}
+
+// change is what the naive version does when a domain leaves or returns.
+type change struct {
+	moves  int
+	excess float64 // highest load of a cold upstream beyond its capacity
+}
+
+func (s *simulator) naiveDomain(domain string) (out, back change) {
+	var all, rest []string
+	for _, u := range s.upstreams {
+		all = append(all, u.Name)
+		if u.FailureDomain != domain {
+			rest = append(rest, u.Name)
+		}
+	}
+	before, after := ring(all), ring(rest)
+	loads := map[string]float64{}
+	for i, slice := range s.table.Ranges {
+		loads[before(slice.Low)] += s.sums[s.end(i)] - s.sums[s.first(slice.Low)]
+		if before(slice.Low) != after(slice.Low) {
+			out.moves++
+			back.moves++
+		}
+	}
+	for _, u := range s.upstreams {
+		if u.FailureDomain == domain {
+			back.excess = max(back.excess, loads[u.Name]-1)
+		}
+	}
+	return out, back
+}
+
+func (s *simulator) warm(domain string) bool {
+	for _, u := range s.upstreams {
+		if u.FailureDomain == domain && u.State != assigner.InService {
+			return false
+		}
+	}
+	return true
+}
+
+// status describes the simulated fleet to the planner.
+func (s *simulator) status() planner.Status {
+	status := planner.Status{Demand: map[string]float64{s.name: s.total()}}
+	owned := map[string]int{}
+	for _, slice := range s.table.Ranges {
+		owned[slice.Owner]++
+	}
+	for _, slice := range s.table.Hot {
+		owned[slice.Owner]++
+	}
+	for _, u := range s.upstreams {
+		status.Upstreams = append(status.Upstreams, planner.Upstream{Name: u.Name, Service: s.name,
+			FailureDomain: u.FailureDomain, Slots: slots, Capacity: int(u.Capacity), Serving: u.State != assigner.Lost,
+			Slices: owned[u.Name]})
+	}
+	return status
+}
+
+// shortfalls generates fleets with a known number of missing slots and counts wrong verdicts. The naive version compares
+// the demand with the slots outside the domain and ignores cold and drained upstreams and retries.
+func shortfalls(seed uint64) printer.Line {
+	const cases = 1000
+	random := rand.New(rand.NewPCG(seed, 0))
+	wrong, wrongNaive := 0, 0
+	for range cases {
+		missing := random.IntN(21) - 10
+		status, nominal := fleetLacking(random, missing)
+		found := 0
+		for _, s := range planner.New(planner.DefaultPace, nil).Shortfalls(status, "0") {
+			found += s.Missing()
+		}
+		if found != max(0, missing) {
+			wrong++
+		}
+		if max(0, int(status.Demand["s"])-nominal) != max(0, missing) {
+			wrongNaive++
+		}
+	}
+	return printer.Line{Measure: "capacity-shortfall-errors", Naive: float64(wrongNaive) / cases,
+		Ours: float64(wrong) / cases, Bound: 0, HasBound: true, Unit: "share", Seed: seed}
+}
+
+// fleetLacking returns a fleet in which a service lacks the given number of slots when domain 0 is taken out, and the
+// nominal slots outside that domain.
+func fleetLacking(random *rand.Rand, missing int) (planner.Status, int) {
+	status := planner.Status{}
+	available, nominal := 0, 0
+	for i := range 30 {
+		u := planner.Upstream{Service: "s", FailureDomain: string(rune('0' + i%domains)), Slots: slots, Capacity: slots,
+			Serving: random.IntN(10) > 0}
+		if random.IntN(10) == 0 {
+			u.Capacity = 1 + random.IntN(slots-1)
+		}
+		status.Upstreams = append(status.Upstreams, u)
+		if u.FailureDomain == "0" {
+			continue
+		}
+		nominal += slots
+		if u.Serving {
+			available += u.Capacity
+		}
+	}
+	status.Demand = map[string]float64{"s": float64(available+missing) / planner.Headroom}
+	return status, nominal
+}
--- /dev/null
+++ b/bench/internal/placement/placement.go
@@ -0,0 +1,207 @@
+// Package placement measures where slices go: imbalance, churn, hot keys, and failure domains that leave and return.
+//
+// The upstreams of the two users' keyed services and of a service with 600 upstreams are simulated with sampled requests
+// for Zipf keys. The baselines are hash modulo the live upstreams and plain consistent hashing.
+//
+// # Usage
+//
+//	for _, line := range placement.Measure(1) {
+//		printer.Print(os.Stdout, line)
+//	}
+package placement
+
+import (
+	"time"
+
+	"rhubarbtrack.example/bench/internal/printer"
+	"rhubarbtrack.example/core/assigner"
+	"rhubarbtrack.example/core/hasher"
+)
+
+const (
+	settling = 2 * time.Minute // until loads are measured and balanced
+	// ringPoints is the number of points of an upstream in plain consistent hashing, equal to our number of ranges.
+	ringPoints = perUpstream
+	// isolationBound is the requirement that hot keys, which change within minutes, are isolated within minutes.
+	isolationBound = 120
+)
+
+var sizes = []size{
+	{"library", 20, 200_000, 1},
+	{"wholesaler", 18, 200_000, 1},
+	{"600-upstreams", 600, 1_000_000, 0.1},
+}
+
+// Measure returns the figures of all sizes.
+func Measure(seed uint64) []printer.Line {
+	var lines []printer.Line
+	for _, s := range sizes {
+		lines = append(lines, measure(s, seed)...)
+	}
+	return append(lines, shortfalls(seed))
+}
+
+func measure(s size, seed uint64) []printer.Line {
+	sim := newSimulator(s, seed)
+	sim.run(settling)
+	lines := imbalance(sim)
+	lines = append(lines, churn(sim)...)
+	lines = append(lines, hotKeys(sim)...)
+	lines = append(lines, domainOutAndBack(newSettled(s, seed))...)
+	for i := range lines {
+		lines[i].Measure += "-" + s.name
+		lines[i].Seed = seed
+	}
+	return lines
+}
+
+func newSettled(s size, seed uint64) *simulator {
+	sim := newSimulator(s, seed)
+	sim.run(settling)
+	return sim
+}
+
+// naive is an assignment that depends on the live upstreams only.
+type naive func(live []string) func(hash uint64) string
+
+func modulo(live []string) func(uint64) string {
+	return func(hash uint64) string { return assigner.Modulo(hash, live) }
+}
+
+func ring(live []string) func(uint64) string {
+	return assigner.NewRing(live, ringPoints).Owner
+}
+
+// imbalance compares the highest with the mean load.
+func imbalance(sim *simulator) []printer.Line {
+	ours := sim.imbalance(sim.loads())
+	line := func(name string, owner func(uint64) string) printer.Line {
+		return printer.Line{Measure: name, Naive: sim.imbalance(sim.naiveLoads(owner)), Ours: ours, Unit: "max/mean"}
+	}
+	live := sim.serving()
+	ringLoad := sim.imbalance(sim.naiveLoads(ring(live)))
+	return []printer.Line{
+		line("imbalance-against-modulo", modulo(live)),
+		line("imbalance-against-ring", ring(live)),
+		{Measure: "imbalance-over-least", Naive: ringLoad / sim.least(), Ours: ours / sim.least(), Unit: "ratio"},
+	}
+}
+
+func (s *simulator) naiveLoads(owner func(uint64) string) map[string]float64 {
+	loads := map[string]float64{}
+	for _, k := range s.keys {
+		loads[owner(k.hash)] += k.load
+	}
+	return loads
+}
+
+// churn loses an upstream and gets it back, and counts the share of keys that move beyond the least possible: the keys
+// of the lost upstream, and the mean number of keys of an upstream for the returned one.
+func churn(sim *simulator) []printer.Line {
+	all := sim.serving()
+	lost := sim.upstreams[1]
+	before := sim.owners()
+	sim.set(lost, assigner.Lost)
+	sim.run(settling)
+	after := sim.owners()
+	live := sim.serving()
+	leaves := changed(before, after) - share(before, lost.Name)
+	sim.set(lost, assigner.Cold)
+	sim.run(settling)
+	returns := max(0, changed(after, sim.owners())-1/float64(len(all)))
+	line := func(name string, ours float64, version naive, from, to []string) printer.Line {
+		first, second := sim.naiveOwners(version(from)), sim.naiveOwners(version(to))
+		least := share(first, lost.Name)
+		if len(to) > len(from) {
+			least = 1 / float64(len(to))
+		}
+		return printer.Line{Measure: name, Naive: max(0, changed(first, second)-least), Ours: ours, Unit: "key-share"}
+	}
+	return []printer.Line{
+		line("churn-upstream-leaves-against-modulo", leaves, modulo, all, live),
+		line("churn-upstream-leaves-against-ring", leaves, ring, all, live),
+		line("churn-upstream-returns-against-modulo", returns, modulo, live, all),
+		line("churn-upstream-returns-against-ring", returns, ring, live, all),
+	}
+}
+
+func (s *simulator) naiveOwners(owner func(uint64) string) []string {
+	all := make([]string, len(s.keys))
+	for i, k := range s.keys {
+		all[i] = owner(k.hash)
+	}
+	return all
+}
+
+// changed returns the share of keys with another owner.
+func changed(before, after []string) float64 {
+	count := 0
+	for i := range before {
+		if before[i] != after[i] {
+			count++
+		}
+	}
+	return float64(count) / float64(len(before))
+}
+
+// share returns the share of keys that belong to owner.
+func share(owners []string, owner string) float64 {
+	count := 0
+	for _, name := range owners {
+		if name == owner {
+			count++
+		}
+	}
+	return float64(count) / float64(len(owners))
+}
+
+// hotKeys replaces the hottest 120 keys and measures the time until those with twice the load that deserves isolation
+// have a slice of their own, at most 256 of them, and until those that cooled down are folded. The naive versions
+// isolate nothing; their figure is the length of the measurement.
+func hotKeys(sim *simulator) []printer.Line {
+	const hottest, limit = 120, 5 * time.Minute
+	old := map[string]bool{}
+	for name := range sim.table.Hot {
+		old[name] = true
+	}
+	changedKeys := sim.changeHottest(hottest)
+	threshold := 2 * assigner.IsolateShare * sim.total() / float64(len(sim.serving()))
+	for _, k := range changedKeys {
+		delete(old, k.name)
+	}
+	start := sim.now
+	isolated, folded := limit, limit
+	for sim.now-start < limit && (isolated == limit || folded == limit) {
+		sim.step()
+		if isolated == limit && sim.allHot(changedKeys, threshold) {
+			isolated = sim.now - start
+		}
+		if folded == limit && sim.noneHot(old) {
+			folded = sim.now - start
+		}
+	}
+	return []printer.Line{
+		{Measure: "hot-key-isolation-time", Naive: limit.Seconds(), Ours: isolated.Seconds(), Bound: isolationBound,
+			HasBound: true, Unit: "s"},
+		{Measure: "hot-key-fold-time", Naive: limit.Seconds(), Ours: folded.Seconds(), Unit: "s"},
+	}
+}
+
+func (s *simulator) allHot(keys []key, threshold float64) bool {
+	for _, k := range keys {
+		if _, hot := s.table.Hot[k.name]; !hot && k.load >= threshold {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *simulator) noneHot(names map[string]bool) bool {
+	for name := range names {
+		if _, hot := s.table.Hot[name]; hot && s.keys[s.first(hasher.Sum(name))].load < assigner.FoldShare*
+			s.total()/float64(len(s.serving())) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/bench/internal/placement/simulator.go
@@ -0,0 +1,361 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"rhubarbtrack.example/core/assigner"
+	"rhubarbtrack.example/core/hasher"
+	"rhubarbtrack.example/core/planner"
+	"rhubarbtrack.example/core/slicer"
+)
+
+const (
+	tick        = 500 * time.Millisecond
+	planEvery   = 5 * time.Second
+	halfLife    = 30 * time.Second // of measured loads
+	slots       = 6                // of each upstream
+	utilisation = 0.5              // load over slots while every upstream serves
+	requestTime = 20 * time.Millisecond
+	rampSteps   = 25 // successes for one more slot of a cold upstream
+	perUpstream = 16 // ranges
+	counters    = 128
+	domains     = 3
+	zipf        = 0.99
+)
+
+// size is a fleet to measure.
+type size struct {
+	name      string
+	upstreams int
+	keys      int
+	sampled   float64 // part of the requests that is simulated; each stands for 1/sampled
+}
+
+// key is a key with its position and its load in slots.
+type key struct {
+	name string
+	hash uint64
+	load float64
+}
+
+// upstream is a simulated upstream with its admission host.
+type upstream struct {
+	assigner.Upstream
+	successes float64 // at the present capacity
+	sketch    *assigner.Sketch
+}
+
+// running is a move with the time at which it is done.
+type running struct {
+	assigner.Move
+	done time.Duration
+}
+
+// simulator runs the assigner against sampled requests. Moves take the time of pace, at most pace.Parallel at once.
+type simulator struct {
+	size
+	random    *rand.Rand
+	now       time.Duration
+	planned   time.Duration
+	keys      []key     // by hash
+	sums      []float64 // load of the keys before each index
+	ranks     []int     // index in keys of each rank
+	bounds    []float64 // cumulated load of the ranks
+	table     slicer.Table
+	upstreams []*upstream
+	byName    map[string]*upstream
+	measured  map[uint32]float64
+	churn     *assigner.Churn
+	pace      planner.Pace
+	waiting   []assigner.Move
+	active    []running
+	transfers int
+	excess    float64 // highest exact load of a cold upstream beyond its capacity
+}
+
+func newSimulator(s size, seed uint64) *simulator {
+	sim := &simulator{size: s, random: rand.New(rand.NewPCG(seed, uint64(s.upstreams))), byName: map[string]*upstream{},
+		table: slicer.New(s.name, perUpstream*s.upstreams), measured: map[uint32]float64{}, pace: planner.DefaultPace}
+	sim.churn = assigner.NewChurn(0, float64(4*s.upstreams), float64(s.upstreams))
+	if s.upstreams > 32 {
+		sim.pace.Parallel *= s.upstreams / 32 // one controller for each group of 32
+	}
+	for i := range s.upstreams {
+		added := &upstream{Upstream: assigner.Upstream{Name: fmt.Sprintf("upstream-%03d", i),
+			FailureDomain: fmt.Sprint(i % domains), Slots: slots, Capacity: slots},
+			sketch: assigner.NewSketch(counters, halfLife)}
+		sim.upstreams = append(sim.upstreams, added)
+		sim.byName[added.Name] = added
+	}
+	sim.addKeys()
+	for _, move := range sim.plan() {
+		sim.apply(move)
+	}
+	sim.transfers = 0
+	return sim
+}
+
+func (s *simulator) addKeys() {
+	for i := range s.size.keys {
+		name := fmt.Sprintf("key-%d", i)
+		s.keys = append(s.keys, key{name: name, hash: hasher.Sum(name)})
+	}
+	slices.SortFunc(s.keys, func(x, y key) int { return cmp.Compare(x.hash, y.hash) })
+	s.ranks = s.random.Perm(len(s.keys))
+	s.spread()
+}
+
+// spread gives the keys the load of their rank.
+func (s *simulator) spread() {
+	total := 0.0
+	s.bounds = s.bounds[:0]
+	for rank := range s.ranks {
+		total += math.Pow(float64(rank+1), -zipf)
+		s.bounds = append(s.bounds, total)
+	}
+	unit := utilisation * slots * float64(s.size.upstreams) / total
+	for rank, index := range s.ranks {
+		s.keys[index].load = math.Pow(float64(rank+1), -zipf) * unit
+	}
+	s.sums = append(s.sums[:0], 0)
+	for i, k := range s.keys {
+		s.sums = append(s.sums, s.sums[i]+k.load)
+	}
+}
+
+// changeHottest swaps the hottest keys with keys of random ranks and returns the new ones.
+func (s *simulator) changeHottest(count int) []key {
+	for rank := range count {
+		other := count + s.random.IntN(len(s.ranks)-count)
+		s.ranks[rank], s.ranks[other] = s.ranks[other], s.ranks[rank]
+	}
+	s.spread()
+	var hottest []key
+	for _, index := range s.ranks[:count] {
+		hottest = append(hottest, s.keys[index])
+	}
+	return hottest
+}
+
+// run simulates the time.
+func (s *simulator) run(length time.Duration) {
+	for end := s.now + length; s.now < end; {
+		s.step()
+	}
+}
+
+func (s *simulator) step() {
+	s.now += tick
+	s.request()
+	s.finish()
+	s.ramp()
+	if s.now-s.planned < planEvery {
+		return
+	}
+	s.planned = s.now
+	moves := s.plan()
+	s.churn.Spend(s.now, moves)
+	s.waiting = append(s.waiting, moves...)
+}
+
+// request samples the requests of one tick and updates the measured loads.
+func (s *simulator) request() {
+	rate := s.total() / requestTime.Seconds()
+	sampled := int(rate * tick.Seconds() * s.sampled)
+	slotTime := time.Duration(float64(requestTime) / s.sampled)
+	seen := map[uint32]int{}
+	for range sampled {
+		rank, _ := slices.BinarySearch(s.bounds, s.random.Float64()*s.bounds[len(s.bounds)-1])
+		k := s.keys[s.ranks[min(rank, len(s.ranks)-1)]]
+		slice, _ := s.table.Lookup(k.name)
+		seen[slice.ID]++
+		if owner := s.byName[slice.Owner]; owner != nil && owner.State.Serves() {
+			owner.sketch.Observe(s.now, k.name, slotTime)
+		}
+	}
+	keep := math.Exp2(-tick.Seconds() / halfLife.Seconds())
+	for id := range s.measured {
+		s.measured[id] *= keep
+	}
+	for id, count := range seen {
+		s.measured[id] += (1 - keep) * float64(count) * slotTime.Seconds() / tick.Seconds()
+	}
+}
+
+// finish applies the moves that are done and starts waiting ones.
+func (s *simulator) finish() {
+	var left []running
+	for _, move := range s.active {
+		if move.done <= s.now {
+			s.apply(move.Move)
+			continue
+		}
+		left = append(left, move)
+	}
+	s.active = left
+	for len(s.waiting) > 0 && len(s.active) < s.pace.Parallel {
+		s.active = append(s.active, running{s.waiting[0], s.now + s.pace.Move})
+		s.waiting = s.waiting[1:]
+	}
+}
+
+// apply carries out a move. An isolated key takes its load along from the measure of its range.
+func (s *simulator) apply(move assigner.Move) {
+	if move.Apply(&s.table) != nil {
+		return
+	}
+	switch move.Kind {
+	case assigner.Transfer:
+		s.transfers++
+	case assigner.Isolate:
+		load := 0.0
+		for _, known := range s.byName[move.From].sketch.Top(s.now, counters) {
+			if known.Key == move.Key {
+				load = known.Load
+			}
+		}
+		s.measured[s.table.Hot[move.Key].ID] = load
+		s.measured[move.Slice] = max(0, s.measured[move.Slice]-load)
+	case assigner.Fold:
+		s.measured[move.Home] += s.measured[move.Slice]
+		delete(s.measured, move.Slice)
+	}
+}
+
+// ramp raises the capacity of cold upstreams by their successes and records loads beyond it.
+func (s *simulator) ramp() {
+	isCold := func(u *upstream) bool { return u.State == assigner.Cold }
+	if !slices.ContainsFunc(s.upstreams, isCold) {
+		return
+	}
+	loads := s.loads()
+	for _, u := range s.upstreams {
+		if u.State != assigner.Cold {
+			continue
+		}
+		load := loads[u.Name]
+		s.excess = max(s.excess, load-u.Capacity)
+		u.successes += min(load, u.Capacity) * tick.Seconds() / requestTime.Seconds()
+		if u.successes < rampSteps {
+			continue
+		}
+		u.successes = 0
+		u.Capacity++
+		if u.Capacity == slots {
+			u.State = assigner.InService
+		}
+	}
+}
+
+func (s *simulator) plan() []assigner.Move {
+	in := assigner.Input{Table: &s.table, SliceLoad: s.measured, Moving: s.moving(), Budget: s.churn.Available(s.now)}
+	for _, u := range s.upstreams {
+		in.Upstreams = append(in.Upstreams, u.Upstream)
+		in.KeyLoad = append(in.KeyLoad, u.sketch.Top(s.now, counters)...)
+	}
+	return assigner.Plan(s.now, in)
+}
+
+func (s *simulator) moving() map[uint32]string {
+	moving := map[uint32]string{}
+	for _, move := range s.waiting {
+		for _, id := range move.Slices() {
+			moving[id] = move.To
+		}
+	}
+	for _, move := range s.active {
+		for _, id := range move.Slices() {
+			moving[id] = move.To
+		}
+	}
+	return moving
+}
+
+// setDomain changes the state of all upstreams of a failure domain.
+func (s *simulator) setDomain(domain string, state assigner.State) {
+	for _, u := range s.upstreams {
+		if u.FailureDomain == domain {
+			s.set(u, state)
+		}
+	}
+}
+
+func (s *simulator) set(u *upstream, state assigner.State) {
+	u.State, u.Capacity, u.successes = state, slots, 0
+	if state == assigner.Cold {
+		u.Capacity = 1
+	}
+	u.sketch = assigner.NewSketch(counters, halfLife)
+}
+
+// total returns the exact load of all keys.
+func (s *simulator) total() float64 {
+	return s.sums[len(s.sums)-1]
+}
+
+// loads returns the exact load of each upstream.
+func (s *simulator) loads() map[string]float64 {
+	loads := map[string]float64{}
+	for i, slice := range s.table.Ranges {
+		loads[slice.Owner] += s.sums[s.end(i)] - s.sums[s.first(slice.Low)]
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.table.Hot)) { // sums of floats depend on the order
+		hot := s.table.Hot[name]
+		home, _ := s.table.RangeOf(hot.Low)
+		load := s.keys[s.first(hot.Low)].load
+		loads[home.Owner] -= load
+		loads[hot.Owner] += load
+	}
+	return loads
+}
+
+// first returns the index of the first key whose hash is not below the given one.
+func (s *simulator) first(hash uint64) int {
+	at, _ := slices.BinarySearchFunc(s.keys, hash, func(k key, hash uint64) int { return cmp.Compare(k.hash, hash) })
+	return at
+}
+
+// end returns the index after the last key of the range at index i.
+func (s *simulator) end(i int) int {
+	if i+1 == len(s.table.Ranges) {
+		return len(s.keys)
+	}
+	return s.first(s.table.Ranges[i+1].Low)
+}
+
+// owners returns the owner of every key, in the order of keys.
+func (s *simulator) owners() []string {
+	all := make([]string, len(s.keys))
+	for i, k := range s.keys {
+		slice, _ := s.table.Lookup(k.name)
+		all[i] = slice.Owner
+	}
+	return all
+}
+
+// serving returns the names of the upstreams that serve.
+func (s *simulator) serving() []string {
+	var names []string
+	for _, u := range s.upstreams {
+		if u.State.Serves() {
+			names = append(names, u.Name)
+		}
+	}
+	return names
+}
+
+// imbalance returns the highest load over the mean load of the serving upstreams.
+func (s *simulator) imbalance(loads map[string]float64) float64 {
+	return slices.Max(slices.Collect(maps.Values(loads))) / s.total() * float64(len(s.serving()))
+}
+
+// least returns the lowest imbalance that any assignment can have, since the hottest key has one owner.
+func (s *simulator) least() float64 {
+	return max(1, s.keys[s.ranks[0]].load/s.total()*float64(len(s.serving())))
+}
--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -75,7 +75,7 @@
 	Upstreams []Upstream
 	SliceLoad map[uint32]float64 // by slice, hot keys included
 	KeyLoad   []KeyLoad          // heaviest keys, from the Sketch of each admission host, in any order
-	Moving    map[uint32]string  // target of each slice whose move has not finished
+	Moving    map[uint32]string  // To of each slice (Move.Slices) whose move has not finished
 	Budget    int                // moves that may be made by choice; moves off upstreams that do not serve are free
 }
 
@@ -115,6 +115,7 @@
 type Move struct {
 	Kind   Kind
 	Slice  uint32
+	Home   uint32 // for Fold: the range that takes the key
 	Key    string // for Isolate and Fold
 	From   string // owner before, may be empty
 	To     string // owner after
@@ -145,6 +146,14 @@
 	return append(moves, board.balance(in.Budget-Voluntary(moves))...)
 }
 
+// Slices returns the slices that change their owner or their set of keys.
+func (m Move) Slices() []uint32 {
+	if m.Kind == Fold {
+		return []uint32{m.Slice, m.Home}
+	}
+	return []uint32{m.Slice}
+}
+
 // Apply makes the change in the table. It returns an error of slicer without a change if the table no longer fits, for
 // instance because the slice has another owner than From.
 func (m Move) Apply(table *slicer.Table) error {
--- a/core/assigner/board.go
+++ b/core/assigner/board.go
@@ -236,6 +236,9 @@
 			if i := bestItem(donor, taker, mean); i != nil {
 				return b.move(i, donor, taker), true
 			}
+			if taker.State == InService {
+				break // heavier takers leave no lower maximum
+			}
 		}
 	}
 	return Move{}, false
--- a/core/assigner/hot.go
+++ b/core/assigner/hot.go
@@ -45,8 +45,8 @@
 			folded++
 			i.fixed = true
 			b.all[home.ID].fixed = true
-			moves = append(moves, Move{Kind: Fold, Slice: hot.ID, Key: hot.HotKey, From: hot.Owner, To: hot.Owner,
-				Reason: CooledKey})
+			moves = append(moves, Move{Kind: Fold, Slice: hot.ID, Home: home.ID, Key: hot.HotKey, From: hot.Owner,
+				To: hot.Owner, Reason: CooledKey})
 			continue
 		}
 		if spent == b.budget || !b.byName[home.Owner].fits(i.load) {
