Balance towards a level that saturated upstreams do not distort

An upstream whose hottest key alone exceeds the mean load can never come within the tolerance, so balancing ran at every call and followed the noise of the measured loads. The level now leaves such keys and their upstreams out.

At 600 upstreams the simulator samples one request in ten, and the noise of that still causes moves.

--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -128,10 +128,10 @@
 	LastingStraggler = 30 * time.Second
 	// StragglerShare is the part of its slots that a lasting straggler is expected to bear.
 	StragglerShare = 0.5
-	// StartTolerance is the deviation from the mean relative load at which balancing starts, as a share of the mean.
+	// StartTolerance is the deviation from the level at which balancing starts, as a share of the level.
 	// The gap to StopTolerance keeps noise in the measured load from causing moves.
 	StartTolerance = 0.10
-	// StopTolerance is the deviation at which balancing stops, as a share of the mean.
+	// StopTolerance is the deviation at which balancing stops, as a share of the level.
 	StopTolerance = 0.03
 	// CountWeight is the part of the mean slice load that every slice weighs beyond its own load, so that idle slices
 	// are spread as well.
--- a/core/assigner/board.go
+++ b/core/assigner/board.go
@@ -23,6 +23,8 @@
 	load      float64
 	weight    float64
 	straggles bool // slow for LastingStraggler
+	heaviest  float64
+	saturated bool // its heaviest item alone is above the level
 }
 
 // slots returns the load that the seat should be measured against.
@@ -64,7 +66,6 @@
 	loose  []*item // items without an owner that serves, heaviest first
 	all    map[uint32]*item
 	total  float64 // load
-	slots  float64 // of all seats
 	budget int
 }
 
@@ -98,7 +99,6 @@
 		s := &seat{Upstream: upstream, straggles: lasting}
 		b.seats = append(b.seats, s)
 		b.byName[upstream.Name] = s
-		b.slots += s.slots()
 	}
 	slices.SortFunc(b.seats, func(x, y *seat) int { return cmp.Compare(x.Name, y.Name) })
 }
@@ -170,13 +170,34 @@
 	return best
 }
 
-// mean returns the weight per slot over all seats.
-func (b *board) mean() float64 {
-	weight := 0.0
+// level returns the weight per slot that every seat would have if items could be cut at will. A seat with one item above
+// that level is saturated: the item is set aside with its seat, and the level of the others is computed anew. Otherwise
+// one very hot key would keep the level out of reach and balancing would never rest.
+func (b *board) level() float64 {
+	weight, slots := 0.0, 0.0
 	for _, s := range b.seats {
+		s.heaviest = 0
+		for _, i := range s.items {
+			s.heaviest = max(s.heaviest, i.weight)
+		}
 		weight += s.weight
+		slots += s.slots()
+	}
+	for again := true; again && slots > 0; {
+		again = false
+		for _, s := range b.seats {
+			if !s.saturated && s.heaviest*slots > weight*s.slots() {
+				s.saturated = true
+				weight -= s.heaviest
+				slots -= s.slots()
+				again = true
+			}
+		}
+	}
+	if slots <= 0 {
+		return 0
 	}
-	return weight / b.slots
+	return weight / slots
 }
 
 // balance moves items from heavy to light seats, at most budget of them.
@@ -184,13 +205,13 @@
 	if len(b.seats) < 2 {
 		return nil
 	}
-	mean := b.mean()
-	if mean == 0 || !b.outside(mean, StartTolerance) {
+	level := b.level()
+	if level <= 0 || !b.outside(level, StartTolerance) {
 		return nil
 	}
 	var moves []Move
-	for len(moves) < budget && b.outside(mean, StopTolerance) {
-		move, ok := b.step(mean)
+	for len(moves) < budget && b.outside(level, StopTolerance) {
+		move, ok := b.step(level)
 		if !ok {
 			return moves
 		}
@@ -200,18 +221,26 @@
 }
 
 // outside reports whether a seat that can give is above, or one that can take is below the tolerated band.
-func (b *board) outside(mean, tolerance float64) bool {
+func (b *board) outside(level, tolerance float64) bool {
 	for _, s := range b.seats {
-		if s.gives() && s.relative(0) > mean*(1+tolerance) {
+		if s.gives() && s.surplus(level) > level*tolerance {
 			return true
 		}
-		if s.takes() && s.relative(0) < mean*(1-tolerance) {
+		if s.takes() && s.relative(0) < level*(1-tolerance) {
 			return true
 		}
 	}
 	return false
 }
 
+// surplus returns the weight per slot that should be moved away.
+func (s *seat) surplus(level float64) float64 {
+	if s.saturated {
+		return s.relative(-s.heaviest)
+	}
+	return s.relative(0) - level
+}
+
 // gives reports whether items may be moved off the seat by choice. A cold upstream keeps its slices, since it will be
 // warm again sooner than moves and their return would take; a straggler keeps them until it has lasted.
 func (s *seat) gives() bool {
@@ -220,20 +249,23 @@
 
 // takes reports whether items may be moved to the seat by choice.
 func (s *seat) takes() bool {
-	return !s.Straggling && (s.State == InService || s.load < s.Capacity)
+	return !s.Straggling && !s.saturated && (s.State == InService || s.load < s.Capacity)
 }
 
 // step makes the best single move from the heaviest seat that has one.
-func (b *board) step(mean float64) (Move, bool) {
+func (b *board) step(level float64) (Move, bool) {
 	donors := b.ranked((*seat).gives)
 	slices.Reverse(donors)
 	takers := b.ranked((*seat).takes)
 	for _, donor := range donors {
+		if donor.surplus(level) <= 0 {
+			continue
+		}
 		for _, taker := range takers {
 			if taker == donor || taker.relative(0) >= donor.relative(0) {
 				break
 			}
-			if i := bestItem(donor, taker, mean); i != nil {
+			if i := bestItem(donor, taker, level); i != nil {
 				return b.move(i, donor, taker), true
 			}
 			if taker.State == InService {
@@ -258,8 +290,8 @@
 
 // bestItem returns the item of donor whose move leaves the lower maximum of both seats, or nil when none lowers it by
 // a quarter of the stop tolerance.
-func bestItem(donor, taker *seat, mean float64) *item {
-	limit := donor.relative(0) - StopTolerance/4*mean
+func bestItem(donor, taker *seat, level float64) *item {
+	limit := donor.relative(0) - StopTolerance/4*level
 	var best *item
 	for _, i := range donor.items {
 		if i.fixed || !taker.fits(i.load) {
