--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -75,7 +75,7 @@
 	Upstreams []Upstream
 	SliceLoad map[uint32]float64 // by slice, hot keys included
 	KeyLoad   []KeyLoad          // heaviest keys, from the Sketch of each admission host, in any order
-	Moving    map[uint32]string  // target of each slice whose move has not finished
+	Moving    map[uint32]string  // To of each slice (Move.Slices) whose move has not finished
 	Budget    int                // moves that may be made by choice; moves off upstreams that do not serve are free
 }
 
@@ -115,6 +115,7 @@
 type Move struct {
 	Kind   Kind
 	Slice  uint32
+	Home   uint32 // for Fold: the range that takes the key
 	Key    string // for Isolate and Fold
 	From   string // owner before, may be empty
 	To     string // owner after
@@ -127,10 +128,10 @@
 	LastingStraggler = 30 * time.Second
 	// StragglerShare is the part of its slots that a lasting straggler is expected to bear.
 	StragglerShare = 0.5
-	// StartTolerance is the deviation from the mean relative load at which balancing starts, as a share of the mean.
+	// StartTolerance is the deviation from the level at which balancing starts, as a share of the level.
 	// The gap to StopTolerance keeps noise in the measured load from causing moves.
 	StartTolerance = 0.10
-	// StopTolerance is the deviation at which balancing stops, as a share of the mean.
+	// StopTolerance is the deviation at which balancing stops, as a share of the level.
 	StopTolerance = 0.03
 	// CountWeight is the part of the mean slice load that every slice weighs beyond its own load, so that idle slices
 	// are spread as well.
@@ -145,6 +146,14 @@
 	return append(moves, board.balance(in.Budget-Voluntary(moves))...)
 }
 
+// Slices returns the slices that change their owner or their set of keys.
+func (m Move) Slices() []uint32 {
+	if m.Kind == Fold {
+		return []uint32{m.Slice, m.Home}
+	}
+	return []uint32{m.Slice}
+}
+
 // Apply makes the change in the table. It returns an error of slicer without a change if the table no longer fits, for
 // instance because the slice has another owner than From.
 func (m Move) Apply(table *slicer.Table) error {
