--- a/core/controller/admissions.go
+++ b/core/controller/admissions.go
@@ -44,11 +44,11 @@
 	a.epoch = entry.Epoch
 }
 
-// commit starts the role when the table write with this number contained it.
-func (a *admission) commit(operation uint64) {
-	if a.waiting && a.operation == operation {
-		a.waiting = false
-	}
+// commit starts the role when the table write with this number contained it, and reports whether it did.
+func (a *admission) commit(operation uint64) bool {
+	started := a.waiting && a.operation == operation
+	a.waiting = a.waiting && !started
+	return started
 }
 
 func (c *Controller) applyHeartbeat(now time.Duration, beat Heartbeat) {
--- a/core/controller/commits.go
+++ b/core/controller/commits.go
@@ -8,16 +8,18 @@
 
 // store is the state of the stored table.
 type store struct {
-	version   uint64 // of the object, 0 when it does not exist
-	operation uint64 // of the latest call
-	pending   bool
-	reading   bool // the pending call is a read
-	sentAt    time.Duration
-	retryAt   time.Duration
-	dirty     bool // the stored table differs from the planned one
-	doubt     bool // a write may have taken effect, or its condition failed: read back first
-	written   uint64
-	down      bool
+	version    uint64 // of the object, 0 when it does not exist
+	operation  uint64 // of the latest call
+	pending    bool
+	reading    bool // the pending call is a read
+	sentAt     time.Duration
+	retryAt    time.Duration
+	dirty      bool // the stored table differs from the planned one
+	doubt      bool // a write may have taken effect, or its condition failed: read back first
+	written    uint64
+	down       bool
+	probe      bool // read to learn whether the store answers
+	answeredAt time.Duration
 }
 
 // sendStore reads the table after a takeover and in doubt, else writes it when it differs. One call is under way at a
@@ -36,6 +38,10 @@
 	}
 	if c.store.dirty {
 		c.writeTable(now)
+		return
+	}
+	if c.store.probe && now-c.store.answeredAt > storeTimeout {
+		c.readTable(now)
 	}
 }
 
@@ -61,7 +67,8 @@
 	c.log(Log{Code: StoreLost, Term: c.term})
 }
 
-func (c *Controller) storeAnswered() {
+func (c *Controller) storeAnswered(now time.Duration) {
+	c.store.answeredAt = max(now, 1)
 	c.store.retryAt = 0
 	if !c.store.down {
 		return
@@ -115,10 +122,10 @@
 	c.store.pending = false
 	switch answer.Outcome {
 	case Done:
-		c.storeAnswered()
+		c.storeAnswered(now)
 		c.committed(answer.Operation, answer.Version)
 	case Conflict:
-		c.storeAnswered()
+		c.storeAnswered(now)
 		c.store.dirty = true
 		c.store.doubt = true
 	case Refused:
@@ -147,7 +154,9 @@
 		}
 	}
 	for _, upstream := range c.upstreams {
-		upstream.admission.commit(operation)
+		if upstream.admission.commit(operation) {
+			upstream.leasesDue = true
+		}
 	}
 }
 
@@ -160,7 +169,7 @@
 		c.storeFailed(now)
 		return
 	}
-	c.storeAnswered()
+	c.storeAnswered(now)
 	if answer.Table.Version.Term > c.term {
 		// A later controller has written: this one acts no more, whatever its witnesses say.
 		c.right = Right{}
@@ -171,7 +180,9 @@
 		c.load(now, answer)
 		return
 	}
-	c.resolveDoubt(answer)
+	if c.store.doubt {
+		c.resolveDoubt(answer)
+	}
 }
 
 // resolveDoubt learns from the stamp of the stored table whether the last write took effect.
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -72,6 +72,9 @@
 	takeoverGrace = 300 * time.Millisecond
 	// planInterval bounds how often Plan is called.
 	planInterval = 50 * time.Millisecond
+	// resignInterval is the time between two resignations of a host. With upstreams that nobody reaches, the hosts
+	// change places at most this often.
+	resignInterval = 10 * time.Second
 	// settleTime is the time after a takeover or pause in which hosts and upstreams report before any voluntary move.
 	settleTime = silence
 )
@@ -115,6 +118,7 @@
 	publishAt  time.Duration
 	beaconAt   time.Duration
 	planAt     time.Duration
+	resignAt   time.Duration // no resignation before this
 }
 
 // New returns a controller without a right to act.
@@ -245,10 +249,37 @@
 		c.sendStore(now)
 	}
 	c.sendOrders(now)
+	if c.resign(now) {
+		return
+	}
 	c.sendLeases(now)
 	c.publish(now)
 }
 
+// resign gives the right up when most upstreams are silent: another host may reach them, and their grants expire soon. It
+// first makes sure that the store answers, because there is no successor during a store outage.
+func (c *Controller) resign(now time.Duration) bool {
+	silent, count := 0, 0
+	for _, upstream := range c.upstreams {
+		if upstream.removed {
+			continue
+		}
+		count++
+		if upstream.silent(now) {
+			silent++
+		}
+	}
+	c.store.probe = silent > count/2 && now >= c.resignAt
+	if !c.store.probe || c.store.down || c.store.answeredAt == 0 || now-c.store.answeredAt > storeTimeout {
+		return false
+	}
+	c.resignAt = now + resignInterval
+	c.right = Right{}
+	c.log(Log{Code: Resigned, Term: c.term})
+	c.actions = append(c.actions, Resign{})
+	return true
+}
+
 // keyed reports whether the service has slices.
 func (c *Controller) keyed() bool {
 	return c.snapshot.Services[c.options.Service].Keyed
--- a/core/controller/slices.go
+++ b/core/controller/slices.go
@@ -40,9 +40,11 @@
 	provisional bool   // assigned while the store was down, not stored yet
 }
 
+// entry returns the slice for the routed table, or with planned owners for the stored one. The stored table keeps the
+// last owner of a slice that has none, because its epoch belongs to that assignment.
 func (s *slice) entry(planned bool) slicer.Slice {
 	entry := slicer.Slice{ID: s.id, Low: s.low, HotKey: s.hotKey, Owner: s.owner, Epoch: s.epoch}
-	if s.stage == unowned || s.stage == committing && !planned {
+	if !planned && (s.stage == unowned || s.stage == committing) {
 		entry.Owner = ""
 	}
 	return entry
@@ -144,6 +146,7 @@
 	if owner.lost(now) {
 		s.stage = unowned
 		s.provisional = false
+		c.planAt = 0
 		c.changed()
 	}
 }
--- a/core/controller/types.go
+++ b/core/controller/types.go
@@ -186,7 +186,7 @@
 	Serve       []slicer.Fence // slices to admit to
 	Stop        []slicer.Fence // slices to stop and drain; answered by StopAnswer
 	NoNewWork   bool           // admit nothing: the upstream is drained or its failure domain is taken out
-	Release     bool           // admit nothing, drain, and answer with LeaseReturned
+	Release     bool           // admit nothing, drain, and answer every such lease with LeaseReturned
 }
 
 // WriteTable writes the table to the store on condition that the object has version Expect, 0 meaning that it does not
@@ -216,6 +216,9 @@
 	Revision uint64
 }
 
+// Resign gives the right to act up, because this host reaches too few upstreams. The daemon passes it to the elector.
+type Resign struct{}
+
 // Log records a numbered event.
 type Log struct {
 	Code     Code
@@ -245,6 +248,7 @@
 	AdmissionAssigned
 	AdmissionExpired
 	Superseded
+	Resigned
 )
 
 func (Tick) event()          {}
@@ -264,4 +268,5 @@
 func (ReadTable) action()     {}
 func (PublishTable) action()  {}
 func (PublishBeacon) action() {}
+func (Resign) action()        {}
 func (Log) action()           {}
--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -56,6 +56,8 @@
 	jitterSpan = 100 * time.Millisecond
 	// storeTimeout is the time after which a store call counts as unanswered.
 	storeTimeout = 500 * time.Millisecond
+	// abstention is the time after a resignation in which a host leaves the candidacy to others.
+	abstention = 10 * time.Second
 	// readInterval bounds the reads of a store that refuses calls.
 	readInterval = 100 * time.Millisecond
 	// replaceInterval bounds how often the holder changes the witness list: every change is a new term.
@@ -142,6 +144,8 @@
 	switch event := event.(type) {
 	case Promised:
 		e.heard = now
+	case Resigned:
+		e.resign(now)
 	case Answered:
 		e.applyAnswer(now, event.Reply)
 	case RecordRead:
@@ -342,6 +346,15 @@
 	e.replaceAt = now + replaceInterval
 }
 
+func (e *Elector) resign(now time.Duration) {
+	if e.phase != holding {
+		return
+	}
+	e.enter(now, idle)
+	e.attemptAt = now + abstention
+	e.setRight(Right{})
+}
+
 func (e *Elector) enter(now time.Duration, next phase) {
 	e.phase = next
 	e.phaseAt = now
--- a/core/elector/types.go
+++ b/core/elector/types.go
@@ -17,6 +17,9 @@
 	Holder witness.Holder
 }
 
+// Resigned says that the controller of this host gives its right up.
+type Resigned struct{}
+
 // Answered is the reply of a witness to SendConfirm.
 type Answered struct {
 	Reply witness.Reply
@@ -114,6 +117,7 @@
 
 func (Tick) event()          {}
 func (Promised) event()      {}
+func (Resigned) event()      {}
 func (Answered) event()      {}
 func (RecordRead) event()    {}
 func (RecordWritten) event() {}
