--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -163,6 +163,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 12, "a", "b", "c", "x", "y")
 		w.run(4 * time.Second)
+		w.churn = rapid.Bool().Draw(t, "churn")
 		faults := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
 			return fault{
 				kind:   rapid.SampledFrom(faultKinds).Draw(t, "kind"),
@@ -181,6 +182,7 @@
 			w.run(time.Duration(rapid.OneOf(rapid.IntRange(0, 50), rapid.IntRange(0, 2500)).Draw(t, "gap")) * ms)
 		}
 		w.run(last - w.now)
+		w.churn = false
 		w.run(progressBound)
 		steps.Add(int64(w.steps))
 		if w.wrong != "" {
--- a/core/controller/world_test.go
+++ b/core/controller/world_test.go
@@ -36,6 +36,7 @@
 	version   uint64
 	down      bool // the store
 	lose      bool // the store loses answers
+	churn     bool // random slices are moved all the time
 	late      int  // percentage of messages that are delayed by up to 2 s
 	cut       map[[2]string]bool
 	acked     map[uint32]slicer.Slice
@@ -194,7 +195,8 @@
 	self := witness.Holder{Host: n.name, Incarnation: n.incarnation}
 	n.witness = witness.New(witness.Options{Host: n.name, Started: now})
 	n.elector = elector.New(elector.Options{Service: service, Self: self, Started: now, Seed: w.random.Uint64()})
-	n.controller = controller.New(controller.Options{Service: service, Host: n.name, Incarnation: n.incarnation})
+	n.controller = controller.New(controller.Options{Service: service, Host: n.name, Incarnation: n.incarnation,
+		Plan: w.plan})
 	list := elector.Hosts{}
 	for _, name := range sorted(w.hosts) {
 		list.Hosts = append(list.Hosts, elector.Host{Name: name, FailureDomain: w.hosts[name].domain})
@@ -208,6 +210,15 @@
 	w.every(n, 500*ms, func(time.Duration) { w.readRecord(n, 0) })
 }
 
+func (w *world) plan(now time.Duration, input controller.Input) []controller.Move {
+	moves := controller.EvenPlan(now, input)
+	if w.churn && input.Voluntary {
+		to := input.Upstreams[w.random.IntN(len(input.Upstreams))]
+		moves = append(moves, controller.Move{Slice: input.Slices[w.random.IntN(len(input.Slices))].ID, To: to.Name})
+	}
+	return moves
+}
+
 func (w *world) every(n *node, interval time.Duration, run func(now time.Duration)) {
 	incarnation := n.incarnation
 	var again func()
