--- a/bench/main.go
+++ b/bench/main.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 
+	"rhubarbtrack.example/bench/internal/load"
+	"rhubarbtrack.example/bench/internal/placement"
 	"rhubarbtrack.example/bench/internal/printer"
 	"rhubarbtrack.example/bench/internal/relay"
 )
@@ -16,7 +18,7 @@
 type group func(seed uint64) []printer.Line
 
 func main() {
-	if err := run([]group{relay.Measure}); err != nil {
+	if err := run([]group{placement.Measure, load.Measure, relay.Measure}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
