--- /dev/null
+++ b/bench/cost/main.go
@@ -0,0 +1,352 @@
+// Command cost measures over real processes on loopback what a daemon costs: processor time and memory against the
+// request rate and against the size of the fleet, and the latency that it adds to a direct call.
+//
+// Usage:
+//
+//	script/build && go run ./bench/cost
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"rhubarbtrack.example/bench/cost/internal/fitter"
+	"rhubarbtrack.example/bench/cost/internal/starter"
+	"rhubarbtrack.example/bench/internal/printer"
+)
+
+const (
+	upstreams    = 12
+	measureTime  = 5 * time.Second
+	readyTimeout = 30 * time.Second
+	keys         = 1000
+)
+
+// Sizes and rates of the slopes, three or more of each.
+var (
+	fleetSizes = []int{3, 10, 20}
+	rates      = []int{200, 600, 1200}
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	if err := measureFleet(); err != nil {
+		return err
+	}
+	return measureRequests()
+}
+
+// measureFleet prints the cost of idle daemons against the number of daemons.
+func measureFleet() error {
+	var processor, memory []fitter.Point
+	for _, size := range fleetSizes {
+		s, err := start(size)
+		if err != nil {
+			return err
+		}
+		time.Sleep(2 * time.Second) // the tree and the roles settle
+		used, resident, err := s.cost(measureTime, func() {})
+		s.close()
+		if err != nil {
+			return err
+		}
+		processor = append(processor, fitter.Point{X: float64(size), Y: used / float64(size)})
+		memory = append(memory, fitter.Point{X: float64(size), Y: resident / float64(size)})
+		figure(fmt.Sprintf("cost-idle-processor-%d-hosts", size), 0, used/float64(size), 0.011, "cores/host")
+		figure(fmt.Sprintf("cost-idle-memory-%d-hosts", size), 0, resident/float64(size), 64e6, "bytes/host")
+	}
+	slope("cost-idle-processor-per-host", fitter.Fit(processor), "cores/host")
+	slope("cost-idle-memory-per-host", fitter.Fit(memory), "bytes/host")
+	return nil
+}
+
+// measureRequests prints the cost of requests and the added latency with three daemons.
+func measureRequests() error {
+	s, err := start(3)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	s.load(600, 3*time.Second, s.entries, "marks") // warms upstreams and connections up
+	var processor, memory []fitter.Point
+	for _, rate := range rates {
+		var latencies []time.Duration
+		used, resident, err := s.cost(measureTime, func() { latencies = s.load(rate, measureTime, s.entries, "marks") })
+		if err != nil {
+			return err
+		}
+		processor = append(processor, fitter.Point{X: float64(len(latencies)) / measureTime.Seconds(), Y: used})
+		memory = append(memory, fitter.Point{X: float64(rate), Y: resident / 3})
+		figure(fmt.Sprintf("cost-processor-%d-requests", rate), 0, used, 0, "cores of 3 hosts")
+	}
+	line := fitter.Fit(processor)
+	slope("cost-processor-per-request", line, "core-s")
+	slope("cost-memory-per-request-rate", fitter.Fit(memory), "bytes*s")
+	figure("cost-requests-per-core", 0, 1/line.Slope, 0, "1/s")
+	direct := s.load(300, measureTime, s.upstreams, "labels")
+	routed := s.load(300, measureTime, s.entries, "labels")
+	for _, quantile := range []float64{0.5, 0.99} {
+		name := fmt.Sprintf("cost-added-latency-p%g", quantile*100)
+		added := at(routed, quantile) - at(direct, quantile)
+		figure(name, at(direct, quantile).Seconds()*1000, added.Seconds()*1000, 0, "ms")
+	}
+	return nil
+}
+
+func figure(measure string, naive, ours, bound float64, unit string) {
+	line := printer.Line{Measure: measure, Naive: naive, Ours: ours, Bound: bound, HasBound: bound > 0, Unit: unit, Seed: 1}
+	if err := printer.Print(os.Stdout, line); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+}
+
+func slope(measure string, line fitter.Line, unit string) {
+	fmt.Printf("fit=%s base=%.6g slope=%.6g error=%.2g unit=%s\n", measure, line.Base, line.Slope, line.Error, unit)
+}
+
+func at(latencies []time.Duration, quantile float64) time.Duration {
+	sort.Slice(latencies, func(i, j int) bool { return latencies[i] < latencies[j] })
+	if len(latencies) == 0 {
+		return 0
+	}
+	return latencies[int(quantile*float64(len(latencies)-1))]
+}
+
+// system is one running set of processes.
+type system struct {
+	starter   *starter.Starter
+	work      string
+	daemons   []*starter.Process
+	entries   []string
+	upstreams []string
+	client    *http.Client
+}
+
+func start(hosts int) (*system, error) {
+	work, err := os.MkdirTemp("", "rhubarbtrack-cost-")
+	if err != nil {
+		return nil, err
+	}
+	s := &system{
+		starter: starter.New(".bin", work),
+		work:    work,
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: 10 * time.Second},
+	}
+	if err := s.startAll(hosts); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *system) close() {
+	s.starter.EndAll()
+	_ = os.RemoveAll(s.work)
+}
+
+func (s *system) startAll(hosts int) error {
+	platform, err := s.simulator("platform", "platformsim")
+	if err != nil {
+		return err
+	}
+	base := "http://" + platform
+	if err := s.put(base+"/v1/objects/config/service/marks", `{"name":"marks","keyed":true,"key-header":"Rhubarbtrack-Key",`+
+		`"slice-count":96,"rules":[],"writer":"cost","operation":"1"}`); err != nil {
+		return err
+	}
+	if err := s.put(base+"/v1/objects/config/service/labels", `{"name":"labels","keyed":false,"rules":[],"writer":"cost",`+
+		`"operation":"1"}`); err != nil {
+		return err
+	}
+	for i := range upstreams {
+		if _, err := s.upstream(base, "marks", i); err != nil {
+			return err
+		}
+		address, err := s.upstream(base, "labels", i, "--no-keys")
+		if err != nil {
+			return err
+		}
+		s.upstreams = append(s.upstreams, address)
+	}
+	for i := range 3 {
+		body := fmt.Sprintf(`{"name":"d%d","taken-out":false,"writer":"cost","operation":"1"}`, i)
+		if err := s.put(fmt.Sprintf("%s/v1/objects/config/failure-domain/d%d", base, i), body); err != nil {
+			return err
+		}
+	}
+	for i := range hosts {
+		if err := s.daemon(base, i); err != nil {
+			return err
+		}
+	}
+	return s.awaitReady()
+}
+
+// upstream starts one upstream of a service and configures it.
+func (s *system) upstream(base, service string, number int, options ...string) (string, error) {
+	args := append([]string{"--warm", "--service-time-ms", "2", "--slots", "16"}, options...)
+	address, err := s.simulator(fmt.Sprintf("%s-u%d", service, number), "upstreamsim", args...)
+	if err != nil {
+		return "", err
+	}
+	body := fmt.Sprintf(`{"name":"u%d","service":"%s","failure-domain":"d%d","address":"%s","slots":16,`+
+		`"connections":130,"checks-fence":true,"drained":false,"writer":"cost","operation":"1"}`, number, service, number%3, address)
+	return address, s.put(fmt.Sprintf("%s/v1/objects/config/upstream/%s.u%d", base, service, number), body)
+}
+
+func (s *system) simulator(name, program string, args ...string) (string, error) {
+	p, err := s.starter.Start(name, program, append(args, "--listen", "127.0.0.1:0")...)
+	if err != nil {
+		return "", err
+	}
+	return p.Address()
+}
+
+func (s *system) daemon(base string, number int) error {
+	name := fmt.Sprintf("host-%d", number)
+	var ports []string
+	for range 3 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		ports = append(ports, listener.Addr().String())
+		if err := listener.Close(); err != nil {
+			return err
+		}
+	}
+	settings := fmt.Sprintf("name: %s\nfailure-domain: d%d\ncaller-listen: %s\npeer-listen: %s\noperator-listen: %s\n"+
+		"platform: %s\npeer-secret: cost\nlog-level: error\n", name, number%3, ports[0], ports[1], ports[2], base)
+	file := filepath.Join(s.work, name+".yaml")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	entry := fmt.Sprintf(`{"name":"%s","address":"%s","failure-domain":"d%d","state":"live"}`, name, ports[1], number%3)
+	if err := s.put(base+"/v1/hosts/"+name, entry); err != nil {
+		return err
+	}
+	p, err := s.starter.Start(name, "rhubarbtrackd", "--settings", file)
+	s.daemons = append(s.daemons, p)
+	s.entries = append(s.entries, ports[0])
+	return err
+}
+
+func (s *system) put(url, body string) error {
+	request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= 300 {
+		return fmt.Errorf("put %s: status %d", url, response.StatusCode)
+	}
+	return nil
+}
+
+func (s *system) awaitReady() error {
+	end := time.Now().Add(readyTimeout)
+	for _, entry := range s.entries {
+		for {
+			response, err := s.client.Get("http://" + entry + "/readyz")
+			if err == nil {
+				_ = response.Body.Close()
+				if response.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(end) {
+				return fmt.Errorf("%s is not ready", entry)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// cost returns the cores that all daemons used while work ran, or for the given time if work ends earlier, and their
+// resident memory after it.
+func (s *system) cost(length time.Duration, work func()) (cores, memory float64, err error) {
+	total := func() (time.Duration, int64, error) {
+		var processor time.Duration
+		var resident int64
+		for _, p := range s.daemons {
+			cost, err := p.Cost()
+			if err != nil {
+				return 0, 0, err
+			}
+			processor += cost.Processor
+			resident += cost.Memory
+		}
+		return processor, resident, nil
+	}
+	before, _, err := total()
+	if err != nil {
+		return 0, 0, err
+	}
+	start := time.Now()
+	work()
+	if rest := length - time.Since(start); rest > 0 {
+		time.Sleep(rest)
+	}
+	elapsed := time.Since(start)
+	after, resident, err := total()
+	return (after - before).Seconds() / elapsed.Seconds(), float64(resident), err
+}
+
+// load sends requests at a fixed rate, open loop, and returns the latencies of those that were answered.
+func (s *system) load(rate int, length time.Duration, targets []string, service string) []time.Duration {
+	var mu sync.Mutex
+	var latencies []time.Duration
+	var wait sync.WaitGroup
+	start := time.Now()
+	interval := time.Second / time.Duration(rate)
+	for i := range int(length / interval) {
+		intended := start.Add(time.Duration(i) * interval)
+		time.Sleep(time.Until(intended))
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			if s.call(targets[i%len(targets)], service, i) {
+				mu.Lock()
+				latencies = append(latencies, time.Since(intended))
+				mu.Unlock()
+			}
+		}()
+	}
+	wait.Wait()
+	return latencies
+}
+
+func (s *system) call(target, service string, number int) bool {
+	request, err := http.NewRequest(http.MethodGet, "http://"+target+"/"+service+"/x", bytes.NewReader(nil))
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Rhubarbtrack-Key", fmt.Sprintf("key-%d", number%keys))
+	response, err := s.client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
+}
--- a/rhubarbtrackd/internal/dispatcher/worker.go
+++ b/rhubarbtrackd/internal/dispatcher/worker.go
@@ -15,8 +15,10 @@
 
 const (
 	ringSize = 1024
-	// tickInterval is below the 50 ms that the admitter needs.
+	// tickInterval is below the 50 ms that the admitter needs while requests wait or run.
 	tickInterval = 20 * time.Millisecond
+	// idleInterval is the tick without requests. Wake-ups of idle workers were most of the processor time of an idle host.
+	idleInterval = 500 * time.Millisecond
 )
 
 // worker owns the admitter of one upstream.
@@ -76,6 +78,7 @@
 func (w *worker) loop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	idle := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -87,7 +90,18 @@
 		}
 		w.returnLease()
 		w.publishStatus()
+		if now := len(w.pending) == 0; now != idle {
+			idle = now
+			ticker.Reset(w.interval(idle))
+		}
+	}
+}
+
+func (w *worker) interval(idle bool) time.Duration {
+	if idle {
+		return idleInterval
 	}
+	return tickInterval
 }
 
 func (w *worker) handle(event any) {
--- a/rhubarbtrackd/internal/granter/worker.go
+++ b/rhubarbtrackd/internal/granter/worker.go
@@ -17,8 +17,10 @@
 
 const (
 	ringSize = 2048
-	// tickInterval is below the 50 ms that elector and controller need.
-	tickInterval = 25 * time.Millisecond
+	// tickInterval is the longest that elector and controller allow. Without the right to act only the start of a
+	// candidacy depends on it, so idleInterval is enough.
+	tickInterval = controller.TickInterval
+	idleInterval = 100 * time.Millisecond
 )
 
 // worker owns the elector and the controller of one service.
@@ -69,15 +71,22 @@
 }
 
 func (w *worker) loop(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(idleInterval)
 	defer ticker.Stop()
+	idle := true
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			w.stepElector(ctx, elector.Tick{})
-			w.stepController(ctx, controller.Tick{})
+			if !idle {
+				w.stepController(ctx, controller.Tick{})
+			}
+			if now := w.idle(); now != idle {
+				idle = now
+				ticker.Reset(w.interval(idle))
+			}
 		case event := <-w.ring:
 			switch e := event.(type) {
 			case elector.Event:
@@ -92,6 +101,19 @@
 	}
 }
 
+// idle reports whether this host neither controls the service nor tries to.
+func (w *worker) idle() bool {
+	right := w.right.Load()
+	return right == nil || right.Term == 0
+}
+
+func (w *worker) interval(idle bool) time.Duration {
+	if idle {
+		return idleInterval
+	}
+	return tickInterval
+}
+
 func (w *worker) stepElector(ctx context.Context, event elector.Event) {
 	now := w.granter.options.Clock()
 	for _, action := range w.elector.Step(now, event) {
--- a/rhubarbtrackd/internal/runner/runner.go
+++ b/rhubarbtrackd/internal/runner/runner.go
@@ -46,7 +46,7 @@
 	// treeSeed orders the hosts of the relay tree. It is the same on every host.
 	treeSeed          = 1
 	heartbeatInterval = 200 * time.Millisecond
-	refreshInterval   = 50 * time.Millisecond
+	refreshInterval   = 250 * time.Millisecond
 	statusInterval    = time.Second
 	planInterval      = 2 * time.Second
 	reloadInterval    = 10 * time.Second
