demo: add fault scenarios over real processes

Interruptions are measured by probes at a fixed interval, because an attempt that hangs at a paused entry until its deadline would count as an interruption although other entries served the key.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: all build test lint generate bench demo tools
+.PHONY: all build test lint generate bench demo faults tools
 
 all: build
 
@@ -23,3 +23,6 @@
 
 demo: build
 	.bin/demo
+
+faults: build
+	.bin/demo --scenario all
--- a/demo/internal/collector/collector.go
+++ b/demo/internal/collector/collector.go
@@ -37,7 +37,14 @@
 	Runs []struct {
 		Executions []wireExecution `json:"executions"`
 	} `json:"runs"`
-	PeakInFlight int `json:"peak-in-flight"`
+	PeakInFlight     int `json:"peak-in-flight"`
+	PeakOverCapacity int `json:"peak-over-capacity"`
+}
+
+// Peaks are the highest numbers of requests of an upstream: in flight, and above what it could bear.
+type Peaks struct {
+	InFlight     int
+	OverCapacity int
 }
 
 type wireResult struct {
@@ -47,9 +54,12 @@
 	Unknown    int `json:"unknown"`
 	Mismatched int `json:"mismatched"`
 	Overflow   int `json:"overflow"`
+	Resends    int `json:"resends"`
 	Latency    struct {
-		P99 float64 `json:"p99"`
-		Max float64 `json:"max"`
+		P50  float64 `json:"p50"`
+		P99  float64 `json:"p99"`
+		P999 float64 `json:"p99-9"`
+		Max  float64 `json:"max"`
 	} `json:"latency-ms"`
 	Outages []struct {
 		Key       string  `json:"key"`
@@ -71,8 +81,12 @@
 	Unknown    int
 	Mismatched int
 	Overflow   int
-	P99MS      float64
-	MaxMS      float64
+	// Resends are attempts after a refusal or after a connection that could not be made.
+	Resends int
+	P50MS   float64
+	P99MS   float64
+	P999MS  float64
+	MaxMS   float64
 	// OutageMS is the longest unavailability of a key, OutageKey that key; OutageOpen says that it had not ended.
 	OutageMS   float64
 	OutageKey  string
@@ -81,20 +95,20 @@
 	Reasons    map[string]int
 }
 
-// Runs asks a running upstream for its executions and its highest number of requests in flight.
-func Runs(ctx context.Context, address string) ([]checker.Execution, int, error) {
+// Runs asks a running upstream for its executions and its peaks.
+func Runs(ctx context.Context, address string) ([]checker.Execution, Peaks, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/-/runs", nil)
 	if err != nil {
-		return nil, 0, errors.Wrap(err, "collector: request")
+		return nil, Peaks{}, errors.Wrap(err, "collector: request")
 	}
 	answer, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, 0, errors.Wrap(err, "collector: runs")
+		return nil, Peaks{}, errors.Wrap(err, "collector: runs")
 	}
 	defer func() { _ = answer.Body.Close() }()
 	var runs wireRuns
 	if err := json.NewDecoder(answer.Body).Decode(&runs); err != nil {
-		return nil, 0, errors.Wrap(err, "collector: decode runs")
+		return nil, Peaks{}, errors.Wrap(err, "collector: decode runs")
 	}
 	var executions []checker.Execution
 	for _, run := range runs.Runs {
@@ -102,7 +116,7 @@
 			executions = append(executions, decodeExecution(execution))
 		}
 	}
-	return executions, runs.PeakInFlight, nil
+	return executions, Peaks{InFlight: runs.PeakInFlight, OverCapacity: runs.PeakOverCapacity}, nil
 }
 
 // RunsFile reads the executions of an upstream that was killed. A last line that was cut off by the kill is ignored.
@@ -159,7 +173,8 @@
 func decodeResult(result wireResult) (Result, error) {
 	decoded := Result{
 		Offered: result.Offered, Answered: result.Answered, NotRun: result.NotRun, Unknown: result.Unknown,
-		Mismatched: result.Mismatched, Overflow: result.Overflow, P99MS: result.Latency.P99, MaxMS: result.Latency.Max,
+		Mismatched: result.Mismatched, Overflow: result.Overflow, Resends: result.Resends, P50MS: result.Latency.P50, P99MS: result.Latency.P99,
+		P999MS: result.Latency.P999, MaxMS: result.Latency.Max,
 		Reasons: result.Reasons,
 	}
 	if len(result.Outages) > 0 {
--- a/demo/internal/configurer/configurer.go
+++ b/demo/internal/configurer/configurer.go
@@ -83,15 +83,26 @@
 
 // SetTakenOut takes a failure domain out of service or back by an update of its current version.
 func (s *Store) SetTakenOut(ctx context.Context, name string, takenOut bool) error {
+	version, err := s.FailureDomainVersion(ctx, name)
+	if err != nil {
+		return err
+	}
+	return s.PutTakenOut(ctx, name, takenOut, version)
+}
+
+// FailureDomainVersion returns the version of the object of a failure domain.
+func (s *Store) FailureDomainVersion(ctx context.Context, name string) (uint64, error) {
 	var current struct {
 		Version uint64 `json:"version"`
 	}
-	path := "/v1/objects/" + failureDomainName(name)
-	if _, err := s.call(ctx, http.MethodGet, path, nil, nil, &current); err != nil {
-		return err
-	}
-	match := http.Header{"If-Match": {fmt.Sprintf(`"%d"`, current.Version)}}
-	_, err := s.call(ctx, http.MethodPut, path, encodeFailureDomain(name, takenOut), match, nil)
+	_, err := s.call(ctx, http.MethodGet, "/v1/objects/"+failureDomainName(name), nil, nil, &current)
+	return current.Version, err
+}
+
+// PutTakenOut takes a failure domain out of service or back by an update of the given version.
+func (s *Store) PutTakenOut(ctx context.Context, name string, takenOut bool, version uint64) error {
+	match := http.Header{"If-Match": {fmt.Sprintf(`"%d"`, version)}}
+	_, err := s.call(ctx, http.MethodPut, "/v1/objects/"+failureDomainName(name), encodeFailureDomain(name, takenOut), match, nil)
 	return err
 }
 
--- a/demo/internal/launcher/launcher.go
+++ b/demo/internal/launcher/launcher.go
@@ -18,6 +18,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -102,6 +103,19 @@
 	<-p.done
 }
 
+// Signal sends a signal to the process.
+func (p *Process) Signal(signal os.Signal) error {
+	return errors.Wrapf(p.command.Process.Signal(signal), "launcher: signal %s", p.Name)
+}
+
+// Terminate asks the process to end and returns its exit status when it has ended.
+func (p *Process) Terminate(ctx context.Context) error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return p.Wait(ctx)
+}
+
 // Wait returns the exit status when the process has ended.
 func (p *Process) Wait(ctx context.Context) error {
 	select {
--- /dev/null
+++ b/demo/internal/observer/observer.go
@@ -0,0 +1,96 @@
+// Package observer reads the state of the system through the operators' calls of a daemon.
+//
+// Usage:
+//
+//	host, err := observer.Controller(ctx, "127.0.0.1:7480", "shelf-marks")
+//	owners, err := observer.Owners(ctx, "127.0.0.1:7480", "shelf-marks")
+package observer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	callTimeout    = 2 * time.Second
+	procedures     = "/rhubarbtrack.v1.OperatorService/"
+	roleController = "ROLE_KIND_CONTROLLER"
+)
+
+type wireHosts struct {
+	Hosts []struct {
+		Name  string `json:"name"`
+		Roles []struct {
+			Kind    string `json:"kind"`
+			Subject string `json:"subject"`
+		} `json:"roles"`
+	} `json:"hosts"`
+}
+
+type wireSlices struct {
+	Slices []struct {
+		ID    uint32 `json:"id"`
+		Owner string `json:"owner"`
+	} `json:"slices"`
+}
+
+// Controller returns the name of the host that controls the service, as the daemon at the address knows it.
+func Controller(ctx context.Context, address, service string) (string, error) {
+	var hosts wireHosts
+	if err := call(ctx, address, "ListHosts", struct{}{}, &hosts); err != nil {
+		return "", err
+	}
+	for _, host := range hosts.Hosts {
+		for _, role := range host.Roles {
+			if role.Kind == roleController && role.Subject == service {
+				return host.Name, nil
+			}
+		}
+	}
+	return "", errors.Newf("observer: %s has no controller", service)
+}
+
+// Owners returns the owner of each slice of the service, as the daemon at the address knows it.
+func Owners(ctx context.Context, address, service string) (map[uint32]string, error) {
+	var slices wireSlices
+	question := struct {
+		Service string `json:"service"`
+	}{Service: service}
+	if err := call(ctx, address, "ListSlices", question, &slices); err != nil {
+		return nil, err
+	}
+	owners := map[uint32]string{}
+	for _, slice := range slices.Slices {
+		owners[slice.ID] = slice.Owner
+	}
+	return owners, nil
+}
+
+func call(ctx context.Context, address, procedure string, question, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	content, err := json.Marshal(question)
+	if err != nil {
+		return errors.Wrap(err, "observer: encode")
+	}
+	url := "http://" + address + procedures + procedure
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(content))
+	if err != nil {
+		return errors.Wrap(err, "observer: request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "observer")
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return errors.Newf("observer: %s: %s", procedure, answer.Status)
+	}
+	return errors.Wrap(json.NewDecoder(answer.Body).Decode(into), "observer: decode")
+}
--- /dev/null
+++ b/demo/internal/runner/catalogue.go
@@ -0,0 +1,91 @@
+package runner
+
+import (
+	"context"
+	"time"
+)
+
+// part is a run with its own processes. A part without a name is the default scenario.
+type part struct {
+	name string
+	// length is the time during which requests are sent.
+	length time.Duration
+	// rateFactor multiplies the rates of the load; 0 means 1.
+	rateFactor float64
+	// fragile runs upstreams that crash from too much load, and bounds the peak over their capacity by 0.
+	fragile bool
+	noFence bool
+	// noFailures bounds requests that failed in the end and attempts that were refused by 0.
+	noFailures bool
+	// noRefusals bounds requests that were refused until their deadline by 0.
+	noRefusals bool
+	// interruption bounds how long a probed key or service is not served; 0 means no bound.
+	interruption time.Duration
+	disturb      func(context.Context, *scenario) error
+}
+
+// namedScenario is a scenario of the command line.
+type namedScenario struct {
+	name   string
+	proves string
+	parts  []part
+}
+
+// catalogue lists the fault scenarios in the order in which they run.
+func catalogue() []namedScenario {
+	return []namedScenario{
+		{name: "store-outage", proves: "an outage of the platform costs nothing; losses during it are repaired within 3 s", parts: []part{
+			{name: "store-outage", length: 40 * time.Second, noFailures: true, interruption: servedAgain, disturb: storeOutage(nil)},
+			{
+				name: "store-outage/upstream-killed", length: 40 * time.Second, noRefusals: true, interruption: servedAgain,
+				disturb: storeOutage(killLastKeyed),
+			},
+			{
+				name: "store-outage/domain-killed", length: 40 * time.Second, noRefusals: true, interruption: servedAgain,
+				disturb: storeOutage(killDomain),
+			},
+		}},
+		{name: "controller-pause", proves: "a paused controller is replaced and does not act when it resumes", parts: []part{
+			{name: "controller-pause", length: 20 * time.Second, interruption: servedAgain, disturb: pauseController},
+		}},
+		{name: "upstream-freeze", proves: "keys of a frozen upstream are served by others, and it serves none of them when it resumes", parts: []part{
+			{name: "upstream-freeze", length: 20 * time.Second, interruption: servedAgain, disturb: freezeUpstream},
+		}},
+		{name: "cold-restart", proves: "an upstream that has just started receives no more load than it can handle", parts: []part{
+			{
+				name: "cold-restart", length: 24 * time.Second, rateFactor: 3, fragile: true, interruption: servedAgain,
+				disturb: restartUpstreams,
+			},
+		}},
+		{name: "restart-all", proves: "a restart of all daemons interrupts service for at most 5 s and moves no slice", parts: []part{
+			{name: "restart-all", length: 22 * time.Second, interruption: servedAfterRestart, disturb: restartAll},
+		}},
+		{name: "platform-faults", proves: "lost answers and stale reads of the platform harm no planned move", parts: []part{
+			{name: "platform-faults", length: 26 * time.Second, noFailures: true, interruption: servedAgain, disturb: faultyPlatform},
+		}},
+		{name: "graceful", proves: "a rolling upgrade of the daemons fails no request", parts: []part{
+			{name: "graceful", length: 70 * time.Second, noFailures: true, interruption: servedAgain, disturb: replaceDaemons},
+		}},
+		{name: "no-fence", proves: "upstreams that do not check fences have one owner per key as well", parts: []part{
+			{
+				name: "no-fence", length: 30 * time.Second, noFence: true, noRefusals: true, interruption: servedAgain,
+				disturb: moveAndKillWithoutFences,
+			},
+		}},
+	}
+}
+
+// partsOf returns the parts of a scenario, of all scenarios for "all", or the default scenario for an empty name.
+func partsOf(name string) ([]part, bool) {
+	if name == "" {
+		disturb := func(ctx context.Context, s *scenario) error { return s.disturb(ctx) }
+		return []part{{length: defaultLength, disturb: disturb}}, true
+	}
+	var parts []part
+	for _, named := range catalogue() {
+		if name == "all" || name == named.name {
+			parts = append(parts, named.parts...)
+		}
+	}
+	return parts, len(parts) > 0
+}
--- a/demo/internal/runner/daemon.go
+++ b/demo/internal/runner/daemon.go
@@ -22,6 +22,9 @@
 	peers         string
 	operators     string
 	process       *launcher.Process
+	// settings is the path of the settings file; starts counts the processes after the first one.
+	settings string
+	starts   int
 }
 
 // startDaemons lists all hosts and starts their daemons.
@@ -55,6 +58,7 @@
 	if err := os.WriteFile(path, []byte(settingsOf(d, s.platform, s.peerSecret)), 0o600); err != nil {
 		return errors.Wrap(err, "demo: write settings")
 	}
+	d.settings = path
 	process, err := s.processes.Start(d.name, "rhubarbtrackd", "--settings", path)
 	d.process = process
 	return err
--- a/demo/internal/runner/runner.go
+++ b/demo/internal/runner/runner.go
@@ -21,9 +21,12 @@
 	"rhubarbtrack.example/demo/internal/launcher"
 )
 
-// runLimit ends a run that hangs; the whole demo has to stay under 60 s.
+// runLimit ends a run of the default scenario that hangs; it has to stay under 60 s.
 const runLimit = 58 * time.Second
 
+// startAndEnd bounds what a part needs beside its load.
+const startAndEnd = 30 * time.Second
+
 type options struct {
 	KeyedRate   float64 `long:"keyed-rate" default:"150" description:"requests per second to the service with keys"`
 	UnkeyedRate float64 `long:"unkeyed-rate" default:"80" description:"requests per second to the service without keys"`
@@ -31,6 +34,7 @@
 	Seed        uint64  `long:"seed" default:"1" description:"seed of the load"`
 	NoFence     bool    `long:"no-fence" description:"run upstreams that do not check fences"`
 	NoKills     bool    `long:"no-kills" description:"kill neither a daemon nor an upstream"`
+	Scenario    string  `long:"scenario" value-name:"NAME" description:"fault scenario to run, or 'all'; 'list' prints their names"`
 	Keep        bool    `long:"keep" description:"keep the folder with logs and results"`
 }
 
@@ -44,14 +48,42 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, runLimit)
+	if parsed.Scenario == "list" {
+		for _, named := range catalogue() {
+			_, _ = fmt.Fprintf(stdout, "%-18s %s\n", named.name, named.proves)
+		}
+		return 0
+	}
+	parts, ok := partsOf(parsed.Scenario)
+	if !ok {
+		_, _ = fmt.Fprintf(stderr, "there is no scenario %q; --scenario list prints their names\n", parsed.Scenario)
+		return 2
+	}
+	status := 0
+	for _, p := range parts {
+		if ctx.Err() != nil {
+			return max(status, 3)
+		}
+		status = max(status, runPart(ctx, parsed, p, stdout, stderr))
+	}
+	return status
+}
+
+// runPart runs a part in a folder of its own, which is kept when the part failed.
+func runPart(ctx context.Context, parsed options, p part, stdout, stderr io.Writer) int {
+	limit := runLimit
+	if p.name != "" {
+		limit = p.length + startAndEnd
+		_, _ = fmt.Fprintf(stdout, "== %s\n", p.name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	work, err := os.MkdirTemp("", "rhubarbtrack-demo-")
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return 3
 	}
-	status := runIn(ctx, parsed, work, stdout, stderr)
+	status := runIn(ctx, parsed, p, work, stdout, stderr)
 	if status == 0 && !parsed.Keep {
 		_ = os.RemoveAll(work)
 		return status
@@ -60,16 +92,17 @@
 	return status
 }
 
-func runIn(ctx context.Context, parsed options, work string, stdout, stderr io.Writer) int {
+func runIn(ctx context.Context, parsed options, p part, work string, stdout, stderr io.Writer) int {
 	binary, err := os.Executable()
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return 3
 	}
+	parsed.NoFence = parsed.NoFence || p.noFence
 	processes := launcher.New(filepath.Dir(binary), work)
 	defer processes.EndAll()
 	s := &scenario{
-		options: parsed, work: work, processes: processes, out: stdout, start: time.Now(),
+		options: parsed, part: p, work: work, processes: processes, out: stdout, start: time.Now(),
 		peerSecret: rand.Text(),
 	}
 	summary, err := s.run(ctx)
--- a/demo/internal/runner/scenario.go
+++ b/demo/internal/runner/scenario.go
@@ -15,6 +15,7 @@
 	"rhubarbtrack.example/demo/internal/collector"
 	"rhubarbtrack.example/demo/internal/configurer"
 	"rhubarbtrack.example/demo/internal/launcher"
+	"rhubarbtrack.example/demo/internal/prober"
 )
 
 // Times of the scenario, counted from the start of the load.
@@ -24,7 +25,7 @@
 	killDaemonAt   = 17 * time.Second
 	removeHostAt   = 19 * time.Second
 	killUpstreamAt = 22 * time.Second
-	loadLength     = 30 * time.Second
+	defaultLength  = 30 * time.Second
 )
 
 const (
@@ -37,6 +38,8 @@
 	slots           = 6
 	serviceTimeMS   = 5
 	serviceSpreadMS = 2
+	// probedKeys are enough for every upstream to own some of them.
+	probedKeys = 40
 )
 
 const (
@@ -59,13 +62,18 @@
 	service       string
 	failureDomain string
 	address       string
+	number        int
 	runsFile      string
 	process       *launcher.Process
 	killed        bool
 }
 
+func (u *upstream) label() string { return u.service + "." + u.name }
+
+// scenario is one run of a part with its own processes.
 type scenario struct {
 	options   options
+	part      part
 	work      string
 	processes *launcher.Launcher
 	out       io.Writer
@@ -80,6 +88,11 @@
 	upstreams []*upstream
 	loadStart time.Time
 	absences  []checker.Absence
+	// former are upstream processes that were killed and replaced at the same address.
+	former []*upstream
+	probes *prober.Prober
+	// extra are limits that the disturbance of the part measured itself.
+	extra []limit
 }
 
 func (s *scenario) run(ctx context.Context) (*summary, error) {
@@ -102,10 +115,49 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.disturb(ctx); err != nil {
+	endProbes := s.startProbes(ctx)
+	defer endProbes()
+	if err := s.part.disturb(ctx, s); err != nil {
 		return nil, err
 	}
-	return s.conclude(ctx, loads)
+	if late := time.Since(s.loadStart); late > s.part.length {
+		return nil, errors.Newf("the faults ended after the load: %s", late)
+	}
+	return s.conclude(ctx, loads, endProbes)
+}
+
+// startProbes starts the measurement of interruptions, except in the default scenario, whose load must stay as it is. The
+// result ends it.
+func (s *scenario) startProbes(ctx context.Context) func() {
+	if s.part.name == "" {
+		return func() {}
+	}
+	subjects := []prober.Subject{{Service: unkeyedService}}
+	for n := range probedKeys {
+		subjects = append(subjects, prober.Subject{Service: keyedService, Key: fmt.Sprintf("probe-%d", n)})
+	}
+	s.probes = prober.New(subjects, s.entries(nil))
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.probes.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// entries returns the callers' addresses of all daemons but one.
+func (s *scenario) entries(without *daemon) []string {
+	var addresses []string
+	for _, d := range s.daemons {
+		if d != without {
+			addresses = append(addresses, d.callers)
+		}
+	}
+	return addresses
 }
 
 func (s *scenario) startPlatform(ctx context.Context) error {
@@ -137,30 +189,38 @@
 }
 
 func (s *scenario) startUpstream(ctx context.Context, service, domain string, number int) error {
-	u := &upstream{name: fmt.Sprintf("u%d", number), service: service, failureDomain: domain}
-	label := service + "." + u.name
+	u := &upstream{name: fmt.Sprintf("u%d", number), service: service, failureDomain: domain, number: number}
+	if err := s.runUpstream(ctx, u, u.label(), "127.0.0.1:0"); err != nil {
+		return err
+	}
+	s.upstreams = append(s.upstreams, u)
+	return nil
+}
+
+// runUpstream starts the process of an upstream under a label that no other process has.
+func (s *scenario) runUpstream(ctx context.Context, u *upstream, label, listen string) error {
 	u.runsFile = filepath.Join(s.work, label+".runs")
 	args := []string{
-		"--listen", "127.0.0.1:0", "--slots", strconv.Itoa(slots), "--service-time-ms", strconv.Itoa(serviceTimeMS),
+		"--listen", listen, "--slots", strconv.Itoa(slots), "--service-time-ms", strconv.Itoa(serviceTimeMS),
 		"--service-spread-ms", strconv.Itoa(serviceSpreadMS), "--runs-file", u.runsFile,
-		"--seed", strconv.Itoa(number),
+		"--seed", strconv.Itoa(u.number),
 	}
-	if service == unkeyedService {
+	if u.service == unkeyedService {
 		args = append(args, "--no-keys")
 	}
 	if s.options.NoFence {
 		args = append(args, "--no-fence")
 	}
+	if s.part.fragile {
+		args = append(args, "--fragile")
+	}
 	process, err := s.processes.Start(label, "upstreamsim", args...)
 	if err != nil {
 		return err
 	}
 	u.process = process
-	if u.address, err = process.Address(ctx); err != nil {
-		return err
-	}
-	s.upstreams = append(s.upstreams, u)
-	return nil
+	u.address, err = process.Address(ctx)
+	return err
 }
 
 func (s *scenario) writeConfiguration(ctx context.Context) error {
@@ -225,11 +285,12 @@
 
 func (s *scenario) startLoads() ([]load, error) {
 	s.loadStart = time.Now()
-	keyed, err := s.startLoad(keyedService, s.options.KeyedRate, s.options.Keys)
+	rate := max(s.part.rateFactor, 1)
+	keyed, err := s.startLoad(keyedService, rate*s.options.KeyedRate, s.options.Keys)
 	if err != nil {
 		return nil, err
 	}
-	unkeyed, err := s.startLoad(unkeyedService, s.options.UnkeyedRate, 0)
+	unkeyed, err := s.startLoad(unkeyedService, rate*s.options.UnkeyedRate, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -240,7 +301,7 @@
 	l := load{service: service, result: filepath.Join(s.work, service+".json")}
 	args := []string{
 		"--service", service, "--rate", fmt.Sprint(rate), "--keys", strconv.Itoa(keys),
-		"--duration-s", fmt.Sprint(loadLength.Seconds()), "--deadline-ms", fmt.Sprint(requestDeadline.Milliseconds()),
+		"--duration-s", fmt.Sprint(s.part.length.Seconds()), "--deadline-ms", fmt.Sprint(requestDeadline.Milliseconds()),
 		"--seed", fmt.Sprint(s.options.Seed), "--id-prefix", service, "--json", l.result,
 	}
 	for _, d := range s.daemons {
@@ -268,10 +329,8 @@
 		if step.kills && s.options.NoKills {
 			continue
 		}
-		select {
-		case <-ctx.Done():
-			return errors.Wrap(ctx.Err(), "demo")
-		case <-time.After(time.Until(s.loadStart.Add(step.at))):
+		if err := s.waitUntil(ctx, step.at); err != nil {
+			return err
 		}
 		if err := step.do(ctx); err != nil {
 			return err
@@ -280,6 +339,16 @@
 	return nil
 }
 
+// waitUntil waits for a time since the start of the load.
+func (s *scenario) waitUntil(ctx context.Context, at time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "demo")
+	case <-time.After(time.Until(s.loadStart.Add(at))):
+		return nil
+	}
+}
+
 func (s *scenario) takeOut(ctx context.Context) error {
 	domain := failureDomains[0]
 	if err := s.store.SetTakenOut(ctx, domain, true); err != nil {
@@ -315,21 +384,29 @@
 
 // killUpstream kills the last upstream with keys. It is in a domain that was not taken out.
 func (s *scenario) killUpstream(context.Context) error {
-	var victim *upstream
+	s.kill(s.lastKeyed())
+	return nil
+}
+
+func (s *scenario) lastKeyed() *upstream {
+	var last *upstream
 	for _, u := range s.upstreams {
 		if u.service == keyedService {
-			victim = u
+			last = u
 		}
 	}
-	victim.process.Kill()
-	victim.killed = true
-	s.say("killed upstream %s.%s (process %d)", victim.service, victim.name, victim.process.ID())
-	return nil
+	return last
+}
+
+func (s *scenario) kill(u *upstream) {
+	u.process.Kill()
+	u.killed = true
+	s.say("killed upstream %s (process %d)", u.label(), u.process.ID())
 }
 
 // conclude waits for the load to end and compares its results with the evidence of the upstreams.
-func (s *scenario) conclude(ctx context.Context, loads []load) (*summary, error) {
-	result := &summary{}
+func (s *scenario) conclude(ctx context.Context, loads []load, endProbes func()) (*summary, error) {
+	result := &summary{part: s.part}
 	var requests []checker.Request
 	for _, l := range loads {
 		// A status of 3 reports mismatched answers, which the result names as well.
@@ -341,6 +418,7 @@
 		result.services = append(result.services, serviceResult{service: l.service, result: loaded})
 		requests = append(requests, loaded.Requests...)
 	}
+	endProbes()
 	executions, err := s.collectRuns(ctx, result)
 	if err != nil {
 		return nil, err
@@ -350,18 +428,19 @@
 	result.findings = checker.Check(requests, executions, s.absences)
 	result.exited = s.processes.Exited()
 	result.elapsed = time.Since(s.start)
+	result.limits = s.limits(result)
 	return result, nil
 }
 
 func (s *scenario) collectRuns(ctx context.Context, result *summary) ([]checker.Execution, error) {
 	var all []checker.Execution
-	for _, u := range s.upstreams {
+	for _, u := range append(s.former, s.upstreams...) {
 		executions, err := s.runsOf(ctx, u, result)
 		if err != nil {
 			return nil, err
 		}
 		for i := range executions {
-			executions[i].Upstream = u.service + "." + u.name
+			executions[i].Upstream = u.label()
 			executions[i].FailureDomain = u.failureDomain
 		}
 		all = append(all, executions...)
@@ -373,8 +452,9 @@
 	if u.killed {
 		return collector.RunsFile(u.runsFile)
 	}
-	executions, peak, err := collector.Runs(ctx, u.address)
-	result.peakInFlight = max(result.peakInFlight, peak)
+	executions, peaks, err := collector.Runs(ctx, u.address)
+	result.peakInFlight = max(result.peakInFlight, peaks.InFlight)
+	result.peakOverCapacity = max(result.peakOverCapacity, peaks.OverCapacity)
 	return executions, err
 }
 
--- a/demo/internal/runner/summary.go
+++ b/demo/internal/runner/summary.go
@@ -22,8 +22,12 @@
 	neverRepeat  int
 	executions   int
 	peakInFlight int
-	exited       []string
-	elapsed      time.Duration
+	// peakOverCapacity is judged by the parts that name a limit for it.
+	peakOverCapacity int
+	exited           []string
+	elapsed          time.Duration
+	part             part
+	limits           []limit
 }
 
 // failed reports a violation of a guarantee, or a process that ended by itself.
@@ -32,6 +36,11 @@
 	for _, service := range s.services {
 		mismatched += service.result.Mismatched
 	}
+	for _, l := range s.limits {
+		if l.failed() {
+			return true
+		}
+	}
 	return s.findings.Failed() || mismatched > 0 || s.peakInFlight > slots || len(s.exited) > 0
 }
 
@@ -51,19 +60,29 @@
 	for _, exited := range s.exited {
 		say("ended by itself: %s", exited)
 	}
-	verdict := "pass"
-	if s.failed() {
-		verdict = "fail"
+	for _, l := range s.limits {
+		say("limit=%s measured=%.2f bound=%.2f verdict=%s", l.name, l.measured, l.bound, verdictOf(l.failed()))
+	}
+	if s.part.name == "" {
+		say("elapsed-s=%.1f verdict=%s", s.elapsed.Seconds(), verdictOf(s.failed()))
+		return
+	}
+	say("scenario=%s elapsed-s=%.1f verdict=%s", s.part.name, s.elapsed.Seconds(), verdictOf(s.failed()))
+}
+
+func verdictOf(failed bool) string {
+	if failed {
+		return "fail"
 	}
-	say("elapsed-s=%.1f verdict=%s", s.elapsed.Seconds(), verdict)
+	return "pass"
 }
 
 func printService(w io.Writer, service serviceResult) {
 	r := service.result
 	_, _ = fmt.Fprintf(w, "service=%s requests=%d answered-whole=%d not-run=%d unknown=%d mismatched=%d unsent=%d\n",
 		service.service, r.Offered, r.Answered, r.NotRun, r.Unknown, r.Mismatched, r.Overflow)
-	_, _ = fmt.Fprintf(w, "service=%s latency-p99-ms=%.1f latency-worst-ms=%.1f unavailable-s=%.2f key=%q still-unavailable=%t\n",
-		service.service, r.P99MS, r.MaxMS, r.OutageMS/1000, r.OutageKey, r.OutageOpen)
+	_, _ = fmt.Fprintf(w, "service=%s resends=%d latency-p50-ms=%.1f latency-p99-ms=%.1f latency-p99-9-ms=%.1f latency-worst-ms=%.1f unavailable-s=%.2f key=%q still-unavailable=%t\n",
+		service.service, r.Resends, r.P50MS, r.P99MS, r.P999MS, r.MaxMS, r.OutageMS/1000, r.OutageKey, r.OutageOpen)
 	var reasons []string
 	for reason := range r.Reasons {
 		reasons = append(reasons, reason)
