demo: begin the load of fault scenarios when all probed keys are served

The load used to begin at readiness, so that the cold start of all upstreams counted as an interruption of up to 1.9 s before the first fault.

--- a/demo/internal/prober/prober.go
+++ b/demo/internal/prober/prober.go
@@ -43,6 +43,7 @@
 type record struct {
 	// served is the latest start of a successful probe, in the order of starts.
 	served  time.Time
+	ever    bool
 	longest Gap
 }
 
@@ -80,12 +81,33 @@
 	p.entries = entries
 }
 
+// Unserved returns the number of subjects that have never been served.
+func (p *Prober) Unserved() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, r := range p.records {
+		if !r.ever {
+			count++
+		}
+	}
+	return count
+}
+
+// Reset forgets all interruptions and takes every subject as served now.
+func (p *Prober) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for subject, r := range p.records {
+		r.served = now
+		r.longest = Gap{Subject: subject}
+	}
+}
+
 // Run probes until ctx is done and then waits for the last probes.
 func (p *Prober) Run(ctx context.Context) {
-	begun := time.Now()
-	for _, subject := range p.subjects {
-		p.records[subject].served = begun
-	}
+	p.Reset()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -127,6 +149,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.records[subject]
+	r.ever = true
 	if !started.After(r.served) {
 		return
 	}
