dispatcher: run requests under the fence that the upstream holds

Every takeover of a controller stopped its service for good. An entry host builds the fence of a request from the term of the table (locator.Locate), which is that of the new controller. Upstreams keep the term of a grant until the slice is added again, and a takeover that moves no slice adds none, so the admission host serves its slices under the former term. The admitter takes an offered fence with a higher term for one of an assignment that it does not know yet and lets the request wait until its deadline; the waiting requests then fill the queue and the connections between hosts.

The dispatcher now replaces the offered fence by the held one when only the term differs and the held one is lower. Slice, epoch and upstream being equal, both name the same assignment; the upstream still checks the fence that it holds.

--- a/rhubarbtrackd/internal/dispatcher/dispatcher_test.go
+++ b/rhubarbtrackd/internal/dispatcher/dispatcher_test.go
@@ -264,3 +264,36 @@
 		}
 	}
 }
+
+// Guards against a takeover of the controller after which every request waits in vain: the table has the term of the new
+// controller, while the upstream still holds its slices under the term of the former one.
+func TestRequestAfterTakeoverRunsUnderHeldFence(t *testing.T) {
+	fences := make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fences <- r.Header.Get(dispatcher.HeaderFence)
+		echo(w, r)
+	}))
+	defer server.Close()
+	tests := []struct {
+		name    string
+		offered slicer.Fence
+		runs    bool
+	}{
+		{name: "later term, same epoch", offered: slicer.Fence{Slice: 4, Term: 2, Epoch: 3}, runs: true},
+		{name: "later epoch", offered: slicer.Fence{Slice: 4, Term: 2, Epoch: 4}},
+		{name: "earlier epoch", offered: slicer.Fence{Slice: 4, Term: 2, Epoch: 2}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHost(t, server.Listener.Addr().String(), true)
+			h.apply(controller.Lease{Serve: []slicer.Fence{{Slice: 4, Term: 1, Epoch: 3}}})
+			_, err := h.run(http.MethodPost, test.offered, 200*time.Millisecond)
+			if !test.runs {
+				assert.Equal(t, dispatcher.AsError(err).Kind, dispatcher.NotRun)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, <-fences, "4.1.3")
+		})
+	}
+}
--- a/rhubarbtrackd/internal/dispatcher/worker.go
+++ b/rhubarbtrackd/internal/dispatcher/worker.go
@@ -93,6 +93,7 @@
 func (w *worker) handle(event any) {
 	switch e := event.(type) {
 	case offerEvent:
+		e.offered.Fence = w.heldFence(e.offered.Fence)
 		w.pending[e.offered.ID] = e.attempt
 		w.step(e.offered)
 	case admitter.Ended:
@@ -106,6 +107,17 @@
 	}
 }
 
+// heldFence returns the fence under which the upstream holds the slice of a request. An entry host names the term of its
+// table, while an upstream keeps the term of the grant until the slice is added again. A takeover that moves no slice
+// changes the term and not the epoch, so that both fences name the same assignment to this upstream.
+func (w *worker) heldFence(offered slicer.Fence) slicer.Fence {
+	held, ok := w.fences[offered.Slice]
+	if ok && held.Term > 0 && held.Term < offered.Term && held.Epoch == offered.Epoch {
+		return held
+	}
+	return offered
+}
+
 // drop answers a withdrawn request that was still waiting.
 func (w *worker) drop(id admitter.ID) {
 	waiting := w.pending[id]
