receiver: refuse requests to unknown services as not run while not ready

A daemon that had just started answered 404 without an outcome for every service whose configuration had not arrived yet. It now answers 503 with outcome not-run until it is ready, and consults the configuration again when it has become ready meanwhile.

--- a/rhubarbtrackd/internal/receiver/receiver.go
+++ b/rhubarbtrackd/internal/receiver/receiver.go
@@ -113,6 +113,15 @@
 func (r *Receiver) route(w http.ResponseWriter, request *http.Request) {
 	start := r.options.Clock()
 	job, failure := r.parse(w, request)
+	if failure != nil && failure.status == http.StatusNotFound {
+		// A daemon that has just started may not have the configuration of the service yet.
+		if !r.options.Ready() {
+			writeError(w, &dispatcher.Error{Op: "receive", Kind: dispatcher.NotRun, Reason: reasonNotReady})
+			return
+		}
+		// The configuration may have arrived since it was consulted.
+		job, failure = r.parse(w, request)
+	}
 	if failure != nil {
 		http.Error(w, failure.text, failure.status)
 		return
@@ -173,6 +182,9 @@
 	http.Error(w, outcome+": "+failure.Reason, status)
 }
 
+// reasonNotReady refuses a request to a service that this host does not know while it is not ready.
+const reasonNotReady = "not-ready"
+
 // job is one caller's request.
 type job struct {
 	id          string
--- a/rhubarbtrackd/internal/receiver/receiver_test.go
+++ b/rhubarbtrackd/internal/receiver/receiver_test.go
@@ -32,6 +32,7 @@
 // entry is a receiver with a locator that knows one keyed service, and a fake in place of the admission host.
 type entry struct {
 	locator  *locator.Locator
+	ready    func() bool
 	receiver *receiver.Receiver
 	server   *httptest.Server
 	attempts []*dispatcher.Request
@@ -74,7 +75,7 @@
 		HedgeAfter:     choices.HedgeAfter,
 		Hedge:          choices.Hedge,
 		Count:          func(string, string, time.Duration) {},
-		Ready:          func() bool { return true },
+		Ready:          func() bool { return e.ready == nil || e.ready() },
 		RequestTimeout: 300 * time.Millisecond,
 		MaxBody:        1 << 20,
 		Log:            eventlog.New(zap.NewNop()),
@@ -267,3 +268,44 @@
 		}
 	}
 }
+
+// Guards against a daemon without its configuration that answers as if the service did not exist, instead of saying that
+// the request was not run.
+func TestUnknownService(t *testing.T) {
+	tests := []struct {
+		name    string
+		ready   bool
+		arrives bool // the configuration of the service, while the request is examined
+		status  int
+		outcome string
+	}{
+		{name: "ready", ready: true, status: http.StatusNotFound},
+		{name: "not ready", status: http.StatusServiceUnavailable, outcome: dispatcher.OutcomeNotRun},
+		{name: "has become ready", ready: true, arrives: true, status: http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := newEntry(t, answers{"done"})
+			e.ready = func() bool {
+				if test.arrives {
+					e.put(t, configurator.Service{Name: "another"}, 4)
+					e.put(t, configurator.Upstream{
+						Name: "u1", Service: "another", FailureDomain: "a", Address: "127.0.0.1:1", Slots: 6, Connections: 130,
+					}, 5)
+					e.locator.SetTable(&slicer.Table{
+						Service: "another", Version: slicer.Version{Term: 1, Seq: 1},
+						Admission: map[string]slicer.Admission{"another.u1": {Host: "host-1", Epoch: 1}},
+					})
+					e.locator.SetBeacon(time.Millisecond, framer.Beacon{Service: "another", Term: 1, Table: slicer.Version{Term: 1, Seq: 1}, Revision: 5})
+					e.locator.Refresh(time.Millisecond)
+				}
+				return test.ready
+			}
+			response, err := http.Post(e.server.URL+"/another/x", "", nil)
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, response.StatusCode, test.status)
+			assert.Equal(t, response.Header.Get(dispatcher.HeaderOutcome), test.outcome)
+		})
+	}
+}
