granter: read the controller record when a promise shows a newer term

Witnesses read controller/<service> once, at their start, when it does not exist yet; nothing told them of later versions. The first candidates after the loss of a controller therefore wrote on condition of an outdated version, failed, and tried again only after the attempt interval.

A witness now reads the record when it promises under a term that it has not read.

--- a/rhubarbtrackd/internal/granter/calls.go
+++ b/rhubarbtrackd/internal/granter/calls.go
@@ -77,6 +77,7 @@
 	}
 	if err == nil {
 		w.granter.learn(record)
+		w.recordTerm.Store(record.Term)
 	}
 	w.put(elector.RecordRead{
 		Operation: a.Operation,
--- a/rhubarbtrackd/internal/granter/granter.go
+++ b/rhubarbtrackd/internal/granter/granter.go
@@ -165,6 +165,7 @@
 	g.mu.Unlock()
 	if reply.Granted && !request.Probe && w != nil {
 		w.put(elector.Promised{Holder: request.Holder})
+		w.follow(g.ctx, request.Term)
 	}
 	return reply
 }
--- a/rhubarbtrackd/internal/granter/worker.go
+++ b/rhubarbtrackd/internal/granter/worker.go
@@ -32,7 +32,9 @@
 	beaconSeq  uint64
 	demand     demand
 
-	right atomic.Pointer[elector.Right]
+	right      atomic.Pointer[elector.Right]
+	recordTerm atomic.Uint64 // of the latest record that was read
+	reading    atomic.Bool   // follow reads the record
 }
 
 func newWorker(g *Granter, service string, cancel context.CancelFunc) *worker {
@@ -68,6 +70,18 @@
 	w.put(controller.Hosts{Hosts: hosts.Controller})
 }
 
+// follow reads the record when a promise shows a term that this host has not read. The condition of a candidate's write
+// would otherwise name an outdated version, and the candidate would lose the time until its next attempt.
+func (w *worker) follow(ctx context.Context, term uint64) {
+	if w.recordTerm.Load() >= term || !w.reading.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer w.reading.Store(false)
+		w.readRecord(ctx, elector.ReadRecord{})
+	}()
+}
+
 func (w *worker) loop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
