--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: all build test lint generate bench demo tools
+.PHONY: all build test lint generate bench demo faults tools
 
 all: build
 
@@ -22,3 +22,6 @@
 
 demo: build
 	.bin/demo
+
+faults: build
+	.bin/demo --scenario all
