balancer: save up to 15 hedges

Cause: when several upstreams slow down at once, the 10 saved hedges of a host were used up within the first 100 ms.

--- a/core/balancer/hedge.go
+++ b/core/balancer/hedge.go
@@ -10,7 +10,7 @@
 	// hedgeQuantile of all observed latencies is the delay before a hedge. Its complement equals the hedge budget.
 	hedgeQuantile = 0.95
 	// maxSavedHedges bounds the hedges saved up while none were needed; more would arrive as one burst.
-	maxSavedHedges = 10
+	maxSavedHedges = 15
 	// hedgeSuccess is the share of successes below which no hedges are sent, because they would add load to a failure.
 	hedgeSuccess = 0.8
 	// minGroupEvidence is the number of responses from which a delay can be derived.
