bench: measure an upstream that turns cold without notice

Cause: the cold-start measure covered only restarts, which the admission host sees as broken connections.

--- a/bench/internal/load/load.go
+++ b/bench/internal/load/load.go
@@ -112,6 +112,7 @@
 	for _, u := range users {
 		all = append(all,
 			namedScenario{"cold", u, coldPeak},
+			namedScenario{"turns-cold", u, turnsCold},
 			namedScenario{"domain", u, domainLeaves},
 			namedScenario{"overload", u, overload},
 			namedScenario{"all-fail", u, allFail},
--- a/bench/internal/load/scenario.go
+++ b/bench/internal/load/scenario.go
@@ -30,6 +30,22 @@
 	}
 }
 
+// turnsCold makes an upstream of each service cold without a restart. Requests that run at that moment are more than it
+// bears, so the figure is the number of requests that it had to refuse.
+func turnsCold(u user, build builder) []figure {
+	w := build(u, 0)
+	w.offer(load)
+	w.until(warmUp)
+	w.keyed[0].turnCold()
+	w.other[0].turnCold()
+	w.until(warmUp + 2*time.Second)
+	failed := w.summarize(warmUp, warmUp+time.Second, ofBoth)
+	return []figure{
+		{name: "refused-by-upstreams", value: float64(w.keyed[0].refused + w.other[0].refused), unit: "requests"},
+		{name: "failed", value: float64(failed.failed) / float64(failed.count), unit: "share"},
+	}
+}
+
 // Times of the failure domain's absence, from the order to leave.
 const (
 	leaveLimit   = 4 * time.Second // G4
--- a/bench/internal/load/upstream.go
+++ b/bench/internal/load/upstream.go
@@ -46,6 +46,7 @@
 	slowBy    int
 	crashes   int
 	served    int     // requests received
+	refused   int     // requests refused because of load
 	closed    func()  // called when all connections break, idle ones included
 	peakRatio float64 // highest number present while cold, divided by the number that it bore
 }
@@ -81,6 +82,9 @@
 		u.peakRatio = max(u.peakRatio, float64(u.present)/float64(u.bears()))
 	}
 	if outcome, refused := u.refuses(fence); refused {
+		if outcome == admitter.Shed || outcome == admitter.ShedCold {
+			u.refused++
+		}
 		run := u.run
 		u.loop.after(refusalTime, func() {
 			if run == u.run && !u.down {
@@ -172,10 +176,15 @@
 	}
 }
 
+// turnCold forgets the warm state without a restart, so that nobody is told.
+func (u *upstream) turnCold() {
+	u.completed = 0
+	u.warm = false
+}
+
 func (u *upstream) restart() {
 	u.down = false
 	u.draining = false
 	u.run++
-	u.completed = 0
-	u.warm = false
+	u.turnCold()
 }
