detector: keep the first suspicion when a second crash is withdrawn

Cause: withdrawing the crash of a condemned signature cleared it, although an earlier crash had made it a suspect; and a run alone that ended late could lift a condemnation.

--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -140,7 +140,7 @@
 		changed = d.acquit(now, event.Signature, changed)
 	case Disproved:
 		for _, signature := range event.Signatures {
-			changed = d.acquit(now, signature, changed)
+			changed = d.withdraw(now, signature, changed)
 		}
 	case Reported:
 		for _, report := range event.Reports {
@@ -179,14 +179,19 @@
 
 func (d *Detector) acquit(now time.Duration, signature uint64, changed []Report) []Report {
 	known, ok := d.get(now, signature)
-	if !ok || known.Verdict == Clear {
+	if !ok || known.Verdict != Suspect {
 		return changed
 	}
-	step := uint64(1)
-	if known.Verdict == Condemned {
-		step = condemnation
+	return append(changed, d.put(now, Report{signature, Clear, known.Version + 1, 0}))
+}
+
+// withdraw takes one crash back. A condemned signature becomes a suspect, because an earlier crash had made it one.
+func (d *Detector) withdraw(now time.Duration, signature uint64, changed []Report) []Report {
+	known, ok := d.get(now, signature)
+	if !ok || known.Verdict != Condemned {
+		return d.acquit(now, signature, changed)
 	}
-	return append(changed, d.put(now, Report{signature, Clear, known.Version + step, 0}))
+	return append(changed, d.put(now, Report{signature, Suspect, known.Version + condemnation, 0}))
 }
 
 func (d *Detector) merge(now time.Duration, report Report) {
