Fill cold upstreams to 85% of their present capacity only

Slices were added to a cold upstream until their measured load reached its capacity, so an error in the measure became an excess.

--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -128,6 +128,9 @@
 	LastingStraggler = 30 * time.Second
 	// StragglerShare is the part of its slots that a lasting straggler is expected to bear.
 	StragglerShare = 0.5
+	// ColdShare is the part of the present capacity of a cold upstream that is filled. Measured loads are a few percent
+	// off, and a cold upstream must not receive more than it can handle.
+	ColdShare = 0.85
 	// StartTolerance is the deviation from the level at which balancing starts, as a share of the level.
 	// The gap to StopTolerance keeps noise in the measured load from causing moves.
 	StartTolerance = 0.10
--- a/core/assigner/board.go
+++ b/core/assigner/board.go
@@ -42,7 +42,7 @@
 
 // fits reports whether the seat can take the load now. Only cold upstreams have a strict limit.
 func (s *seat) fits(load float64) bool {
-	return s.State != Cold || s.load+load <= s.Capacity
+	return s.State != Cold || s.load+load <= s.Capacity*ColdShare
 }
 
 func (s *seat) add(i *item) {
