Replace the coolest hot keys when the list is full

At 600 upstreams more than 256 keys deserve a slice of their own. When the hottest ones changed, new keys had to wait until old ones had cooled down to the fold threshold, which takes minutes for a very hot key. A candidate with 1.5 times the load of the coolest hot key now takes its place.

A key that has just been isolated has no measured load of its slice yet and was folded again at once; the load known to the sketch now counts for it.

--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -143,8 +143,9 @@
 
 // Plan returns the changes to make now, in the order in which to start them. Equal inputs give equal results.
 func Plan(now time.Duration, in Input) []Move {
-	board := newBoard(now, in)
-	moves := board.planHotKeys(in)
+	keys := sumKeys(in.KeyLoad)
+	board := newBoard(now, in, keys)
+	moves := board.planHotKeys(keys)
 	moves = append(moves, board.place()...)
 	return append(moves, board.balance(in.Budget-Voluntary(moves))...)
 }
--- a/core/assigner/board.go
+++ b/core/assigner/board.go
@@ -69,11 +69,16 @@
 	budget int
 }
 
-func newBoard(now time.Duration, in Input) *board {
+// newBoard seats the slices. The load of a hot key is known to its sketch before that of its slice has been measured;
+// without it a key would be folded right after it was isolated.
+func newBoard(now time.Duration, in Input, keys map[string]float64) *board {
 	b := &board{table: in.Table, byName: map[string]*seat{}, all: map[uint32]*item{}, budget: in.Budget}
 	b.addSeats(now, in.Upstreams)
 	for _, slice := range sortedSlices(in.Table) {
 		load := in.SliceLoad[slice.ID]
+		if slice.HotKey != "" {
+			load = max(load, keys[slice.HotKey])
+		}
 		b.total += load
 		b.all[slice.ID] = &item{Slice: slice, load: load}
 	}
--- a/core/assigner/hot_test.go
+++ b/core/assigner/hot_test.go
@@ -165,3 +165,25 @@
 	}
 	return most
 }
+
+// Guards against a full list that keeps cooler keys out of place of hotter ones, or exchanges keys of similar load.
+func TestFullListReplacesCoolestKeys(t *testing.T) {
+	live := upstreams(100) // the keys are well above the mean load, so that none is cool enough to fold
+	table := assigned(64, live)
+	in := assigner.Input{Table: &table, Upstreams: live, SliceLoad: evenLoad(&table, 0.1)}
+	for i := range slicer.MaxHotKeys {
+		hot, err := table.Isolate(fmt.Sprint(i))
+		assert.NilError(t, err)
+		in.SliceLoad[hot.ID] = 1 + float64(i)/100
+	}
+	in.KeyLoad = []assigner.KeyLoad{{Key: "warm", Load: 1.4}}
+	assert.Equal(t, len(assigner.Plan(now, in)), 0)
+	in.KeyLoad = []assigner.KeyLoad{{Key: "hot", Load: 40}, {Key: "hotter", Load: 50}}
+	apply(t, &table, assigner.Plan(now, in))
+	for key, want := range map[string]bool{"0": false, "1": false, "2": true} {
+		_, hot := table.Hot[key]
+		assert.Equal(t, hot, want, "%s", key)
+	}
+	apply(t, &table, assigner.Plan(now, in)) // the ranges of the folded keys may be in the way of the first plan
+	assert.Assert(t, table.Hot["hotter"].ID > 0 && table.Hot["hot"].ID > 0)
+}
