Measure the return of a domain until the assigner rests

The return counted as finished when the highest load was within 10% of the least possible. The hottest key sets that limit, so it was reached while the returned upstreams were still far below the others. The end is now the last move before several plans in a row have nothing to do.

--- a/bench/internal/placement/domain.go
+++ b/bench/internal/placement/domain.go
@@ -10,10 +10,8 @@
 	"rhubarbtrack.example/core/planner"
 )
 
-// balanced is the imbalance over the least possible at which a return counts as finished.
-const balanced = 1 + assigner.StartTolerance
-
-// domainOutAndBack runs a cleaning window of one failure domain. The naive version is plain consistent hashing of the
+// domainOutAndBack runs a cleaning window of one failure domain, until the returned upstreams are warm and the assigner
+// has nothing left to move. The naive version is plain consistent hashing of the
 // slices, which starts at the start of the window and gives returned upstreams their full share at once.
 func domainOutAndBack(sim *simulator) []printer.Line {
 	const domain = "1"
@@ -43,8 +41,8 @@
 				sim.setDomain(domain, assigner.Cold)
 			}
 		}
-		if !returned.IsZero() && sim.warm(domain) && sim.imbalance(sim.loads()) <= sim.least()*balanced {
-			finished = now
+		if !returned.IsZero() && sim.warm(domain) && sim.resting() {
+			finished = origin.Add(sim.moved)
 			movesBack = sim.transfers
 		}
 	}
--- a/bench/internal/placement/simulator.go
+++ b/bench/internal/placement/simulator.go
@@ -77,7 +77,8 @@
 	waiting   []assigner.Move
 	active    []running
 	transfers int
-	excess    float64 // highest exact load of a cold upstream beyond its capacity
+	moved     time.Duration // time of the last transfer
+	excess    float64       // highest exact load of a cold upstream beyond its capacity
 }
 
 func newSimulator(s size, seed uint64) *simulator {
@@ -223,6 +224,7 @@
 	switch move.Kind {
 	case assigner.Transfer:
 		s.transfers++
+		s.moved = s.now
 		return
 	case assigner.Isolate:
 		load := 0.0
@@ -274,6 +276,11 @@
 	return assigner.Plan(s.now, in)
 }
 
+// resting reports whether several plans in a row had nothing to move although the budget allowed it.
+func (s *simulator) resting() bool {
+	return s.now-s.moved > 4*planEvery && len(s.waiting)+len(s.active) == 0 && s.churn.Available(s.now) > 0
+}
+
 func (s *simulator) moving() map[uint32]string {
 	moving := map[uint32]string{}
 	for _, move := range s.waiting {
