--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -128,8 +128,12 @@
 	LastingStraggler = 30 * time.Second
 	// StragglerShare is the part of its slots that a lasting straggler is expected to bear.
 	StragglerShare = 0.5
+	// ColdShare is the part of the present capacity of a cold upstream that is filled. Measured loads are a few percent
+	// off, and a cold upstream must not receive more than it can handle.
+	ColdShare = 0.85
 	// StartTolerance is the deviation from the level at which balancing starts, as a share of the level.
-	// The gap to StopTolerance keeps noise in the measured load from causing moves.
+	// The gap to StopTolerance keeps noise in the measured load from causing moves. With 0.06 and 0.02 the excess churn
+	// doubled at 600 upstreams, and the highest load fell by less than 1%.
 	StartTolerance = 0.10
 	// StopTolerance is the deviation at which balancing stops, as a share of the level.
 	StopTolerance = 0.03
@@ -140,8 +144,9 @@
 
 // Plan returns the changes to make now, in the order in which to start them. Equal inputs give equal results.
 func Plan(now time.Duration, in Input) []Move {
-	board := newBoard(now, in)
-	moves := board.planHotKeys(in)
+	keys := sumKeys(in.KeyLoad)
+	board := newBoard(now, in, keys)
+	moves := board.planHotKeys(keys)
 	moves = append(moves, board.place()...)
 	return append(moves, board.balance(in.Budget-Voluntary(moves))...)
 }
