--- a/rhubarbctl/internal/command/failuredomain/takeout/takeout.go
+++ b/rhubarbctl/internal/command/failuredomain/takeout/takeout.go
@@ -157,6 +157,10 @@
 	}
 	keyed := map[string]bool{}
 	for _, resource := range all.GetResources() {
+		// A repeated change may have been undone since, and then its slices would never leave.
+		if domain := resource.GetFailureDomain(); domain.GetName() == o.Args.Name && !domain.GetTakenOut() {
+			return 0, reporter.Failure("wait", reporter.CodeConflict, "%s is in service again", o.Args.Name)
+		}
 		if service := resource.GetService(); service.GetKeyed() {
 			keyed[service.GetName()] = true
 		}
--- a/rhubarbctl/internal/command/failuredomain/takeout/takeout_test.go
+++ b/rhubarbctl/internal/command/failuredomain/takeout/takeout_test.go
@@ -17,7 +17,7 @@
 )
 
 // setUp returns dependencies in which the change is in force from the second look on and slices leave one a look.
-func setUp(t *testing.T, out *strings.Builder, slept *time.Duration) *provider.Provider {
+func setUp(t *testing.T, takenOut bool, out *strings.Builder, slept *time.Duration) *provider.Provider {
 	looks, slices := 0, 3
 	p := &provider.Provider{
 		Context:      t.Context(),
@@ -47,7 +47,9 @@
 		*rhubarbtrackv1.ListResourcesResponse, error) {
 		service := &rhubarbtrackv1.Service{Name: "marks", Keyed: true}
 		upstream := &rhubarbtrackv1.Upstream{Name: "p1", Service: "marks", FailureDomain: "east"}
+		domain := &rhubarbtrackv1.FailureDomain{Name: "east", TakenOut: takenOut}
 		return &rhubarbtrackv1.ListResourcesResponse{Resources: []*rhubarbtrackv1.Resource{
+			{Value: &rhubarbtrackv1.Resource_FailureDomain{FailureDomain: domain}},
 			{Value: &rhubarbtrackv1.Resource_Service{Service: service}},
 			{Value: &rhubarbtrackv1.Resource_Upstream{Upstream: upstream}},
 		}}, nil
@@ -73,13 +75,14 @@
 		{"wait", []string{"east", "-y", "--wait"}, reporter.CodeOK, 3 * time.Second, "failure-domain east\t8\top-1\tfalse"},
 		{"limit", []string{"east", "-y", "--wait", "--wait-limit", "1s"}, reporter.CodeTimeout, time.Second,
 			"waiting: in force on 1 of 2 hosts"},
+		{"undone", []string{"east", "-y", "--wait"}, reporter.CodeConflict, time.Second, "waiting: in force on 1 of 2 hosts"},
 		{"unconfirmed", []string{"east"}, reporter.CodeUsage, 0, ""},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			var out strings.Builder
 			var slept time.Duration
-			verb := takeout.New(setUp(t, &out, &slept), nil)
+			verb := takeout.New(setUp(t, test.name != "undone", &out, &slept), nil)
 			_, err := flags.ParseArgs(verb.Options, test.args)
 			assert.NilError(t, err)
 			assert.Equal(t, reporter.Code(verb.Options.Execute(nil)), test.code)
