--- a/rhubarbtrackd/internal/operator/helper_test.go
+++ b/rhubarbtrackd/internal/operator/helper_test.go
@@ -186,9 +186,10 @@
 	return f
 }
 
-// identify reads "name role" from a header.
+// identify takes "name role" for a bearer token.
 func identify(request *http.Request) (operator.Identity, error) {
-	name, role, _ := strings.Cut(request.Header.Get("Authorization"), " ")
+	token := strings.TrimPrefix(request.Header.Get("Authorization"), "Bearer ")
+	name, role, _ := strings.Cut(token, " ")
 	roles := []operator.Role{operator.RoleView, operator.RoleOperate, operator.RoleConfigure}
 	for i, known := range []string{"view", "operate", "configure"} {
 		if role == known {
@@ -199,7 +200,7 @@
 }
 
 func (f *fixture) as(name string, role operator.Role) rhubarbtrackv1connect.OperatorServiceClient {
-	header := name + " " + []string{"", "view", "operate", "configure"}[role]
+	header := "Bearer " + name + " " + []string{"", "view", "operate", "configure"}[role]
 	set := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
 			request.Header().Set("Authorization", header)
--- a/rhubarbtrackd/internal/operator/operator_test.go
+++ b/rhubarbtrackd/internal/operator/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -412,7 +413,7 @@
 	ana := f.as("ana", operator.RoleConfigure)
 	version := mustPut(t, ana, domain("north"), 0, "op-1")
 	request := connect.NewRequest(&rhubarbtrackv1.WatchRequest{FromRevision: version})
-	request.Header().Set("Authorization", "vera view")
+	request.Header().Set("Authorization", "Bearer vera view")
 	stream, err := ana.Watch(t.Context(), request)
 	assert.NilError(t, err)
 	defer stream.Close()
@@ -435,10 +436,29 @@
 		f.url+rhubarbtrackv1connect.OperatorServiceGetStatusProcedure, body)
 	assert.NilError(t, err)
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Authorization", "vera view")
+	request.Header.Set("Authorization", "Bearer vera view")
 	request.Header.Set("Origin", "https://elsewhere.example")
 	response, err := http.DefaultClient.Do(request)
 	assert.NilError(t, err)
 	defer response.Body.Close()
 	assert.Equal(t, response.StatusCode, http.StatusForbidden)
 }
+
+// gRPC tools must be served on the same mux as Connect.
+func TestGRPC(t *testing.T) {
+	f := newFixture(t)
+	mux := http.NewServeMux()
+	mux.Handle(f.server.Handler())
+	listener := httptest.NewUnstartedServer(mux)
+	listener.Config.Protocols = new(http.Protocols)
+	listener.Config.Protocols.SetUnencryptedHTTP2(true)
+	listener.Start()
+	defer listener.Close()
+	transport := &http.Transport{Protocols: listener.Config.Protocols}
+	defer transport.CloseIdleConnections()
+	c := rhubarbtrackv1connect.NewOperatorServiceClient(&http.Client{Transport: transport}, listener.URL, connect.WithGRPC())
+	request := connect.NewRequest(&rhubarbtrackv1.GetOwnerRequest{Service: "none"})
+	request.Header().Set("Authorization", "Bearer vera view")
+	_, err := c.GetOwner(t.Context(), request)
+	assert.Equal(t, faultOf(t, err).GetKind(), rhubarbtrackv1.FaultKind_FAULT_KIND_NOT_FOUND)
+}
