controller: skip work that no change requires

With 20 upstreams and 320 slices a profile of 220 simulated seconds spent 8.84 s in Step, 4.0% of a core, mostly comparing held with wanted slices on every event.

--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -70,8 +70,10 @@
 	// takeoverGrace is the time that upstreams have to answer a new controller before it renews admission leases. The
 	// leases outlast it: 0.2 s heartbeat, 0.9 s takeover and 0.3 s are below 1.5 s.
 	takeoverGrace = 300 * time.Millisecond
-	// planInterval bounds how often Plan is called.
+	// planInterval bounds how often Plan is called after changes, planIdle without changes: the loads it may use lag by
+	// about as much.
 	planInterval = 50 * time.Millisecond
+	planIdle     = 500 * time.Millisecond
 	// resignInterval is the time between two resignations of a host. With upstreams that nobody reaches, the hosts
 	// change places at most this often.
 	resignInterval = 10 * time.Second
@@ -117,7 +119,13 @@
 	publishDue bool
 	publishAt  time.Duration
 	beaconAt   time.Duration
-	planAt     time.Duration
+	planAt     time.Duration // the next call of Plan is due
+	planMin    time.Duration // no call of Plan before this
+	planned    uint64        // generation of the latest call of Plan
+	generation uint64        // number of changes of what should be granted
+	settledAt  uint64        // generation at which every slice was owned, 0 when some are not
+	lost       int           // lost upstreams at settledAt
+	sorted     []string      // names of upstreams, nil when out of date
 	resignAt   time.Duration // no resignation before this
 }
 
@@ -196,12 +204,15 @@
 	c.slices = map[uint32]*slice{}
 	c.order = nil
 	c.upstreams = map[string]*upstream{}
+	c.sorted = nil
 	c.hosts = map[string]*host{}
 	c.store = store{operation: c.store.operation}
 	c.tableSeq = 0
 	c.published = slicer.Table{}
 	c.publishDue = false
 	c.planAt = 0
+	c.planMin = 0
+	c.touch()
 	c.noteUpstreams(now)
 	c.log(Log{Code: TakeoverStarted, Term: c.term})
 }
@@ -353,5 +364,8 @@
 
 // names returns the names of the upstreams in a fixed order, so that every run gives the same actions.
 func (c *Controller) names() []string {
-	return slices.Sorted(maps.Keys(c.upstreams))
+	if c.sorted == nil {
+		c.sorted = slices.Sorted(maps.Keys(c.upstreams))
+	}
+	return c.sorted
 }
--- a/core/controller/plan.go
+++ b/core/controller/plan.go
@@ -113,13 +113,14 @@
 }
 
 func (p *evenPlan) even() {
+	to := p.emptiest()
 	for _, s := range p.input.Slices {
-		to := p.emptiest()
 		if to == "" || p.slots[s.Owner] == 0 || s.Moving || p.moved(s.ID) {
 			continue
 		}
 		if p.load(s.Owner, 0) > p.load(to, 1) {
 			p.move(s, s.Owner)
+			to = p.emptiest()
 		}
 	}
 }
@@ -130,10 +131,12 @@
 
 // plan begins the moves that Plan asks for, within the bound on moves at once.
 func (c *Controller) plan(now time.Duration) {
-	if !c.keyed() || now < c.planAt {
+	if !c.keyed() || now < c.planMin || now < c.planAt && c.generation == c.planned {
 		return
 	}
-	c.planAt = now + planInterval
+	c.planMin = now + planInterval
+	c.planAt = now + planIdle
+	c.planned = c.generation
 	input := c.input(now)
 	if input.Budget <= 0 {
 		return
--- a/core/controller/slices.go
+++ b/core/controller/slices.go
@@ -51,12 +51,23 @@
 }
 
 func (c *Controller) advanceSlices(now time.Duration) {
+	lost := c.countLost(now)
+	if c.settledAt == c.generation && c.lost == lost {
+		return
+	}
 	settled := c.allSettled(now)
 	finished := true
+	idle := true
 	for _, id := range c.order {
 		s := c.slices[id]
 		c.advanceSlice(now, s, settled)
 		finished = finished && s.stage != unresolved
+		idle = idle && s.stage == owned
+	}
+	c.settledAt = 0
+	if idle {
+		c.settledAt = c.generation
+		c.lost = lost
 	}
 	if finished && !c.finished {
 		c.finished = true
@@ -64,6 +75,16 @@
 	}
 }
 
+func (c *Controller) countLost(now time.Duration) int {
+	count := 0
+	for _, upstream := range c.upstreams {
+		if upstream.lost(now) {
+			count++
+		}
+	}
+	return count
+}
+
 func (c *Controller) advanceSlice(now time.Duration, s *slice, settled bool) {
 	switch s.stage {
 	case unresolved:
@@ -110,6 +131,7 @@
 	}
 	if s.owner == "" {
 		s.stage = unowned
+		c.touch()
 		return
 	}
 	owner := c.upstreams[s.owner]
@@ -146,7 +168,7 @@
 	if owner.lost(now) {
 		s.stage = unowned
 		s.provisional = false
-		c.planAt = 0
+		c.planMin = 0
 		c.changed()
 	}
 }
@@ -162,6 +184,7 @@
 		return
 	}
 	s.stage = stopping
+	c.touch()
 	c.upstreams[s.owner].leasesDue = true
 	c.log(Log{Code: MoveStarted, Upstream: target, Slices: 1, Term: c.term})
 }
@@ -170,6 +193,7 @@
 	if c.store.down {
 		// No voluntary move during a store outage: the old owner still holds the slice.
 		s.stage = owned
+		c.touch()
 		c.upstreams[s.owner].leasesDue = true
 		return
 	}
@@ -177,6 +201,7 @@
 		return
 	}
 	s.stage = revoking
+	c.touch()
 	c.advanceRevocation(now, s)
 }
 
@@ -238,4 +263,10 @@
 // changed notes that the routed table differs from the published one.
 func (c *Controller) changed() {
 	c.publishDue = true
+	c.touch()
+}
+
+// touch notes a change of what should be granted, so that work skipped since the last one is done again.
+func (c *Controller) touch() {
+	c.generation++
 }
--- a/core/controller/upstreams.go
+++ b/core/controller/upstreams.go
@@ -26,6 +26,7 @@
 	failedSince time.Duration // first order without a reply since the last reply, 0 when none
 	lostLogged  bool
 	renewAt     time.Duration // when the next order with a nonce is due
+	evenAt      uint64        // generation at which it held just what it should hold
 	leasesDue   bool
 	closedSince time.Duration // when it was first seen to be closed to new work, 0 when it is open
 	admission   admission
@@ -58,6 +59,7 @@
 	for _, upstream := range c.upstreams {
 		upstream.removed = true
 	}
+	c.touch()
 	for name, config := range c.snapshot.Upstreams {
 		if config.Service != c.options.Service {
 			continue
@@ -99,6 +101,7 @@
 	}
 	known.admission.leaseEnd = c.adopted + AdmissionLifetime + DriftMargin(AdmissionLifetime)
 	c.upstreams[name] = known
+	c.sorted = nil
 	return known
 }
 
@@ -137,6 +140,9 @@
 		upstream.leasesDue = true
 	}
 	upstream.incarnation = reply.Incarnation
+	if !upstream.answered || upstream.failedSince > 0 {
+		c.touch()
+	}
 	upstream.answered = true
 	upstream.failedSince = 0
 	upstream.inFlight = reply.InFlight
@@ -197,9 +203,15 @@
 		}
 		return
 	}
-	add, remove := c.difference(upstream, name)
-	if now < upstream.renewAt && len(add) == 0 && len(remove) == 0 {
-		return
+	var add, remove []Grant
+	if upstream.evenAt != c.generation {
+		add, remove = c.difference(upstream, name)
+	}
+	if len(add) == 0 && len(remove) == 0 {
+		upstream.evenAt = c.generation
+		if now < upstream.renewAt {
+			return
+		}
 	}
 	if len(remove) > 0 {
 		c.logExcess(name, remove)
