controller: forget removed upstreams and guard their admission

An upstream that was removed from the configuration stayed in memory and got orders for ever. It is now forgotten once it owns nothing and no lease to it is valid. Its slices were released when its grants had expired even if a host could still admit to it, which breaks the rule of the single sender for upstreams that do not check fences; they now wait for the admission lease as well.

--- a/core/controller/admissions.go
+++ b/core/controller/admissions.go
@@ -326,9 +326,11 @@
 	c.actions = append(c.actions, message)
 }
 
-// owns reports whether the upstream is the owner of any slice.
+// owns reports whether the upstream is the owner or next owner of any slice.
 func (c *Controller) owns(name string) bool {
-	return slices.ContainsFunc(c.order, func(id uint32) bool { return c.slices[id].owner == name })
+	return slices.ContainsFunc(c.order, func(id uint32) bool {
+		return c.slices[id].owner == name || c.slices[id].target == name
+	})
 }
 
 func (c *Controller) lease(now time.Duration, name string, upstream *upstream) Lease {
--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -26,7 +26,7 @@
 	"pause-host", "restart-host", "kill-host", "restart-all-hosts", "cut-hosts", "cut-store", "cut-upstream",
 	"isolate-host", "freeze-upstream", "restart-upstream", "kill-upstream", "store-down", "lose-answers",
 	"delay-messages", "drain-upstream", "take-out-domain", "kill-controller", "pause-controller", "isolate-controller",
-	"isolate-upstream", "cut-admission", "cut-witnesses", "cut-upstreams",
+	"isolate-upstream", "cut-admission", "remove-upstream", "cut-witnesses", "cut-upstreams",
 }
 
 func (w *world) host5(target int) *node { return w.hosts[fmt.Sprintf("host-%d", target%5)] }
@@ -104,6 +104,11 @@
 		for name := range w.upstreams {
 			cut(w.acting(n).name, name)
 		}
+	case "remove-upstream":
+		w.configure(func(next *configurator.Snapshot) { delete(next.Upstreams, u.config.Name) })
+		end(func() {
+			w.configure(func(next *configurator.Snapshot) { next.Upstreams[u.config.Name] = u.config })
+		})
 	case "isolate-upstream":
 		for target := range 5 {
 			cut(u.config.Name, w.host5(target).name)
@@ -197,9 +202,10 @@
 
 func (w *world) drain(name string, drained bool) {
 	w.configure(func(next *configurator.Snapshot) {
-		upstream := next.Upstreams[name]
-		upstream.Drained = drained
-		next.Upstreams[name] = upstream
+		if upstream, ok := next.Upstreams[name]; ok {
+			upstream.Drained = drained
+			next.Upstreams[name] = upstream
+		}
 	})
 }
 
--- a/core/controller/slices.go
+++ b/core/controller/slices.go
@@ -51,6 +51,7 @@
 }
 
 func (c *Controller) advanceSlices(now time.Duration) {
+	c.forget(now)
 	lost := c.countLost(now)
 	if c.settledAt == c.generation && c.lost == lost {
 		return
@@ -193,6 +194,7 @@
 	if c.store.down {
 		// No voluntary move during a store outage: the old owner still holds the slice.
 		s.stage = owned
+		s.target = ""
 		c.touch()
 		c.upstreams[s.owner].leasesDue = true
 		return
@@ -256,6 +258,7 @@
 
 func (c *Controller) own(s *slice) {
 	s.stage = owned
+	s.target = ""
 	c.changed()
 	c.log(Log{Code: MoveFinished, Upstream: s.owner, Slices: 1, Term: c.term})
 }
--- a/core/controller/upstreams.go
+++ b/core/controller/upstreams.go
@@ -39,7 +39,7 @@
 // lost reports whether the slices of the upstream may be given to others without its consent.
 func (u *upstream) lost(now time.Duration) bool {
 	if u.removed {
-		return u.expired(now)
+		return u.expired(now) && (u.config.ChecksFence || now >= u.admission.leaseEnd)
 	}
 	return u.config.ChecksFence && u.expired(now) && u.silent(now)
 }
@@ -87,6 +87,20 @@
 	return upstream.removed || upstream.config.Drained || domain.TakenOut
 }
 
+// forget drops removed upstreams that own and hold nothing and to which no host can admit.
+func (c *Controller) forget(now time.Duration) {
+	for name, upstream := range c.upstreams {
+		if !upstream.removed || now < upstream.admission.leaseEnd || c.owns(name) {
+			continue
+		}
+		if upstream.expired(now) || upstream.answered && len(upstream.held) == 0 && !upstream.pending {
+			delete(c.upstreams, name)
+			c.sorted = nil
+			c.changed()
+		}
+	}
+}
+
 // upstream returns the state of an upstream. A new one may hold grants and have an admission host of an earlier term.
 func (c *Controller) upstream(name string) *upstream {
 	known, ok := c.upstreams[name]
