bench: measure unavailable time and cost of ownership

The page bounds the time in which a key is not served by 3 s and compares with a lease per upstream in the store.

--- /dev/null
+++ b/bench/internal/ownership/ownership.go
@@ -0,0 +1,103 @@
+// Package ownership measures how long keys are unavailable when slices move or machines crash, and what control costs.
+//
+// Ours are the state machines of core/witness, core/elector and core/controller over simulated hosts, upstreams and store
+// in virtual time. The naive version is a lease per upstream in the store: see naive.go.
+//
+// # Usage
+//
+//	for _, line := range ownership.Measure(1) {
+//		printer.Print(os.Stdout, line)
+//	}
+package ownership
+
+import (
+	"fmt"
+	"time"
+
+	"rhubarbtrack.example/bench/internal/printer"
+)
+
+const (
+	// unavailableBound is the time after which a key must be served again (design page, section 2).
+	unavailableBound = 3 * time.Second
+	trials           = 12
+	slicesPerServer  = 16
+	settling         = 6 * time.Second
+	observation      = 10 * time.Second // of the steady state; the watches of the relay roots are not part of it
+)
+
+// disturbance is a change of a settled simulation whose unavailable time is measured.
+type disturbance struct {
+	measure string
+	start   func(s *simulation)
+	length  time.Duration
+	naive   func(n *naive) time.Duration
+}
+
+var disturbances = []disturbance{
+	{"unavailable-planned-move", (*simulation).drainUpstream, 4 * time.Second, (*naive).move},
+	{"unavailable-upstream-crash", (*simulation).killUpstream, 5 * time.Second, (*naive).crash},
+	{"unavailable-upstream-restart", (*simulation).restartUpstream, 3 * time.Second, (*naive).restart},
+	{"unavailable-controller-and-upstream-crash", (*simulation).killController, 6 * time.Second, (*naive).crash},
+	{"unavailable-upstream-crash-store-down", (*simulation).killWithoutStore, 5 * time.Second, (*naive).crashWithoutStore},
+}
+
+// Measure returns the figures. Unavailable times are the longest over all slices and trials.
+func Measure(seed uint64) []printer.Line {
+	lines := []printer.Line{}
+	for _, d := range disturbances {
+		lines = append(lines, unavailable(seed, d))
+	}
+	for _, count := range []int{4, 20, 32} {
+		lines = append(lines, costs(seed, count)...)
+	}
+	return lines
+}
+
+func unavailable(seed uint64, d disturbance) printer.Line {
+	worst := time.Duration(0)
+	worstNaive := time.Duration(0)
+	for trial := range uint64(trials) {
+		s := newSimulation(seed*trials+trial, 20)
+		s.run(settling)
+		s.run(time.Duration(s.random.IntN(300)) * time.Millisecond)
+		d.start(s)
+		worst = max(worst, s.outage(d.length))
+		worstNaive = max(worstNaive, d.naive(newNaive(seed*trials+trial, 20)))
+	}
+	return printer.Line{
+		Measure:  d.measure,
+		Naive:    worstNaive.Seconds(),
+		Ours:     worst.Seconds(),
+		Bound:    unavailableBound.Seconds(),
+		HasBound: true,
+		Unit:     "s",
+		Seed:     seed,
+	}
+}
+
+// costs counts calls and messages of one service in the steady state.
+func costs(seed uint64, count int) []printer.Line {
+	s := newSimulation(seed, count)
+	s.run(settling)
+	s.storeCalls = 0
+	s.messages = 0
+	s.run(observation)
+	baseline := newNaive(seed, count)
+	return []printer.Line{
+		{
+			Measure: fmt.Sprintf("store-calls-%d-upstreams", count),
+			Naive:   baseline.storeCalls(),
+			Ours:    float64(s.storeCalls) / observation.Seconds(),
+			Unit:    "1/s",
+			Seed:    seed,
+		},
+		{
+			Measure: fmt.Sprintf("control-messages-%d-upstreams", count),
+			Naive:   baseline.messages(),
+			Ours:    float64(s.messages) / observation.Seconds(),
+			Unit:    "1/s",
+			Seed:    seed,
+		},
+	}
+}
--- /dev/null
+++ b/bench/internal/ownership/ownership_test.go
@@ -0,0 +1,26 @@
+package ownership
+
+import (
+	"slices"
+	"testing"
+)
+
+// TestMeasure guards the bounds of the design page.
+func TestMeasure(t *testing.T) {
+	for _, line := range Measure(1) {
+		if !line.Passes() {
+			t.Errorf("%s: %v exceeds %v %s", line.Measure, line.Ours, line.Bound, line.Unit)
+		}
+		t.Logf("%+v", line)
+	}
+}
+
+// TestRepeatable guards against figures that depend on more than the seed.
+func TestRepeatable(t *testing.T) {
+	if first, second := costs(3, 4), costs(3, 4); !slices.Equal(first, second) {
+		t.Errorf("two runs differ: %v and %v", first, second)
+	}
+	if first, second := unavailable(3, disturbances[0]), unavailable(3, disturbances[0]); first != second {
+		t.Errorf("two runs differ: %v and %v", first, second)
+	}
+}
--- /dev/null
+++ b/bench/internal/ownership/upstream.go
@@ -0,0 +1,70 @@
+package ownership
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"rhubarbtrack.example/core/controller"
+	"rhubarbtrack.example/core/slicer"
+)
+
+// upstream grants slices as docs/protocols.md describes, for a simulation without delayed orders.
+type upstream struct {
+	name        string
+	incarnation int
+	dead        bool
+	nonces      int
+	nonce       string
+	issued      time.Duration
+	end         time.Duration
+	held        map[uint32]slicer.Fence
+}
+
+func (u *upstream) restart() {
+	u.incarnation++
+	u.nonce = ""
+	u.held = map[uint32]slicer.Fence{}
+}
+
+func (u *upstream) holds(now time.Duration, fence slicer.Fence) bool {
+	return !u.dead && now < u.end && u.held[fence.Slice] == fence
+}
+
+func (u *upstream) order(now time.Duration, order controller.SendOrder) controller.OrderReply {
+	if now >= u.end {
+		u.held = map[uint32]slicer.Fence{}
+	}
+	reply := controller.OrderReply{
+		Upstream:    u.name,
+		ID:          order.ID,
+		Term:        order.Term,
+		Incarnation: fmt.Sprint(u.incarnation),
+	}
+	switch {
+	case order.Nonce == "":
+	case order.Nonce != u.nonce:
+		reply.Refusal = controller.StaleNonce
+	default:
+		u.accept(order)
+	}
+	u.nonces++
+	u.nonce = fmt.Sprint(u.incarnation, "-", u.nonces)
+	u.issued = now
+	reply.Nonce = u.nonce
+	for _, id := range slices.Sorted(maps.Keys(u.held)) {
+		reply.Held = append(reply.Held, u.held[id])
+	}
+	return reply
+}
+
+func (u *upstream) accept(order controller.SendOrder) {
+	u.end = u.issued + order.Lifetime
+	for _, grant := range order.Remove {
+		delete(u.held, grant.Slice)
+	}
+	for _, grant := range order.Add {
+		u.held[grant.Slice] = slicer.Fence{Slice: grant.Slice, Term: order.Term, Epoch: grant.Epoch}
+	}
+}
