--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -25,7 +25,7 @@
 var faultKinds = []string{
 	"pause-host", "restart-host", "kill-host", "restart-all-hosts", "cut-hosts", "cut-store", "cut-upstream",
 	"isolate-host", "freeze-upstream", "restart-upstream", "kill-upstream", "store-down", "lose-answers",
-	"delay-messages", "drain-upstream", "take-out-domain", "kill-controller", "pause-controller", "isolate-controller",
+	"delay-messages", "drain-upstream", "take-out-domain", "kill-controller", "pause-controller", "stall-controller", "isolate-controller",
 	"isolate-upstream", "cut-admission", "remove-upstream", "cut-witnesses", "cut-upstreams",
 }
 
@@ -72,6 +72,8 @@
 	switch f.kind {
 	case "pause-host":
 		n.paused = max(n.paused, w.now+f.length)
+	case "stall-host":
+		n.stall = f.length
 	case "restart-host":
 		w.start(n)
 	case "kill-host":
@@ -184,6 +186,10 @@
 				// The fault ends when the last delayed message has arrived.
 				last = max(last, w.now+f.length+2*time.Second)
 			}
+			if f.kind == "stall-controller" {
+				// The pause begins with the next order, at the latest after the renewal interval.
+				last = max(last, w.now+f.length+controller.RenewalInterval)
+			}
 			w.run(time.Duration(rapid.OneOf(rapid.IntRange(0, 50), rapid.IntRange(0, 2500)).Draw(t, "gap")) * ms)
 		}
 		w.run(last - w.now)
--- a/core/controller/fault_test.go
+++ b/core/controller/fault_test.go
@@ -28,7 +28,7 @@
 		moves  bool          // owners may differ in the end
 		codes  []controller.Code
 	}{
-		{"paused controller with half-sent orders", []at{acting("delay-messages", 20*ms), acting("pause-controller", 2*sec)},
+		{"paused controller with half-sent orders", []at{acting("stall-controller", 2*sec)},
 			8 * sec, 2 * sec, false, nil},
 		{"paused controller resumes before a successor", []at{acting("pause-controller", 640*ms)}, 4 * sec, 0, false, nil},
 		{"delayed orders", []at{acting("delay-messages", 5*sec)}, 10 * sec, 3 * sec, true, nil},
--- a/core/controller/world_test.go
+++ b/core/controller/world_test.go
@@ -55,7 +55,9 @@
 	name, domain, incarnation string
 	dead                      bool
 	paused                    time.Duration // until then nothing is processed
+	stall                     time.Duration // pauses this long with its next order half sent
 	rate                      float64
+	offset                    time.Duration // between clocks
 	witness                   *witness.Witness
 	elector                   *elector.Elector
 	controller                *controller.Controller
@@ -121,7 +123,8 @@
 		w.upstreams[name].restart(w)
 	}
 	for i := range 5 {
-		n := &node{name: fmt.Sprintf("host-%d", i), domain: fmt.Sprintf("domain-%d", i%3), rate: w.rate()}
+		n := &node{name: fmt.Sprintf("host-%d", i), domain: fmt.Sprintf("domain-%d", i%3), rate: w.rate(),
+			offset: time.Duration(w.random.IntN(1000)) * time.Second}
 		w.hosts[n.name] = n
 	}
 	for _, name := range sorted(w.hosts) {
@@ -164,7 +167,11 @@
 	if w.cut[[2]string{from, to}] || w.cut[[2]string{to, from}] {
 		return
 	}
-	w.at(w.latency(), run)
+	delay := w.latency()
+	if n := w.hosts[from]; n != nil && n.paused > w.now {
+		delay += n.paused - w.now
+	}
+	w.at(delay, run)
 }
 
 // host runs an event at a host, after its pause, if the process is still the same.
@@ -179,7 +186,9 @@
 	run(n.clock(w.now))
 }
 
-func (n *node) clock(now time.Duration) time.Duration { return time.Duration(float64(now) * n.rate) }
+func (n *node) clock(now time.Duration) time.Duration {
+	return n.offset + time.Duration(float64(now)*n.rate)
+}
 
 // acts reports whether the host has a valid right to act.
 func (n *node) acts(now time.Duration) bool {
@@ -189,7 +198,7 @@
 // start begins a new process on a host.
 func (w *world) start(n *node) {
 	w.count++
-	n.dead, n.incarnation, n.paused = false, fmt.Sprint(w.count), 0
+	n.dead, n.incarnation, n.paused, n.stall = false, fmt.Sprint(w.count), 0, 0
 	n.leases, n.term, n.seq, n.right = map[string]admitted{}, 0, 0, elector.Right{}
 	now := n.clock(w.now)
 	self := witness.Holder{Host: n.name, Incarnation: n.incarnation}
@@ -395,6 +404,8 @@
 			})
 		})
 	}
+	n.paused = max(n.paused, w.now+n.stall)
+	n.stall = 0
 	w.send(n.name, action.Upstream, arrive)
 	if w.late > 0 && w.random.IntN(20) == 0 {
 		w.send(n.name, action.Upstream, arrive)
