controller: adopt only admission leases reported after the takeover

A new controller took over the admission host that any heartbeat reported. A heartbeat that was delayed past the end of its lease could name a host whose role the earlier controller had already given to another one during a store outage, so two hosts could admit to one upstream. No run has shown this; it follows from reading the code.

Heartbeats now carry the highest term that the host has heard. A report from before the takeover is answered with a query, and the host repeats it at once.

--- a/bench/internal/ownership/simulation.go
+++ b/bench/internal/ownership/simulation.go
@@ -50,6 +50,7 @@
 	elector    *elector.Elector
 	controller *controller.Controller
 	right      elector.Right
+	term       uint64
 	seq        uint64
 	end        time.Duration // of the leases
 	leases     map[string]controller.Lease
@@ -323,7 +324,7 @@
 	if to == nil {
 		return
 	}
-	beat := controller.Heartbeat{Host: h.name, Incarnation: "1", FailureDomain: h.domain, Sent: s.now}
+	beat := controller.Heartbeat{Host: h.name, Incarnation: "1", FailureDomain: h.domain, Sent: s.now, Term: h.term}
 	for _, name := range slices.Sorted(maps.Keys(h.leases)) {
 		if s.now < h.end {
 			beat.Leases = append(beat.Leases, controller.HeldLease{Upstream: name, Epoch: h.leases[name].Epoch})
@@ -350,6 +351,11 @@
 			return
 		}
 		to.seq = rank
+		to.term = action.Term
+		if action.Query {
+			s.beat(to)
+			return
+		}
 		to.end = action.HeartbeatSent + action.Lifetime
 		to.leases = map[string]controller.Lease{}
 		for _, lease := range action.Leases {
--- a/core/controller/admissions.go
+++ b/core/controller/admissions.go
@@ -17,7 +17,8 @@
 	seen          time.Duration // latest heartbeat
 	sent          time.Duration // by the clock of the host
 	leasesDue     bool
-	listed        int // number of leases in the latest message
+	unconfirmed   bool // reports leases, but perhaps from before the takeover
+	listed        int  // number of leases in the latest message
 }
 
 // maxRetired bounds the remembered incarnations of a host.
@@ -71,6 +72,10 @@
 	known.seen = max(now, 1)
 	known.sent = beat.Sent
 	known.leasesDue = true
+	known.unconfirmed = beat.Term != c.term && len(beat.Leases) > 0
+	if known.unconfirmed {
+		return
+	}
 	for _, lease := range beat.Leases {
 		c.adoptLease(now, beat.Host, lease)
 	}
@@ -93,7 +98,8 @@
 	}
 }
 
-// adoptLease learns after a takeover which host an earlier controller has chosen.
+// adoptLease learns after a takeover which host an earlier controller has chosen. The host must have reported the lease
+// after the takeover: a delayed report may be about a lease that the earlier controller has given to another host since.
 func (c *Controller) adoptLease(now time.Duration, name string, lease HeldLease) {
 	upstream, ok := c.upstreams[lease.Upstream]
 	if !ok || upstream.admission.known || now >= upstream.admission.leaseEnd {
@@ -203,7 +209,7 @@
 		role.releasing = role.releasing && !c.usable(now, role.host)
 		return
 	}
-	if role.known && role.host != best {
+	if role.known && role.host != best && !role.releasing {
 		c.log(Log{Code: AdmissionExpired, Upstream: name, Host: role.host, Term: c.term})
 	}
 	role.host = best
@@ -277,11 +283,27 @@
 		known := c.hosts[name]
 		if known.leasesDue && c.usable(now, name) && c.informed(now, name) {
 			known.leasesDue = false
-			c.sendHost(now, name, known)
+			c.answerHost(now, name, known)
 		}
 	}
 }
 
+func (c *Controller) answerHost(now time.Duration, name string, known *host) {
+	if known.unconfirmed {
+		c.seq++
+		c.actions = append(c.actions, SendLeases{
+			Query:       true,
+			Host:        name,
+			Incarnation: known.incarnation,
+			Service:     c.options.Service,
+			Term:        c.term,
+			Seq:         c.seq,
+		})
+		return
+	}
+	c.sendHost(now, name, known)
+}
+
 // informed reports whether the lists of slices in the leases of a host are complete after a takeover.
 func (c *Controller) informed(now time.Duration, name string) bool {
 	if !c.keyed() || now >= c.adopted+takeoverGrace {
--- a/core/controller/types.go
+++ b/core/controller/types.go
@@ -45,6 +45,7 @@
 	FailureDomain string
 	Leaving       bool
 	Sent          time.Duration // by the clock of the host, echoed in SendLeases
+	Term          uint64        // highest term of the SendLeases that the host has received
 	Leases        []HeldLease   // admission leases of this service that are valid at Sent
 }
 
@@ -163,8 +164,10 @@
 
 // SendLeases carries all admission leases of one host for this service. The host ignores a message whose (Term, Seq) is
 // not above the highest it has seen. Its leases end at HeartbeatSent + Lifetime by its own clock. An upstream that is
-// not listed must not be admitted to any more.
+// not listed must not be admitted to any more. A query changes no lease; the host notes its term and answers with a
+// heartbeat at once.
 type SendLeases struct {
+	Query         bool
 	Host          string
 	Incarnation   string
 	Service       string
--- a/core/controller/world_test.go
+++ b/core/controller/world_test.go
@@ -243,17 +243,19 @@
 // beat sends heartbeats of a host to every controller, for ever.
 func (w *world) beat(n *node) {
 	w.at(200*ms, func() { w.beat(n) })
-	w.host(n, n.incarnation, func(now time.Duration) {
-		beat := controller.Heartbeat{Host: n.name, Incarnation: n.incarnation, FailureDomain: n.domain, Sent: now}
-		for _, name := range sorted(n.leases) {
-			if lease := n.leases[name]; now < lease.end {
-				beat.Leases = append(beat.Leases, controller.HeldLease{Upstream: name, Term: lease.term, Epoch: lease.epoch})
-			}
-		}
-		for _, to := range sorted(w.hosts) {
-			w.tell(n, w.hosts[to], beat)
+	w.host(n, n.incarnation, func(now time.Duration) { w.heartbeat(n, now) })
+}
+
+func (w *world) heartbeat(n *node, now time.Duration) {
+	beat := controller.Heartbeat{Host: n.name, Incarnation: n.incarnation, FailureDomain: n.domain, Sent: now, Term: n.term}
+	for _, name := range sorted(n.leases) {
+		if lease := n.leases[name]; now < lease.end {
+			beat.Leases = append(beat.Leases, controller.HeldLease{Upstream: name, Term: lease.term, Epoch: lease.epoch})
 		}
-	})
+	}
+	for _, to := range sorted(w.hosts) {
+		w.tell(n, w.hosts[to], beat)
+	}
 }
 
 func (w *world) tell(from, to *node, event controller.Event) {
@@ -470,11 +472,15 @@
 func (w *world) leases(n *node, action controller.SendLeases) {
 	to := w.hosts[action.Host]
 	w.send(n.name, to.name, func() {
-		w.host(to, action.Incarnation, func(time.Duration) {
+		w.host(to, action.Incarnation, func(now time.Duration) {
 			if action.Term < to.term || action.Term == to.term && action.Seq <= to.seq {
 				return
 			}
 			to.term, to.seq = action.Term, action.Seq
+			if action.Query {
+				w.heartbeat(to, now)
+				return
+			}
 			to.leases = map[string]admitted{}
 			for _, lease := range action.Leases {
 				w.admit(n, to, action, lease)
