elector: shorten the abstention after a resignation

With all upstreams unreachable, every host resigned in turn and then abstained for 10 s, so the service had no controller when the upstreams came back: after a cut of 8 s, slices were not served for 10.93 s. Upstreams that operators have closed do not count as silent, and a controller that hears no other host does not resign.

--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -272,7 +272,7 @@
 func (c *Controller) resign(now time.Duration) bool {
 	silent, count := 0, 0
 	for _, upstream := range c.upstreams {
-		if upstream.removed {
+		if c.closed(upstream) {
 			continue
 		}
 		count++
@@ -280,7 +280,7 @@
 			silent++
 		}
 	}
-	c.store.probe = silent > count/2 && now >= c.resignAt
+	c.store.probe = silent > count/2 && len(c.hosts) > 1 && now >= c.resignAt
 	if !c.store.probe || c.store.down || c.store.answeredAt == 0 || now-c.store.answeredAt > storeTimeout {
 		return false
 	}
--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -26,7 +26,7 @@
 	"pause-host", "restart-host", "kill-host", "restart-all-hosts", "cut-hosts", "cut-store", "cut-upstream",
 	"isolate-host", "freeze-upstream", "restart-upstream", "kill-upstream", "store-down", "lose-answers",
 	"delay-messages", "drain-upstream", "take-out-domain", "kill-controller", "pause-controller", "stall-controller", "isolate-controller",
-	"isolate-upstream", "cut-admission", "remove-upstream", "cut-witnesses", "cut-upstreams",
+	"isolate-upstream", "isolate-all-upstreams", "cut-admission", "remove-upstream", "cut-witnesses", "cut-upstreams",
 }
 
 func (w *world) host5(target int) *node { return w.hosts[fmt.Sprintf("host-%d", target%5)] }
@@ -111,6 +111,12 @@
 		end(func() {
 			w.configure(func(next *configurator.Snapshot) { next.Upstreams[u.config.Name] = u.config })
 		})
+	case "isolate-all-upstreams":
+		for name := range w.upstreams {
+			for target := range 5 {
+				cut(name, w.host5(target).name)
+			}
+		}
 	case "isolate-upstream":
 		for target := range 5 {
 			cut(u.config.Name, w.host5(target).name)
--- a/core/controller/fault_test.go
+++ b/core/controller/fault_test.go
@@ -42,6 +42,8 @@
 		// returns with the connections.
 		{"controller cut off from store and upstreams",
 			[]at{acting("cut-store-controller", 5*sec), acting("cut-upstreams", 5*sec)}, 12 * sec, 5 * sec, true, nil},
+		{"all upstreams cut off", []at{acting("isolate-all-upstreams", 9*sec)}, 13 * sec, 10500 * ms, true,
+			[]controller.Code{controller.Resigned}},
 		{"controller killed", []at{acting("kill-controller", 20*sec)}, 6 * sec, 2500 * ms, false, nil},
 		{"controller and upstream killed", []at{acting("kill-controller", 20*sec), acting("kill-upstream", 20*sec)},
 			6 * sec, 3 * sec, true, []controller.Code{controller.UpstreamExpired}},
--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -56,8 +56,10 @@
 	jitterSpan = 100 * time.Millisecond
 	// storeTimeout is the time after which a store call counts as unanswered.
 	storeTimeout = 500 * time.Millisecond
-	// abstention is the time after a resignation in which a host leaves the candidacy to others.
-	abstention = 10 * time.Second
+	// abstention is the time after a resignation in which a host leaves the candidacy to others. The last witness of the
+	// list has become a candidate by then. Hosts that abstained for 10 s left a service without a controller after all
+	// of them had resigned.
+	abstention = Silence + WitnessCount*SilencePerRank
 	// readInterval bounds the reads of a store that refuses calls.
 	readInterval = 100 * time.Millisecond
 	// replaceInterval bounds how often the holder changes the witness list: every change is a new term.
