--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -25,8 +25,8 @@
 var faultKinds = []string{
 	"pause-host", "restart-host", "kill-host", "restart-all-hosts", "cut-hosts", "cut-store", "cut-upstream",
 	"isolate-host", "freeze-upstream", "restart-upstream", "kill-upstream", "store-down", "lose-answers",
-	"delay-messages", "drain-upstream", "take-out-domain", "kill-controller", "pause-controller", "isolate-controller",
-	"isolate-upstream", "cut-admission", "cut-witnesses", "cut-upstreams",
+	"delay-messages", "drain-upstream", "take-out-domain", "kill-controller", "pause-controller", "stall-controller", "isolate-controller",
+	"isolate-upstream", "isolate-all-upstreams", "cut-admission", "remove-upstream", "cut-witnesses", "cut-upstreams",
 }
 
 func (w *world) host5(target int) *node { return w.hosts[fmt.Sprintf("host-%d", target%5)] }
@@ -72,6 +72,8 @@
 	switch f.kind {
 	case "pause-host":
 		n.paused = max(n.paused, w.now+f.length)
+	case "stall-host":
+		n.stall = f.length
 	case "restart-host":
 		w.start(n)
 	case "kill-host":
@@ -104,6 +106,17 @@
 		for name := range w.upstreams {
 			cut(w.acting(n).name, name)
 		}
+	case "remove-upstream":
+		w.configure(func(next *configurator.Snapshot) { delete(next.Upstreams, u.config.Name) })
+		end(func() {
+			w.configure(func(next *configurator.Snapshot) { next.Upstreams[u.config.Name] = u.config })
+		})
+	case "isolate-all-upstreams":
+		for name := range w.upstreams {
+			for target := range 5 {
+				cut(name, w.host5(target).name)
+			}
+		}
 	case "isolate-upstream":
 		for target := range 5 {
 			cut(u.config.Name, w.host5(target).name)
@@ -179,6 +192,10 @@
 				// The fault ends when the last delayed message has arrived.
 				last = max(last, w.now+f.length+2*time.Second)
 			}
+			if f.kind == "stall-controller" {
+				// The pause begins with the next order, at the latest after the renewal interval.
+				last = max(last, w.now+f.length+controller.RenewalInterval)
+			}
 			w.run(time.Duration(rapid.OneOf(rapid.IntRange(0, 50), rapid.IntRange(0, 2500)).Draw(t, "gap")) * ms)
 		}
 		w.run(last - w.now)
@@ -197,9 +214,10 @@
 
 func (w *world) drain(name string, drained bool) {
 	w.configure(func(next *configurator.Snapshot) {
-		upstream := next.Upstreams[name]
-		upstream.Drained = drained
-		next.Upstreams[name] = upstream
+		if upstream, ok := next.Upstreams[name]; ok {
+			upstream.Drained = drained
+			next.Upstreams[name] = upstream
+		}
 	})
 }
 
--- a/core/controller/fault_test.go
+++ b/core/controller/fault_test.go
@@ -28,7 +28,7 @@
 		moves  bool          // owners may differ in the end
 		codes  []controller.Code
 	}{
-		{"paused controller with half-sent orders", []at{acting("delay-messages", 20*ms), acting("pause-controller", 2*sec)},
+		{"paused controller with half-sent orders", []at{acting("stall-controller", 2*sec)},
 			8 * sec, 2 * sec, false, nil},
 		{"paused controller resumes before a successor", []at{acting("pause-controller", 640*ms)}, 4 * sec, 0, false, nil},
 		{"delayed orders", []at{acting("delay-messages", 5*sec)}, 10 * sec, 3 * sec, true, nil},
@@ -42,6 +42,8 @@
 		// returns with the connections.
 		{"controller cut off from store and upstreams",
 			[]at{acting("cut-store-controller", 5*sec), acting("cut-upstreams", 5*sec)}, 12 * sec, 5 * sec, true, nil},
+		{"all upstreams cut off", []at{acting("isolate-all-upstreams", 9*sec)}, 13 * sec, 10500 * ms, true,
+			[]controller.Code{controller.Resigned}},
 		{"controller killed", []at{acting("kill-controller", 20*sec)}, 6 * sec, 2500 * ms, false, nil},
 		{"controller and upstream killed", []at{acting("kill-controller", 20*sec), acting("kill-upstream", 20*sec)},
 			6 * sec, 3 * sec, true, []controller.Code{controller.UpstreamExpired}},
--- a/core/controller/upstreams.go
+++ b/core/controller/upstreams.go
@@ -26,6 +26,7 @@
 	failedSince time.Duration // first order without a reply since the last reply, 0 when none
 	lostLogged  bool
 	renewAt     time.Duration // when the next order with a nonce is due
+	evenAt      uint64        // generation at which it held just what it should hold
 	leasesDue   bool
 	closedSince time.Duration // when it was first seen to be closed to new work, 0 when it is open
 	admission   admission
@@ -38,7 +39,7 @@
 // lost reports whether the slices of the upstream may be given to others without its consent.
 func (u *upstream) lost(now time.Duration) bool {
 	if u.removed {
-		return u.expired(now)
+		return u.expired(now) && (u.config.ChecksFence || now >= u.admission.leaseEnd)
 	}
 	return u.config.ChecksFence && u.expired(now) && u.silent(now)
 }
@@ -58,6 +59,7 @@
 	for _, upstream := range c.upstreams {
 		upstream.removed = true
 	}
+	c.touch()
 	for name, config := range c.snapshot.Upstreams {
 		if config.Service != c.options.Service {
 			continue
@@ -85,6 +87,20 @@
 	return upstream.removed || upstream.config.Drained || domain.TakenOut
 }
 
+// forget drops removed upstreams that own and hold nothing and to which no host can admit.
+func (c *Controller) forget(now time.Duration) {
+	for name, upstream := range c.upstreams {
+		if !upstream.removed || now < upstream.admission.leaseEnd || c.owns(name) {
+			continue
+		}
+		if upstream.expired(now) || upstream.answered && len(upstream.held) == 0 && !upstream.pending {
+			delete(c.upstreams, name)
+			c.sorted = nil
+			c.changed()
+		}
+	}
+}
+
 // upstream returns the state of an upstream. A new one may hold grants and have an admission host of an earlier term.
 func (c *Controller) upstream(name string) *upstream {
 	known, ok := c.upstreams[name]
@@ -99,6 +115,7 @@
 	}
 	known.admission.leaseEnd = c.adopted + AdmissionLifetime + DriftMargin(AdmissionLifetime)
 	c.upstreams[name] = known
+	c.sorted = nil
 	return known
 }
 
@@ -137,6 +154,9 @@
 		upstream.leasesDue = true
 	}
 	upstream.incarnation = reply.Incarnation
+	if !upstream.answered || upstream.failedSince > 0 {
+		c.touch()
+	}
 	upstream.answered = true
 	upstream.failedSince = 0
 	upstream.inFlight = reply.InFlight
@@ -197,9 +217,15 @@
 		}
 		return
 	}
-	add, remove := c.difference(upstream, name)
-	if now < upstream.renewAt && len(add) == 0 && len(remove) == 0 {
-		return
+	var add, remove []Grant
+	if upstream.evenAt != c.generation {
+		add, remove = c.difference(upstream, name)
+	}
+	if len(add) == 0 && len(remove) == 0 {
+		upstream.evenAt = c.generation
+		if now < upstream.renewAt {
+			return
+		}
 	}
 	if len(remove) > 0 {
 		c.logExcess(name, remove)
--- a/core/controller/world_test.go
+++ b/core/controller/world_test.go
@@ -55,7 +55,9 @@
 	name, domain, incarnation string
 	dead                      bool
 	paused                    time.Duration // until then nothing is processed
+	stall                     time.Duration // pauses this long with its next order half sent
 	rate                      float64
+	offset                    time.Duration // between clocks
 	witness                   *witness.Witness
 	elector                   *elector.Elector
 	controller                *controller.Controller
@@ -121,7 +123,8 @@
 		w.upstreams[name].restart(w)
 	}
 	for i := range 5 {
-		n := &node{name: fmt.Sprintf("host-%d", i), domain: fmt.Sprintf("domain-%d", i%3), rate: w.rate()}
+		n := &node{name: fmt.Sprintf("host-%d", i), domain: fmt.Sprintf("domain-%d", i%3), rate: w.rate(),
+			offset: time.Duration(w.random.IntN(1000)) * time.Second}
 		w.hosts[n.name] = n
 	}
 	for _, name := range sorted(w.hosts) {
@@ -164,7 +167,11 @@
 	if w.cut[[2]string{from, to}] || w.cut[[2]string{to, from}] {
 		return
 	}
-	w.at(w.latency(), run)
+	delay := w.latency()
+	if n := w.hosts[from]; n != nil && n.paused > w.now {
+		delay += n.paused - w.now
+	}
+	w.at(delay, run)
 }
 
 // host runs an event at a host, after its pause, if the process is still the same.
@@ -179,7 +186,9 @@
 	run(n.clock(w.now))
 }
 
-func (n *node) clock(now time.Duration) time.Duration { return time.Duration(float64(now) * n.rate) }
+func (n *node) clock(now time.Duration) time.Duration {
+	return n.offset + time.Duration(float64(now)*n.rate)
+}
 
 // acts reports whether the host has a valid right to act.
 func (n *node) acts(now time.Duration) bool {
@@ -189,7 +198,7 @@
 // start begins a new process on a host.
 func (w *world) start(n *node) {
 	w.count++
-	n.dead, n.incarnation, n.paused = false, fmt.Sprint(w.count), 0
+	n.dead, n.incarnation, n.paused, n.stall = false, fmt.Sprint(w.count), 0, 0
 	n.leases, n.term, n.seq, n.right = map[string]admitted{}, 0, 0, elector.Right{}
 	now := n.clock(w.now)
 	self := witness.Holder{Host: n.name, Incarnation: n.incarnation}
@@ -234,17 +243,19 @@
 // beat sends heartbeats of a host to every controller, for ever.
 func (w *world) beat(n *node) {
 	w.at(200*ms, func() { w.beat(n) })
-	w.host(n, n.incarnation, func(now time.Duration) {
-		beat := controller.Heartbeat{Host: n.name, Incarnation: n.incarnation, FailureDomain: n.domain, Sent: now}
-		for _, name := range sorted(n.leases) {
-			if lease := n.leases[name]; now < lease.end {
-				beat.Leases = append(beat.Leases, controller.HeldLease{Upstream: name, Term: lease.term, Epoch: lease.epoch})
-			}
-		}
-		for _, to := range sorted(w.hosts) {
-			w.tell(n, w.hosts[to], beat)
+	w.host(n, n.incarnation, func(now time.Duration) { w.heartbeat(n, now) })
+}
+
+func (w *world) heartbeat(n *node, now time.Duration) {
+	beat := controller.Heartbeat{Host: n.name, Incarnation: n.incarnation, FailureDomain: n.domain, Sent: now, Term: n.term}
+	for _, name := range sorted(n.leases) {
+		if lease := n.leases[name]; now < lease.end {
+			beat.Leases = append(beat.Leases, controller.HeldLease{Upstream: name, Term: lease.term, Epoch: lease.epoch})
 		}
-	})
+	}
+	for _, to := range sorted(w.hosts) {
+		w.tell(n, w.hosts[to], beat)
+	}
 }
 
 func (w *world) tell(from, to *node, event controller.Event) {
@@ -395,6 +406,8 @@
 			})
 		})
 	}
+	n.paused = max(n.paused, w.now+n.stall)
+	n.stall = 0
 	w.send(n.name, action.Upstream, arrive)
 	if w.late > 0 && w.random.IntN(20) == 0 {
 		w.send(n.name, action.Upstream, arrive)
@@ -459,11 +472,15 @@
 func (w *world) leases(n *node, action controller.SendLeases) {
 	to := w.hosts[action.Host]
 	w.send(n.name, to.name, func() {
-		w.host(to, action.Incarnation, func(time.Duration) {
+		w.host(to, action.Incarnation, func(now time.Duration) {
 			if action.Term < to.term || action.Term == to.term && action.Seq <= to.seq {
 				return
 			}
 			to.term, to.seq = action.Term, action.Seq
+			if action.Query {
+				w.heartbeat(to, now)
+				return
+			}
 			to.leases = map[string]admitted{}
 			for _, lease := range action.Leases {
 				w.admit(n, to, action, lease)
