--- a/demo/internal/faulter/faulter.go
+++ b/demo/internal/faulter/faulter.go
@@ -25,6 +25,10 @@
 // Upstream holds the switches of upstreamsim. A call replaces all of them; FreezeMS acts once.
 type Upstream struct {
 	FreezeMS int64
+	// LateMS delays answers, Cross exchanges them, and Truncate cuts them off.
+	LateMS   int64
+	Cross    bool
+	Truncate bool
 }
 
 type wirePlatform struct {
@@ -35,6 +39,9 @@
 
 type wireUpstream struct {
 	FreezeMS int64 `json:"freeze-ms"`
+	LateMS   int64 `json:"late-ms"`
+	Cross    bool  `json:"cross"`
+	Truncate bool  `json:"truncate"`
 }
 
 // SetPlatform sets the switches of the platform at the base URL.
--- a/demo/internal/runner/catalogue.go
+++ b/demo/internal/runner/catalogue.go
@@ -64,7 +64,10 @@
 			{name: "platform-faults", length: 26 * time.Second, noFailures: true, interruption: servedAgain, disturb: faultyPlatform},
 		}},
 		{name: "graceful", proves: "a rolling upgrade of the daemons fails no request", parts: []part{
-			{name: "graceful", length: 70 * time.Second, noFailures: true, interruption: servedAgain, disturb: replaceDaemons},
+			{name: "graceful", length: 45 * time.Second, noFailures: true, interruption: servedAgain, disturb: replaceDaemons},
+		}},
+		{name: "bad-answers", proves: "crossed, late and truncated answers of an upstream are never passed off as whole", parts: []part{
+			{name: "bad-answers", length: 22 * time.Second, disturb: spoilAnswers},
 		}},
 		{name: "no-fence", proves: "upstreams that do not check fences have one owner per key as well", parts: []part{
 			{
--- a/demo/internal/runner/faults.go
+++ b/demo/internal/runner/faults.go
@@ -22,7 +22,9 @@
 	pauseLength    = 5 * time.Second
 	secondFaultAt  = 12 * time.Second
 	// settleTime lets moves that were under way end before owners are compared.
-	settleTime = 5 * time.Second
+	settleTime   = 5 * time.Second
+	spoiltLength = 3 * time.Second
+	lateAnswer   = 300 * time.Millisecond
 )
 
 // storeOutage takes the platform down for 30 s, with a loss in the middle of the outage unless it is nil.
@@ -289,3 +291,30 @@
 	}
 	return nil
 }
+
+// spoilAnswers makes the last upstream with keys and the first one without answer wrongly, each kind of fault in turn and
+// then all together.
+func spoilAnswers(ctx context.Context, s *scenario) error {
+	var spoilt []*upstream
+	for _, u := range s.upstreams {
+		if u == s.lastKeyed() || u.service == unkeyedService && u.number == 1 {
+			spoilt = append(spoilt, u)
+		}
+	}
+	kinds := []faulter.Upstream{
+		{Cross: true}, {Truncate: true}, {LateMS: lateAnswer.Milliseconds()},
+		{Cross: true, Truncate: true, LateMS: lateAnswer.Milliseconds()}, {},
+	}
+	for i, kind := range kinds {
+		if err := s.waitUntil(ctx, faultAt+time.Duration(i)*spoiltLength); err != nil {
+			return err
+		}
+		s.say("answers of %d upstreams: cross=%t truncate=%t late-ms=%d", len(spoilt), kind.Cross, kind.Truncate, kind.LateMS)
+		for _, u := range spoilt {
+			if err := faulter.SetUpstream(ctx, u.address, kind); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
