admitter: let requests that change a slice run on when their caller leaves

Cause: a cancelled request may still run at the upstream after its connection was closed. Such requests are now cancelled at their deadline only; safe ones and those without a slice at once.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -120,10 +120,12 @@
 	signature    uint64
 	key          uint64
 	hasKey       bool
+	deadline     time.Duration
 	dispatchedAt time.Duration
 	generation   uint64 // of the ramp at the dispatch
 	alone        bool
 	reported     bool // part of a CrashSeen
+	left         bool // its caller has left and Cancel is owed
 }
 
 // crash is the latest crash that a response of the same incarnation can still disprove.
@@ -206,6 +208,7 @@
 	case Tick:
 	}
 	a.sweep()
+	a.cancel()
 	if mayDispatch {
 		a.dispatch()
 	}
@@ -388,6 +391,7 @@
 		signature:    entry.signature,
 		key:          entry.key,
 		hasKey:       entry.hasKey,
+		deadline:     entry.deadline,
 		dispatchedAt: a.now,
 		generation:   a.ramp.generation,
 		alone:        alone,
@@ -404,8 +408,21 @@
 		a.forgetKey(entry.key, entry.hasKey)
 		return
 	}
-	if a.indexRunning(id) >= 0 {
-		a.emit(Cancel{ID: id})
+	if index := a.indexRunning(id); index >= 0 {
+		a.running[index].left = true
+	}
+}
+
+// cancel emits the Cancel that is owed to requests whose callers have left.
+func (a *Admitter) cancel() {
+	for i := range a.running {
+		request := &a.running[i]
+		changesSlice := request.class != configurator.Safe && request.fence != (slicer.Fence{})
+		if !request.left || (changesSlice && a.now < request.deadline) {
+			continue
+		}
+		request.left = false
+		a.emit(Cancel{ID: request.id})
 	}
 }
 
--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -201,12 +201,21 @@
 			{0, keyed(2, configurator.Idempotent), "Refuse{2 duplicate 0s}"},
 		}},
 		{"a caller leaves", []step{
-			{0, offer(1, time.Second), "Dispatch{1 {1 1 1} false}"},
+			{0, Offered{ID: 1, Class: configurator.Safe, Fence: fence, Deadline: time.Second}, "Dispatch{1 {1 1 1} false}"},
 			{0, offer(2, time.Second), ""},
 			{0, CallerLeft{1}, "Cancel{1}"},
 			{0, CallerLeft{2}, ""},
 			{0, Ended{ID: 1, Outcome: Cancelled}, ""},
 		}},
+		{"a request that changes a slice is cancelled at its deadline", []step{
+			{0, offer(1, time.Second), "Dispatch{1 {1 1 1} false}"},
+			{0, CallerLeft{1}, ""},
+			{0, SlicesStopped{fences}, ""},
+			{time.Second - 1, Tick{}, ""},
+			{time.Second, Tick{}, "Cancel{1}"},
+			{time.Second, Tick{}, ""},
+			{time.Second, Ended{ID: 1, Outcome: Cancelled}, "SliceIdle{{1 1 1}}"},
+		}},
 		{"a crash is reported once and disproved by the same incarnation", []step{
 			{0, Offered{ID: 1, Fence: fence, Deadline: time.Hour, Signature: 7}, "Dispatch{1 {1 1 1} false}"},
 			{0, Ended{ID: 1, Outcome: Crashed}, "CrashSeen{[7] false} Suspected{1}"},
--- a/core/admitter/message.go
+++ b/core/admitter/message.go
@@ -33,7 +33,9 @@
 	RetryAfter  time.Duration // asked for by the upstream, 0 when it asked for none
 }
 
-// CallerLeft withdraws a request. A queued one is dropped without an action, a dispatched one leads to Cancel.
+// CallerLeft withdraws a request. A queued one is dropped without an action. A dispatched one leads to Cancel: at once
+// when it is safe or has no slice, otherwise at its deadline, because closing a connection does not tell when the
+// upstream stops, and a slice must not move while a request changes it.
 type CallerLeft struct{ ID ID }
 
 // LeaseRenewed extends the admission lease until SentAt plus the lease time.
