--- a/rhubarbctl/internal/command/service/set/set.go
+++ b/rhubarbctl/internal/command/service/set/set.go
@@ -84,6 +84,10 @@
 		value = &rhubarbtrackv1.Service{Name: o.Args.Name}
 	}
 	override(&value.Keyed, o.Keyed)
+	// The key is in a header or in a segment, so giving one of them replaces the other.
+	if o.KeyHeader != nil || o.KeySegment != nil {
+		value.KeyHeader, value.KeySegment = "", 0
+	}
 	override(&value.KeyHeader, o.KeyHeader)
 	override(&value.KeySegment, o.KeySegment)
 	override(&value.SliceCount, o.SliceCount)
--- a/rhubarbctl/internal/command/service/set/set_test.go
+++ b/rhubarbctl/internal/command/service/set/set_test.go
@@ -26,7 +26,7 @@
 	}
 	p.Calls.GetResource = func(context.Context, *rhubarbtrackv1.GetResourceRequest) (
 		*rhubarbtrackv1.GetResourceResponse, error) {
-		value := &rhubarbtrackv1.Service{Name: "marks", KeySegment: 2}
+		value := &rhubarbtrackv1.Service{Name: "marks", KeyHeader: "K"}
 		resource := &rhubarbtrackv1.Resource{Version: 7, Value: &rhubarbtrackv1.Resource_Service{Service: value}}
 		return &rhubarbtrackv1.GetResourceResponse{Resource: resource}, nil
 	}
@@ -36,13 +36,14 @@
 		return &rhubarbtrackv1.PutResourceResponse{Result: &rhubarbtrackv1.ChangeResult{Version: 8, OperationId: "op-1"}}, nil
 	}
 	verb := set.New(p, nil)
-	_, err := flags.ParseArgs(verb.Options, []string{"marks", "--keyed", "--slice-count", "8", "--rule", "* /a never-repeat"})
+	_, err := flags.ParseArgs(verb.Options, []string{"marks", "--keyed", "--slice-count", "8", "--key-segment", "2", "--rule", "* /a never-repeat"})
 	assert.NilError(t, err)
 	assert.NilError(t, verb.Options.Execute(nil))
 	assert.Equal(t, sent.GetExpectedVersion(), uint64(7))
 	assert.Equal(t, sent.GetOperationId(), "op-1")
 	assert.Assert(t, sent.GetResource().GetService().GetKeyed())
 	assert.Equal(t, sent.GetResource().GetService().GetKeySegment(), uint32(2))
+	assert.Equal(t, sent.GetResource().GetService().GetKeyHeader(), "")
 	assert.Equal(t, sent.GetResource().GetService().GetSliceCount(), uint32(8))
 	rule := sent.GetResource().GetService().GetRules()[0]
 	assert.Equal(t, rule.GetClass(), rhubarbtrackv1.Class_CLASS_NEVER_REPEAT)
