rhubarbtrackd: tell attempts of one operation apart in the audit trail

Copies of a request that arrived at the same time were taken for one attempt when they competed for a record number, because records were compared by time, and one of them was missing in the trail. Records carry an identifier of the attempt now.

Problems in records name the operation to check.

--- a/rhubarbtrackd/internal/operator/auditor.go
+++ b/rhubarbtrackd/internal/operator/auditor.go
@@ -15,8 +15,8 @@
 	// maxRecordsPerDay bounds the trail of a day; 2,800 changes a day are expected in two years.
 	maxRecordsPerDay = 10_000
 	// maxRefusedPerDay is the number from which refused attempts are no longer stored, so that a caller whose changes are
-	// refused cannot use up the records of accepted ones.
-	maxRefusedPerDay = 8_000
+	// refused leaves more records than a day of accepted changes needs.
+	maxRefusedPerDay = 5_000
 	// maxPendingRecords bounds the records kept in memory during an outage. The oldest ones are dropped.
 	maxPendingRecords = 256
 	// recordsPerChunk is the number of records that one List returns. It follows from the names of records.
--- a/rhubarbtrackd/internal/operator/change.go
+++ b/rhubarbtrackd/internal/operator/change.go
@@ -50,7 +50,7 @@
 	identity, fault := authorize(ctx, c.role)
 	ctx = context.WithoutCancel(ctx)
 	c.origin.Writer = identity.Name
-	attempt := newRecord(&c, s.Now().UTC())
+	attempt := newRecord(&c, s.Now().UTC(), s.newAttempt())
 	if fault == nil {
 		fault = c.check()
 	}
@@ -62,9 +62,11 @@
 	if fault == nil && !result.repeated {
 		result, fault = s.execute(ctx, &c, attempt, result, body)
 	}
+	if fault != nil {
+		fault.Op, fault.Operation = c.call, attempt.origin.Operation
+	}
 	s.conclude(ctx, attempt, result, fault)
 	if fault != nil {
-		fault.Op, fault.Operation = c.call, c.origin.Operation
 		return outcome{}, connectError(fault)
 	}
 	return result, nil
--- a/rhubarbtrackd/internal/operator/helper_test.go
+++ b/rhubarbtrackd/internal/operator/helper_test.go
@@ -5,8 +5,10 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,7 +24,7 @@
 	"rhubarbtrack.example/schema/gen/rhubarbtrack/v1/rhubarbtrackv1connect"
 )
 
-// fault is what happens to the next write of a configuration object.
+// fault is what happens to a write.
 type fault int
 
 const (
@@ -32,15 +34,17 @@
 	refuse            // the write certainly has no effect
 )
 
-// memoryStore is a store with faults. Writes of audit records are affected by down only.
+// memoryStore is a store with faults.
 type memoryStore struct {
 	mutex    sync.Mutex
 	revision uint64
 	objects  map[string]operator.Object
 	down     bool
-	next     fault
-	overtake func() // runs once after the next faulty write
-	writes   int    // writes of configuration objects that took effect
+	next     fault          // of the next write of a configuration object
+	audit    fault          // of the next write of an audit record
+	overtake func()         // runs once after the next faulty write
+	writes   int            // writes of configuration objects that took effect
+	applied  map[string]int // the same by operation id, deletions excluded
 }
 
 var errDown = &operator.Error{Op: "store", Kind: operator.NotAccepted, Err: errors.New("connection refused")}
@@ -73,6 +77,9 @@
 func (m *memoryStore) put(_ context.Context, name string, value []byte, expected uint64) (uint64, error) {
 	return m.write(name, expected, func(version uint64) {
 		m.objects[name] = operator.Object{Name: name, Version: version, Value: value}
+		if _, origin, err := encoder.Decode(name, value); err == nil {
+			m.applied[origin.Operation]++
+		}
 	})
 }
 
@@ -87,24 +94,26 @@
 		return 0, errDown
 	}
 	current := m.objects[name]
-	fault := none
+	var happens fault
 	if strings.HasPrefix(name, configurator.Prefix) {
-		fault, m.next = m.next, none
+		happens, m.next = m.next, none
+	} else {
+		happens, m.audit = m.audit, none
 	}
-	if fault == refuse {
+	if happens == refuse {
 		return 0, errDown
 	}
 	if current.Version != expected {
 		return 0, &operator.Error{Op: "store", Kind: operator.Conflict, Stored: current}
 	}
-	if fault != loseRequest {
+	if happens != loseRequest {
 		m.revision++
 		apply(m.revision)
 		if strings.HasPrefix(name, configurator.Prefix) {
 			m.writes++
 		}
 	}
-	if fault == none {
+	if happens == none {
 		return m.revision, nil
 	}
 	if m.overtake != nil {
@@ -142,12 +151,14 @@
 	mutex  sync.Mutex
 	view   *configurator.Snapshot
 	change chan struct{}
+
+	attempts atomic.Int64
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{
-		store:  &memoryStore{objects: map[string]operator.Object{}},
+		store:  &memoryStore{objects: map[string]operator.Object{}, applied: map[string]int{}},
 		now:    time.Date(2026, time.December, 4, 12, 0, 0, 0, time.UTC),
 		view:   configurator.New(),
 		change: make(chan struct{}),
@@ -176,7 +187,8 @@
 			text := "service shelf-marks needs 10 slots and keeps 6"
 			return []operator.Shortfall{{Service: "shelf-marks", SlotsNeeded: 10, SlotsLeft: 6, Text: text}}
 		},
-		Accepted: f.accepted,
+		Accepted:   f.accepted,
+		NewAttempt: func() string { return strconv.FormatInt(f.attempts.Add(1), 10) },
 	}
 	mux := http.NewServeMux()
 	mux.Handle(f.server.Handler())
--- a/rhubarbtrackd/internal/operator/operator.go
+++ b/rhubarbtrackd/internal/operator/operator.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -161,6 +162,8 @@
 	Shortfalls func(snapshot *configurator.Snapshot, failureDomain string) []Shortfall
 	// Accepted receives every accepted object or tombstone, so that this host need not wait for its watch. Optional.
 	Accepted func(object configurator.Object)
+	// NewAttempt returns an identifier for an audit record that no other daemon uses. Optional, random by default.
+	NewAttempt func() string
 	// Wait pauses before a read that resolves a lost answer; attempt starts at 0. Optional.
 	Wait func(ctx context.Context, attempt int)
 
@@ -178,6 +181,13 @@
 	return pattern, guarded
 }
 
+func (s *Server) newAttempt() string {
+	if s.NewAttempt == nil {
+		return rand.Text()
+	}
+	return s.NewAttempt()
+}
+
 // Maintain writes the audit records that an outage has kept in memory and deletes a batch of records that are past their
 // retention. Its error is an *Error.
 func (s *Server) Maintain(ctx context.Context) error {
--- a/rhubarbtrackd/internal/operator/record.go
+++ b/rhubarbtrackd/internal/operator/record.go
@@ -47,6 +47,7 @@
 	name          string // of the stored record, "" while it is not stored
 	version       uint64 // of the stored record
 	time          time.Time
+	attempt       string // distinguishes the attempts of an operation
 	origin        configurator.Origin
 	call          string
 	object        string
@@ -61,9 +62,16 @@
 // maxRecordedLength bounds the names in records of refused attempts, whose names were not validated.
 const maxRecordedLength = 256
 
-func newRecord(c *change, now time.Time) *record {
+func newRecord(c *change, now time.Time, attempt string) *record {
 	origin := configurator.Origin{Writer: c.origin.Writer, Operation: shortened(c.origin.Operation)}
-	return &record{time: now, origin: origin, call: c.call, object: shortened(c.object), versionBefore: c.expected}
+	return &record{
+		time:          now,
+		attempt:       attempt,
+		origin:        origin,
+		call:          c.call,
+		object:        shortened(c.object),
+		versionBefore: c.expected,
+	}
 }
 
 func shortened(text string) string {
@@ -75,6 +83,7 @@
 
 type wireRecord struct {
 	Time          time.Time `json:"time"`
+	Attempt       string    `json:"attempt"`
 	Writer        string    `json:"writer"`
 	Operation     string    `json:"operation"`
 	Call          string    `json:"call"`
@@ -90,6 +99,7 @@
 func (r *record) encode() ([]byte, error) {
 	wire := wireRecord{
 		Time:          r.time,
+		Attempt:       r.attempt,
 		Writer:        r.origin.Writer,
 		Operation:     r.origin.Operation,
 		Call:          r.call,
@@ -117,6 +127,7 @@
 		name:          object.Name,
 		version:       object.Version,
 		time:          wire.Time,
+		attempt:       wire.Attempt,
 		origin:        configurator.Origin{Writer: wire.Writer, Operation: wire.Operation},
 		call:          wire.Call,
 		object:        wire.Object,
@@ -134,9 +145,10 @@
 	return decoded, nil
 }
 
-// sameAttempt reports whether both records describe the same call, whatever its outcome.
+// sameAttempt reports whether both records describe the same call, whatever its outcome. Copies of a request can arrive at
+// the same time, so the time does not tell attempts apart.
 func (r *record) sameAttempt(other *record) bool {
-	return r.origin == other.origin && r.call == other.call && r.object == other.object && r.time.Equal(other.time)
+	return r.attempt == other.attempt && r.origin == other.origin
 }
 
 func (r *record) day() string { return r.time.UTC().Format(dayLayout) }
--- a/rhubarbtrackd/internal/operator/script_test.go
+++ b/rhubarbtrackd/internal/operator/script_test.go
@@ -103,7 +103,7 @@
 	return err.Error()
 }
 
-func post(t *testing.T, f *fixture, path, body string) map[string]any {
+func post(t *testing.T, f *fixture, path, body string) (status int, answer map[string]any) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.url+path, strings.NewReader(body))
 	assert.NilError(t, err)
@@ -114,17 +114,18 @@
 	defer response.Body.Close()
 	decoded := map[string]any{}
 	assert.NilError(t, json.NewDecoder(response.Body).Decode(&decoded))
-	return decoded
+	return response.StatusCode, decoded
 }
 
 // A call of curl with JSON must work as docs/rpc.md shows it.
 func TestCurlExample(t *testing.T) {
 	f := newFixture(t)
 	filled(t, f)
-	body := post(t, f, "/rhubarbtrack.v1.OperatorService/GetOwner", `{"service":"shelf-marks","key":"QA76.73"}`)
+	_, body := post(t, f, "/rhubarbtrack.v1.OperatorService/GetOwner", `{"service":"shelf-marks","key":"QA76.73"}`)
 	assert.Assert(t, body["owner"] != nil, "%v", body)
-	refusal := post(t, f, "/rhubarbtrack.v1.OperatorService/DrainUpstream",
+	status, refusal := post(t, f, "/rhubarbtrack.v1.OperatorService/DrainUpstream",
 		`{"name":"shelf-marks.p1","drained":true,"expectedVersion":"1","operationId":"drain-1"}`)
+	assert.Equal(t, status, http.StatusConflict)
 	assert.Equal(t, refusal["code"], "aborted")
 	assert.Equal(t, refusal["message"], "conflict: expected version 1, current version 14")
 }
