controller: test stop answers of an abandoned move

Random runs did not notice a controller that accepts the answer to an earlier, abandoned stop; this test does.

--- a/core/controller/fault_test.go
+++ b/core/controller/fault_test.go
@@ -113,3 +113,35 @@
 	}
 	assert.Equal(t, w.wrong, "")
 }
+
+// TestStaleStopAnswer guards against an answer to a stop that was abandoned and asked for again: the host admits to the
+// slices again until it learns of the second stop.
+func TestStaleStopAnswer(t *testing.T) {
+	w := newWorld(7, 12, "a", "b", "c", "x")
+	w.run(5 * sec)
+	admitting, acting := w.admitting("x", nil), w.acting(nil)
+	assert.Assert(t, admitting != acting)
+	w.hold = true
+	w.inject(fault{"kill-upstream", 0, 20 * sec})
+	w.run(1800 * ms)
+	w.inject(fault{"store-down", 0, 700 * ms})
+	w.run(200 * ms)
+	w.inject(fault{"drain-upstream", 3, 20 * sec})
+	w.run(200 * ms)
+	stale := w.stops
+	assert.Assert(t, len(stale) > 0, "no stop was asked for")
+	w.run(350 * ms)
+	assert.Assert(t, len(admitting.leases["x"].serve) > 0, "the stop was not abandoned")
+	w.cut[[2]string{acting.name, admitting.name}] = true
+	started := w.trace[controller.MoveStarted]
+	w.run(600 * ms)
+	assert.Assert(t, w.trace[controller.MoveStarted] > started, "no second stop")
+	delete(w.cut, [2]string{acting.name, admitting.name})
+	for _, answer := range stale {
+		answer()
+	}
+	w.cut[[2]string{acting.name, admitting.name}] = true
+	w.run(400 * ms)
+	assert.Equal(t, w.wrong, "")
+	assert.Assert(t, len(admitting.leases["x"].serve) > 0)
+}
--- a/core/controller/world_test.go
+++ b/core/controller/world_test.go
@@ -36,6 +36,8 @@
 	version   uint64
 	down      bool // the store
 	lose      bool // the store loses answers
+	hold      bool // answers to stops are kept in stops instead of being sent
+	stops     []func()
 	churn     bool // random slices are moved all the time
 	late      int  // percentage of messages that are delayed by up to 2 s
 	cut       map[[2]string]bool
@@ -497,7 +499,9 @@
 		Term: action.Term, Seq: action.Seq, Slices: lease.Stop}
 	w.at(time.Duration(w.random.IntN(30))*ms, func() {
 		w.host(to, action.Incarnation, func(time.Duration) {
-			if len(lease.Stop) > 0 {
+			if len(lease.Stop) > 0 && w.hold {
+				w.stops = append(w.stops, func() { w.tell(to, n, stop) })
+			} else if len(lease.Stop) > 0 {
 				w.tell(to, n, stop)
 			}
 			if held, ok := to.leases[lease.Upstream]; lease.Release && ok && held.epoch == lease.Epoch && to.seq == action.Seq {
