core: test the end of the right and upstreams without fence checks

Three faults that were put in on trial passed all tests: releasing the slices of an unreachable upstream that does not check fences, releasing those of a removed one before its admission lease has ended, and a right to act without margin for clock drift. Two scenarios and a stricter bound in TestRightEnds now fail on them. A stop of all hosts for 3 s is a scenario as well: no slice moves.

--- a/core/controller/controller_test.go
+++ b/core/controller/controller_test.go
@@ -26,7 +26,7 @@
 	"pause-host", "restart-host", "kill-host", "restart-all-hosts", "cut-hosts", "cut-store", "cut-upstream",
 	"isolate-host", "freeze-upstream", "restart-upstream", "kill-upstream", "store-down", "lose-answers",
 	"delay-messages", "drain-upstream", "take-out-domain", "kill-controller", "pause-controller", "stall-controller", "isolate-controller",
-	"isolate-upstream", "isolate-all-upstreams", "cut-admission", "remove-upstream", "cut-witnesses", "cut-upstreams",
+	"isolate-upstream", "isolate-all-upstreams", "pause-all-hosts", "cut-admission", "remove-upstream", "cut-witnesses", "cut-upstreams",
 }
 
 func (w *world) host5(target int) *node { return w.hosts[fmt.Sprintf("host-%d", target%5)] }
@@ -72,6 +72,10 @@
 	switch f.kind {
 	case "pause-host":
 		n.paused = max(n.paused, w.now+f.length)
+	case "pause-all-hosts":
+		for target := range 5 {
+			w.host5(target).paused = w.now + f.length
+		}
 	case "stall-host":
 		n.stall = f.length
 	case "restart-host":
@@ -123,8 +127,6 @@
 		}
 	case "cut-admission":
 		cut(w.admitting(u.config.Name, n).name, w.acting(n).name)
-		w.drain(u.config.Name, true)
-		end(func() { w.drain(u.config.Name, false) })
 	case "freeze-upstream":
 		u.frozen = max(u.frozen, w.now+f.length)
 	case "restart-upstream":
--- a/core/elector/elector_test.go
+++ b/core/elector/elector_test.go
@@ -24,6 +24,7 @@
 	lose      bool // answers to writes are lost
 	writes    []witness.Record
 	right     elector.Right
+	asked     time.Duration // latest request to a witness
 }
 
 func newFixture(record witness.Record, hosts int) *fixture {
@@ -62,6 +63,7 @@
 		case elector.WriteRecord:
 			f.write(action)
 		case elector.SendConfirm:
+			f.asked = f.now
 			if keeper := f.witnesses[action.Witness]; keeper != nil {
 				f.step(elector.Answered{Reply: keeper.Confirm(f.now, action.Request)})
 			}
@@ -99,7 +101,8 @@
 	f := newFixture(witness.Record{}, 5)
 	f.run(3 * time.Second)
 	last := f.right.Until
-	assert.Assert(t, last <= f.now+witness.Lifetime)
+	// The clock of a witness may be 2% fast.
+	assert.Assert(t, last <= f.asked+witness.Lifetime*98/100)
 	f.witnesses = nil
 	f.run(witness.Lifetime)
 	assert.Assert(t, f.right.Until <= last)
