receiver: bound the time that a caller may take to read its answer

Cause: nothing ended a request whose caller stopped reading, so its slot stayed taken. Before: the new test ran into its time-out. After: it passes.

--- a/rhubarbtrackd/internal/receiver/receiver.go
+++ b/rhubarbtrackd/internal/receiver/receiver.go
@@ -44,6 +44,8 @@
 	maxKey = 1024
 	// callerTimeout bounds the deadline that a caller may ask for.
 	callerTimeout = 5 * time.Minute
+	// writeGrace is the time after the deadline of a request in which its refusal can be written.
+	writeGrace = 2 * time.Second
 )
 
 // Options of a receiver. Function fields connect it to the rest of the process.
@@ -97,6 +99,7 @@
 // ServeHTTP answers health checks through the mux and routes everything else. Paths of services do not pass the mux,
 // because it would redirect paths that it does not consider clean.
 func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	setDeadlines(w, r.options.RequestTimeout)
 	if request.URL.Path == "/healthz" || request.URL.Path == "/readyz" {
 		r.mux.ServeHTTP(w, request)
 		return
@@ -200,6 +203,16 @@
 	timeout     time.Duration
 }
 
+// setDeadlines bounds how long a caller may take to send its request and to read the answer. A connection keeps a deadline
+// for its next request, so every request must set them.
+func setDeadlines(w http.ResponseWriter, timeout time.Duration) {
+	connection := http.NewResponseController(w)
+	end := time.Now().Add(timeout)
+	// The errors say that the connection has no deadlines, as in tests without a network.
+	_ = connection.SetReadDeadline(end)
+	_ = connection.SetWriteDeadline(end.Add(writeGrace))
+}
+
 // malformed is a request that no service can take.
 type malformed struct {
 	status int
@@ -223,7 +236,7 @@
 	if !ok {
 		return nil, &malformed{status: http.StatusBadRequest, text: "malformed " + dispatcher.HeaderDeadline}
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
+	setDeadlines(w, timeout)
 	j := &job{
 		id:          newRequestID(),
 		service:     service,
--- a/rhubarbtrackd/internal/receiver/receiver_test.go
+++ b/rhubarbtrackd/internal/receiver/receiver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"rhubarbtrack.example/core/configurator"
 	"rhubarbtrack.example/core/encoder"
@@ -38,10 +40,11 @@
 	attempts []*dispatcher.Request
 	bodies   []string
 	answers  answers
+	started  chan struct{} // one entry for each attempt
 }
 
 func newEntry(t *testing.T, ends answers) *entry {
-	e := &entry{locator: locator.New(), answers: ends}
+	e := &entry{locator: locator.New(), answers: ends, started: make(chan struct{}, 16)}
 	e.put(t, configurator.Service{
 		Name: "marks", Keyed: true, KeyHeader: "Rhubarbtrack-Key", SliceCount: 4,
 		Rules: []configurator.Rule{{Method: "PUT", Path: "/**", Class: configurator.Idempotent}},
@@ -103,6 +106,7 @@
 	}
 	e.attempts = append(e.attempts, request)
 	e.bodies = append(e.bodies, string(body))
+	e.started <- struct{}{}
 	end := e.answers[min(len(e.attempts), len(e.answers))-1]
 	switch a := end.(type) {
 	case *dispatcher.Error:
@@ -258,6 +262,22 @@
 	assert.Assert(t, !l.Fresh(4*time.Second, "marks"))
 }
 
+// Guards against a caller that holds a request open by not reading its answer.
+func TestSlowReaderIsCutOff(t *testing.T) {
+	e := newEntry(t, answers{strings.Repeat("x", 64<<20)})
+	connection, err := net.Dial("tcp", e.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer connection.Close()
+	_, err = io.WriteString(connection, "GET /marks/x HTTP/1.1\r\nHost: h\r\nRhubarbtrack-Key: k\r\n\r\n")
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(e.started) > 0 && e.receiver.Active() == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("request still active")
+	}, poll.WithTimeout(time.Minute))
+}
+
 func BenchmarkLocate(b *testing.B) {
 	t := &testing.T{}
 	e := newEntry(t, answers{"ok"})
