relayer: send changes of tables as deltas

Cause: every move flooded the whole table, up to 1,024 slices of about 40 bytes, to every neighbour; a failure domain that leaves makes hundreds of moves. Before: one frame of the size of the table for each neighbour and move. After: a delta of the changed slices; a host that missed a version asks for the whole table.

--- a/core/framer/framer.go
+++ b/core/framer/framer.go
@@ -97,6 +97,7 @@
 	Leaving   bool        `cbor:"5,keyasint,omitempty"`
 	Checksum  uint64      `cbor:"6,keyasint,omitempty"`
 	Pulses    []wirePulse `cbor:"7,keyasint,omitempty"`
+	Deltas    []wireDelta `cbor:"8,keyasint,omitempty"`
 }
 
 // EncodeFrame returns the encoding of a frame of the relay tree.
@@ -120,6 +121,9 @@
 			Body:    item.Body,
 		})
 	}
+	for _, delta := range frame.Deltas {
+		wire.Deltas = append(wire.Deltas, toWireDelta(delta))
+	}
 	for _, pulse := range frame.Pulses {
 		wire.Pulses = append(wire.Pulses, wirePulse{Beacon: pulse.Beacon, Seq: pulse.Seq})
 	}
@@ -147,6 +151,9 @@
 			Body:    item.Body,
 		})
 	}
+	for _, delta := range wire.Deltas {
+		frame.Deltas = append(frame.Deltas, delta.delta())
+	}
 	for _, pulse := range wire.Pulses {
 		frame.Pulses = append(frame.Pulses, relayer.Pulse{Beacon: pulse.Beacon, Seq: pulse.Seq})
 	}
--- a/core/relayer/pulse.go
+++ b/core/relayer/pulse.go
@@ -48,10 +48,8 @@
 			actions = append(actions, r.pulse(sender, item)...)
 		}
 	}
-	from := r.neighbours[sender]
-	if unknown && (from.askedAt == 0 || now-from.askedAt >= differenceTimeout) {
-		from.askedAt = max(now, 1)
-		actions = append(actions, r.send(now, sender, Frame{Digest: r.digest(), HasDigest: true}))
+	if unknown {
+		actions = append(actions, r.askForMissing(now, sender)...)
 	}
 	return actions
 }
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -28,6 +28,8 @@
 	Seed   uint64 // same on every host
 	Roots  int    // default 3
 	Fanout int    // default 8: with 3,400 hosts four hops, and at most 11 neighbours
+	// Patch applies the body of a delta to the body of an item. Without it every change travels as a whole item.
+	Patch func(key Key, held, delta []byte) ([]byte, error)
 }
 
 const (
@@ -148,7 +150,7 @@
 	case Received:
 		actions = r.receive(now, e)
 	case Published:
-		actions = r.accept(now, "", e.Item)
+		actions = r.publish(now, e)
 	case InForce:
 		r.inForce = e.Revision
 	case Ticked:
@@ -199,6 +201,9 @@
 	for _, item := range e.Frame.Items {
 		actions = append(actions, r.accept(now, e.Peer, item)...)
 	}
+	for _, delta := range e.Frame.Deltas {
+		actions = append(actions, r.acceptDelta(now, e.Peer, delta)...)
+	}
 	actions = append(actions, r.acceptPulses(now, e.Peer, e.Frame.Pulses)...)
 	if e.Frame.Leaving && r.parent == e.Peer {
 		r.failed[e.Peer] = now
@@ -241,13 +246,40 @@
 
 // accept keeps an item if it is newer than the held one and passes it on to every neighbour but its sender.
 func (r *Relayer) accept(now time.Duration, sender string, item Item) []Action {
-	held, ok := r.items[item.Key]
-	if ok && !held.Version.Less(item.Version) {
+	if !r.newer(item) {
 		return nil
 	}
-	if ok && repeats(held, item) {
+	if held, ok := r.items[item.Key]; ok && repeats(held, item) {
 		return r.pulse(sender, item)
 	}
+	return r.keepAndFlood(now, sender, item, Frame{Items: []Item{item}})
+}
+
+// newer reports whether an item is newer than the held one.
+func (r *Relayer) newer(item Item) bool {
+	held, ok := r.items[item.Key]
+	return !ok || held.Version.Less(item.Version)
+}
+
+// keepAndFlood stores a newer item and sends a frame that carries it to every neighbour but its sender.
+func (r *Relayer) keepAndFlood(now time.Duration, sender string, item Item, frame Frame) []Action {
+	r.keep(now, item)
+	if sender != "" && item.Key == (Key{Kind: Progress, Name: r.options.Self}) {
+		// A state from before a restart of this host; publish the current one above its version.
+		r.sentUp = nil
+	}
+	actions := []Action{Deliver{Item: item}}
+	for _, peer := range r.peers() {
+		if peer != sender {
+			actions = append(actions, r.send(now, peer, frame))
+		}
+	}
+	return actions
+}
+
+// keep stores an item and updates what is derived from all items.
+func (r *Relayer) keep(now time.Duration, item Item) {
+	held, ok := r.items[item.Key]
 	if item.Kind == Beacon {
 		delete(r.beacons, beaconPrint(held))
 		r.beacons[beaconPrint(item)] = item.Key
@@ -263,17 +295,6 @@
 		r.suspects = append(r.suspects, suspect{key: item.Key, version: item.Version, at: now})
 		r.expireSuspects(now)
 	}
-	if sender != "" && item.Key == (Key{Kind: Progress, Name: r.options.Self}) {
-		// A state from before a restart of this host; publish the current one above its version.
-		r.sentUp = nil
-	}
-	actions := []Action{Deliver{Item: item}}
-	for _, peer := range r.peers() {
-		if peer != sender {
-			actions = append(actions, r.send(now, peer, Frame{Items: []Item{item}}))
-		}
-	}
-	return actions
 }
 
 func (r *Relayer) tick(now time.Duration) []Action {
--- a/core/relayer/relayer_test.go
+++ b/core/relayer/relayer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,7 +74,7 @@
 }
 
 func (f *fleet) start(name string) {
-	f.hosts[name] = relayer.New(relayer.Options{Self: name, Seed: 1})
+	f.hosts[name] = relayer.New(relayer.Options{Self: name, Seed: 1, Patch: patch})
 	f.held[name] = map[relayer.Key]relayer.Version{}
 }
 
@@ -94,6 +95,9 @@
 			if held, ok := f.held[name][a.Item.Key]; ok && !held.Less(a.Item.Version) {
 				f.t.Fatalf("%s: %v reverted from %v to %v", name, a.Item.Key, held, a.Item.Version)
 			}
+			if a.Item.Kind == relayer.Config && string(a.Item.Body) != fmt.Sprint(a.Item.Version) {
+				f.t.Fatalf("%s: %v has body %s at %v", name, a.Item.Key, a.Item.Body, a.Item.Version)
+			}
 			f.held[name][a.Item.Key] = a.Item.Version
 		}
 	}
@@ -128,8 +132,29 @@
 	}
 }
 
+// publishDelta publishes a version as the change from the one that the host holds. The body of an item is its version.
+func (f *fleet) publishDelta(name string, key relayer.Key, version uint64) {
+	to := relayer.Version{Seq: version}
+	from := f.held[name][key]
+	f.step(name, relayer.Published{
+		Item:  relayer.Item{Key: key, Version: to, Body: []byte(fmt.Sprint(to))},
+		Delta: &relayer.Delta{Key: key, From: from, To: to, Body: []byte(fmt.Sprintf("%v > %v", from, to))},
+	})
+	f.drain()
+}
+
+// patch applies a delta of publishDelta and fails when it does not fit.
+func patch(_ relayer.Key, held, delta []byte) ([]byte, error) {
+	from, to, _ := strings.Cut(string(delta), " > ")
+	if from != string(held) {
+		return nil, fmt.Errorf("delta from %s for %s", from, held)
+	}
+	return []byte(to), nil
+}
+
 func (f *fleet) publish(name string, key relayer.Key, version uint64) {
-	f.step(name, relayer.Published{Item: relayer.Item{Key: key, Version: relayer.Version{Seq: version}}})
+	to := relayer.Version{Seq: version}
+	f.step(name, relayer.Published{Item: relayer.Item{Key: key, Version: to, Body: []byte(fmt.Sprint(to))}})
 	f.drain()
 }
 
@@ -155,6 +180,10 @@
 				version++
 				f.publish(anyHost.Draw(t, "host"), key, version)
 			},
+			"publish delta": func(t *rapid.T) {
+				version++
+				f.publishDelta(anyHost.Draw(t, "host"), key, version)
+			},
 			"publish old": func(t *rapid.T) {
 				f.publish(anyHost.Draw(t, "host"), key, version/2)
 			},
--- a/core/relayer/types.go
+++ b/core/relayer/types.go
@@ -48,6 +48,14 @@
 	Version Version
 }
 
+// Delta turns one version of an item into the next one. It replaces the whole item for large items with small changes.
+type Delta struct {
+	Key  Key
+	From Version
+	To   Version
+	Body []byte // for Options.Patch
+}
+
 // Pulse says that a beacon was published again with an unchanged body. It replaces the whole item, because beacons are
 // repeated every second and would otherwise be most of the traffic of a large fleet.
 type Pulse struct {
@@ -67,6 +75,7 @@
 	Digest    []DigestEntry // every item that the sender holds
 	HasDigest bool
 	Items     []Item
+	Deltas    []Delta
 	Pulses    []Pulse
 	Subtree   []RevisionCount // progress below the sender, sent to its parent
 	Leaving   bool            // the sender closes; its children should choose another parent
@@ -99,8 +108,11 @@
 	Frame Frame
 }
 
-// Published is a new state of an item that originates at this host.
-type Published struct{ Item Item }
+// Published is a new state of an item that originates at this host. Delta, if any, leads to it from the version before.
+type Published struct {
+	Item  Item
+	Delta *Delta
+}
 
 // InForce reports the configuration revision that this host applies.
 type InForce struct{ Revision uint64 }
--- a/rhubarbtrackd/internal/distributor/distributor.go
+++ b/rhubarbtrackd/internal/distributor/distributor.go
@@ -13,10 +13,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sort"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/framer"
@@ -40,6 +42,26 @@
 	configPrefix = "config/"
 )
 
+// Kind classifies errors of this package.
+type Kind int
+
+// Kinds of errors.
+const (
+	Unsupported Kind = iota + 1
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
 // Options of a distributor. Function fields connect it to the rest of the process.
 type Options struct {
 	Self    framer.Member
@@ -85,7 +107,7 @@
 	return &Distributor{
 		options:  options,
 		ring:     make(chan any, ringSize),
-		relayer:  relayer.New(relayer.Options{Self: options.Self.Name, Seed: options.Seed}),
+		relayer:  relayer.New(relayer.Options{Self: options.Self.Name, Seed: options.Seed, Patch: patch}),
 		members:  map[string]framer.Member{},
 		versions: map[string]relayer.Version{},
 		listed:   map[string]framer.Member{},
@@ -93,6 +115,14 @@
 	}
 }
 
+// patch applies deltas; only tables have them.
+func patch(key relayer.Key, held, delta []byte) ([]byte, error) {
+	if key.Kind != relayer.Table {
+		return nil, &Error{Op: "apply delta", Kind: Unsupported, Err: errors.Newf("items of kind %d have no deltas", key.Kind)}
+	}
+	return framer.PatchTable(held, delta)
+}
+
 // Put queues an event of the relayer.
 func (d *Distributor) Put(event relayer.Event) {
 	select {
@@ -107,6 +137,11 @@
 	d.Put(relayer.Published{Item: item})
 }
 
+// PublishDelta floods an item that originates at this host as the change that leads to it.
+func (d *Distributor) PublishDelta(item relayer.Item, delta relayer.Delta) {
+	d.Put(relayer.Published{Item: item, Delta: &delta})
+}
+
 // Progress returns how many hosts have which configuration revision in force, as far as this host knows.
 func (d *Distributor) Progress() []relayer.RevisionCount {
 	if counts := d.progress.Load(); counts != nil {
--- a/rhubarbtrackd/internal/runner/assembler.go
+++ b/rhubarbtrackd/internal/runner/assembler.go
@@ -12,6 +12,7 @@
 	"rhubarbtrack.example/core/elector"
 	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/relayer"
+	"rhubarbtrack.example/core/slicer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/chooser"
 	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/distributor"
@@ -278,16 +279,33 @@
 	d.granter.SetHosts(hosts)
 }
 
+// publishTable floods a table, as a delta from the one that this host holds unless that one is of another term.
 func (d *daemon) publishTable(service string, a controller.PublishTable) {
 	body, err := framer.EncodeTable(a.Table)
 	if err != nil {
 		d.log.Log(eventlog.TableRefused, zap.String("service", service), zap.Error(err))
 		return
 	}
-	d.distributor.Publish(relayer.Item{
+	item := relayer.Item{
 		Key:     relayer.Key{Kind: relayer.Table, Name: service},
 		Version: relayer.Version{Term: a.Table.Version.Term, Seq: a.Table.Version.Seq},
 		Body:    body,
+	}
+	held := d.locator.Table(service)
+	if held == nil || held.Version.Term != a.Table.Version.Term {
+		d.distributor.Publish(item)
+		return
+	}
+	change, err := framer.EncodeTableDelta(slicer.Diff(held, &a.Table))
+	if err != nil {
+		d.distributor.Publish(item)
+		return
+	}
+	d.distributor.PublishDelta(item, relayer.Delta{
+		Key:  item.Key,
+		From: relayer.Version{Term: held.Version.Term, Seq: held.Version.Seq},
+		To:   item.Version,
+		Body: change,
 	})
 }
 
