--- a/core/relayer/delta.go
+++ b/core/relayer/delta.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// publish keeps an item of this host and floods it, as a delta if there is one. A neighbour that lacks the version before
-// asks for the whole item.
+// publish keeps an item of this host and floods it, as a delta if there is one that fits. A neighbour that lacks the version
+// before asks for the whole item.
 func (r *Relayer) publish(now time.Duration, published Published) []Action {
 	delta := published.Delta
-	if delta == nil || r.options.Patch == nil {
+	if delta == nil || r.options.Patch == nil || r.items[delta.Key].Version != delta.From {
 		return r.accept(now, "", published.Item)
 	}
 	if !r.newer(published.Item) {
