--- a/bench/internal/load/upstream.go
+++ b/bench/internal/load/upstream.go
@@ -34,8 +34,9 @@
 	domain    int
 	keyed     bool
 	held      map[uint32]slicer.Fence
-	run       int // number of the incarnation
-	completed int // since the start
+	run       int    // number of the incarnation
+	label     string // of the incarnation, empty until it is needed
+	completed int    // since the start
 	running   []*job
 	present   int // requests that run or are being refused
 	warm      bool
@@ -68,7 +69,12 @@
 	return min(1+u.completed/warmAfter, slots)
 }
 
-func (u *upstream) incarnation() string { return fmt.Sprint(u.name, "-", u.run) }
+func (u *upstream) incarnation() string {
+	if u.label == "" {
+		u.label = fmt.Sprint(u.name, "-", u.run)
+	}
+	return u.label
+}
 
 // serve takes a request and answers by reply exactly once, unless the returned function cancels it first.
 func (u *upstream) serve(request *request, fence slicer.Fence, answer func(reply)) func() {
@@ -186,5 +192,6 @@
 	u.down = false
 	u.draining = false
 	u.run++
+	u.label = ""
 	u.turnCold()
 }
