balancer: eject stalled upstreams earlier

Cause: an upstream whose oldest request is overdue was ejected at three times the 90th percentile, about 40 ms after it had slowed down. The factor is now two.

--- a/core/balancer/straggler.go
+++ b/core/balancer/straggler.go
@@ -10,6 +10,8 @@
 	judgeInterval = 10 * time.Millisecond
 	// stragglerFactor times the usual latency makes an upstream a straggler; load alone rarely triples it.
 	stragglerFactor = 3
+	// stalledFactor times the 90th percentile is the age at which a request in flight makes its upstream a straggler.
+	stalledFactor = 2
 	// minEvidence is the decayed number of responses on which an upstream is judged.
 	minEvidence = 3
 	// ejectSuccess is the share of successes below which an upstream is ejected.
@@ -27,7 +29,7 @@
 		worst = float64(t.latency.mean()) / float64(stragglerFactor*usual)
 	}
 	if high > 0 {
-		worst = max(worst, float64(t.oldest(now))/float64(stragglerFactor*high))
+		worst = max(worst, float64(t.oldest(now))/float64(stalledFactor*high))
 	}
 	if t.success < ejectSuccess {
 		worst = max(worst, 1+ejectSuccess-t.success)
