bench: do not hedge suspects

Cause: a suspect waits in the queue until it can run alone, which made its hedge start; it then ran alone at two upstreams at once and crashed both.

--- a/bench/internal/load/ours.go
+++ b/bench/internal/load/ours.go
@@ -229,10 +229,14 @@
 
 func (o *ours) hedge(l *leg) {
 	r := l.request
-	if r.done || !slices.Contains(o.hosts[r.host].legs[r.id], l) || o.hosts[r.host].retries[r.keyed].Failing() {
+	h := o.hosts[r.host]
+	if r.done || !slices.Contains(h.legs[r.id], l) || h.retries[r.keyed].Failing() {
+		return
+	}
+	if h.detector.Verdict(o.w.now, signature(r)) != detector.Clear {
 		return
 	}
-	if picked, ok := o.hosts[r.host].balancer.Hedge(o.w.now, l.attempt); ok {
+	if picked, ok := h.balancer.Hedge(o.w.now, l.attempt); ok {
 		o.sendPicked(r, picked)
 	}
 }
