controller: do not tie admission leases to the latest table

Every lease named the latest published table as the oldest one to admit with. A lease travels directly and a table over the relay tree, so a host would have stopped admitting to all its upstreams at each change until the table arrived. The fences already name the slices; the ranges and hot keys never change yet.

--- a/core/controller/admissions.go
+++ b/core/controller/admissions.go
@@ -328,7 +328,6 @@
 		HeartbeatSent: known.sent,
 		Lifetime:      AdmissionLifetime,
 		Revision:      c.snapshot.Revision,
-		Table:         c.published.Version,
 	}
 	c.seq++
 	message.Seq = c.seq
--- a/core/controller/types.go
+++ b/core/controller/types.go
@@ -176,7 +176,7 @@
 	HeartbeatSent time.Duration
 	Lifetime      time.Duration
 	Revision      uint64         // of the configuration
-	Table         slicer.Version // the host admits only with a table that is at least this one
+	Table         slicer.Version // oldest table with the present ranges and hot keys; zero accepts any, as they never change yet
 	Leases        []Lease
 }
 
