locator: report no readiness without a configuration

AllFresh was true while no service was known, so a daemon that had just connected to its peers answered /readyz with 200 and requests with 404 until the first configuration object arrived.

--- a/rhubarbtrackd/internal/locator/locator.go
+++ b/rhubarbtrackd/internal/locator/locator.go
@@ -208,9 +208,14 @@
 	return ok && beacon.caughtUp > 0 && now-beacon.caughtUp <= FreshFor
 }
 
-// AllFresh reports whether this host may take new work of every configured service.
+// AllFresh reports whether this host may take new work of every configured service. A host that knows no service has just
+// started and not received the configuration yet.
 func (l *Locator) AllFresh(now time.Duration) bool {
-	for service := range l.Config().Services {
+	services := l.Config().Services
+	if len(services) == 0 {
+		return false
+	}
+	for service := range services {
 		if !l.Fresh(now, service) {
 			return false
 		}
