--- a/bench/internal/load/ours.go
+++ b/bench/internal/load/ours.go
@@ -412,7 +412,11 @@
 	if r.outcome.NotRun() {
 		knowledge = retrier.NotRun
 	}
-	o.reply(l, answer{succeeded: r.outcome == admitter.Succeeded, reached: r.outcome != admitter.Cancelled, knowledge: knowledge})
+	o.reply(l, answer{
+		succeeded: r.outcome == admitter.Succeeded,
+		reached:   r.outcome != admitter.Cancelled,
+		knowledge: knowledge,
+	})
 	o.step(a, admitter.Ended{
 		ID:          admitter.ID(l.request.id),
 		Outcome:     r.outcome,
--- a/core/balancer/hedge.go
+++ b/core/balancer/hedge.go
@@ -26,9 +26,11 @@
 	return b.group.quantile(hedgeQuantile), true
 }
 
-// Hedge chooses a second upstream for an attempt that has no response yet. The caller must not ask for suspects of the
-// detector: they wait until they can run alone, and a hedge of one that crashes upstreams crashes a second one. It reports false when the budget is used up,
+// Hedge chooses a second upstream for an attempt that has no response yet. It reports false when the budget is used up,
 // when many attempts fail, or when every other upstream is cold, drained or ejected.
+//
+// The caller must not ask for suspects of the detector: they wait until they can run alone, and a hedge of one that
+// crashes upstreams crashes a second one.
 func (b *Balancer) Hedge(now time.Duration, first Attempt) (Attempt, bool) {
 	known, ok := b.attempts[first.ID]
 	if !ok || known.pair != 0 || first.Class == configurator.NeverRepeat {
