framer: carry LastID of tables, terms of heartbeats and queries

The codec lost three fields: slicer.Table.LastID, without which the ID of a removed slice may be given again; controller.Heartbeat.Term; and controller.SendLeases.Query. The daemon did not set the term either. A controller therefore took every heartbeat that names a lease for one from before its takeover and answered it with a message that ended all leases of the host.

Heartbeats now carry the term, and a query is answered with a heartbeat at once and ends no lease.

--- a/core/framer/control.go
+++ b/core/framer/control.go
@@ -63,6 +63,7 @@
 	Leaving       bool            `cbor:"4,keyasint,omitempty"`
 	Sent          int64           `cbor:"5,keyasint"`
 	Leases        []wireHeldLease `cbor:"6,keyasint,omitempty"`
+	Term          uint64          `cbor:"7,keyasint,omitempty"`
 }
 
 type wireFence struct {
@@ -94,6 +95,7 @@
 	TableTerm     uint64      `cbor:"8,keyasint"`
 	TableSeq      uint64      `cbor:"9,keyasint"`
 	Leases        []wireLease `cbor:"10,keyasint,omitempty"`
+	Query         bool        `cbor:"11,keyasint,omitempty"`
 }
 
 type wireStopAnswer struct {
@@ -151,6 +153,7 @@
 		FailureDomain: beat.FailureDomain,
 		Leaving:       beat.Leaving,
 		Sent:          int64(beat.Sent),
+		Term:          beat.Term,
 	}
 	for _, lease := range beat.Leases {
 		wire.Leases = append(wire.Leases, wireHeldLease{Upstream: lease.Upstream, Term: lease.Term, Epoch: lease.Epoch})
@@ -160,6 +163,7 @@
 
 func toWireLeases(leases *controller.SendLeases) *wireLeases {
 	wire := &wireLeases{
+		Query:         leases.Query,
 		Host:          leases.Host,
 		Incarnation:   leases.Incarnation,
 		Term:          leases.Term,
@@ -241,6 +245,7 @@
 		FailureDomain: w.FailureDomain,
 		Leaving:       w.Leaving,
 		Sent:          time.Duration(w.Sent),
+		Term:          w.Term,
 	}
 	for _, lease := range w.Leases {
 		beat.Leases = append(beat.Leases, controller.HeldLease{Upstream: lease.Upstream, Term: lease.Term, Epoch: lease.Epoch})
@@ -250,6 +255,7 @@
 
 func (w *wireLeases) leases(service string) *controller.SendLeases {
 	message := &controller.SendLeases{
+		Query:         w.Query,
 		Host:          w.Host,
 		Incarnation:   w.Incarnation,
 		Service:       service,
--- a/core/framer/table.go
+++ b/core/framer/table.go
@@ -29,11 +29,12 @@
 	Ranges    []wireSlice     `cbor:"4,keyasint,omitempty"`
 	Hot       []wireSlice     `cbor:"5,keyasint,omitempty"`
 	Admission []wireAdmission `cbor:"6,keyasint,omitempty"`
+	LastID    uint32          `cbor:"7,keyasint,omitempty"`
 }
 
 // EncodeTable returns the encoding of a table, the same for equal tables.
 func EncodeTable(table slicer.Table) ([]byte, error) {
-	wire := wireTable{Service: table.Service, Term: table.Version.Term, Seq: table.Version.Seq}
+	wire := wireTable{Service: table.Service, Term: table.Version.Term, Seq: table.Version.Seq, LastID: table.LastID}
 	for _, slice := range table.Ranges {
 		wire.Ranges = append(wire.Ranges, toWireSlice(slice))
 	}
@@ -59,6 +60,7 @@
 		Version:   slicer.Version{Term: wire.Term, Seq: wire.Seq},
 		Hot:       make(map[string]slicer.Slice, len(wire.Hot)),
 		Admission: make(map[string]slicer.Admission, len(wire.Admission)),
+		LastID:    wire.LastID,
 	}
 	for _, slice := range wire.Ranges {
 		table.Ranges = append(table.Ranges, slice.slice())
--- a/rhubarbtrackd/internal/dispatcher/dispatcher.go
+++ b/rhubarbtrackd/internal/dispatcher/dispatcher.go
@@ -88,7 +88,7 @@
 }
 
 // ApplyLeases takes the admission leases of this host for one service. Messages that are not newer than the latest one
-// are ignored. An upstream that is not listed is not admitted to any more.
+// are ignored. An upstream that is not listed is not admitted to any more. A query changes no lease.
 func (d *Dispatcher) ApplyLeases(message controller.SendLeases) {
 	if message.Host != d.options.Self || message.Incarnation != d.options.Incarnation {
 		return
@@ -100,6 +100,10 @@
 		return
 	}
 	d.seen[message.Service] = version
+	if message.Query {
+		d.mu.Unlock()
+		return
+	}
 	listed := map[string]bool{}
 	for _, lease := range message.Leases {
 		listed[lease.Upstream] = true
@@ -123,6 +127,13 @@
 	}
 }
 
+// Term returns the highest term of the messages about a service that ApplyLeases took.
+func (d *Dispatcher) Term(service string) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seen[service].term
+}
+
 // Held returns the admission leases of a service that are valid now.
 func (d *Dispatcher) Held(now time.Duration, service string) []controller.HeldLease {
 	d.mu.Lock()
--- a/rhubarbtrackd/internal/dispatcher/dispatcher_test.go
+++ b/rhubarbtrackd/internal/dispatcher/dispatcher_test.go
@@ -297,3 +297,22 @@
 		})
 	}
 }
+
+// Guards against a query of a new controller that ends the leases of this host, and against a heartbeat that does not
+// show the term of the query.
+func TestQueryKeepsLeases(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(echo))
+	t.Cleanup(server.Close)
+	h := newHost(t, server.Listener.Addr().String(), true)
+	fence := slicer.Fence{Slice: 1, Term: 1, Epoch: 1}
+	h.apply(controller.Lease{Serve: []slicer.Fence{fence}})
+	_, err := h.run("GET", fence, time.Second)
+	assert.NilError(t, err)
+	h.dispatcher.ApplyLeases(controller.SendLeases{
+		Query: true, Host: "host-1", Incarnation: "a", Service: "marks", Term: 2, Seq: 1,
+	})
+	assert.Equal(t, h.dispatcher.Term("marks"), uint64(2))
+	assert.Equal(t, len(h.dispatcher.Held(h.clock(), "marks")), 1)
+	_, err = h.run("GET", fence, time.Second)
+	assert.NilError(t, err)
+}
--- a/rhubarbtrackd/internal/runner/assembler.go
+++ b/rhubarbtrackd/internal/runner/assembler.go
@@ -104,7 +104,7 @@
 		Transport:     links.transport(2),
 		Scheme:        links.upstreamScheme(s),
 		Send:          d.sendControl,
-		ApplyLeases:   d.dispatcher.ApplyLeases,
+		ApplyLeases:   func(message controller.SendLeases) { d.applyLeases(s.Name, message) },
 		PublishTable:  d.publishTable,
 		PublishBeacon: d.publishBeacon,
 		Dropped:       func(string) { d.meter.Dropped("granter") },
@@ -186,12 +186,20 @@
 
 func (d *daemon) receiveControl(peer string, message framer.Message) {
 	if message.Leases != nil {
-		d.dispatcher.ApplyLeases(*message.Leases)
+		d.applyLeases(peer, *message.Leases)
 		return
 	}
 	d.granter.Receive(peer, message)
 }
 
+// applyLeases takes leases from a controller and answers a query with a heartbeat at once.
+func (d *daemon) applyLeases(from string, message controller.SendLeases) {
+	d.dispatcher.ApplyLeases(message)
+	if message.Query {
+		d.sendHeartbeat(d.clock(), message.Service, from)
+	}
+}
+
 func (d *daemon) sendFrame(peer string, frame relayer.Frame) {
 	data, err := framer.EncodeFrame(frame)
 	if err != nil {
@@ -307,25 +315,31 @@
 // sendHeartbeats tells the controllers which admission leases this host holds, and asks for renewal.
 func (d *daemon) sendHeartbeats(now time.Duration) {
 	for service := range d.locator.Config().Services {
-		beacon, ok := d.locator.Holder(service)
-		if !ok {
-			continue
+		if beacon, ok := d.locator.Holder(service); ok {
+			d.sendHeartbeat(now, service, beacon.Holder)
 		}
-		held := d.dispatcher.Held(now, service)
-		if len(held) == 0 && !d.candidate(service) {
-			continue
-		}
-		d.sendControl(beacon.Holder, framer.Message{Service: service, Heartbeat: &controller.Heartbeat{
-			Host:          d.settings.Name,
-			Incarnation:   d.incarnation,
-			FailureDomain: d.settings.FailureDomain,
-			Leaving:       d.leaving(),
-			Sent:          now,
-			Leases:        held,
-		}})
 	}
 }
 
+// sendHeartbeat tells one controller. The term is read before the leases: a controller takes a lease as reported after
+// its takeover when the heartbeat shows its term.
+func (d *daemon) sendHeartbeat(now time.Duration, service, holder string) {
+	term := d.dispatcher.Term(service)
+	held := d.dispatcher.Held(now, service)
+	if len(held) == 0 && !d.candidate(service) {
+		return
+	}
+	d.sendControl(holder, framer.Message{Service: service, Heartbeat: &controller.Heartbeat{
+		Host:          d.settings.Name,
+		Incarnation:   d.incarnation,
+		FailureDomain: d.settings.FailureDomain,
+		Leaving:       d.leaving(),
+		Sent:          now,
+		Term:          term,
+		Leases:        held,
+	}})
+}
+
 // candidate reports whether this host should be known to the controller of a service: it has an admission role there, or
 // is one of the hosts that may get one. Bounding their number keeps the controller's work independent of the fleet.
 func (d *daemon) candidate(service string) bool {
