dispatcher: measure the load of slices and keys and report it

The controller knows no load, so that it cannot place by it. The admission host of an upstream sees all of its requests. Each worker now counts offers per slice with a half-life of 10 s and its heaviest keys in a sketch of 256 counters, keeps the last 128 latencies, and sends a report to the controller every 2 s.

A report holds request rates instead of slots in use: the usual service time of the service is known only where the reports of all upstreams meet. It is bounded by 1,024 slices, 32 keys and 4,096 bytes of keys, less than 20 kB encoded. The entry host passes the key in Rhubarbtrack-Routed-Key, query-escaped since a key of a path may hold any byte; the admission host takes the header off. Keyed services only.

--- a/core/framer/control.go
+++ b/core/framer/control.go
@@ -19,6 +19,7 @@
 	Leases        *controller.SendLeases
 	StopAnswer    *controller.StopAnswer
 	LeaseReturned *controller.LeaseReturned
+	Load          *LoadReport
 }
 
 type wireMessage struct {
@@ -29,6 +30,7 @@
 	Leases        *wireLeases     `cbor:"5,keyasint,omitempty"`
 	StopAnswer    *wireStopAnswer `cbor:"6,keyasint,omitempty"`
 	LeaseReturned *wireReturned   `cbor:"7,keyasint,omitempty"`
+	Load          *wireLoad       `cbor:"8,keyasint,omitempty"`
 }
 
 type wireConfirm struct {
@@ -143,6 +145,9 @@
 	if m := message.LeaseReturned; m != nil {
 		wire.LeaseReturned = &wireReturned{Host: m.Host, Incarnation: m.Incarnation, Upstream: m.Upstream, Epoch: m.Epoch}
 	}
+	if m := message.Load; m != nil {
+		wire.Load = toWireLoad(m)
+	}
 	return encode("encode control message", wire)
 }
 
@@ -232,6 +237,14 @@
 			Host: m.Host, Incarnation: m.Incarnation, Upstream: m.Upstream, Epoch: m.Epoch,
 		}
 	}
+	if m := wire.Load; m != nil {
+		set++
+		report, err := m.report()
+		if err != nil {
+			return Message{}, err
+		}
+		message.Load = report
+	}
 	if set != 1 {
 		return Message{}, &Error{Op: op, Kind: Malformed, Err: errors.Newf("%d bodies", set)}
 	}
--- a/core/framer/framer_test.go
+++ b/core/framer/framer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -75,6 +77,21 @@
 	func(t *rapid.T, m *framer.Message) {
 		m.LeaseReturned = rapid.Ptr(rapid.Make[controller.LeaseReturned](), false).Draw(t, "lease returned")
 	},
+	func(t *rapid.T, m *framer.Message) {
+		count := rapid.IntRange(0, 1<<30)
+		m.Load = &framer.LoadReport{
+			Upstream: rapid.String().Draw(t, "upstream"),
+			Limit:    count.Draw(t, "limit"),
+			Cold:     rapid.Bool().Draw(t, "cold"),
+			Samples:  count.Draw(t, "samples"),
+			Mean:     time.Duration(count.Draw(t, "mean")),
+			Median:   time.Duration(count.Draw(t, "median")),
+			Slices:   rapid.SliceOfN(rapid.Make[framer.SliceRate](), 0, 8).Draw(t, "slices"),
+			Keys: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) framer.KeyRate {
+				return framer.KeyRate{Key: rapid.StringN(0, 20, 100).Draw(t, "key"), MilliRPS: rapid.Uint64().Draw(t, "rate")}
+			}), 0, framer.MaxLoadKeys).Draw(t, "keys"),
+		}
+	},
 }
 
 func drawMessage(t *rapid.T) framer.Message {
@@ -154,6 +171,22 @@
 	})
 }
 
+// Guards against load reports that exceed the control budget: one with too much of everything is cut, keeping the heaviest
+// keys.
+func TestLoadReportIsBounded(t *testing.T) {
+	report := framer.LoadReport{Upstream: "marks.u1", Slices: make([]framer.SliceRate, 5000)}
+	for range 100 {
+		report.Keys = append(report.Keys, framer.KeyRate{Key: strings.Repeat("k", 1024), MilliRPS: 1 << 40})
+	}
+	data, err := framer.EncodeMessage(framer.Message{Service: "marks", Load: &report})
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < 20<<10, "%d bytes", len(data))
+	decoded, err := framer.DecodeMessage(data)
+	assert.NilError(t, err)
+	assert.Equal(t, len(decoded.Load.Slices), framer.MaxLoadSlices)
+	assert.Equal(t, len(decoded.Load.Keys), 4)
+}
+
 // FuzzDecode guards against bytes of a peer that make a decoder panic, and against a message that changes when it is
 // passed on.
 func FuzzDecode(f *testing.F) {
--- a/rhubarbtrackd/internal/dispatcher/dispatcher.go
+++ b/rhubarbtrackd/internal/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"rhubarbtrack.example/core/configurator"
 	"rhubarbtrack.example/core/controller"
 	"rhubarbtrack.example/core/detector"
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/hasher"
 	"rhubarbtrack.example/core/slicer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
@@ -41,7 +42,9 @@
 
 	StopAnswer    func(service string, answer controller.StopAnswer)
 	LeaseReturned func(service string, returned controller.LeaseReturned)
-	Log           *eventlog.Logger
+	// Report takes the load of an upstream every reportInterval; nil for no measurement.
+	Report func(service string, report framer.LoadReport)
+	Log    *eventlog.Logger
 }
 
 // Dispatcher is safe for concurrent use.
@@ -198,6 +201,7 @@
 		ring:       make(chan any, ringSize),
 		pending:    map[admitter.ID]*attempt{},
 		fences:     map[uint32]slicer.Fence{},
+		load:       newLoad(d.options.Clock()),
 		admitter: admitter.New(admitter.Options{
 			Slots: max(upstream.Slots, 1),
 			Keyed: d.options.Keyed(key.service),
--- /dev/null
+++ b/rhubarbtrackd/internal/dispatcher/load.go
@@ -0,0 +1,169 @@
+package dispatcher
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"rhubarbtrack.example/core/admitter"
+	"rhubarbtrack.example/core/assigner"
+	"rhubarbtrack.example/core/framer"
+	"rhubarbtrack.example/core/slicer"
+)
+
+const (
+	// reportInterval is the time between two load reports of an upstream.
+	reportInterval = 2 * time.Second
+	// loadHalfLife is the time in which a past request loses half of its weight. The hottest keys change within minutes.
+	loadHalfLife = 10 * time.Second
+	// loadSettle is how long a slice is measured before it is reported. The controller keeps the earlier figure of a slice
+	// that has moved for 10 s, and a report is up to 2 s late.
+	loadSettle = 3 * time.Second
+	// sketchKeys bounds the counters of hot keys of one upstream. Any key above 1/256 of its load is among them, and a key
+	// becomes hot from 1/20 of the mean load of an upstream.
+	sketchKeys = 256
+	// latencySamples and latencyAge bound the responses behind the latency evidence.
+	latencySamples = 128
+	latencyAge     = 5 * time.Second
+)
+
+// load measures the demand for one upstream. Its state is bounded by the slices of the upstream, the counters of the
+// sketch and the latency samples.
+type load struct {
+	slices  map[uint32]*rate
+	keys    *assigner.Sketch
+	samples [latencySamples]sample // ring
+	next    int
+}
+
+// sample is the latency of one response. A zero latency marks an unused place.
+type sample struct {
+	at      time.Duration
+	latency time.Duration
+}
+
+// rate counts requests with exponential decay.
+type rate struct {
+	since time.Duration
+	at    time.Duration
+	count float64 // at the time at
+}
+
+func newLoad(now time.Duration) *load {
+	l := &load{slices: map[uint32]*rate{}, keys: assigner.NewSketch(sketchKeys, loadHalfLife)}
+	l.keys.Top(now, 0) // sets the base of the sketch, which would otherwise be the start of the process
+	return l
+}
+
+// offer counts a request to a slice that is served here. Requests that are refused later count as well, since demand
+// does not end where the upstream is full.
+func (l *load) offer(now time.Duration, slice uint32, key string) {
+	l.keys.Observe(now, key, time.Second)
+	if measured := l.slices[slice]; measured != nil {
+		measured.decay(now)
+		measured.count++
+	}
+}
+
+// keep starts the measurement of new slices and ends that of slices that are gone.
+func (l *load) keep(now time.Duration, fences map[uint32]slicer.Fence) {
+	for id := range l.slices {
+		if _, ok := fences[id]; !ok {
+			delete(l.slices, id)
+		}
+	}
+	for id := range fences {
+		if l.slices[id] == nil {
+			l.slices[id] = &rate{since: now, at: now}
+		}
+	}
+}
+
+func (l *load) answer(now, latency time.Duration) {
+	l.samples[l.next] = sample{at: now, latency: max(latency, 1)}
+	l.next = (l.next + 1) % len(l.samples)
+}
+
+func (r *rate) decay(now time.Duration) {
+	r.count *= math.Exp2(-float64(now-r.at) / float64(loadHalfLife))
+	r.at = now
+}
+
+// perSecond returns the rate, corrected for the time before the measurement began.
+func (r *rate) perSecond(now time.Duration) float64 {
+	r.decay(now)
+	covered := 1 - math.Exp2(-float64(now-r.since)/float64(loadHalfLife))
+	return r.count * math.Ln2 / loadHalfLife.Seconds() / covered
+}
+
+func milli(perSecond float64) uint64 {
+	return uint64(math.Round(max(perSecond, 0) * 1000))
+}
+
+// report returns the load without the state of the admitter.
+func (l *load) report(now time.Duration) framer.LoadReport {
+	var report framer.LoadReport
+	for id, measured := range l.slices {
+		if now-measured.since >= loadSettle {
+			report.Slices = append(report.Slices, framer.SliceRate{Slice: id, MilliRPS: milli(measured.perSecond(now))})
+		}
+	}
+	slices.SortFunc(report.Slices, func(a, b framer.SliceRate) int { return int(a.Slice) - int(b.Slice) })
+	for _, key := range l.keys.Top(now, framer.MaxLoadKeys) {
+		if key.Load > 0 {
+			report.Keys = append(report.Keys, framer.KeyRate{Key: key.Key, MilliRPS: milli(key.Load)})
+		}
+	}
+	report.Samples, report.Mean, report.Median = l.latency(now)
+	return report
+}
+
+// latency returns the number of recent responses, their mean and their median.
+func (l *load) latency(now time.Duration) (int, time.Duration, time.Duration) {
+	var recent []time.Duration
+	sum := time.Duration(0)
+	for _, s := range l.samples {
+		if s.latency > 0 && now-s.at <= latencyAge {
+			recent = append(recent, s.latency)
+			sum += s.latency
+		}
+	}
+	if len(recent) == 0 {
+		return 0, 0, 0
+	}
+	slices.Sort(recent)
+	return len(recent), sum / time.Duration(len(recent)), recent[len(recent)/2]
+}
+
+// measureOffer counts a request of the present assignment of its slice. One with an outdated fence is refused and comes
+// again.
+func (w *worker) measureOffer(e offerEvent) {
+	fence, ok := w.fences[e.offered.Fence.Slice]
+	if ok && fence.Epoch == e.offered.Fence.Epoch {
+		w.load.offer(w.dispatcher.options.Clock(), fence.Slice, e.key)
+	}
+}
+
+func (w *worker) measureEnd(e admitter.Ended) {
+	if e.Outcome == admitter.Succeeded {
+		w.load.answer(w.dispatcher.options.Clock(), e.Latency)
+	}
+}
+
+// reportLoad sends a report when it is due and this host has the lease.
+func (w *worker) reportLoad() {
+	now := w.dispatcher.options.Clock()
+	if now < w.reportAt || w.dispatcher.options.Report == nil {
+		return
+	}
+	held := w.held.Load()
+	if held == nil || now >= held.until || !w.dispatcher.options.Keyed(w.key.service) {
+		return
+	}
+	w.reportAt = now + reportInterval
+	report := w.load.report(now)
+	report.Upstream = w.key.upstream
+	report.Limit = w.admitter.Limit()
+	report.Cold = w.admitter.Cold()
+	w.dispatcher.options.Report(w.key.service, report)
+}
--- a/rhubarbtrackd/internal/dispatcher/message.go
+++ b/rhubarbtrackd/internal/dispatcher/message.go
@@ -34,6 +34,7 @@
 	Fence          slicer.Fence // zero for services not partitioned by key
 	Signature      uint64
 	IdempotencyKey string
+	Key            string // for the measurement of hot keys, not sent to the upstream
 	Method         string
 	URI            string // path and query as the upstream sees them
 	Header         http.Header
--- a/rhubarbtrackd/internal/dispatcher/run.go
+++ b/rhubarbtrackd/internal/dispatcher/run.go
@@ -17,7 +17,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	waiting := &attempt{verdict: make(chan verdict, 1), cancel: cancel}
 	id := requestID(request.ID)
-	offer := offerEvent{offered: w.offered(ctx, id, request), attempt: waiting}
+	offer := offerEvent{offered: w.offered(ctx, id, request), key: request.Key, attempt: waiting}
 	select {
 	case w.ring <- offer:
 	default:
--- a/rhubarbtrackd/internal/dispatcher/worker.go
+++ b/rhubarbtrackd/internal/dispatcher/worker.go
@@ -33,6 +33,8 @@
 	releasing  uint64 // epoch of a lease that is to be returned, 0 for none
 	active     bool   // a lease was applied and has not ended
 	epoch      uint64 // highest epoch of a lease that was applied
+	load       *load
+	reportAt   time.Duration // no load report before this
 
 	held   atomic.Pointer[heldLease]
 	status atomic.Pointer[Status]
@@ -57,6 +59,7 @@
 
 type offerEvent struct {
 	offered admitter.Offered
+	key     string
 	attempt *attempt
 }
 
@@ -90,6 +93,7 @@
 		}
 		w.returnLease()
 		w.publishStatus()
+		w.reportLoad()
 		if now := len(w.pending) == 0; now != idle {
 			idle = now
 			ticker.Reset(w.interval(idle))
@@ -109,9 +113,11 @@
 	case offerEvent:
 		e.offered.Fence = w.heldFence(e.offered.Fence)
 		w.pending[e.offered.ID] = e.attempt
+		w.measureOffer(e)
 		w.step(e.offered)
 	case admitter.Ended:
 		delete(w.pending, e.ID)
+		w.measureEnd(e)
 		w.step(e)
 	case admitter.CallerLeft:
 		w.step(e)
@@ -228,6 +234,7 @@
 	w.held.Store(&heldLease{term: e.version.term, epoch: lease.Epoch, until: e.sentAt + admitter.DefaultLease})
 	if !w.active {
 		w.active = true
+		w.load = newLoad(w.dispatcher.options.Clock()) // another host may have measured in the meantime
 		w.log(eventlog.AdmissionGained)
 	}
 	w.applySlices(lease)
@@ -254,6 +261,7 @@
 		}
 	}
 	w.fences = present
+	w.load.keep(w.dispatcher.options.Clock(), present)
 	if len(removed) > 0 {
 		w.step(admitter.SlicesRemoved{Fences: removed})
 	}
--- a/rhubarbtrackd/internal/forwarder/forwarder.go
+++ b/rhubarbtrackd/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -32,7 +33,8 @@
 	headerClass       = "Rhubarbtrack-Class"
 	headerSignature   = "Rhubarbtrack-Signature"
 	headerIdempotency = "Rhubarbtrack-Idempotency-Key"
-	headerAnswered    = "Rhubarbtrack-Answered" // the response is the upstream's own
+	headerKey         = "Rhubarbtrack-Routed-Key" // query-escaped, because a key of a path may hold any byte
+	headerAnswered    = "Rhubarbtrack-Answered"   // the response is the upstream's own
 	headerReroutable  = "Rhubarbtrack-Reroutable"
 
 	// copyBuffer is the size of the pieces in which bodies are passed on, in bytes.
@@ -109,8 +111,8 @@
 }
 
 func (f *Forwarder) encode(ctx context.Context, host framer.Member, request *dispatcher.Request) (*http.Request, error) {
-	url := f.options.Scheme + "://" + host.Address + prefix + request.URI
-	outgoing, err := http.NewRequestWithContext(ctx, request.Method, url, request.Body)
+	target := f.options.Scheme + "://" + host.Address + prefix + request.URI
+	outgoing, err := http.NewRequestWithContext(ctx, request.Method, target, request.Body)
 	if err != nil {
 		return nil, err
 	}
@@ -127,6 +129,9 @@
 	if request.IdempotencyKey != "" {
 		header.Set(headerIdempotency, request.IdempotencyKey)
 	}
+	if request.Key != "" {
+		header.Set(headerKey, url.QueryEscape(request.Key))
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		header.Set(dispatcher.HeaderDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	}
@@ -183,6 +188,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	key, err := url.QueryUnescape(take(headerKey))
+	if err != nil {
+		return nil, 0, fmt.Errorf("malformed %s", headerKey)
+	}
 	header.Del("Authorization")
 	header.Del("Rhubarbtrack-Peer")
 	return &dispatcher.Request{
@@ -193,6 +202,7 @@
 		Fence:          fence,
 		Signature:      signature,
 		IdempotencyKey: take(headerIdempotency),
+		Key:            key,
 		Method:         r.Method,
 		URI:            strings.TrimPrefix(r.RequestURI, prefix),
 		Header:         header,
--- a/rhubarbtrackd/internal/receiver/run.go
+++ b/rhubarbtrackd/internal/receiver/run.go
@@ -178,6 +178,7 @@
 		Fence:          route.Fence,
 		Signature:      j.signature,
 		IdempotencyKey: j.idempotency,
+		Key:            j.key,
 		Method:         j.method,
 		URI:            j.uri,
 		Header:         j.header,
--- a/rhubarbtrackd/internal/runner/assembler.go
+++ b/rhubarbtrackd/internal/runner/assembler.go
@@ -92,6 +92,7 @@
 		Observe:       d.suspector.Observe,
 		StopAnswer:    d.sendStopAnswer,
 		LeaseReturned: d.sendLeaseReturned,
+		Report:        d.sendLoad,
 		Log:           log,
 	})
 	d.granter = granter.New(granter.Options{
@@ -364,3 +365,10 @@
 		d.sendControl(beacon.Holder, framer.Message{Service: service, LeaseReturned: &returned})
 	}
 }
+
+// sendLoad passes a load report to the controller of the service.
+func (d *daemon) sendLoad(service string, report framer.LoadReport) {
+	if beacon, ok := d.locator.Holder(service); ok {
+		d.sendControl(beacon.Holder, framer.Message{Service: service, Load: &report})
+	}
+}
