granter: place slices by load with the assigner

The controller of a service placed slices by number with EvenPlan. Demand is the reported rate times the median over the upstreams of their mean service times. An upstream whose median is twice that of its peers straggles. A cold upstream bears the limit of its admitter. While the load of any owned slice is unknown, no move is made by choice; slices without an owner that serves are placed all the same.

--- a/rhubarbtrackd/internal/granter/granter.go
+++ b/rhubarbtrackd/internal/granter/granter.go
@@ -42,7 +42,6 @@
 	ApplyLeases   func(message controller.SendLeases)
 	PublishTable  func(service string, action controller.PublishTable)
 	PublishBeacon func(beacon framer.Beacon)
-	Plan          func(service string) func(now time.Duration, input controller.Input) []controller.Move // nil for even plans
 	Dropped       func(service string)
 	Log           *eventlog.Logger
 }
@@ -154,6 +153,8 @@
 		w.put(*message.StopAnswer)
 	case message.LeaseReturned != nil:
 		w.put(*message.LeaseReturned)
+	case message.Load != nil:
+		w.put(*message.Load)
 	}
 }
 
--- a/rhubarbtrackd/internal/granter/worker.go
+++ b/rhubarbtrackd/internal/granter/worker.go
@@ -31,6 +31,7 @@
 	ring       chan any
 	elector    *elector.Elector
 	controller *controller.Controller
+	planner    *planner
 	beaconSeq  uint64
 	demand     demand
 
@@ -40,9 +41,9 @@
 }
 
 func newWorker(g *Granter, service string, cancel context.CancelFunc) *worker {
-	options := controller.Options{Service: service, Host: g.options.Self, Incarnation: g.options.Incarnation}
-	if g.options.Plan != nil {
-		options.Plan = g.options.Plan(service)
+	planner := newPlanner()
+	options := controller.Options{
+		Service: service, Host: g.options.Self, Incarnation: g.options.Incarnation, Plan: planner.plan,
 	}
 	return &worker{
 		granter: g,
@@ -56,6 +57,7 @@
 			Seed:    g.options.Seed ^ hasher.Sum(service),
 		}),
 		controller: controller.New(options),
+		planner:    planner,
 	}
 }
 
@@ -110,6 +112,8 @@
 					w.demand.note(w.granter.options.Clock(), reply.Upstream, reply.InFlight)
 				}
 				w.stepController(ctx, e)
+			case framer.LoadReport:
+				w.planner.loads.note(w.granter.options.Clock(), e)
 			}
 		}
 	}
