--- a/core/framer/table.go
+++ b/core/framer/table.go
@@ -29,7 +29,7 @@
 	Ranges    []wireSlice     `cbor:"4,keyasint,omitempty"`
 	Hot       []wireSlice     `cbor:"5,keyasint,omitempty"`
 	Admission []wireAdmission `cbor:"6,keyasint,omitempty"`
-	LastID    uint32          `cbor:"7,keyasint,omitempty"`
+	LastID    uint32          `cbor:"7,keyasint"`
 }
 
 // EncodeTable returns the encoding of a table, the same for equal tables.
@@ -58,9 +58,9 @@
 	table := slicer.Table{
 		Service:   wire.Service,
 		Version:   slicer.Version{Term: wire.Term, Seq: wire.Seq},
+		LastID:    wire.LastID,
 		Hot:       make(map[string]slicer.Slice, len(wire.Hot)),
 		Admission: make(map[string]slicer.Admission, len(wire.Admission)),
-		LastID:    wire.LastID,
 	}
 	for _, slice := range wire.Ranges {
 		table.Ranges = append(table.Ranges, slice.slice())
