controller: give hot keys a slice of their own and take it back

A key that carries a large part of the load could not leave its range, because the controller knew moves only. A plan may now ask for Isolate and Fold. Both are carried out like a move to the same owner: stop at the admission host, revoke, change the set of keys while nobody holds the slices, commit, grant with new epochs. A stop that the store interrupts abandons the edit.

Two rules keep a key at one owner when the store fails between the edit and the answer to its write. A Fold is undone with new epochs, since a successor may still read the hot key. A hot key whose edit is not stored stays with its owner, and waits for the store when that owner is lost. Its first epoch is the term, so that an ID which an earlier controller gave without storing it is told apart. Tables of the controller carry LastID, without which no host could apply a delta.

--- a/core/controller/commits.go
+++ b/core/controller/commits.go
@@ -149,6 +149,8 @@
 		}
 		s.operation = 0
 		s.provisional = false
+		s.uncommitted = ""
+		s.edit = nil
 		if s.stage == committing {
 			c.own(s)
 		}
@@ -214,6 +216,7 @@
 	for _, entry := range table.Hot {
 		c.addSlice(entry)
 	}
+	c.lastID = max(c.lastID, table.LastID)
 	c.sortOrder()
 	for name, admission := range table.Admission {
 		c.upstream(name).admission.stored(admission)
--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -109,6 +109,7 @@
 	actions    []Action
 	slices     map[uint32]*slice
 	order      []uint32 // of the slices, ascending
+	lastID     uint32   // highest ID given to a slice so far
 	upstreams  map[string]*upstream
 	hosts      map[string]*host
 	listed     map[string]Host
@@ -203,6 +204,7 @@
 	c.finished = false
 	c.slices = map[uint32]*slice{}
 	c.order = nil
+	c.lastID = 0
 	c.upstreams = map[string]*upstream{}
 	c.sorted = nil
 	c.hosts = map[string]*host{}
@@ -334,6 +336,7 @@
 		Version:   slicer.Version{Term: c.term, Seq: c.tableSeq},
 		Hot:       map[string]slicer.Slice{},
 		Admission: map[string]slicer.Admission{},
+		LastID:    c.lastID,
 	}
 	for _, id := range c.order {
 		entry := c.slices[id].entry(planned)
--- /dev/null
+++ b/core/controller/edits.go
@@ -0,0 +1,163 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"rhubarbtrack.example/core/hasher"
+	"rhubarbtrack.example/core/slicer"
+)
+
+// edit is a change of the set of keys of a range: Isolate gives one of its keys a slice, Fold takes that back. It is
+// carried out like a move to the same owner: the slices concerned are stopped and revoked, the edit is made while nobody
+// holds them, and new epochs are granted once it is stored. So no fence that covered the key before is valid after it.
+type edit struct {
+	key       string
+	home      uint32
+	hot       uint32 // for Fold: the slice of the key
+	fold      bool
+	abandoned bool   // the store went down before the edit was made
+	folded    *slice // for Fold: the removed slice, until the edit is stored
+}
+
+// beginEdit starts an edit and returns the number of slices that are stopped for it, 0 when it does not fit.
+func (c *Controller) beginEdit(move Move, input Input) int {
+	s := c.slices[move.Slice]
+	if s == nil || !input.Voluntary || !c.editable(s, input) {
+		return 0
+	}
+	if move.Fold != "" {
+		return c.beginFold(s, move.Fold, input)
+	}
+	home := c.rangeOf(hasher.Sum(move.Isolate))
+	if home != s || len(move.Isolate) > slicer.MaxHotKeyBytes || c.countHot() >= slicer.MaxHotKeys || c.isHot(move.Isolate) {
+		return 0
+	}
+	s.edit = &edit{key: move.Isolate, home: s.id}
+	c.begin(s, s.owner)
+	return 1
+}
+
+func (c *Controller) beginFold(hot *slice, key string, input Input) int {
+	home := c.rangeOf(hot.low)
+	if hot.hotKey != key || home == nil || !c.editable(home, input) || home.owner != hot.owner {
+		return 0
+	}
+	hot.edit = &edit{key: key, home: home.id, hot: hot.id, fold: true}
+	home.edit = hot.edit
+	c.begin(hot, hot.owner)
+	c.begin(home, home.owner)
+	return 2
+}
+
+// editable reports whether the slice is granted and stored, and its owner in service.
+func (c *Controller) editable(s *slice, input Input) bool {
+	if s.stage != owned || s.provisional || s.uncommitted != "" {
+		return false
+	}
+	return slices.ContainsFunc(input.Upstreams, func(u UpstreamState) bool { return u.Name == s.owner && u.Eligible })
+}
+
+// rangeOf returns the range that holds the hash.
+func (c *Controller) rangeOf(hash uint64) *slice {
+	var home *slice
+	for _, id := range c.order {
+		s := c.slices[id]
+		if s.hotKey == "" && s.low <= hash && (home == nil || s.low > home.low) {
+			home = s
+		}
+	}
+	return home
+}
+
+// countHot counts the hot keys and those that are about to become hot.
+func (c *Controller) countHot() int {
+	count := 0
+	for _, s := range c.slices {
+		if s.hotKey != "" || s.edit != nil && !s.edit.fold {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *Controller) isHot(key string) bool {
+	for _, s := range c.slices {
+		if s.hotKey == key {
+			return true
+		}
+	}
+	return false
+}
+
+// abandonEdit leaves the set of keys as it is. The other slice of a Fold, when it is revoked already, is granted to its
+// owner again.
+func (s *slice) abandonEdit() {
+	if s.edit != nil {
+		s.edit.abandoned = true
+		s.edit = nil
+	}
+}
+
+// finishEdit makes the edit once nobody holds the slices concerned.
+func (c *Controller) finishEdit(now time.Duration, e *edit) {
+	home := c.slices[e.home]
+	if !e.fold {
+		home.edit = nil
+		c.assign(home)
+		c.addHot(home, e.key)
+		return
+	}
+	hot := c.slices[e.hot]
+	for _, s := range []*slice{home, hot} {
+		if s.stage != revoking || !c.released(now, s, c.upstreams[s.owner]) {
+			return
+		}
+	}
+	e.folded = hot
+	hot.edit = nil
+	delete(c.slices, hot.id)
+	c.order = slices.DeleteFunc(slices.Clone(c.order), func(id uint32) bool { return id == hot.id })
+	c.assign(home)
+}
+
+// addHot adds the slice of a key to the planned table. Its first epoch is the term: an earlier controller may have given
+// the same ID to another key without storing it, and a fence of that slice must not be valid for this one.
+func (c *Controller) addHot(home *slice, key string) {
+	hot := &slice{id: c.newID(), low: hasher.Sum(key), hotKey: key, stage: committing, owner: home.owner,
+		target: home.owner, epoch: c.term, uncommitted: home.owner}
+	c.slices[hot.id] = hot
+	c.order = append(slices.Clone(c.order), hot.id)
+}
+
+// newID returns an ID above all that are stored or held by any upstream.
+func (c *Controller) newID() uint32 {
+	for _, upstream := range c.upstreams {
+		for id := range upstream.held {
+			c.lastID = max(c.lastID, id)
+		}
+	}
+	c.lastID++
+	return c.lastID
+}
+
+// restoreFolded undoes a Fold whose write may or may not have taken effect when the store went down. A successor that
+// still read the hot key would grant it beside a range that covers it. Neither slice may leave its owner before a later
+// write succeeds, with one exception: the range may, since its new epoch never covered the key.
+func (c *Controller) restoreFolded(home *slice) {
+	hot := home.edit.folded
+	home.edit = nil
+	for _, s := range []*slice{home, hot} {
+		s.target = s.owner
+		s.epoch++
+		s.operation = 0
+		s.provisional = true
+	}
+	hot.uncommitted = hot.owner
+	c.slices[hot.id] = hot
+	c.order = append(slices.Clone(c.order), hot.id)
+	slices.Sort(c.order)
+	c.store.dirty = true
+	c.own(home)
+	c.own(hot)
+}
--- a/core/controller/plan.go
+++ b/core/controller/plan.go
@@ -19,6 +19,7 @@
 // SliceState describes a slice to Plan.
 type SliceState struct {
 	ID     uint32
+	Low    uint64 // first hash of a range, the hash of a hot key
 	HotKey string
 	Owner  string // empty when the slice has none
 	Moving bool   // under way already; Owner is the next owner
@@ -35,10 +36,13 @@
 	Leaving       bool // is to be emptied
 }
 
-// Move gives a slice to an upstream.
+// Move gives a slice to an upstream, or changes the set of keys of a slice, whose owner stays the same. At most one of
+// Isolate and Fold is set.
 type Move struct {
-	Slice uint32
-	To    string
+	Slice   uint32
+	To      string
+	Isolate string // key of the range Slice that gets a slice of its own
+	Fold    string // key of the hot slice Slice that returns to its range
 }
 
 // EvenPlan assigns slices in proportion to slots: first those without an owner, then those of leaving upstreams, then
@@ -142,10 +146,12 @@
 		return
 	}
 	for _, move := range c.options.Plan(now, input) {
-		if input.Budget == 0 {
+		if input.Budget <= 0 {
 			return
 		}
-		if c.beginMove(move, input) {
+		if move.Isolate != "" || move.Fold != "" {
+			input.Budget -= c.beginEdit(move, input)
+		} else if c.beginMove(move, input) {
 			input.Budget--
 		}
 	}
@@ -174,7 +180,7 @@
 	}
 	for _, id := range c.order {
 		s := c.slices[id]
-		state := SliceState{ID: id, HotKey: s.hotKey, Owner: s.owner, Moving: s.stage != owned && s.stage != unowned}
+		state := SliceState{ID: id, Low: s.low, HotKey: s.hotKey, Owner: s.owner, Moving: s.stage != owned && s.stage != unowned}
 		switch s.stage {
 		case stopping, revoking:
 			state.Owner = s.target
@@ -207,6 +213,7 @@
 		c.upstream(s.owner)
 	}
 	c.slices[s.id] = s
+	c.lastID = max(c.lastID, s.id)
 }
 
 func (c *Controller) sortOrder() {
--- a/core/controller/slices.go
+++ b/core/controller/slices.go
@@ -38,6 +38,8 @@
 	stopped     bool   // the admission host has answered the stop
 	operation   uint64 // table write that contains the next owner, 0 before that
 	provisional bool   // assigned while the store was down, not stored yet
+	edit        *edit  // change of the set of keys under way
+	uncommitted string // upstream that got this hot key by an edit which is not stored yet, empty otherwise
 }
 
 // entry returns the slice for the routed table, or with planned owners for the stored one. The stored table keeps the
@@ -61,6 +63,9 @@
 	idle := true
 	for _, id := range c.order {
 		s := c.slices[id]
+		if s == nil {
+			continue // folded by an earlier round of this loop
+		}
 		c.advanceSlice(now, s, settled)
 		finished = finished && s.stage != unresolved
 		idle = idle && s.stage == owned
@@ -193,6 +198,7 @@
 func (c *Controller) advanceStop(now time.Duration, s *slice) {
 	if c.store.down {
 		// No voluntary move during a store outage: the old owner still holds the slice.
+		s.abandonEdit()
 		s.stage = owned
 		s.target = ""
 		c.touch()
@@ -221,6 +227,11 @@
 	if !c.released(now, s, owner) {
 		return
 	}
+	if s.edit != nil && !s.edit.abandoned {
+		c.finishEdit(now, s.edit)
+		return
+	}
+	s.edit = nil
 	c.assign(s)
 }
 
@@ -247,7 +258,11 @@
 
 // advanceCommit grants without a stored table when the store is down.
 func (c *Controller) advanceCommit(s *slice) {
-	if !c.store.down {
+	if !c.store.down || s.uncommitted != "" && s.uncommitted != s.owner {
+		return
+	}
+	if s.edit != nil && s.edit.folded != nil {
+		c.restoreFolded(s)
 		return
 	}
 	c.own(s)
--- a/core/controller/world_test.go
+++ b/core/controller/world_test.go
@@ -39,7 +39,9 @@
 	hold      bool // answers to stops are kept in stops instead of being sent
 	stops     []func()
 	churn     bool // random slices are moved all the time
-	late      int  // percentage of messages that are delayed by up to 2 s
+	edits     bool // random keys become hot and cool down all the time
+	covered   map[string]map[assignment]bool
+	late      int // percentage of messages that are delayed by up to 2 s
 	cut       map[[2]string]bool
 	acked     map[uint32]slicer.Slice
 	trace     map[controller.Code]int
@@ -227,6 +229,9 @@
 		to := input.Upstreams[w.random.IntN(len(input.Upstreams))]
 		moves = append(moves, controller.Move{Slice: input.Slices[w.random.IntN(len(input.Slices))].ID, To: to.Name})
 	}
+	if w.edits && input.Voluntary {
+		moves = append(moves, w.edit(input))
+	}
 	return moves
 }
 
@@ -360,6 +365,8 @@
 			})
 		case controller.WriteTable:
 			w.writeTable(n, action)
+		case controller.PublishTable:
+			w.notePublished(action.Table)
 		case controller.Resign:
 			w.elect(n, now, elector.Resigned{})
 		case controller.Log:
@@ -572,6 +579,7 @@
 			owners[id] = name
 		}
 	}
+	w.checkKeys()
 	for id, name := range w.serving() {
 		if other, ok := owners[id]; ok && other != name {
 			w.fail("slice %d is served by %s and held by %s", id, name, other)
