--- a/core/framer/control.go
+++ b/core/framer/control.go
@@ -19,6 +19,7 @@
 	Leases        *controller.SendLeases
 	StopAnswer    *controller.StopAnswer
 	LeaseReturned *controller.LeaseReturned
+	Load          *LoadReport
 }
 
 type wireMessage struct {
@@ -29,6 +30,7 @@
 	Leases        *wireLeases     `cbor:"5,keyasint,omitempty"`
 	StopAnswer    *wireStopAnswer `cbor:"6,keyasint,omitempty"`
 	LeaseReturned *wireReturned   `cbor:"7,keyasint,omitempty"`
+	Load          *wireLoad       `cbor:"8,keyasint,omitempty"`
 }
 
 type wireConfirm struct {
@@ -63,6 +65,7 @@
 	Leaving       bool            `cbor:"4,keyasint,omitempty"`
 	Sent          int64           `cbor:"5,keyasint"`
 	Leases        []wireHeldLease `cbor:"6,keyasint,omitempty"`
+	Term          uint64          `cbor:"7,keyasint,omitempty"`
 }
 
 type wireFence struct {
@@ -94,6 +97,7 @@
 	TableTerm     uint64      `cbor:"8,keyasint"`
 	TableSeq      uint64      `cbor:"9,keyasint"`
 	Leases        []wireLease `cbor:"10,keyasint,omitempty"`
+	Query         bool        `cbor:"11,keyasint,omitempty"`
 }
 
 type wireStopAnswer struct {
@@ -141,6 +145,9 @@
 	if m := message.LeaseReturned; m != nil {
 		wire.LeaseReturned = &wireReturned{Host: m.Host, Incarnation: m.Incarnation, Upstream: m.Upstream, Epoch: m.Epoch}
 	}
+	if m := message.Load; m != nil {
+		wire.Load = toWireLoad(m)
+	}
 	return encode("encode control message", wire)
 }
 
@@ -151,6 +158,7 @@
 		FailureDomain: beat.FailureDomain,
 		Leaving:       beat.Leaving,
 		Sent:          int64(beat.Sent),
+		Term:          beat.Term,
 	}
 	for _, lease := range beat.Leases {
 		wire.Leases = append(wire.Leases, wireHeldLease{Upstream: lease.Upstream, Term: lease.Term, Epoch: lease.Epoch})
@@ -160,6 +168,7 @@
 
 func toWireLeases(leases *controller.SendLeases) *wireLeases {
 	wire := &wireLeases{
+		Query:         leases.Query,
 		Host:          leases.Host,
 		Incarnation:   leases.Incarnation,
 		Term:          leases.Term,
@@ -228,6 +237,14 @@
 			Host: m.Host, Incarnation: m.Incarnation, Upstream: m.Upstream, Epoch: m.Epoch,
 		}
 	}
+	if m := wire.Load; m != nil {
+		set++
+		report, err := m.report()
+		if err != nil {
+			return Message{}, err
+		}
+		message.Load = report
+	}
 	if set != 1 {
 		return Message{}, &Error{Op: op, Kind: Malformed, Err: errors.Newf("%d bodies", set)}
 	}
@@ -241,6 +258,7 @@
 		FailureDomain: w.FailureDomain,
 		Leaving:       w.Leaving,
 		Sent:          time.Duration(w.Sent),
+		Term:          w.Term,
 	}
 	for _, lease := range w.Leases {
 		beat.Leases = append(beat.Leases, controller.HeldLease{Upstream: lease.Upstream, Term: lease.Term, Epoch: lease.Epoch})
@@ -250,6 +268,7 @@
 
 func (w *wireLeases) leases(service string) *controller.SendLeases {
 	message := &controller.SendLeases{
+		Query:         w.Query,
 		Host:          w.Host,
 		Incarnation:   w.Incarnation,
 		Service:       service,
--- a/rhubarbtrackd/internal/dispatcher/dispatcher.go
+++ b/rhubarbtrackd/internal/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"rhubarbtrack.example/core/configurator"
 	"rhubarbtrack.example/core/controller"
 	"rhubarbtrack.example/core/detector"
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/hasher"
 	"rhubarbtrack.example/core/slicer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
@@ -41,7 +42,9 @@
 
 	StopAnswer    func(service string, answer controller.StopAnswer)
 	LeaseReturned func(service string, returned controller.LeaseReturned)
-	Log           *eventlog.Logger
+	// Report takes the load of an upstream every reportInterval; nil for no measurement.
+	Report func(service string, report framer.LoadReport)
+	Log    *eventlog.Logger
 }
 
 // Dispatcher is safe for concurrent use.
@@ -88,7 +91,7 @@
 }
 
 // ApplyLeases takes the admission leases of this host for one service. Messages that are not newer than the latest one
-// are ignored. An upstream that is not listed is not admitted to any more.
+// are ignored. An upstream that is not listed is not admitted to any more. A query changes no lease.
 func (d *Dispatcher) ApplyLeases(message controller.SendLeases) {
 	if message.Host != d.options.Self || message.Incarnation != d.options.Incarnation {
 		return
@@ -100,6 +103,10 @@
 		return
 	}
 	d.seen[message.Service] = version
+	if message.Query {
+		d.mu.Unlock()
+		return
+	}
 	listed := map[string]bool{}
 	for _, lease := range message.Leases {
 		listed[lease.Upstream] = true
@@ -123,6 +130,13 @@
 	}
 }
 
+// Term returns the highest term of the messages about a service that ApplyLeases took.
+func (d *Dispatcher) Term(service string) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seen[service].term
+}
+
 // Held returns the admission leases of a service that are valid now.
 func (d *Dispatcher) Held(now time.Duration, service string) []controller.HeldLease {
 	d.mu.Lock()
@@ -187,6 +201,7 @@
 		ring:       make(chan any, ringSize),
 		pending:    map[admitter.ID]*attempt{},
 		fences:     map[uint32]slicer.Fence{},
+		load:       newLoad(d.options.Clock()),
 		admitter: admitter.New(admitter.Options{
 			Slots: max(upstream.Slots, 1),
 			Keyed: d.options.Keyed(key.service),
