Wire resignations; let a lease begin again with the same epoch; bound the demo

The demo now fails when a key is unavailable for more than 3 s or a request is refused until its deadline.

--- a/demo/internal/runner/limit.go
+++ b/demo/internal/runner/limit.go
@@ -24,6 +24,11 @@
 	limits := s.extra
 	for _, loaded := range result.services {
 		r := loaded.result
+		if s.part.name == "" {
+			limits = append(limits,
+				limit{name: "key-unavailability-s-" + loaded.service, measured: r.OutageMS / 1000, bound: servedAgain.Seconds()},
+				limit{name: "not-run-" + loaded.service, measured: float64(r.NotRun)})
+		}
 		if s.part.noFailures {
 			limits = append(limits,
 				limit{name: "failed-requests-" + loaded.service, measured: float64(r.Offered - r.Answered)},
--- a/rhubarbtrackd/internal/dispatcher/dispatcher_test.go
+++ b/rhubarbtrackd/internal/dispatcher/dispatcher_test.go
@@ -248,6 +248,23 @@
 	assert.Equal(t, len(h.dispatcher.Held(h.clock(), "marks")), 0)
 }
 
+// Guards against an upstream that is never admitted to again after a failure domain was taken out and returned before its
+// admission changed hosts, so that the lease keeps its epoch.
+func TestLeaseBeginsAgainWithTheSameEpoch(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(echo))
+	defer server.Close()
+	h := newHost(t, server.Listener.Addr().String(), false)
+	h.apply(controller.Lease{})
+	_, err := h.run(http.MethodPost, slicer.Fence{}, 5*time.Second)
+	assert.NilError(t, err)
+	h.apply(controller.Lease{NoNewWork: true})
+	_, err = h.run(http.MethodPost, slicer.Fence{}, 5*time.Second)
+	assert.Equal(t, dispatcher.AsError(err).Kind, dispatcher.NotRun)
+	h.apply(controller.Lease{})
+	_, err = h.run(http.MethodPost, slicer.Fence{}, 5*time.Second)
+	assert.NilError(t, err)
+}
+
 func BenchmarkDispatch(b *testing.B) {
 	server := httptest.NewServer(http.HandlerFunc(echo))
 	defer server.Close()
--- a/rhubarbtrackd/internal/dispatcher/worker.go
+++ b/rhubarbtrackd/internal/dispatcher/worker.go
@@ -32,7 +32,7 @@
 	version    leaseVersion
 	releasing  uint64 // epoch of a lease that is to be returned, 0 for none
 	active     bool   // a lease was applied and has not ended
-	epoch      uint64 // highest epoch of a lease that was applied
+	generation uint64 // rises with every end of a lease; the admitter's epoch, so that the same lease can begin again
 	load       *load
 	reportAt   time.Duration // no load report before this
 
@@ -229,8 +229,7 @@
 		w.endLease()
 		return
 	}
-	w.epoch = max(w.epoch, lease.Epoch)
-	w.step(admitter.LeaseRenewed{Epoch: lease.Epoch, SentAt: e.sentAt})
+	w.step(admitter.LeaseRenewed{Epoch: w.generation, SentAt: e.sentAt})
 	w.held.Store(&heldLease{term: e.version.term, epoch: lease.Epoch, until: e.sentAt + admitter.DefaultLease})
 	if !w.active {
 		w.active = true
@@ -281,8 +280,8 @@
 	}
 	w.active = false
 	w.log(eventlog.AdmissionLost)
-	// The highest epoch ends every lease of this upstream; a later one is granted with a later message.
-	w.step(admitter.LeaseEnded{Epoch: w.epoch})
+	w.step(admitter.LeaseEnded{Epoch: w.generation})
+	w.generation++
 }
 
 // returnLease gives a lease back once nothing is in flight. It is repeated with every message that asks for it.
--- a/rhubarbtrackd/internal/granter/worker.go
+++ b/rhubarbtrackd/internal/granter/worker.go
@@ -176,6 +176,9 @@
 			w.granter.options.PublishTable(w.service, a)
 		case controller.PublishBeacon:
 			w.publishBeacon(a)
+		case controller.Resign:
+			// Queued, because this may run within a step of the elector.
+			w.put(elector.Resigned{})
 		case controller.Log:
 			w.logDecision(a)
 		}
