Move slices off upstreams without fence checks whose process has ended

Cause: such an upstream kept its slices until it answered again, so its keys were not served within 3 s when it never did. The new scenario of the controller's tests fails without the rule.

Also: a request to a service without keys tries another upstream at once when one cannot take it, and a request that may be repeated leaves an admission host that has lost its role (new test, hung until its deadline before).

--- a/core/controller/controller.go
+++ b/core/controller/controller.go
@@ -21,7 +21,8 @@
 // A slice leaves an upstream that checks fences when the upstream has reported that it does not hold it any more, or
 // when all grants of the upstream have expired. It leaves an upstream that does not check fences only when the admission
 // host has stopped it or its admission lease has expired, and the upstream has reported that it does not hold the slice.
-// An unreachable upstream of the second kind keeps its slices until it answers or is removed from the configuration.
+// An unreachable upstream of the second kind keeps its slices until it answers, is removed from the configuration, or its
+// process has ended: nothing listens at its address, and its admission host has no request in flight.
 package controller
 
 import (
--- a/core/controller/fault_test.go
+++ b/core/controller/fault_test.go
@@ -67,6 +67,7 @@
 		{"upstream without fence checks removed while it and its admission host are cut off",
 			[]at{{0, fault{"isolate-upstream", 3, 9 * sec}}, {1900 * ms, fault{"cut-admission", 3, 9 * sec}},
 				{1950 * ms, fault{"remove-upstream", 3, 9 * sec}}}, 6 * sec, 3 * sec, true, nil},
+		{"upstream without fence checks killed", []at{{0, fault{"kill-upstream", 3, 20 * sec}}}, 6 * sec, 3 * sec, true, nil},
 		{"all hosts paused", []at{acting("pause-all-hosts", 3*sec)}, 8 * sec, 5 * sec, false, nil},
 		{"drained upstream", []at{acting("drain-upstream", 9*sec)}, 8 * sec, 150 * ms, true, nil},
 		{"failure domain taken out", []at{acting("take-out-domain", 9*sec)}, 8 * sec, 250 * ms, true, nil},
--- a/core/controller/plan.go
+++ b/core/controller/plan.go
@@ -201,7 +201,7 @@
 			Incarnation:   upstream.incarnation,
 			InFlight:      upstream.inFlight,
 			Eligible:      upstream.answered && upstream.failedSince == 0 && !c.closed(upstream),
-			Leaving:       c.closed(upstream),
+			Leaving:       c.closed(upstream) || upstream.ended(now),
 		})
 	}
 	return input
--- a/core/controller/slices.go
+++ b/core/controller/slices.go
@@ -141,7 +141,7 @@
 		return
 	}
 	owner := c.upstreams[s.owner]
-	if !owner.config.ChecksFence && !owner.answered && !owner.removed {
+	if !owner.config.ChecksFence && !owner.answered && !owner.removed && !owner.ended(now) {
 		return
 	}
 	s.stage = owned
@@ -237,7 +237,7 @@
 
 // released reports whether the owner can serve the slice no more. An order under way may still add it.
 func (c *Controller) released(now time.Duration, s *slice, owner *upstream) bool {
-	if owner.expired(now) && (owner.config.ChecksFence || owner.removed) {
+	if owner.expired(now) && (owner.config.ChecksFence || owner.removed || owner.ended(now)) {
 		return true
 	}
 	if _, held := owner.held[s.id]; held {
--- a/core/controller/types.go
+++ b/core/controller/types.go
@@ -89,17 +89,19 @@
 	ExpiredNonce
 )
 
-// OrderReply is the answer of an upstream to SendOrder. Failed says that there is none: the other fields are zero.
+// OrderReply is the answer of an upstream to SendOrder. Failed says that there is none: the other fields are zero, but
+// ConnectionRefused says that nothing listens at the address of the upstream.
 type OrderReply struct {
-	Upstream    string
-	ID          uint64
-	Failed      bool
-	Refusal     Refusal
-	Term        uint64 // highest term that the upstream has seen
-	Incarnation string
-	Nonce       string
-	Held        []slicer.Fence
-	InFlight    int
+	Upstream          string
+	ID                uint64
+	Failed            bool
+	ConnectionRefused bool
+	Refusal           Refusal
+	Term              uint64 // highest term that the upstream has seen
+	Incarnation       string
+	Nonce             string
+	Held              []slicer.Fence
+	InFlight          int
 }
 
 // Outcome is the result of a store call.
--- a/core/controller/upstreams.go
+++ b/core/controller/upstreams.go
@@ -10,26 +10,27 @@
 
 // upstream is what the controller knows of one upstream.
 type upstream struct {
-	config      configurator.Upstream
-	removed     bool // not in the configuration any more
-	answered    bool // in this term
-	incarnation string
-	held        map[uint32]slicer.Fence
-	inFlight    int
-	nonce       string
-	nonceAt     time.Duration // receipt of nonce
-	leaseEnd    time.Duration // all grants have certainly ended by then
-	id          uint64        // of the latest order
-	pending     bool          // the latest order has no reply yet
-	pendingAdd  []Grant       // of the latest order with a nonce until its fate is known
-	sentAt      time.Duration
-	failedSince time.Duration // first order without a reply since the last reply, 0 when none
-	lostLogged  bool
-	renewAt     time.Duration // when the next order with a nonce is due
-	evenAt      uint64        // generation at which it held just what it should hold
-	leasesDue   bool
-	closedSince time.Duration // when it was first seen to be closed to new work, 0 when it is open
-	admission   admission
+	config       configurator.Upstream
+	removed      bool // not in the configuration any more
+	answered     bool // in this term
+	incarnation  string
+	held         map[uint32]slicer.Fence
+	inFlight     int
+	nonce        string
+	nonceAt      time.Duration // receipt of nonce
+	leaseEnd     time.Duration // all grants have certainly ended by then
+	id           uint64        // of the latest order
+	pending      bool          // the latest order has no reply yet
+	pendingAdd   []Grant       // of the latest order with a nonce until its fate is known
+	sentAt       time.Duration
+	failedSince  time.Duration // first order without a reply since the last reply, 0 when none
+	refusedSince time.Duration // since when nothing has listened at its address, 0 when something may
+	lostLogged   bool
+	renewAt      time.Duration // when the next order with a nonce is due
+	evenAt       uint64        // generation at which it held just what it should hold
+	leasesDue    bool
+	closedSince  time.Duration // when it was first seen to be closed to new work, 0 when it is open
+	admission    admission
 }
 
 func (u *upstream) expired(now time.Duration) bool {
@@ -44,6 +45,13 @@
 	return u.config.ChecksFence && u.expired(now) && u.silent(now)
 }
 
+// ended reports whether the process of an upstream without fence checks has ended: nothing has listened at its address for
+// long enough. An upstream that shuts down closes its listener first and finishes its requests, so its slices move only
+// after the admission host has seen the end of all requests in flight.
+func (u *upstream) ended(now time.Duration) bool {
+	return !u.config.ChecksFence && u.refusedSince > 0 && now-u.refusedSince >= silence
+}
+
 // silent reports whether orders have gone without a reply for long enough.
 func (u *upstream) silent(now time.Duration) bool {
 	return u.failedSince > 0 && now-u.failedSince >= silence
@@ -128,14 +136,25 @@
 	if reply.Failed {
 		upstream.fail(upstream.sentAt)
 		upstream.nonce = ""
+		upstream.noteRefused(reply.ConnectionRefused)
 		return
 	}
+	upstream.refusedSince = 0
 	if reply.Refusal == LowTerm && reply.Term > c.term && upstream.config.ChecksFence {
 		c.log(Log{Code: Superseded, Upstream: reply.Upstream, Term: reply.Term})
 	}
 	c.noteReply(now, upstream, reply)
 }
 
+// noteRefused follows whether something listens at the address. Any other failure may be one of the network.
+func (u *upstream) noteRefused(refused bool) {
+	if !refused {
+		u.refusedSince = 0
+	} else if u.refusedSince == 0 {
+		u.refusedSince = max(u.sentAt, 1)
+	}
+}
+
 func (u *upstream) fail(since time.Duration) {
 	if u.failedSince == 0 {
 		u.failedSince = max(since, 1)
@@ -210,6 +229,7 @@
 		}
 		upstream.fail(upstream.sentAt)
 		upstream.nonce = ""
+		upstream.refusedSince = 0
 	}
 	if upstream.nonce == "" || now-upstream.nonceAt > 2*RenewalInterval {
 		if now-upstream.sentAt >= retryInterval || upstream.id == 0 {
--- a/core/controller/world_test.go
+++ b/core/controller/world_test.go
@@ -409,6 +409,13 @@
 	incarnation := n.incarnation
 	arrive := func() {
 		u := w.upstreams[action.Upstream]
+		if u.dead {
+			reply := controller.OrderReply{Upstream: u.config.Name, ID: action.ID, Failed: true, ConnectionRefused: true}
+			w.send(u.config.Name, n.name, func() {
+				w.host(n, incarnation, func(now time.Duration) { w.control(n, now, reply) })
+			})
+			return
+		}
 		w.upstream(u, u.incarnation, func() {
 			reply := u.lease(w, action)
 			w.send(u.config.Name, n.name, func() {
--- a/rhubarbtrackd/internal/granter/calls.go
+++ b/rhubarbtrackd/internal/granter/calls.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/controller"
@@ -165,6 +167,7 @@
 func (w *worker) sendOrder(ctx context.Context, a controller.SendOrder) {
 	reply := controller.OrderReply{Upstream: a.Upstream, ID: a.ID, Failed: true}
 	wire, status, err := w.postOrder(ctx, a)
+	reply.ConnectionRefused = errors.Is(err, syscall.ECONNREFUSED)
 	if err == nil {
 		reply.Failed = false
 		reply.Refusal = refusalOf(status, wire)
--- a/rhubarbtrackd/internal/receiver/receiver_test.go
+++ b/rhubarbtrackd/internal/receiver/receiver_test.go
@@ -31,6 +31,9 @@
 
 type truncated string
 
+// hang is an admission host that never answers.
+type hang struct{}
+
 // entry is a receiver with a locator that knows one keyed service, and a fake in place of the admission host.
 type entry struct {
 	locator  *locator.Locator
@@ -99,7 +102,7 @@
 	e.locator.Refresh(at)
 }
 
-func (e *entry) forward(_ context.Context, _ framer.Member, request *dispatcher.Request) (*dispatcher.Response, error) {
+func (e *entry) forward(ctx context.Context, _ framer.Member, request *dispatcher.Request) (*dispatcher.Response, error) {
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return nil, err
@@ -112,6 +115,9 @@
 	case *dispatcher.Error:
 		failure := *a
 		return nil, &failure
+	case hang:
+		<-ctx.Done()
+		return nil, ctx.Err()
 	case truncated:
 		return &dispatcher.Response{
 			Status: 200, Header: http.Header{}, Length: 100,
@@ -191,6 +197,23 @@
 	}
 }
 
+// Guards against a request that hangs at a paused admission host until its deadline, although another host took over.
+func TestRequestLeavesAHostThatLostItsAdmission(t *testing.T) {
+	e := newEntry(t, answers{hang{}, "ok"})
+	go func() {
+		<-e.started
+		table := e.locator.Table("marks").Clone()
+		table.Version.Seq = 2
+		table.Admission["marks.u1"] = slicer.Admission{Host: "host-2", Epoch: 2}
+		e.locator.SetMembers([]framer.Member{{Name: "host-1", State: framer.Lost}, {Name: "host-2", State: framer.Live}})
+		e.locator.SetTable(&table)
+	}()
+	response, _, err := e.call(t, "GET", "/marks/x", "", map[string]string{"Rhubarbtrack-Deadline-Ms": "60000"})
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	assert.Equal(t, len(e.attempts), 2)
+}
+
 // Guards against a request that waits for ever, or is called unknown, when no admission host takes it in time.
 func TestUnroutableEndsAsNotRun(t *testing.T) {
 	e := newEntry(t, answers{notRun("no-lease", true)})
--- a/rhubarbtrackd/internal/receiver/run.go
+++ b/rhubarbtrackd/internal/receiver/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"rhubarbtrack.example/core/balancer"
@@ -17,6 +18,9 @@
 	reroutePause = 50 * time.Millisecond
 	// maxWaiting bounds the requests of this host that wait for a newer table.
 	maxWaiting = 2048
+	// moveCheck is the time between two looks at the admission host of a request that has no answer yet. Most requests are
+	// answered before the first one.
+	moveCheck = 100 * time.Millisecond
 	// safetyMargin is the part of the deadline that must be left for another attempt.
 	safetyMargin = 5 * time.Millisecond
 )
@@ -41,6 +45,12 @@
 			return end.response, nil
 		}
 		if end.failure.Reroutable && end.failure.Kind == dispatcher.NotRun && j.body.replayable() {
+			if end.attempt.Upstream != "" {
+				// Another upstream can take the request at once; when all are excluded, Begin fails and the wait begins.
+				avoid = append(avoid, end.attempt.Upstream)
+				continue
+			}
+			avoid = nil
 			if err := r.awaitTable(ctx, changed, end.failure); err != nil {
 				return nil, err
 			}
@@ -168,8 +178,54 @@
 	return r.options.End(r.options.Clock(), j.service.Name, end.attempt, outcome)
 }
 
-// forward sends the request along a route.
+// forward sends the request along a route. A request that may be repeated is given up when the admission has moved to
+// another host: the former one is paused or lost and may not answer before the deadline.
 func (r *Receiver) forward(ctx context.Context, j *job, route locator.Route) result {
+	if j.class != configurator.NeverRepeat {
+		attemptCtx, cancel := context.WithCancel(ctx)
+		stop := r.whenMoved(j.service.Name, route, cancel)
+		end := r.forwardOnce(attemptCtx, j, route)
+		stop()
+		if end.failure != nil {
+			cancel()
+			return end
+		}
+		end.response.Body = &cancelBody{ReadCloser: end.response.Body, cancel: cancel}
+		return end
+	}
+	return r.forwardOnce(ctx, j, route)
+}
+
+// whenMoved calls cancel once another host admits to the upstream of the route. The returned function ends the watch.
+func (r *Receiver) whenMoved(service string, route locator.Route, cancel context.CancelFunc) (stop func()) {
+	var mu sync.Mutex
+	stopped := false
+	var timer *time.Timer
+	check := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if stopped {
+			return
+		}
+		table := r.options.Locator.Table(service)
+		if table != nil && table.Admission[route.Upstream.ID()].Host != route.Host.Name {
+			cancel()
+			return
+		}
+		timer.Reset(moveCheck)
+	}
+	mu.Lock()
+	timer = time.AfterFunc(moveCheck, check)
+	mu.Unlock()
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		timer.Stop()
+	}
+}
+
+func (r *Receiver) forwardOnce(ctx context.Context, j *job, route locator.Route) result {
 	response, err := r.options.Forward(ctx, route.Host, &dispatcher.Request{
 		ID:             j.id,
 		Service:        j.service.Name,
