controller: test edits that the store interrupts

TestEditDuringStoreFailure stops the store, or loses its answers, exactly while an edit waits for its commit, kills owners and the controller, and checks the owners of keys. TestEditAbandoned covers the stop that is given up.

--- a/core/controller/edits_test.go
+++ b/core/controller/edits_test.go
@@ -34,6 +34,7 @@
 	if w.covered == nil {
 		return
 	}
+	w.published = table
 	if err := table.Validate(); err != nil {
 		w.fail("published table: %v", err)
 	}
@@ -171,6 +172,56 @@
 	assert.Assert(t, edited > 0)
 }
 
+// uncommitted reports whether an edit has been made and the store does not contain it yet.
+func (w *world) uncommitted(fold bool) bool {
+	with, without := w.published.Hot, w.table.value.Table.Hot
+	if fold {
+		with, without = without, with
+	}
+	for key := range with {
+		if _, ok := without[key]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
+// TestEditDuringStoreFailure guards single ownership of keys when the store goes down, or takes the write and loses the
+// answer, between an edit and its commit, the owners crash meanwhile, and a successor reads either table.
+func TestEditDuringStoreFailure(t *testing.T) {
+	for _, kind := range []string{"store-down", "lose-answers"} {
+		for _, fold := range []bool{false, true} {
+			for seed := range uint64(6) {
+				t.Run(fmt.Sprint(kind, "/", fold, "/", seed), func(t *testing.T) {
+					w := newEditedWorld(seed, "a", "b", "c", "x")
+					w.run(4 * sec)
+					w.edits = true
+					w.run(3 * sec)
+					for w.now < 12*sec && !w.uncommitted(fold) {
+						w.run(100 * time.Microsecond)
+					}
+					assert.Assert(t, w.uncommitted(fold), "no edit was under way")
+					w.inject(fault{kind, 0, 4 * sec})
+					if seed%2 == 0 {
+						w.run(800 * ms)
+						w.inject(fault{"kill-upstream", int(seed), 20 * sec})
+						w.run(3190 * ms)
+					} else {
+						w.run(3990 * ms)
+					}
+					w.inject(fault{"kill-controller", 0, 20 * sec})
+					w.churn = true
+					w.run(4 * sec)
+					w.churn, w.edits = false, false
+					w.run(progressBound)
+					assert.Equal(t, w.wrong, "")
+					assert.Equal(t, w.missing(), 0)
+				})
+			}
+		}
+	}
+}
+
 // TestEditSurvivesTakeover guards hot keys and IDs that were used once against a new controller.
 func TestEditSurvivesTakeover(t *testing.T) {
 	w := newEditedWorld(7, "a", "b", "c", "x")
@@ -192,3 +243,26 @@
 	assert.DeepEqual(t, after.Hot, before.Hot)
 	assert.DeepEqual(t, after.Ranges, before.Ranges)
 }
+
+// TestEditAbandoned guards slices that are stopped for an edit against a store outage that begins before the stop is
+// answered: they are served again during the outage, with their keys as before.
+func TestEditAbandoned(t *testing.T) {
+	w := newEditedWorld(7, "a", "b", "c", "x")
+	w.run(5 * sec)
+	w.edits = true
+	w.run(3 * sec)
+	w.hold = true
+	w.run(300 * ms)
+	assert.Assert(t, w.missing() > 0, "no edit was under way")
+	before := w.table.value.Table
+	w.inject(fault{"store-down", 0, 3 * sec})
+	// A writing of the table makes the outage known: the store is not asked otherwise.
+	w.inject(fault{"kill-upstream", 0, 20 * sec})
+	w.run(2900 * ms)
+	assert.Equal(t, w.missing(), 0)
+	assert.Equal(t, w.published.LastID, before.LastID)
+	w.hold, w.edits = false, false
+	w.run(progressBound)
+	assert.Equal(t, w.wrong, "")
+	assert.Equal(t, w.missing(), 0)
+}
--- a/core/controller/world_test.go
+++ b/core/controller/world_test.go
@@ -41,7 +41,8 @@
 	churn     bool // random slices are moved all the time
 	edits     bool // random keys become hot and cool down all the time
 	covered   map[string]map[assignment]bool
-	late      int // percentage of messages that are delayed by up to 2 s
+	published slicer.Table // the latest one of any controller
+	late      int          // percentage of messages that are delayed by up to 2 s
 	cut       map[[2]string]bool
 	acked     map[uint32]slicer.Slice
 	trace     map[controller.Code]int
