granter: isolate hot keys and fold cooled ones

The planner passes the keys of the load reports to the assigner and its edits to the controller. A key below 0.05 slots in use stays in its range, because in a service that is almost idle any popular key carries 5% of the load of an upstream, and each edit stops a range for a moment.

--- a/rhubarbtrackd/internal/granter/loads.go
+++ b/rhubarbtrackd/internal/granter/loads.go
@@ -1,9 +1,11 @@
 package granter
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"rhubarbtrack.example/core/assigner"
 	"rhubarbtrack.example/core/framer"
 )
 
@@ -113,3 +115,17 @@
 	}
 	return load, total
 }
+
+// ofKeys returns the loads of the heaviest keys in slots in use.
+func (l *loads) ofKeys() []assigner.KeyLoad {
+	var keys []assigner.KeyLoad
+	for _, report := range l.reports {
+		for _, key := range report.Keys {
+			keys = append(keys, assigner.KeyLoad{Key: key.Key, Load: float64(key.MilliRPS) / 1000 * l.usual.Seconds()})
+		}
+	}
+	slices.SortFunc(keys, func(a, b assigner.KeyLoad) int {
+		return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Load, b.Load)) // sums of floats depend on the order
+	})
+	return keys
+}
--- a/rhubarbtrackd/internal/granter/planner.go
+++ b/rhubarbtrackd/internal/granter/planner.go
@@ -15,6 +15,9 @@
 	// once. An upstream that returns empty gets its 16 slices back within 4 minutes if nothing else moves.
 	churnPerUpstream = 4
 	churnBurst       = 1
+	// minHotLoad is the load, in slots in use, from which a key may get a slice of its own. Below it the assigner would
+	// isolate keys of a service that is almost idle, each of which stops a range for a moment.
+	minHotLoad = 0.05
 )
 
 // planner is the Plan of a controller that places slices by load. It belongs to the goroutine of the controller.
@@ -33,7 +36,8 @@
 func (p *planner) plan(now time.Duration, input controller.Input) []controller.Move {
 	p.loads.expire(now)
 	p.renewChurn(now, len(input.Upstreams))
-	wanted := assigner.Plan(now, p.input(now, input))
+	measured := input.Voluntary && p.measured(input)
+	wanted := assigner.Plan(now, p.input(now, input, measured))
 	slices.SortStableFunc(wanted, func(a, b assigner.Move) int { return cmp.Compare(urgency(a), urgency(b)) })
 	busy := map[uint32]bool{}
 	for _, s := range input.Slices {
@@ -41,20 +45,48 @@
 	}
 	var begun []assigner.Move
 	var moves []controller.Move
+	room := input.Budget
 	for _, move := range wanted {
-		if len(moves) >= input.Budget {
+		if !allowed(move, input.Voluntary, measured) || slices.ContainsFunc(move.Slices(), func(id uint32) bool { return busy[id] }) {
+			continue
+		}
+		if room -= len(move.Slices()); room < 0 {
 			break
 		}
-		if move.Kind != assigner.Transfer || busy[move.Slice] || !input.Voluntary && move.Reason != assigner.Unassigned {
-			continue
+		for _, id := range move.Slices() {
+			busy[id] = true
 		}
 		begun = append(begun, move)
-		moves = append(moves, controller.Move{Slice: move.Slice, To: move.To})
+		moves = append(moves, toMove(move))
 	}
 	p.churn.Spend(now, begun)
 	return moves
 }
 
+// allowed reports whether a move may begin: the controller may forbid all but the placement of slices without an owner,
+// and decisions on loads need all of them.
+func allowed(move assigner.Move, voluntary, measured bool) bool {
+	switch move.Reason {
+	case assigner.Unassigned:
+		return true
+	case assigner.OwnerGone:
+		return voluntary
+	default:
+		return measured
+	}
+}
+
+func toMove(move assigner.Move) controller.Move {
+	switch move.Kind {
+	case assigner.Isolate:
+		return controller.Move{Slice: move.Slice, Isolate: move.Key}
+	case assigner.Fold:
+		return controller.Move{Slice: move.Slice, Fold: move.Key}
+	default:
+		return controller.Move{Slice: move.Slice, To: move.To}
+	}
+}
+
 // urgency orders moves: slices that nobody serves come before those that are served.
 func urgency(move assigner.Move) int {
 	switch move.Reason {
@@ -74,7 +106,7 @@
 	}
 }
 
-func (p *planner) input(now time.Duration, input controller.Input) assigner.Input {
+func (p *planner) input(now time.Duration, input controller.Input, measured bool) assigner.Input {
 	load, total := p.loads.ofSlices()
 	built := assigner.Input{
 		Table:     tableOf(input),
@@ -89,12 +121,21 @@
 	for _, upstream := range input.Upstreams {
 		built.Upstreams = append(built.Upstreams, p.upstream(upstream, total))
 	}
-	if input.Voluntary && p.measured(input) {
+	if measured {
 		built.Budget = p.churn.Available(now)
+		built.KeyLoad = p.hotKeys(built.Table)
 	}
 	return built
 }
 
+// hotKeys returns the loads of the keys that are hot or may become hot.
+func (p *planner) hotKeys(table *slicer.Table) []assigner.KeyLoad {
+	return slices.DeleteFunc(p.loads.ofKeys(), func(key assigner.KeyLoad) bool {
+		_, hot := table.Hot[key.Key]
+		return !hot && key.Load < minHotLoad
+	})
+}
+
 // measured reports whether the load of every slice that has an owner is known.
 func (p *planner) measured(input controller.Input) bool {
 	return !slices.ContainsFunc(input.Slices, func(s controller.SliceState) bool {
@@ -106,7 +147,7 @@
 func tableOf(input controller.Input) *slicer.Table {
 	table := &slicer.Table{Hot: map[string]slicer.Slice{}}
 	for _, s := range input.Slices {
-		entry := slicer.Slice{ID: s.ID, HotKey: s.HotKey, Owner: s.Owner}
+		entry := slicer.Slice{ID: s.ID, Low: s.Low, HotKey: s.HotKey, Owner: s.Owner}
 		table.LastID = max(table.LastID, s.ID)
 		if s.HotKey != "" {
 			table.Hot[s.HotKey] = entry
@@ -114,6 +155,7 @@
 		}
 		table.Ranges = append(table.Ranges, entry)
 	}
+	slices.SortFunc(table.Ranges, func(a, b slicer.Slice) int { return cmp.Compare(a.Low, b.Low) })
 	return table
 }
 
--- a/rhubarbtrackd/internal/granter/planner_test.go
+++ b/rhubarbtrackd/internal/granter/planner_test.go
@@ -9,6 +9,7 @@
 
 	"rhubarbtrack.example/core/controller"
 	"rhubarbtrack.example/core/framer"
+	"rhubarbtrack.example/core/hasher"
 )
 
 // service is a controller's input with the reports of its admission hosts.
@@ -18,6 +19,7 @@
 	rates   map[uint32]uint64 // requests/s by slice
 	medians map[string]time.Duration
 	limits  map[string]int // of cold upstreams
+	keys    []framer.KeyRate
 }
 
 // newService returns four upstreams of 6 slots with eight slices each, all with 50 requests/s of 10 ms.
@@ -33,7 +35,9 @@
 	}
 	for i := range 32 {
 		id := uint32(i + 1)
-		s.input.Slices = append(s.input.Slices, controller.SliceState{ID: id, Owner: fmt.Sprint("u", i/8)})
+		s.input.Slices = append(s.input.Slices, controller.SliceState{
+			ID: id, Low: uint64(i) << 59, Owner: fmt.Sprint("u", i/8),
+		})
 		s.rates[id] = 50
 	}
 	return s
@@ -52,6 +56,9 @@
 				report.Slices = append(report.Slices, framer.SliceRate{Slice: slice.ID, MilliRPS: 1000 * s.rates[slice.ID]})
 			}
 		}
+		if upstream.Name == "u1" {
+			report.Keys = s.keys
+		}
 		s.planner.loads.note(now, report)
 	}
 }
@@ -157,3 +164,39 @@
 	s.run(60*time.Second, 240*time.Second)
 	assert.Assert(t, s.rateOf("u0") <= 300, "%d requests/s", s.rateOf("u0"))
 }
+
+// Guards against hot keys that stay in their range, keys of an almost idle service that are isolated, and hot keys that
+// keep their slice after they have cooled down.
+func TestHotKey(t *testing.T) {
+	s := newService()
+	table := tableOf(s.input)
+	home, ok := table.Lookup("hot")
+	assert.Assert(t, ok)
+	s.rates[home.ID] = 250
+	s.keys = []framer.KeyRate{{Key: "hot", MilliRPS: 200_000}, {Key: "warm", MilliRPS: 10_000}}
+	s.report(0)
+	moves := s.planner.plan(time.Second, s.input)
+	assert.DeepEqual(t, moves[0], controller.Move{Slice: home.ID, Isolate: "hot"})
+	for _, move := range moves[1:] {
+		assert.Equal(t, move.Isolate, "")
+	}
+
+	s.rates[home.ID], s.rates[33], s.keys = 50, 2, nil
+	s.input.Slices = append(s.input.Slices, controller.SliceState{
+		ID: 33, Low: hasher.Sum("hot"), HotKey: "hot", Owner: home.Owner,
+	})
+	s.report(time.Minute)
+	moves = s.planner.plan(time.Minute, s.input)
+	assert.DeepEqual(t, moves, []controller.Move{{Slice: 33, Fold: "hot"}})
+
+	idle := newService()
+	for id := range idle.rates {
+		idle.rates[id] = 0
+	}
+	idle.rates[home.ID] = 4
+	idle.keys = []framer.KeyRate{{Key: "hot", MilliRPS: 4000}}
+	idle.report(0)
+	for _, move := range idle.planner.plan(time.Second, idle.input) {
+		assert.Equal(t, move.Isolate, "")
+	}
+}
