--- a/rhubarbctl/internal/command/failuredomain/takeout/takeout.go
+++ b/rhubarbctl/internal/command/failuredomain/takeout/takeout.go
@@ -171,7 +171,7 @@
 		if upstream.GetFailureDomain() != o.Args.Name || !keyed[upstream.GetService()] {
 			continue
 		}
-		request := &rhubarbtrackv1.ListSlicesRequest{Service: upstream.GetService(), Owner: upstream.GetName()}
+		request := &rhubarbtrackv1.ListSlicesRequest{Service: upstream.GetService(), Owner: converter.Name(resource)}
 		slices, err := o.ListSlices(o.Context, request)
 		if err != nil {
 			return 0, err
--- a/rhubarbctl/internal/command/failuredomain/takeout/takeout_test.go
+++ b/rhubarbctl/internal/command/failuredomain/takeout/takeout_test.go
@@ -54,8 +54,12 @@
 			{Value: &rhubarbtrackv1.Resource_Upstream{Upstream: upstream}},
 		}}, nil
 	}
-	p.Calls.ListSlices = func(context.Context, *rhubarbtrackv1.ListSlicesRequest) (
+	p.Calls.ListSlices = func(_ context.Context, request *rhubarbtrackv1.ListSlicesRequest) (
 		*rhubarbtrackv1.ListSlicesResponse, error) {
+		// Tables name owners by "<service>.<name>"; another name has no slices.
+		if request.GetOwner() != "marks.p1" {
+			return &rhubarbtrackv1.ListSlicesResponse{}, nil
+		}
 		slices--
 		return &rhubarbtrackv1.ListSlicesResponse{Slices: make([]*rhubarbtrackv1.Slice, slices)}, nil
 	}
--- a/rhubarbctl/internal/command/service/slices/slices.go
+++ b/rhubarbctl/internal/command/service/slices/slices.go
@@ -22,7 +22,7 @@
 	Args struct {
 		Name string `positional-arg-name:"NAME"`
 	} `positional-args:"yes" required:"yes"`
-	Owner  string `long:"owner" value-name:"UPSTREAM" description:"Only the slices of this upstream"`
+	Owner  string `long:"owner" value-name:"UPSTREAM" description:"Only the slices of this upstream (SERVICE.NAME)"`
 	Format printer.Format
 
 	Context context.Context                                                                  `no-flag:"yes"`
@@ -42,7 +42,7 @@
 		Long:  "Lists the slices of a keyed service with their owners, fences and admission hosts.",
 		Examples: []string{
 			"$ rhubarbctl service slices shelf-marks",
-			"$ rhubarbctl service slices shelf-marks --owner p1 --json slice,epoch",
+			"$ rhubarbctl service slices shelf-marks --owner shelf-marks.p1 --json slice,epoch",
 		},
 		Options: &Options{Context: p.Context, Streams: p.Streams, List: p.Calls.ListSlices, run: run},
 	}
