operator: answer the address of the owner of a key

The table of the tests named owners without their service, unlike the tables of controllers. With real names TestGetOwner fails before the change and passes after it.

--- a/rhubarbtrackd/internal/operator/helper_test.go
+++ b/rhubarbtrackd/internal/operator/helper_test.go
@@ -247,6 +247,7 @@
 	return f.change
 }
 
+// table names owners as controllers do, by "<service>.<name>".
 func (f *fixture) table(service string) (slicer.Table, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -255,11 +256,11 @@
 	}
 	table := slicer.New(service, 2)
 	table.Version = slicer.Version{Term: 7, Seq: 2}
-	table.Admission["p1"] = slicer.Admission{Host: "entry-1"}
+	table.Admission["shelf-marks.p1"] = slicer.Admission{Host: "entry-1"}
 	for i := range table.Ranges {
-		table.Ranges[i].Owner, table.Ranges[i].Epoch = "p1", 3
+		table.Ranges[i].Owner, table.Ranges[i].Epoch = "shelf-marks.p1", 3
 		if f.view.FailureDomains["west"].TakenOut {
-			table.Ranges[i].Owner = "p2"
+			table.Ranges[i].Owner = "shelf-marks.p2"
 		}
 	}
 	return table, true
--- a/rhubarbtrackd/internal/operator/operator_test.go
+++ b/rhubarbtrackd/internal/operator/operator_test.go
@@ -393,7 +393,7 @@
 	mustPut(t, f.as("ana", operator.RoleConfigure), domain("north"), version, "op-1")
 }
 
-// The owner of a key must be answered with the fence that is in force.
+// The owner of a key must be answered with the fence that is in force and with its address.
 func TestGetOwner(t *testing.T) {
 	f := newFixture(t)
 	filled(t, f)
@@ -401,7 +401,7 @@
 		connect.NewRequest(&rhubarbtrackv1.GetOwnerRequest{Service: "shelf-marks", Key: "QA76.73"}))
 	assert.NilError(t, err)
 	owner := response.Msg.GetOwner()
-	assert.Equal(t, owner.GetSlice().GetOwner(), "p1")
+	assert.Equal(t, owner.GetSlice().GetOwner(), "shelf-marks.p1")
 	assert.Equal(t, owner.GetSlice().GetTerm(), uint64(7))
 	assert.Equal(t, owner.GetSlice().GetAdmissionHost(), "entry-1")
 	assert.Equal(t, owner.GetAddress(), "10.0.0.1:80")
--- a/rhubarbtrackd/internal/operator/reads.go
+++ b/rhubarbtrackd/internal/operator/reads.go
@@ -153,7 +153,6 @@
 		return nil, connectError(notFound("slice of key " + key))
 	}
 	view := s.Snapshot()
-	owner := configurator.Upstream{Service: service, Name: slice.Owner}
 	return connect.NewResponse(&rhubarbtrackv1.GetOwnerResponse{
 		Freshness: freshnessOf(view),
 		Owner: &rhubarbtrackv1.Owner{
@@ -161,7 +160,7 @@
 			Key:     key,
 			Hash:    hasher.Sum(key),
 			Slice:   sliceMessage(slice, &table),
-			Address: view.Snapshot.Upstreams[owner.ID()].Address,
+			Address: view.Snapshot.Upstreams[slice.Owner].Address,
 		},
 	}), nil
 }
