runner: name the service that lacks slots when a take-out is refused

The text of a shortfall is all that rhubarbctl, the log and the audit trail show, and it left the service out: 'capacity; 17 slots are needed, 0 would be left' does not say which upstreams to add or which load to shed when there are several services. The text has the form that the operator package's script test already expects of its fake.

--- a/rhubarbtrackd/internal/runner/operators.go
+++ b/rhubarbtrackd/internal/runner/operators.go
@@ -296,16 +296,21 @@
 	}
 	var shortfalls []operator.Shortfall
 	for _, missing := range planner.New(planner.DefaultPace, time.LoadLocation).Shortfalls(status, domain) {
-		shortfalls = append(shortfalls, operator.Shortfall{
-			Service:     missing.Service,
-			SlotsNeeded: missing.Needed,
-			SlotsLeft:   missing.Available,
-			Text:        fmt.Sprintf("%d slots are needed, %d would be left", missing.Needed, missing.Available),
-		})
+		shortfalls = append(shortfalls, shortfallOf(missing))
 	}
 	return shortfalls
 }
 
+// shortfallOf names the service in the text, which is all that messages and the audit trail show.
+func shortfallOf(missing planner.Shortfall) operator.Shortfall {
+	return operator.Shortfall{
+		Service:     missing.Service,
+		SlotsNeeded: missing.Needed,
+		SlotsLeft:   missing.Available,
+		Text:        fmt.Sprintf("service %s needs %d slots and keeps %d", missing.Service, missing.Needed, missing.Available),
+	}
+}
+
 // accepted puts an accepted change into force here and floods it, so that no host waits for the watch of a root.
 func (o *operators) accepted(object configurator.Object) {
 	o.daemon.distributor.Publish(relayer.Item{
