runner: bound each call to the store that an operator waits for

The operator package leaves the time limit of a change to its Store functions, because a change is not cancelled with its call. Those functions had no limit, and neither has the client of the store. With the platform simulator stopped by SIGSTOP a drain was not answered within the 15 s of rhubarbctl (exit 4), 'change get' and 'audit list' hung too, and the drain took effect 46 s later, when the simulator went on. Every such call also kept a goroutine and a connection.

Each call now ends after 2 s. A read is then not accepted, a write unknown. The new test hangs without the change.

--- a/rhubarbtrackd/internal/runner/operators.go
+++ b/rhubarbtrackd/internal/runner/operators.go
@@ -25,6 +25,9 @@
 	// probe may take.
 	probeInterval = 2 * time.Second
 	probeTimeout  = 500 * time.Millisecond
+	// operatorStoreTimeout bounds each call to the store on behalf of an operator. A change that a silent store refuses
+	// makes two such calls, which ends well within the 15 s for which rhubarbctl waits.
+	operatorStoreTimeout = 2 * time.Second
 	// maintainInterval is the time between two clean-ups of the audit trail.
 	maintainInterval = time.Minute
 	// localOperator names callers of the operators' listener without TLS, which is bound to loopback.
@@ -33,8 +36,9 @@
 
 // operators joins the operators' calls with the parts of the daemon.
 type operators struct {
-	daemon *daemon
-	server *operator.Server
+	daemon       *daemon
+	server       *operator.Server
+	storeTimeout time.Duration // of one call
 
 	mu       sync.Mutex
 	probedAt time.Duration
@@ -44,7 +48,7 @@
 }
 
 func newOperators(d *daemon) *operators {
-	o := &operators{daemon: d}
+	o := &operators{daemon: d, storeTimeout: operatorStoreTimeout}
 	o.server = &operator.Server{
 		Store: operator.Store{
 			List:   o.list,
@@ -121,6 +125,8 @@
 }
 
 func (o *operators) list(ctx context.Context, prefix string) (uint64, []operator.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.storeTimeout)
+	defer cancel()
 	objects, revision, err := o.daemon.store.List(ctx, prefix)
 	if err != nil {
 		return 0, nil, storeError("list", err)
@@ -133,6 +139,8 @@
 }
 
 func (o *operators) get(ctx context.Context, name string) (operator.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.storeTimeout)
+	defer cancel()
 	object, err := o.daemon.store.Get(ctx, name)
 	if storer.KindOf(err) == storer.NotFound {
 		return operator.Object{Name: name}, nil
@@ -144,6 +152,8 @@
 }
 
 func (o *operators) put(ctx context.Context, name string, value []byte, expected uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.storeTimeout)
+	defer cancel()
 	condition := storer.IfAbsent()
 	if expected > 0 {
 		condition = storer.IfVersion(expected)
@@ -156,6 +166,8 @@
 }
 
 func (o *operators) delete(ctx context.Context, name string, expected uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.storeTimeout)
+	defer cancel()
 	version, err := o.daemon.store.Delete(ctx, name, storer.IfVersion(expected))
 	if err != nil {
 		return 0, storeError("delete", err)
--- a/rhubarbtrackd/internal/runner/operators_test.go
+++ b/rhubarbtrackd/internal/runner/operators_test.go
@@ -1,13 +1,52 @@
 package runner
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"rhubarbtrack.example/core/planner"
+	"rhubarbtrack.example/rhubarbtrackd/internal/operator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
 )
 
+// A store that accepts connections and never answers must not hold up operators' calls for ever, and a change that waits
+// for it must not take effect long after its operator was told that it failed. A read has no effect; the outcome of a
+// write is unknown.
+func TestSilentStore(t *testing.T) {
+	release := make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer silent.Close()
+	defer close(release)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	o := newOperators(&daemon{store: storer.New(silent.URL, transport)})
+	o.storeTimeout = time.Millisecond
+	calls := []struct {
+		name  string
+		call  func(ctx context.Context) error
+		write bool
+	}{
+		{"list", func(ctx context.Context) error { _, _, err := o.server.Store.List(ctx, "config/"); return err }, false},
+		{"get", func(ctx context.Context) error { _, err := o.server.Store.Get(ctx, "config/x"); return err }, false},
+		{"put", func(ctx context.Context) error { _, err := o.server.Store.Put(ctx, "config/x", nil, 1); return err }, true},
+		{"delete", func(ctx context.Context) error { _, err := o.server.Store.Delete(ctx, "config/x", 1); return err }, true},
+	}
+	for _, test := range calls {
+		t.Run(test.name, func(t *testing.T) {
+			err := test.call(context.WithoutCancel(t.Context()))
+			var typed *operator.Error
+			assert.Equal(t, errors.As(err, &typed) && typed.Kind == operator.NotAccepted, !test.write, "%v", err)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
+
 // A refused take-out must name the service that would lack slots, also when several services do.
 func TestShortfallNamesService(t *testing.T) {
 	shortfall := shortfallOf(planner.Shortfall{Service: "shelf-marks", Needed: 17, Available: 12})
