operator, rhubarbctl: show durations of the status only as far as they are known

After a daemon was killed, status said 'host host-3 is dead, silent for 0s', because no part of the daemon fills the silence of a host. An unknown silence is left out now. During a store outage the age was printed to the nanosecond, as '5.627647868s'; ages are rounded to 0.1 s.

TestStatusTexts and TestFreshness fail without the change. The silence itself stays unknown: it would have to be carried with the members of the relay.

--- a/rhubarbctl/internal/reporter/reporter.go
+++ b/rhubarbctl/internal/reporter/reporter.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"strings"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -203,7 +204,7 @@
 // Freshness warns when an answer is not current.
 func Freshness(out io.Writer, freshness *rhubarbtrackv1.Freshness) {
 	if freshness.GetStoreDown() {
-		age := freshness.GetAge().AsDuration()
+		age := freshness.GetAge().AsDuration().Round(100 * time.Millisecond)
 		_, _ = fmt.Fprintf(out, "rhubarbctl: the store does not answer, the state shown is %v old\n", age)
 	}
 }
--- a/rhubarbctl/internal/reporter/reporter_test.go
+++ b/rhubarbctl/internal/reporter/reporter_test.go
@@ -4,9 +4,11 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/types/known/durationpb"
 	"gotest.tools/v3/assert"
 
 	"rhubarbtrack.example/rhubarbctl/internal/printer"
@@ -51,3 +53,11 @@
 		})
 	}
 }
+
+// The age of a state must be readable; operators saw "5.627647868s".
+func TestFreshness(t *testing.T) {
+	var out strings.Builder
+	age := durationpb.New(5627647868 * time.Nanosecond)
+	reporter.Freshness(&out, &rhubarbtrackv1.Freshness{Age: age, StoreDown: true})
+	assert.Equal(t, out.String(), "rhubarbctl: the store does not answer, the state shown is 5.6s old\n")
+}
--- a/rhubarbtrackd/internal/operator/operator_test.go
+++ b/rhubarbtrackd/internal/operator/operator_test.go
@@ -5,11 +5,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"rhubarbtrack.example/core/configurator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/operator"
 	rhubarbtrackv1 "rhubarbtrack.example/schema/gen/rhubarbtrack/v1"
 	"rhubarbtrack.example/schema/gen/rhubarbtrack/v1/rhubarbtrackv1connect"
@@ -407,6 +409,27 @@
 	assert.Equal(t, owner.GetAddress(), "10.0.0.1:80")
 }
 
+// The silence of a dead host must not be made up when it is not known, and ages must be readable.
+func TestStatusTexts(t *testing.T) {
+	f := newFixture(t)
+	f.server.Hosts = func() []operator.Host {
+		return []operator.Host{
+			{Name: "entry-1", State: operator.Dead},
+			{Name: "entry-2", State: operator.Dead, Silence: 5627647868 * time.Nanosecond},
+		}
+	}
+	f.server.Snapshot = func() operator.View {
+		return operator.View{Snapshot: configurator.New(), Age: 5627647868 * time.Nanosecond, StoreDown: true}
+	}
+	response, err := f.as("vera", operator.RoleView).GetStatus(t.Context(),
+		connect.NewRequest(&rhubarbtrackv1.GetStatusRequest{}))
+	assert.NilError(t, err)
+	problems := response.Msg.GetStatus().GetProblems()
+	assert.Equal(t, problems[0].GetText(), "does not answer, state is 5.6s old")
+	assert.Equal(t, problems[1].GetText(), "is dead")
+	assert.Equal(t, problems[2].GetText(), "is dead, silent for 5.6s")
+}
+
 // A watch must deliver changes and deletions after the given revision, each once.
 func TestWatch(t *testing.T) {
 	f := newFixture(t)
--- a/rhubarbtrackd/internal/operator/reads.go
+++ b/rhubarbtrackd/internal/operator/reads.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,9 @@
 	rhubarbtrackv1 "rhubarbtrack.example/schema/gen/rhubarbtrack/v1"
 )
 
+// ageUnit is the precision of ages in texts.
+const ageUnit = 100 * time.Millisecond
+
 // ListResources implements the call.
 func (s *Server) ListResources(ctx context.Context, request *connect.Request[rhubarbtrackv1.ListResourcesRequest]) (
 	*connect.Response[rhubarbtrackv1.ListResourcesResponse], error) {
@@ -222,12 +226,11 @@
 func (s *Server) problems(view View, hosts []Host, rollout Rollout) []Problem {
 	var problems []Problem
 	if view.StoreDown {
-		problems = append(problems, Problem{Subject: "store", Text: fmt.Sprintf("does not answer, state is %v old", view.Age)})
+		problems = append(problems, Problem{Subject: "store", Text: fmt.Sprintf("does not answer, state is %v old", view.Age.Round(ageUnit))})
 	}
 	for _, host := range hosts {
 		if host.State == Dead {
-			text := fmt.Sprintf("is dead, silent for %v", host.Silence)
-			problems = append(problems, Problem{Subject: "host " + host.Name, Text: text})
+			problems = append(problems, Problem{Subject: "host " + host.Name, Text: deadText(host)})
 		}
 	}
 	if rollout.InForce < rollout.Hosts {
@@ -241,6 +244,14 @@
 	return problems
 }
 
+// deadText leaves out a silence that is not known.
+func deadText(host Host) string {
+	if host.Silence == 0 {
+		return "is dead"
+	}
+	return fmt.Sprintf("is dead, silent for %v", host.Silence.Round(ageUnit))
+}
+
 // unassigned returns one problem per keyed service that has slices without an owner.
 func (s *Server) unassigned(snapshot *configurator.Snapshot) []Problem {
 	var problems []Problem
