--- a/rhubarbtrackd/internal/dispatcher/worker.go
+++ b/rhubarbtrackd/internal/dispatcher/worker.go
@@ -32,7 +32,9 @@
 	version    leaseVersion
 	releasing  uint64 // epoch of a lease that is to be returned, 0 for none
 	active     bool   // a lease was applied and has not ended
-	epoch      uint64 // highest epoch of a lease that was applied
+	generation uint64 // rises with every end of a lease; the admitter's epoch, so that the same lease can begin again
+	load       *load
+	reportAt   time.Duration // no load report before this
 
 	held   atomic.Pointer[heldLease]
 	status atomic.Pointer[Status]
@@ -57,6 +59,7 @@
 
 type offerEvent struct {
 	offered admitter.Offered
+	key     string
 	attempt *attempt
 }
 
@@ -90,6 +93,7 @@
 		}
 		w.returnLease()
 		w.publishStatus()
+		w.reportLoad()
 		if now := len(w.pending) == 0; now != idle {
 			idle = now
 			ticker.Reset(w.interval(idle))
@@ -109,9 +113,11 @@
 	case offerEvent:
 		e.offered.Fence = w.heldFence(e.offered.Fence)
 		w.pending[e.offered.ID] = e.attempt
+		w.measureOffer(e)
 		w.step(e.offered)
 	case admitter.Ended:
 		delete(w.pending, e.ID)
+		w.measureEnd(e)
 		w.step(e)
 	case admitter.CallerLeft:
 		w.step(e)
@@ -223,11 +229,11 @@
 		w.endLease()
 		return
 	}
-	w.epoch = max(w.epoch, lease.Epoch)
-	w.step(admitter.LeaseRenewed{Epoch: lease.Epoch, SentAt: e.sentAt})
+	w.step(admitter.LeaseRenewed{Epoch: w.generation, SentAt: e.sentAt})
 	w.held.Store(&heldLease{term: e.version.term, epoch: lease.Epoch, until: e.sentAt + admitter.DefaultLease})
 	if !w.active {
 		w.active = true
+		w.load = newLoad(w.dispatcher.options.Clock()) // another host may have measured in the meantime
 		w.log(eventlog.AdmissionGained)
 	}
 	w.applySlices(lease)
@@ -254,6 +260,7 @@
 		}
 	}
 	w.fences = present
+	w.load.keep(w.dispatcher.options.Clock(), present)
 	if len(removed) > 0 {
 		w.step(admitter.SlicesRemoved{Fences: removed})
 	}
@@ -273,8 +280,8 @@
 	}
 	w.active = false
 	w.log(eventlog.AdmissionLost)
-	// The highest epoch ends every lease of this upstream; a later one is granted with a later message.
-	w.step(admitter.LeaseEnded{Epoch: w.epoch})
+	w.step(admitter.LeaseEnded{Epoch: w.generation})
+	w.generation++
 }
 
 // returnLease gives a lease back once nothing is in flight. It is repeated with every message that asks for it.
