controller: ask a process before taking its heartbeat for a restart

Cause: a heartbeat of an earlier process of a host, delayed past the takeover of a controller that never knew that process, was taken for a restart. It ended the leases of the present process in the controller's books, and a second host admitted to the same upstream. Ruled out: the move off upstreams without fence checks; the fault is older.

--- a/core/controller/admissions.go
+++ b/core/controller/admissions.go
@@ -62,6 +62,12 @@
 		return
 	}
 	if known.incarnation != beat.Incarnation {
+		// A process that is still running answers the query. A delayed heartbeat may come from an earlier process that
+		// this controller never knew; taking it for a restart would end leases that the present process holds.
+		if beat.Term != c.term {
+			c.query(beat.Host, beat.Incarnation)
+			return
+		}
 		c.restartHost(beat.Host, known, beat.Incarnation)
 	}
 	if known.seen > 0 && beat.Sent < known.sent {
@@ -290,20 +296,25 @@
 
 func (c *Controller) answerHost(now time.Duration, name string, known *host) {
 	if known.unconfirmed {
-		c.seq++
-		c.actions = append(c.actions, SendLeases{
-			Query:       true,
-			Host:        name,
-			Incarnation: known.incarnation,
-			Service:     c.options.Service,
-			Term:        c.term,
-			Seq:         c.seq,
-		})
+		c.query(name, known.incarnation)
 		return
 	}
 	c.sendHost(now, name, known)
 }
 
+// query asks a process of a host for a heartbeat in the present term.
+func (c *Controller) query(name, incarnation string) {
+	c.seq++
+	c.actions = append(c.actions, SendLeases{
+		Query:       true,
+		Host:        name,
+		Incarnation: incarnation,
+		Service:     c.options.Service,
+		Term:        c.term,
+		Seq:         c.seq,
+	})
+}
+
 // informed reports whether the lists of slices in the leases of a host are complete after a takeover.
 func (c *Controller) informed(now time.Duration, name string) bool {
 	if !c.keyed() || now >= c.adopted+takeoverGrace {
--- a/core/controller/fault_test.go
+++ b/core/controller/fault_test.go
@@ -152,3 +152,21 @@
 	assert.Equal(t, w.wrong, "")
 	assert.Assert(t, len(admitting.leases["x"].serve) > 0)
 }
+
+// TestDelayedHeartbeatOfEarlierProcess guards against the end of leases that the present process of a host holds: a
+// heartbeat of an earlier process arrives late at a controller that never knew that process.
+func TestDelayedHeartbeatOfEarlierProcess(t *testing.T) {
+	w := newWorld(7, 12, "a", "b", "c", "x")
+	w.run(5 * sec)
+	acting := w.acting(nil)
+	for _, upstream := range []string{"a", "b", "c", "x"} {
+		host := w.admitting(upstream, nil)
+		if host == acting {
+			continue
+		}
+		w.control(acting, acting.clock(w.now), controller.Heartbeat{Host: host.name, Incarnation: "earlier", Term: 0})
+		w.run(2 * sec)
+		assert.Equal(t, w.wrong, "")
+		assert.Equal(t, w.admitting(upstream, nil), host)
+	}
+}
