forwarder: carry the caller's Authorization to the admission host

The hop between two hosts uses the header Authorization for the secret of the hosts, so encode overwrote the caller's value and decode removed it.

--- a/rhubarbtrackd/internal/forwarder/forwarder.go
+++ b/rhubarbtrackd/internal/forwarder/forwarder.go
@@ -36,6 +36,8 @@
 	headerKey         = "Rhubarbtrack-Routed-Key" // query-escaped, because a key of a path may hold any byte
 	headerAnswered    = "Rhubarbtrack-Answered"   // the response is the upstream's own
 	headerReroutable  = "Rhubarbtrack-Reroutable"
+	// headerCredentials carries the caller's Authorization, whose place is taken by the secret of the hosts on this hop.
+	headerCredentials = "Rhubarbtrack-Caller-Authorization"
 
 	// copyBuffer is the size of the pieces in which bodies are passed on, in bytes.
 	copyBuffer = 32 << 10
@@ -119,6 +121,9 @@
 	outgoing.ContentLength = request.ContentLength
 	outgoing.Header = request.Header.Clone()
 	header := outgoing.Header
+	if credentials := header["Authorization"]; len(credentials) > 0 {
+		header[headerCredentials] = credentials
+	}
 	f.options.Authorize(header)
 	header.Set(headerService, request.Service)
 	header.Set(headerUpstream, request.Upstream)
@@ -194,6 +199,10 @@
 	}
 	header.Del("Authorization")
 	header.Del("Rhubarbtrack-Peer")
+	if credentials := header[headerCredentials]; len(credentials) > 0 {
+		header["Authorization"] = credentials
+		delete(header, headerCredentials)
+	}
 	return &dispatcher.Request{
 		ID:             take(dispatcher.HeaderRequestID),
 		Service:        take(headerService),
