peerer: keep the same connection at both ends when two hosts dial each other

A new connection always replaced the present one. When two hosts dialled each other at the same time, each of them closed the connection that the other one had just chosen, and both were lost; the next attempt crossed again.

Before: TestCrossingDialsLeaveOneConnection did not get a connection that both ends used within 30 s. After: of two directions both ends keep the one that the host with the lesser name dialled; a connection of the same direction still replaces the present one. The test passes without -race.

--- a/rhubarbtrackd/internal/peerer/peerer.go
+++ b/rhubarbtrackd/internal/peerer/peerer.go
@@ -66,10 +66,12 @@
 }
 
 type connection struct {
-	key    key
-	socket *websocket.Conn
-	ring   chan []byte
-	cancel context.CancelFunc
+	key      key
+	outbound bool
+	socket   *websocket.Conn
+	ring     chan []byte
+	ctx      context.Context
+	cancel   context.CancelFunc
 }
 
 // Peerer is safe for concurrent use.
@@ -172,32 +174,32 @@
 		HTTPHeader: header,
 	})
 	if err != nil {
-		p.mu.Lock()
-		delete(p.dialling, k)
-		p.mu.Unlock()
-		p.options.Down(k.peer, k.class)
+		p.dialFailed(k)
 		return
 	}
 	p.run(k, socket, true)
 }
 
+func (p *Peerer) dialFailed(k key) {
+	p.mu.Lock()
+	delete(p.dialling, k)
+	p.mu.Unlock()
+	p.options.Down(k.peer, k.class)
+}
+
 // run serves a connection until it ends.
 func (p *Peerer) run(k key, socket *websocket.Conn, outbound bool) {
+	defer func() { _ = socket.CloseNow() }()
 	socket.SetReadLimit(maxMessageBytes)
 	ctx, cancel := context.WithCancel(p.ctx)
-	c := &connection{key: k, socket: socket, ring: make(chan []byte, ringSize), cancel: cancel}
-	p.mu.Lock()
-	previous := p.connections[k]
-	p.connections[k] = c
-	for _, data := range p.dialling[k] {
-		c.ring <- data // at most waitingSize messages, which fit the ring
+	defer cancel()
+	c := &connection{
+		key: k, outbound: outbound, socket: socket, ring: make(chan []byte, ringSize), ctx: ctx, cancel: cancel,
 	}
-	delete(p.dialling, k)
-	p.mu.Unlock()
-	if previous != nil {
-		previous.cancel()
+	if !p.register(c) {
+		return
 	}
-	p.options.Up(k.peer, k.class, outbound)
+	defer p.unregister(c)
 	p.wait.Add(1)
 	go func() {
 		defer p.wait.Done()
@@ -206,20 +208,57 @@
 	for {
 		kind, data, err := socket.Read(ctx)
 		if err != nil || kind != websocket.MessageBinary {
-			break
+			return
 		}
 		p.options.Message(k.peer, k.class, data)
 	}
-	cancel()
-	_ = socket.CloseNow()
+}
+
+// register makes a connection the one that is used for its peer and class. It reports false when the present one stays.
+func (p *Peerer) register(c *connection) bool {
+	p.mu.Lock()
+	waiting := p.dialling[c.key]
+	delete(p.dialling, c.key)
+	previous := p.connections[c.key]
+	if p.keeps(previous, c) {
+		p.mu.Unlock()
+		for _, data := range waiting {
+			p.queue(previous, data)
+		}
+		return false
+	}
+	p.connections[c.key] = c
+	for _, data := range waiting {
+		c.ring <- data // at most waitingSize messages, which fit the ring
+	}
+	p.mu.Unlock()
+	if previous != nil {
+		previous.cancel()
+	}
+	p.options.Up(c.key.peer, c.key.class, c.outbound)
+	return true
+}
+
+// keeps reports whether the present connection to a peer stays when another one is made. When two hosts dial each other
+// at the same time, both must keep the same connection: the one that the host with the lesser name dialled. A connection
+// of the same direction replaces the present one, which its dialler has given up.
+func (p *Peerer) keeps(present, next *connection) bool {
+	if present == nil || present.ctx.Err() != nil || present.outbound == next.outbound {
+		return false
+	}
+	return present.outbound == (p.options.Self < next.key.peer)
+}
+
+func (p *Peerer) unregister(c *connection) {
+	c.cancel()
 	p.mu.Lock()
-	current := p.connections[k] == c
+	current := p.connections[c.key] == c
 	if current {
-		delete(p.connections, k)
+		delete(p.connections, c.key)
 	}
 	p.mu.Unlock()
 	if current {
-		p.options.Down(k.peer, k.class)
+		p.options.Down(c.key.peer, c.key.class)
 	}
 }
 
@@ -254,13 +293,17 @@
 	if c == nil {
 		return dialling
 	}
+	return p.queue(c, data)
+}
+
+func (p *Peerer) queue(c *connection, data []byte) bool {
 	select {
 	case c.ring <- data:
 		return true
 	default:
 	}
-	p.options.Dropped(peer, class)
-	if class == Relay {
+	p.options.Dropped(c.key.peer, c.key.class)
+	if c.key.class == Relay {
 		c.cancel()
 	}
 	return false
