peerer: report Up and Down in the order of the changes

A failed dial was reported as Down although the peer had connected in the meantime, and Down of an ended connection could overtake Up of the next one. The relayer then dropped a live neighbour and ignored its frames until the silence timeout.

Before: TestFailedDialKeepsInboundConnection saw Down while the peer was connected in 10 of 10 runs. After: a change and its report are made under one mutex, and a failed dial is not reported while there is a connection; 3 of 3 runs with -race pass.

--- a/rhubarbtrackd/internal/peerer/peerer.go
+++ b/rhubarbtrackd/internal/peerer/peerer.go
@@ -81,6 +81,10 @@
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 
+	// reports is held from a change of connections until it is reported, so that Up and Down are called in the order of
+	// the changes. It is locked before mu.
+	reports sync.Mutex
+
 	mu          sync.Mutex
 	connections map[key]*connection
 	dialling    map[key][][]byte // messages that wait for the connection
@@ -142,8 +146,8 @@
 	p.run(key{peer: peer, class: class}, socket, false)
 }
 
-// Dial connects to a peer in the background. A failure is reported as Down. A connection attempt that is already under
-// way is not repeated.
+// Dial connects to a peer in the background. A failure is reported as Down, unless the peer has connected in the
+// meantime. A connection attempt that is already under way is not repeated.
 func (p *Peerer) Dial(peer, address string, class Class) {
 	k := key{peer: peer, class: class}
 	p.mu.Lock()
@@ -181,10 +185,15 @@
 }
 
 func (p *Peerer) dialFailed(k key) {
+	p.reports.Lock()
+	defer p.reports.Unlock()
 	p.mu.Lock()
 	delete(p.dialling, k)
+	connected := p.connections[k] != nil
 	p.mu.Unlock()
-	p.options.Down(k.peer, k.class)
+	if !connected {
+		p.options.Down(k.peer, k.class)
+	}
 }
 
 // run serves a connection until it ends.
@@ -216,6 +225,8 @@
 
 // register makes a connection the one that is used for its peer and class. It reports false when the present one stays.
 func (p *Peerer) register(c *connection) bool {
+	p.reports.Lock()
+	defer p.reports.Unlock()
 	p.mu.Lock()
 	waiting := p.dialling[c.key]
 	delete(p.dialling, c.key)
@@ -251,6 +262,8 @@
 
 func (p *Peerer) unregister(c *connection) {
 	c.cancel()
+	p.reports.Lock()
+	defer p.reports.Unlock()
 	p.mu.Lock()
 	current := p.connections[c.key] == c
 	if current {
--- a/rhubarbtrackd/internal/peerer/peerer_test.go
+++ b/rhubarbtrackd/internal/peerer/peerer_test.go
@@ -25,6 +25,7 @@
 	messages []string
 	refused  int
 	dropped  int
+	early    int // reports of Down while there is a connection
 	gate     chan struct{}
 }
 
@@ -37,8 +38,12 @@
 		Up: func(peer string, _ peerer.Class, _ bool) {
 			h.record(func() { h.up[peer] = 1 })
 		},
-		Down: func(peer string, _ peerer.Class) {
+		Down: func(peer string, class peerer.Class) {
+			connected := h.Connected(peer, class)
 			h.record(func() {
+				if connected {
+					h.early++
+				}
 				h.up[peer] = 0
 				h.downs++
 			})
@@ -110,6 +115,29 @@
 	}
 }
 
+// Guards against a failed dial that is reported as the loss of a connection which the peer made in the meantime.
+func TestFailedDialKeepsInboundConnection(t *testing.T) {
+	a, b := newHost(t, "a", "s"), newHost(t, "b", "s")
+	hold, entered, answered := make(chan struct{}), make(chan struct{}, 1), make(chan struct{})
+	broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		entered <- struct{}{}
+		<-hold
+		http.Error(w, "no", http.StatusForbidden)
+		close(answered)
+	}))
+	t.Cleanup(broken.Close)
+	a.Dial("b", broken.Listener.Addr().String(), peerer.Relay)
+	<-entered
+	b.Dial("a", a.address, peerer.Relay)
+	eventually(t, "the peer is connected", func() bool { return a.get(func() int { return a.up["b"] }) == 1 })
+	close(hold)
+	<-answered
+	b.Send("a", peerer.Relay, []byte("x"))
+	eventually(t, "a message arrives", func() bool { return a.get(func() int { return len(a.messages) }) > 0 })
+	a.Close() // waits for the dial
+	assert.Equal(t, a.get(func() int { return a.early }), 0)
+}
+
 // Guards against a full ring that blocks the sender or grows, and against a relay connection that goes on with a gap.
 func TestFullRing(t *testing.T) {
 	for _, class := range []peerer.Class{peerer.Relay, peerer.Control} {
