peerer: let Close wait for accepted connections

Only dialled connections were counted, so the readers of accepted ones went on after Close and reported to parts that were already closed; a connection accepted during Close could also call WaitGroup.Add after Wait.

--- a/rhubarbtrackd/internal/peerer/peerer.go
+++ b/rhubarbtrackd/internal/peerer/peerer.go
@@ -104,10 +104,23 @@
 
 // Close ends all connections and waits for their goroutines.
 func (p *Peerer) Close() {
-	p.cancel()
+	p.mu.Lock()
+	p.cancel() // under the mutex, so that no goroutine is added after Wait
+	p.mu.Unlock()
 	p.wait.Wait()
 }
 
+// begin counts a goroutine for which Close waits. It reports false after Close.
+func (p *Peerer) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return false
+	}
+	p.wait.Add(1)
+	return true
+}
+
 // Handler accepts connections of other hosts below /peer/.
 func (p *Peerer) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -139,6 +152,11 @@
 		http.Error(w, "not a host of this system", http.StatusForbidden)
 		return
 	}
+	if !p.begin() {
+		http.Error(w, "shutting down", http.StatusServiceUnavailable)
+		return
+	}
+	defer p.wait.Done()
 	socket, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return
--- a/rhubarbtrackd/internal/peerer/peerer_test.go
+++ b/rhubarbtrackd/internal/peerer/peerer_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -25,6 +26,8 @@
 	messages []string
 	refused  int
 	dropped  int
+	closed   bool
+	late     int // reports after Close
 	early    int // reports of Down while there is a connection
 	gate     chan struct{}
 }
@@ -69,6 +72,9 @@
 func (h *host) record(change func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.closed {
+		h.late++
+	}
 	change()
 }
 
@@ -138,6 +144,41 @@
 	assert.Equal(t, a.get(func() int { return a.early }), 0)
 }
 
+// Guards against reading goroutines that outlive Close and report to parts that are already closed, and against
+// connections that are accepted or dialled after it.
+func TestCloseEndsEverything(t *testing.T) {
+	hub := newHost(t, "hub", "s")
+	var peers []*host
+	for _, name := range []string{"a", "b", "c", "d"} {
+		peer := newHost(t, name, "s")
+		peer.Dial("hub", hub.address, peerer.Relay)
+		hub.Dial(name, peer.address, peerer.Control)
+		peers = append(peers, peer)
+	}
+	eventually(t, "all are connected", func() bool {
+		return !slices.ContainsFunc(peers, func(peer *host) bool { return !peer.Connected("hub", peerer.Relay) })
+	})
+	for _, peer := range peers {
+		for range 100 {
+			peer.Send("hub", peerer.Relay, []byte("x"))
+		}
+		hub.Dial(peer.name, peer.address, peerer.Relay)
+	}
+	hub.Close()
+	hub.record(func() { hub.closed = true })
+	for _, peer := range peers {
+		peer.Dial("hub", hub.address, peerer.Control)
+		hub.Dial(peer.name, peer.address, peerer.Control)
+	}
+	eventually(t, "the peers notice", func() bool {
+		return !slices.ContainsFunc(peers, func(peer *host) bool { return peer.Connected("hub", peerer.Relay) })
+	})
+	assert.Equal(t, hub.get(func() int { return hub.late }), 0)
+	for _, peer := range peers {
+		assert.Assert(t, !hub.Connected(peer.name, peerer.Control))
+	}
+}
+
 // Guards against a full ring that blocks the sender or grows, and against a relay connection that goes on with a gap.
 func TestFullRing(t *testing.T) {
 	for _, class := range []peerer.Class{peerer.Relay, peerer.Control} {
