runner: not ready before every service has an admission host

Readiness looked only at the connection to the tree and at fresh beacons. After a cold start of the whole system the first beacons come before the first admission leases, so /readyz was 200 while no request could be routed.

After: readiness waits until each service that has upstreams names, in the table of this host, an admission host that this host knows. The condition is latched per process: a service that loses its admissions later, or is added, does not withdraw the readiness of all hosts at once.

--- a/rhubarbtrackd/internal/locator/locator.go
+++ b/rhubarbtrackd/internal/locator/locator.go
@@ -223,6 +223,30 @@
 	return true
 }
 
+// AllServed reports whether every configured service has an upstream with an admission host that this host knows. A
+// service without upstreams does not count, since it cannot be served by any host.
+func (l *Locator) AllServed() bool {
+	current := l.state.Load()
+	upstreams := map[string]bool{} // services with upstreams, and whether one of them is admitted to
+	for id, upstream := range current.config.Upstreams {
+		if _, ok := current.config.Services[upstream.Service]; !ok {
+			continue
+		}
+		served := upstreams[upstream.Service]
+		if table := current.tables[upstream.Service]; table != nil && !served {
+			_, err := current.routeTo(table, id)
+			served = err == nil
+		}
+		upstreams[upstream.Service] = served
+	}
+	for _, served := range upstreams {
+		if !served {
+			return false
+		}
+	}
+	return true
+}
+
 // Locate returns the route of a key of a service that is partitioned by key.
 func (l *Locator) Locate(now time.Duration, service, key string) (Route, error) {
 	const op = "locate"
--- a/rhubarbtrackd/internal/runner/runner.go
+++ b/rhubarbtrackd/internal/runner/runner.go
@@ -105,6 +105,7 @@
 	operators   *operators
 	scheduler   *scheduler.Scheduler
 	stopping    atomic.Bool
+	served      atomic.Bool   // every service has been served since the start
 	announced   atomic.Uint32 // framer.MemberState of the last SetState
 }
 
@@ -248,9 +249,17 @@
 	}
 }
 
-// ready reports whether the balancer may send callers to this host.
+// ready reports whether the balancer may send callers to this host. It waits for an admission host of every service only
+// once: later all hosts lose one at the same time, for instance while a service is added, and the other services must not
+// become unreachable by that.
 func (d *daemon) ready() bool {
-	return !d.leaving() && d.distributor.Connected() && d.locator.AllFresh(d.clock())
+	if d.leaving() || !d.distributor.Connected() || !d.locator.AllFresh(d.clock()) {
+		return false
+	}
+	if !d.served.Load() && d.locator.AllServed() {
+		d.served.Store(true)
+	}
+	return d.served.Load()
 }
 
 // leaving reports whether this host should get no new roles and no new callers: it shuts down, or its failure domain is
