--- a/bench/cost/main.go
+++ b/bench/cost/main.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	upstreams    = 12
+	upstreams    = 12 // of each service
 	measureTime  = 5 * time.Second
 	readyTimeout = 30 * time.Second
 	keys         = 1000
@@ -34,6 +34,7 @@
 // Sizes and rates of the slopes, three or more of each.
 var (
 	fleetSizes = []int{3, 10, 20}
+	groupSizes = []int{4, 16, 32} // upstreams of one controller
 	rates      = []int{200, 600, 1200}
 )
 
@@ -48,14 +49,49 @@
 	if err := measureFleet(); err != nil {
 		return err
 	}
+	if err := measureControllers(); err != nil {
+		return err
+	}
 	return measureRequests()
 }
 
+// measureControllers prints the cost of the busiest idle daemon, which is the controller, against its upstreams. All
+// admission roles are on the other daemons as well, so the figure contains a share of them.
+func measureControllers() error {
+	var processor []fitter.Point
+	for _, size := range groupSizes {
+		s, err := start(3, size, 0)
+		if err != nil {
+			return err
+		}
+		time.Sleep(2 * time.Second)
+		before, err := s.each()
+		if err != nil {
+			s.close()
+			return err
+		}
+		time.Sleep(measureTime)
+		after, err := s.each()
+		s.close()
+		if err != nil {
+			return err
+		}
+		busiest := 0.0
+		for i := range after {
+			busiest = max(busiest, (after[i].Processor-before[i].Processor).Seconds()/measureTime.Seconds())
+		}
+		processor = append(processor, fitter.Point{X: float64(size), Y: busiest})
+		figure(fmt.Sprintf("cost-controller-processor-%d-upstreams", size), 0, busiest, 0.011, "cores")
+	}
+	slope("cost-controller-processor-per-upstream", fitter.Fit(processor), "cores")
+	return nil
+}
+
 // measureFleet prints the cost of idle daemons against the number of daemons.
 func measureFleet() error {
 	var processor, memory []fitter.Point
 	for _, size := range fleetSizes {
-		s, err := start(size)
+		s, err := start(size, upstreams, upstreams)
 		if err != nil {
 			return err
 		}
@@ -77,7 +113,7 @@
 
 // measureRequests prints the cost of requests and the added latency with three daemons.
 func measureRequests() error {
-	s, err := start(3)
+	s, err := start(3, upstreams, upstreams)
 	if err != nil {
 		return err
 	}
@@ -137,7 +173,7 @@
 	client    *http.Client
 }
 
-func start(hosts int) (*system, error) {
+func start(hosts, keyed, unkeyed int) (*system, error) {
 	work, err := os.MkdirTemp("", "rhubarbtrack-cost-")
 	if err != nil {
 		return nil, err
@@ -147,7 +183,7 @@
 		work:    work,
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: 10 * time.Second},
 	}
-	if err := s.startAll(hosts); err != nil {
+	if err := s.startAll(hosts, keyed, unkeyed); err != nil {
 		s.close()
 		return nil, err
 	}
@@ -159,7 +195,7 @@
 	_ = os.RemoveAll(s.work)
 }
 
-func (s *system) startAll(hosts int) error {
+func (s *system) startAll(hosts, keyed, unkeyed int) error {
 	platform, err := s.simulator("platform", "platformsim")
 	if err != nil {
 		return err
@@ -169,14 +205,18 @@
 		`"slice-count":96,"rules":[],"writer":"cost","operation":"1"}`); err != nil {
 		return err
 	}
-	if err := s.put(base+"/v1/objects/config/service/labels", `{"name":"labels","keyed":false,"rules":[],"writer":"cost",`+
-		`"operation":"1"}`); err != nil {
-		return err
+	if unkeyed > 0 {
+		if err := s.put(base+"/v1/objects/config/service/labels", `{"name":"labels","keyed":false,"rules":[],"writer":"cost",`+
+			`"operation":"1"}`); err != nil {
+			return err
+		}
 	}
-	for i := range upstreams {
+	for i := range keyed {
 		if _, err := s.upstream(base, "marks", i); err != nil {
 			return err
 		}
+	}
+	for i := range unkeyed {
 		address, err := s.upstream(base, "labels", i, "--no-keys")
 		if err != nil {
 			return err
@@ -282,23 +322,23 @@
 	return nil
 }
 
+// each returns what every daemon has used so far.
+func (s *system) each() ([]starter.Cost, error) {
+	costs := make([]starter.Cost, len(s.daemons))
+	for i, p := range s.daemons {
+		cost, err := p.Cost()
+		if err != nil {
+			return nil, err
+		}
+		costs[i] = cost
+	}
+	return costs, nil
+}
+
 // cost returns the cores that all daemons used while work ran, or for the given time if work ends earlier, and their
 // resident memory after it.
 func (s *system) cost(length time.Duration, work func()) (cores, memory float64, err error) {
-	total := func() (time.Duration, int64, error) {
-		var processor time.Duration
-		var resident int64
-		for _, p := range s.daemons {
-			cost, err := p.Cost()
-			if err != nil {
-				return 0, 0, err
-			}
-			processor += cost.Processor
-			resident += cost.Memory
-		}
-		return processor, resident, nil
-	}
-	before, _, err := total()
+	before, err := s.each()
 	if err != nil {
 		return 0, 0, err
 	}
@@ -308,8 +348,15 @@
 		time.Sleep(rest)
 	}
 	elapsed := time.Since(start)
-	after, resident, err := total()
-	return (after - before).Seconds() / elapsed.Seconds(), float64(resident), err
+	after, err := s.each()
+	if err != nil {
+		return 0, 0, err
+	}
+	for i := range after {
+		cores += (after[i].Processor - before[i].Processor).Seconds() / elapsed.Seconds()
+		memory += float64(after[i].Memory)
+	}
+	return cores, memory, nil
 }
 
 // load sends requests at a fixed rate, open loop, and returns the latencies of those that were answered.
--- a/rhubarbtrackd/internal/distributor/distributor.go
+++ b/rhubarbtrackd/internal/distributor/distributor.go
@@ -28,8 +28,10 @@
 )
 
 const (
-	ringSize         = 4096
-	tickInterval     = 100 * time.Millisecond
+	ringSize = 4096
+	// tickInterval is the longest wait of a repeated beacon on each of at most five hops, well below the 3 s for which a
+	// beacon holds.
+	tickInterval     = 200 * time.Millisecond
 	hostListInterval = 2 * time.Second
 	// hostListPatience is how many polls apart a host with a parent reads the platform's list, so that the number of
 	// reads hardly grows with the fleet.
--- a/rhubarbtrackd/internal/granter/worker.go
+++ b/rhubarbtrackd/internal/granter/worker.go
@@ -18,9 +18,12 @@
 const (
 	ringSize = 2048
 	// tickInterval is the longest that elector and controller allow. Without the right to act only the start of a
-	// candidacy depends on it, so idleInterval is enough.
-	tickInterval = controller.TickInterval
-	idleInterval = 100 * time.Millisecond
+	// candidacy depends on it, so idleInterval is enough. A host that is no witness, which shows in the absence of promises
+	// for promiseMemory, stands only for a service without any controller; restInterval is enough there.
+	tickInterval  = controller.TickInterval
+	idleInterval  = 100 * time.Millisecond
+	restInterval  = 500 * time.Millisecond
+	promiseMemory = 10 * time.Second
 )
 
 // worker owns the elector and the controller of one service.
@@ -33,6 +36,7 @@
 	controller *controller.Controller
 	planner    *planner
 	beaconSeq  uint64
+	promised   time.Duration // latest promise of the witness of this host, or the start of this worker
 	demand     demand
 
 	right      atomic.Pointer[elector.Right]
@@ -58,6 +62,7 @@
 		}),
 		controller: controller.New(options),
 		planner:    planner,
+		promised:   g.options.Clock(),
 	}
 }
 
@@ -89,23 +94,26 @@
 func (w *worker) loop(ctx context.Context) {
 	ticker := time.NewTicker(idleInterval)
 	defer ticker.Stop()
-	idle := true
+	interval := idleInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			w.stepElector(ctx, elector.Tick{})
-			if !idle {
+			if interval == tickInterval {
 				w.stepController(ctx, controller.Tick{})
 			}
-			if now := w.idle(); now != idle {
-				idle = now
-				ticker.Reset(w.interval(idle))
+			if next := w.interval(); next != interval {
+				interval = next
+				ticker.Reset(interval)
 			}
 		case event := <-w.ring:
 			switch e := event.(type) {
 			case elector.Event:
+				if _, ok := e.(elector.Promised); ok {
+					w.promised = w.granter.options.Clock()
+				}
 				w.stepElector(ctx, e)
 			case controller.Event:
 				if reply, ok := e.(controller.OrderReply); ok && !reply.Failed {
@@ -119,17 +127,17 @@
 	}
 }
 
-// idle reports whether this host neither controls the service nor tries to.
-func (w *worker) idle() bool {
+// interval returns the time until the next tick.
+func (w *worker) interval() time.Duration {
 	right := w.right.Load()
-	return right == nil || right.Term == 0
-}
-
-func (w *worker) interval(idle bool) time.Duration {
-	if idle {
+	switch {
+	case right != nil && right.Term > 0:
+		return tickInterval
+	case w.granter.options.Clock()-w.promised < promiseMemory:
 		return idleInterval
+	default:
+		return restInterval
 	}
-	return tickInterval
 }
 
 func (w *worker) stepElector(ctx context.Context, event elector.Event) {
