peerer: close control connections whose peer is silent

A host that vanished without closing its connection kept it "connected" at the others until TCP gave up. Control messages went into the dead connection, and Dial did nothing because a connection existed.

After: a ping every second, with 2 s for its answer, closes it at both ends. Relay connections are unchanged, since the relayer notices their silence.

--- a/rhubarbtrackd/internal/peerer/peerer.go
+++ b/rhubarbtrackd/internal/peerer/peerer.go
@@ -42,6 +42,10 @@
 	writeTimeout    = 2 * time.Second
 	dialTimeout     = time.Second
 	maxMessageBytes = 4 << 20
+	// The relayer notices silence on relay connections by itself. On a control connection TCP alone would notice a peer
+	// that vanished without closing it only after minutes, during which every message to the restarted peer is lost.
+	pingInterval = time.Second
+	pingTimeout  = 2 * time.Second
 
 	headerPeer = "Rhubarbtrack-Peer"
 )
@@ -232,6 +236,13 @@
 		defer p.wait.Done()
 		c.write(ctx)
 	}()
+	if k.class == Control {
+		p.wait.Add(1)
+		go func() {
+			defer p.wait.Done()
+			c.probe(ctx)
+		}()
+	}
 	for {
 		kind, data, err := socket.Read(ctx)
 		if err != nil || kind != websocket.MessageBinary {
@@ -293,6 +304,26 @@
 	}
 }
 
+// probe closes the connection when its peer is silent.
+func (c *connection) probe(ctx context.Context) {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+		err := c.socket.Ping(pingCtx)
+		cancel()
+		if err != nil {
+			c.cancel()
+			return
+		}
+	}
+}
+
 func (c *connection) write(ctx context.Context) {
 	for {
 		select {
