storer: end a watch when the store is silent

The store sends progress at least once a second, but a watch without any line waited for TCP to notice that the store was gone. A root then followed no changes of the configuration without reporting the store as unavailable.

Before: three cases of TestEndOfWatch (silent after a change, from the start, no answer) ended only with their context after 60 s. After: a silence of 2.5 s ends the watch as unavailable and the root resumes it. All error kinds of calls and watches are tested and pass with -race; they showed no other fault.

--- a/rhubarbtrackd/internal/storer/storer.go
+++ b/rhubarbtrackd/internal/storer/storer.go
@@ -22,10 +22,15 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
+// watchSilence is the silence after which a watch counts as broken. The store reports progress at least once a second, so
+// two lines may be late. A connection to a store that vanished is noticed by TCP only after minutes.
+const watchSilence = 2500 * time.Millisecond
+
 // Kind classifies errors of this package.
 type Kind int
 
@@ -184,11 +189,15 @@
 	return hosts, nil
 }
 
-// Watch reports all changes below prefix after a revision until the connection ends or ctx is done. It always returns an
-// error.
+// Watch reports all changes below prefix after a revision until the connection ends, the store is silent or ctx is done.
+// It always returns an error.
 func (c *Client) Watch(ctx context.Context, prefix string, from uint64, report func(Change)) error {
 	op := "watch " + prefix
 	path := fmt.Sprintf("/v1/watch?prefix=%s&from=%d", url.QueryEscape(prefix), from)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(watchSilence, cancel)
+	defer silence.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
 		return &Error{Op: op, Kind: Invalid, Err: err}
@@ -204,6 +213,7 @@
 	lines := bufio.NewScanner(response.Body)
 	lines.Buffer(nil, 2<<20) // a value of 1 MiB in base64
 	for lines.Scan() {
+		silence.Reset(watchSilence)
 		var wire wireObject
 		if err := json.Unmarshal(lines.Bytes(), &wire); err != nil {
 			return &Error{Op: op, Kind: Unavailable, Err: errors.Wrap(err, "decode change")}
