distributor: pause between listings after a compaction

After a watch was refused as compacted, the root listed again at once. When listings are stale, their revision is below the compaction, so every watch is refused and the root listed without pause.

--- a/rhubarbtrackd/internal/distributor/distributor.go
+++ b/rhubarbtrackd/internal/distributor/distributor.go
@@ -388,12 +388,11 @@
 		if storer.KindOf(err) == storer.Compacted {
 			d.options.Log.Log(eventlog.WatchCompacted, zap.Uint64("revision", revision))
 			revision = 0
-			continue
-		}
-		if available {
+		} else if available {
 			available = false
 			d.options.Log.Log(eventlog.StoreUnavailable, zap.Error(err))
 		}
+		// Also after a compaction: a store whose listings are stale refuses every watch from their revision.
 		select {
 		case <-ctx.Done():
 		case <-time.After(watchRetry):
