forwarder: bound the times that a peer names

A Retry-After of NaN or 1e300 and a deadline of 2^63-1 ms overflowed time.Duration.

Before: FuzzRefusal found a pause of -2562047h, the seed of FuzzForwardedHeaders with the largest deadline an expired context. After: both are limited to 24 h, and a pause that is not positive is ignored.

--- a/rhubarbtrackd/internal/forwarder/forwarder.go
+++ b/rhubarbtrackd/internal/forwarder/forwarder.go
@@ -39,6 +39,9 @@
 	// headerCredentials carries the caller's Authorization, whose place is taken by the secret of the hosts on this hop.
 	headerCredentials = "Rhubarbtrack-Caller-Authorization"
 
+	// maxPause bounds the times that a peer may name. Larger numbers would overflow a time.Duration.
+	maxPause = 24 * time.Hour
+
 	// copyBuffer is the size of the pieces in which bodies are passed on, in bytes.
 	copyBuffer = 32 << 10
 )
@@ -106,8 +109,9 @@
 	if failure.Reason == "" {
 		failure.Reason = dispatcher.ReasonConnection
 	}
-	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
-		failure.RetryAfter = time.Duration(seconds * float64(time.Second))
+	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if err == nil && seconds > 0 { // not true of NaN
+		failure.RetryAfter = time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))
 	}
 	return failure
 }
@@ -217,7 +221,7 @@
 		Header:         header,
 		Body:           r.Body,
 		ContentLength:  r.ContentLength,
-	}, time.Duration(milliseconds) * time.Millisecond, nil
+	}, time.Duration(min(milliseconds, maxPause.Milliseconds())) * time.Millisecond, nil
 }
 
 func writeRefusal(w http.ResponseWriter, failure *dispatcher.Error) {
