demo: add the scenarios poison, slow, all-fail and race

poison allows 6 s of interruption: keys of the marked request's slice are lost twice, each time for up to 3 s.

--- a/demo/internal/faulter/faulter.go
+++ b/demo/internal/faulter/faulter.go
@@ -29,6 +29,10 @@
 	LateMS   int64
 	Cross    bool
 	Truncate bool
+	// SlowFactor multiplies the running time of requests, and SlowMS adds to it. CrashOn is the mark whose requests crash it.
+	SlowFactor float64
+	SlowMS     int64
+	CrashOn    string
 }
 
 type wirePlatform struct {
@@ -38,10 +42,13 @@
 }
 
 type wireUpstream struct {
-	FreezeMS int64 `json:"freeze-ms"`
-	LateMS   int64 `json:"late-ms"`
-	Cross    bool  `json:"cross"`
-	Truncate bool  `json:"truncate"`
+	FreezeMS   int64   `json:"freeze-ms"`
+	LateMS     int64   `json:"late-ms"`
+	Cross      bool    `json:"cross"`
+	Truncate   bool    `json:"truncate"`
+	SlowFactor float64 `json:"slow-factor"`
+	SlowMS     int64   `json:"slow-ms"`
+	CrashOn    string  `json:"crash-on"`
 }
 
 // SetPlatform sets the switches of the platform at the base URL.
--- a/demo/internal/launcher/launcher.go
+++ b/demo/internal/launcher/launcher.go
@@ -103,6 +103,16 @@
 	<-p.done
 }
 
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(signal os.Signal) error {
 	return errors.Wrapf(p.command.Process.Signal(signal), "launcher: signal %s", p.Name)
--- /dev/null
+++ b/demo/internal/refuser/refuser.go
@@ -0,0 +1,69 @@
+// Package refuser stands in for an upstream that runs no request. It counts the requests that reach it and refuses them as
+// not run, or breaks their connections.
+//
+// Usage:
+//
+//	r, err := refuser.Listen("127.0.0.1:9000")
+//	defer r.Close()
+//	r.Break(true)
+//	reached := r.Reached()
+package refuser
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Refuser is safe for concurrent use.
+type Refuser struct {
+	server  *http.Server
+	reached atomic.Int64
+	breaks  atomic.Bool
+}
+
+type wireReply struct {
+	Incarnation string `json:"incarnation"`
+	Nonce       string `json:"nonce"`
+}
+
+// Listen starts a stand-in at the address.
+func Listen(address string) (*Refuser, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "refuser: listen")
+	}
+	r := &Refuser{}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: time.Second}
+	go func() { _ = r.server.Serve(listener) }()
+	return r, nil
+}
+
+// Break makes the stand-in close the connections of requests instead of refusing them.
+func (r *Refuser) Break(breaks bool) { r.breaks.Store(breaks) }
+
+// Reached returns the number of requests that arrived, without control calls.
+func (r *Refuser) Reached() int { return int(r.reached.Load()) }
+
+// Close ends the stand-in.
+func (r *Refuser) Close() { _ = r.server.Close() }
+
+func (r *Refuser) serve(w http.ResponseWriter, request *http.Request) {
+	if strings.HasPrefix(request.URL.Path, "/-/") {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(wireReply{Incarnation: "refuser", Nonce: "refuser"})
+		return
+	}
+	r.reached.Add(1)
+	if r.breaks.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Rhubarbtrack-Outcome", "not-run")
+	w.Header().Set("Rhubarbtrack-Reason", "shed")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- a/demo/internal/runner/catalogue.go
+++ b/demo/internal/runner/catalogue.go
@@ -15,6 +15,8 @@
 	// fragile runs upstreams that crash from too much load, and bounds the peak over their capacity by 0.
 	fragile bool
 	noFence bool
+	// unkeyedQuiet leaves all requests to the service without keys to the disturbance, which has to count them.
+	unkeyedQuiet bool
 	// noFailures bounds requests that failed in the end and attempts that were refused by 0.
 	noFailures bool
 	// noRefusals bounds requests that were refused until their deadline by 0.
@@ -75,6 +77,18 @@
 				disturb: moveAndKillWithoutFences,
 			},
 		}},
+		{name: "poison", proves: "a request that crashes the upstreams that run it costs at most two of them", parts: []part{
+			{name: "poison", length: 24 * time.Second, noRefusals: true, interruption: servedAfterTwoLosses, disturb: poison},
+		}},
+		{name: "slow", proves: "slowed upstreams cost at most 5% more requests; prints the latencies", parts: []part{
+			{name: "slow", length: 30 * time.Second, disturb: slowUpstreams},
+		}},
+		{name: "all-fail", proves: "upstreams that all fail get at most 1.1 requests for each one offered", parts: []part{
+			{name: "all-fail", length: 26 * time.Second, unkeyedQuiet: true, disturb: failAll},
+		}},
+		{name: "race", proves: "one of two racing operators wins, and a change is in force everywhere within 4 s", parts: []part{
+			{name: "race", length: 26 * time.Second, disturb: raceOperators},
+		}},
 	}
 }
 
--- a/demo/internal/runner/limit.go
+++ b/demo/internal/runner/limit.go
@@ -6,6 +6,8 @@
 const (
 	// servedAgain is the time within which a key is served again after a loss.
 	servedAgain = 3 * time.Second
+	// servedAfterTwoLosses applies when the upstream that takes over a slice is lost as well, 3 s for each loss.
+	servedAfterTwoLosses = 2 * servedAgain
 	// servedAfterRestart is the time within which the service is back after all daemons were restarted.
 	servedAfterRestart = 5 * time.Second
 )
--- a/demo/internal/runner/scenario.go
+++ b/demo/internal/runner/scenario.go
@@ -95,6 +95,8 @@
 	probes *prober.Prober
 	// extra are limits that the disturbance of the part measured itself.
 	extra []limit
+	// judge adds limits that need the executions of all upstreams; it may be nil.
+	judge func(*summary, []checker.Execution)
 }
 
 func (s *scenario) run(ctx context.Context) (*summary, error) {
@@ -137,7 +139,10 @@
 	if s.part.name == "" {
 		return func() {}
 	}
-	subjects := []prober.Subject{{Service: unkeyedService}}
+	var subjects []prober.Subject
+	if !s.part.unkeyedQuiet {
+		subjects = append(subjects, prober.Subject{Service: unkeyedService})
+	}
 	for n := range probedKeys {
 		subjects = append(subjects, prober.Subject{Service: keyedService, Key: fmt.Sprintf("probe-%d", n)})
 	}
@@ -326,6 +331,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.part.unkeyedQuiet {
+		return []load{keyed}, nil
+	}
 	unkeyed, err := s.startLoad(unkeyedService, rate*s.options.UnkeyedRate, 0)
 	if err != nil {
 		return nil, err
@@ -456,6 +464,9 @@
 	}
 	result.neverRepeat = len(requests)
 	result.executions = len(executions)
+	if s.judge != nil {
+		s.judge(result, executions)
+	}
 	result.findings = checker.Check(requests, executions, s.absences)
 	result.exited = s.processes.Exited()
 	result.elapsed = time.Since(s.start)
