admitter: count the wait for a lease from the end of the lease

Cause: a host that resumes after a pause longer than its admission lease let the requests that had arrived meanwhile wait 1.5 s for a new lease, although another host had been given the admission. Requests that must not be repeated were then unknown at their deadline instead of being routed again. The new case of TestSequences fails without the rule. Conclusion: requests at a paused entry host and requests beyond the retry budget remain unknown (502).

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -253,7 +253,7 @@
 		return
 	}
 	if !a.LeaseValid(a.now) || a.blocked(&entry) {
-		entry.waiting, entry.blockedSince = true, a.now
+		entry.waiting, entry.blockedSince = true, a.waitingSince()
 	}
 	if !a.queue.accepts(entry, a.options.QueueBound) {
 		a.emit(Refuse{ID: offered.ID, Reason: QueueFull, RetryAfter: a.drainTime()})
@@ -333,6 +333,15 @@
 	return len(a.running) + a.foreign
 }
 
+// waitingSince returns the time from which a wait that begins now counts. A wait for a lease counts from its end: a host that
+// was paused for longer has lost the lease to another host, and requests that arrived during the pause have little time left.
+func (a *Admitter) waitingSince() time.Duration {
+	if a.leaseUntil > 0 && a.leaseUntil < a.now {
+		return a.leaseUntil
+	}
+	return a.now
+}
+
 // blocked reports whether the slice of the entry is not served. Waiting requests keep their place in the queue.
 func (a *Admitter) blocked(entry *entry) bool {
 	if entry.fence == (slicer.Fence{}) {
@@ -446,7 +455,7 @@
 			entry.blockedSince, entry.waiting = 0, false
 			return true
 		case !entry.waiting:
-			entry.blockedSince, entry.waiting = a.now, true
+			entry.blockedSince, entry.waiting = a.waitingSince(), true
 			return true
 		case a.now < entry.blockedSince+a.options.StopWait:
 			return true
--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -173,6 +173,13 @@
 			{DefaultLease, offer(2, time.Hour), ""},
 			{DefaultLease, LeaseEnded{Epoch: 2}, "Refuse{2 no-lease 0s}"},
 		}},
+		// Guards against requests that wait for their deadline at a host that was paused for longer than its lease.
+		{"a lease that ended long ago is not waited for", []step{
+			{0, LeaseEnded{Epoch: 1}, ""},
+			{0, LeaseRenewed{Epoch: 2, SentAt: 0}, ""},
+			{0, SlicesServed{fences}, ""},
+			{DefaultLease + DefaultStopWait, offer(1, time.Hour), "Refuse{1 no-lease 0s}"},
+		}},
 		{"a request that cannot end in time is refused early", []step{
 			{0, offer(1, time.Second), "Dispatch{1 {1 1 1} false}"},
 			{0, Ended{ID: 1, Latency: 100 * ms}, ""},
