admitter: pass requests without keys on from an upstream that is down

Cause: requests queued for an upstream that refuses or breaks connections waited there through pauses that double, some until their deadline, although other upstreams could run them. They are now refused as not run and reroutable, so that the entry host picks another upstream. TestDownUpstreamWithoutKeys guards the rule.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -96,6 +96,7 @@
 	takeover     bool // no load report was used and nothing was dispatched yet
 	pause        time.Duration
 	pausedUntil  time.Duration
+	down         bool // the upstream could not be reached or broke its connection, and has not answered since
 	lastSweep    time.Duration
 }
 
@@ -207,6 +208,7 @@
 		mayDispatch = a.report(event)
 	case Tick:
 	}
+	a.passOn()
 	a.sweep()
 	a.cancel()
 	if mayDispatch {
@@ -435,6 +437,21 @@
 	}
 }
 
+// passOn refuses the queue of an upstream that is down, because other upstreams can run requests without keys at once. After
+// each pause one request is dispatched to find out whether the upstream is back.
+func (a *Admitter) passOn() {
+	if !a.down || (a.now >= a.pausedUntil && len(a.running) == 0) {
+		return
+	}
+	a.queue.filter(func(entry *entry) bool {
+		if entry.fence != (slicer.Fence{}) {
+			return true
+		}
+		a.drop(*entry, Unreachable)
+		return false
+	})
+}
+
 // sweep refuses queued requests whose deadline is over or that have waited too long for their slice or the lease.
 func (a *Admitter) sweep() {
 	if a.foreign > 0 && a.now >= a.foreignUntil {
--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -325,3 +325,19 @@
 		}
 	})
 }
+
+// Guards against requests without keys that wait at an upstream that is down until their deadline.
+func TestDownUpstreamWithoutKeys(t *testing.T) {
+	h := start(t, 1)
+	offer := func(id ID) string { return h.do(Offered{ID: id, Deadline: time.Hour, Signature: uint64(id)}) }
+	assert.Equal(t, offer(1), "Dispatch{1 {0 0 0} false}")
+	assert.Equal(t, offer(2), "")
+	assert.Equal(t, h.do(Ended{ID: 1, Outcome: NotSent}), "Suspected{1} Refuse{2 unreachable 0s}")
+	assert.Equal(t, offer(3), "Refuse{3 unreachable 0s}")
+	h.now = time.Second
+	assert.Equal(t, offer(4), "Dispatch{4 {0 0 0} false}")
+	assert.Equal(t, offer(5), "Refuse{5 unreachable 0s}")
+	assert.Equal(t, h.end(4, Succeeded), "")
+	assert.Equal(t, offer(6), "Dispatch{6 {0 0 0} false}")
+	assert.Equal(t, offer(7), "")
+}
--- a/core/admitter/message.go
+++ b/core/admitter/message.go
@@ -166,7 +166,7 @@
 // Reason says why a request was refused. In all cases it was not run.
 type Reason int
 
-// Reasons of a refusal. Reroutable reports which of them can be answered by a newer table.
+// Reasons of a refusal. Reroutable reports which of them a newer table or another upstream can answer.
 const (
 	NoLease        Reason = iota // the admission lease is not valid
 	Moved                        // the slice is not served here (any more)
@@ -176,15 +176,17 @@
 	Duplicate                    // a request with the same idempotency key was admitted before
 	DuplicatesFull               // the memory of idempotency keys has reached its bound
 	Condemned                    // requests with this signature crash upstreams
+	Unreachable                  // the upstream cannot be reached; of services without keys only
 )
 
-// Reroutable reports whether the request may be sent to the admission host that a newer table names.
+// Reroutable reports whether the request may be sent to the admission host that a newer table names, or to another
+// upstream of a service without keys.
 func (r Reason) Reroutable() bool {
-	return r == NoLease || r == Moved || r == StaleFence
+	return r == NoLease || r == Moved || r == StaleFence || r == Unreachable
 }
 
 // String returns the name in kebab case.
 func (r Reason) String() string {
 	return [...]string{"no-lease", "moved", "stale-fence", "queue-full", "too-late", "duplicate", "duplicates-full",
-		"condemned"}[r]
+		"condemned", "unreachable"}[r]
 }
--- a/core/admitter/outcome.go
+++ b/core/admitter/outcome.go
@@ -19,6 +19,7 @@
 	a.settleKey(request, ended.Outcome)
 	mayDispatch := true
 	if ended.Incarnation != "" {
+		a.down = false
 		mayDispatch = a.seeIncarnation(ended.Incarnation)
 		a.disprove(request, ended.Incarnation)
 	}
@@ -90,6 +91,7 @@
 
 // miss treats a refused connection like a restart, because the next process that listens is cold.
 func (a *Admitter) miss(request running) {
+	a.down = true
 	a.holdOff(0)
 	if request.generation == a.ramp.generation {
 		a.ramp.reset()
@@ -112,6 +114,7 @@
 	if request.reported {
 		return
 	}
+	a.down = true
 	a.holdOff(0)
 	a.reportCrash(append([]running{request}, a.running...))
 	a.ramp.reset()
@@ -160,6 +163,7 @@
 		a.oldIncarnations = slices.Delete(a.oldIncarnations, 0, 1)
 	}
 	a.incarnation = incarnation
+	a.down = false
 	a.pause, a.pausedUntil = 0, 0
 	a.foreign = 0
 	a.ramp.reset()
