granter: take the demand of services without keys from load reports

Cause: the controller knew the slots in use from the replies to its orders only, and upstreams of services without keys get no orders. Their demand was 0, so the capacity check never refused to take out a failure domain. TestReportWithoutKeys fails without the change.

--- a/core/framer/framer_test.go
+++ b/core/framer/framer_test.go
@@ -82,6 +82,7 @@
 		m.Load = &framer.LoadReport{
 			Upstream: rapid.String().Draw(t, "upstream"),
 			Limit:    count.Draw(t, "limit"),
+			InFlight: count.Draw(t, "in-flight"),
 			Cold:     rapid.Bool().Draw(t, "cold"),
 			Samples:  count.Draw(t, "samples"),
 			Mean:     time.Duration(count.Draw(t, "mean")),
--- a/core/framer/load.go
+++ b/core/framer/load.go
@@ -19,6 +19,7 @@
 type LoadReport struct {
 	Upstream string
 	Limit    int  // requests that the admitter lets run at once
+	InFlight int  // requests that run now
 	Cold     bool // Limit has not reached the slots of the upstream yet
 	Samples  int  // requests behind Mean and Median, 0 when there were none in the last seconds
 	Mean     time.Duration
@@ -60,6 +61,7 @@
 	Median   int64           `cbor:"6,keyasint,omitempty"`
 	Slices   []wireSliceRate `cbor:"7,keyasint,omitempty"`
 	Keys     []wireKeyRate   `cbor:"8,keyasint,omitempty"`
+	InFlight int             `cbor:"9,keyasint,omitempty"`
 }
 
 // toWireLoad leaves out what exceeds the bounds; the heaviest keys come first.
@@ -67,6 +69,7 @@
 	wire := &wireLoad{
 		Upstream: report.Upstream,
 		Limit:    report.Limit,
+		InFlight: report.InFlight,
 		Cold:     report.Cold,
 		Samples:  report.Samples,
 		Mean:     int64(report.Mean),
@@ -90,6 +93,7 @@
 	report := &LoadReport{
 		Upstream: w.Upstream,
 		Limit:    w.Limit,
+		InFlight: w.InFlight,
 		Cold:     w.Cold,
 		Samples:  w.Samples,
 		Mean:     time.Duration(w.Mean),
@@ -107,7 +111,7 @@
 		return nil, &Error{Op: "decode load report", Kind: Malformed, Err: errors.Newf("%d slices, %d keys, %d bytes of keys",
 			len(w.Slices), len(w.Keys), size)}
 	}
-	if w.Limit < 0 || w.Samples < 0 || w.Mean < 0 || w.Median < 0 {
+	if w.Limit < 0 || w.InFlight < 0 || w.Samples < 0 || w.Mean < 0 || w.Median < 0 {
 		return nil, &Error{Op: "decode load report", Kind: Malformed, Err: errors.New("negative number")}
 	}
 	return report, nil
--- a/rhubarbtrackd/internal/dispatcher/load.go
+++ b/rhubarbtrackd/internal/dispatcher/load.go
@@ -157,13 +157,17 @@
 		return
 	}
 	held := w.held.Load()
-	if held == nil || now >= held.until || !w.dispatcher.options.Keyed(w.key.service) {
+	if held == nil || now >= held.until {
 		return
 	}
 	w.reportAt = now + reportInterval
-	report := w.load.report(now)
+	var report framer.LoadReport
+	if w.dispatcher.options.Keyed(w.key.service) {
+		report = w.load.report(now)
+	}
 	report.Upstream = w.key.upstream
 	report.Limit = w.admitter.Limit()
+	report.InFlight = w.admitter.InFlight()
 	report.Cold = w.admitter.Cold()
 	w.dispatcher.options.Report(w.key.service, report)
 }
--- a/rhubarbtrackd/internal/dispatcher/load_test.go
+++ b/rhubarbtrackd/internal/dispatcher/load_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"rhubarbtrack.example/core/admitter"
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/slicer"
 )
 
@@ -55,3 +57,23 @@
 	samples, _, _ = l.latency(time.Minute)
 	assert.Equal(t, samples, 0)
 }
+
+// Guards against a capacity check that sees no demand for services without keys, because nobody reports it.
+func TestReportWithoutKeys(t *testing.T) {
+	var reports []framer.LoadReport
+	options := Options{
+		Clock:  func() time.Duration { return time.Second },
+		Keyed:  func(string) bool { return false },
+		Report: func(_ string, report framer.LoadReport) { reports = append(reports, report) },
+	}
+	w := &worker{
+		dispatcher: &Dispatcher{options: options},
+		key:        workerKey{service: "label-templates", upstream: "label-templates.u1"},
+		admitter:   admitter.New(admitter.Options{Slots: 6}),
+	}
+	w.held.Store(&heldLease{until: time.Hour})
+	w.admitter.Step(0, admitter.LeaseRenewed{Epoch: 1, SentAt: time.Second})
+	w.admitter.Step(0, admitter.Offered{ID: 1, Deadline: time.Hour})
+	w.reportLoad()
+	assert.DeepEqual(t, reports, []framer.LoadReport{{Upstream: "label-templates.u1", Limit: 1, Cold: true, InFlight: 1}})
+}
--- a/rhubarbtrackd/internal/granter/demand.go
+++ b/rhubarbtrackd/internal/granter/demand.go
@@ -9,8 +9,8 @@
 	// demandMemory is the time in which a past peak of the slots in use loses half of its weight. A capacity check made
 	// in a quiet second must still see the busy minutes before it.
 	demandMemory = 5 * time.Minute
-	// demandAge is how long the report of an upstream counts.
-	demandAge = 2 * time.Second
+	// demandAge is how long the report of an upstream counts. Admission hosts report every 2 s, and one report may be lost.
+	demandAge = 5 * time.Second
 )
 
 // demand follows the slots in use of all upstreams of a service.
--- a/rhubarbtrackd/internal/granter/worker.go
+++ b/rhubarbtrackd/internal/granter/worker.go
@@ -113,6 +113,8 @@
 				}
 				w.stepController(ctx, e)
 			case framer.LoadReport:
+				// Upstreams of services without keys get no orders, so that their demand is known from the reports only.
+				w.demand.note(w.granter.options.Clock(), e.Upstream, e.InFlight)
 				w.planner.loads.note(w.granter.options.Clock(), e)
 			}
 		}
