--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -96,6 +96,7 @@
 	takeover     bool // no load report was used and nothing was dispatched yet
 	pause        time.Duration
 	pausedUntil  time.Duration
+	down         bool // the upstream could not be reached or broke its connection, and has not answered since
 	lastSweep    time.Duration
 }
 
@@ -207,6 +208,7 @@
 		mayDispatch = a.report(event)
 	case Tick:
 	}
+	a.passOn()
 	a.sweep()
 	a.cancel()
 	if mayDispatch {
@@ -253,7 +255,7 @@
 		return
 	}
 	if !a.LeaseValid(a.now) || a.blocked(&entry) {
-		entry.waiting, entry.blockedSince = true, a.now
+		entry.waiting, entry.blockedSince = true, a.waitingSince()
 	}
 	if !a.queue.accepts(entry, a.options.QueueBound) {
 		a.emit(Refuse{ID: offered.ID, Reason: QueueFull, RetryAfter: a.drainTime()})
@@ -333,6 +335,15 @@
 	return len(a.running) + a.foreign
 }
 
+// waitingSince returns the time from which a wait that begins now counts. A wait for a lease counts from its end: a host that
+// was paused for longer has lost the lease to another host, and requests that arrived during the pause have little time left.
+func (a *Admitter) waitingSince() time.Duration {
+	if a.leaseUntil > 0 && a.leaseUntil < a.now {
+		return a.leaseUntil
+	}
+	return a.now
+}
+
 // blocked reports whether the slice of the entry is not served. Waiting requests keep their place in the queue.
 func (a *Admitter) blocked(entry *entry) bool {
 	if entry.fence == (slicer.Fence{}) {
@@ -426,6 +437,21 @@
 	}
 }
 
+// passOn refuses the queue of an upstream that is down, because other upstreams can run requests without keys at once. After
+// each pause one request is dispatched to find out whether the upstream is back.
+func (a *Admitter) passOn() {
+	if !a.down || (a.now >= a.pausedUntil && len(a.running) == 0) {
+		return
+	}
+	a.queue.filter(func(entry *entry) bool {
+		if entry.fence != (slicer.Fence{}) {
+			return true
+		}
+		a.drop(*entry, Unreachable)
+		return false
+	})
+}
+
 // sweep refuses queued requests whose deadline is over or that have waited too long for their slice or the lease.
 func (a *Admitter) sweep() {
 	if a.foreign > 0 && a.now >= a.foreignUntil {
@@ -446,7 +472,7 @@
 			entry.blockedSince, entry.waiting = 0, false
 			return true
 		case !entry.waiting:
-			entry.blockedSince, entry.waiting = a.now, true
+			entry.blockedSince, entry.waiting = a.waitingSince(), true
 			return true
 		case a.now < entry.blockedSince+a.options.StopWait:
 			return true
--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -173,6 +173,13 @@
 			{DefaultLease, offer(2, time.Hour), ""},
 			{DefaultLease, LeaseEnded{Epoch: 2}, "Refuse{2 no-lease 0s}"},
 		}},
+		// Guards against requests that wait for their deadline at a host that was paused for longer than its lease.
+		{"a lease that ended long ago is not waited for", []step{
+			{0, LeaseEnded{Epoch: 1}, ""},
+			{0, LeaseRenewed{Epoch: 2, SentAt: 0}, ""},
+			{0, SlicesServed{fences}, ""},
+			{DefaultLease + DefaultStopWait, offer(1, time.Hour), "Refuse{1 no-lease 0s}"},
+		}},
 		{"a request that cannot end in time is refused early", []step{
 			{0, offer(1, time.Second), "Dispatch{1 {1 1 1} false}"},
 			{0, Ended{ID: 1, Latency: 100 * ms}, ""},
@@ -318,3 +325,19 @@
 		}
 	})
 }
+
+// Guards against requests without keys that wait at an upstream that is down until their deadline.
+func TestDownUpstreamWithoutKeys(t *testing.T) {
+	h := start(t, 1)
+	offer := func(id ID) string { return h.do(Offered{ID: id, Deadline: time.Hour, Signature: uint64(id)}) }
+	assert.Equal(t, offer(1), "Dispatch{1 {0 0 0} false}")
+	assert.Equal(t, offer(2), "")
+	assert.Equal(t, h.do(Ended{ID: 1, Outcome: NotSent}), "Suspected{1} Refuse{2 unreachable 0s}")
+	assert.Equal(t, offer(3), "Refuse{3 unreachable 0s}")
+	h.now = time.Second
+	assert.Equal(t, offer(4), "Dispatch{4 {0 0 0} false}")
+	assert.Equal(t, offer(5), "Refuse{5 unreachable 0s}")
+	assert.Equal(t, h.end(4, Succeeded), "")
+	assert.Equal(t, offer(6), "Dispatch{6 {0 0 0} false}")
+	assert.Equal(t, offer(7), "")
+}
