--- a/rhubarbtrackd/internal/granter/planner.go
+++ b/rhubarbtrackd/internal/granter/planner.go
@@ -18,25 +18,36 @@
 	// minHotLoad is the load, in slots in use, from which a key may get a slice of its own. Below it the assigner would
 	// isolate keys of a service that is almost idle, each of which stops a range for a moment.
 	minHotLoad = 0.05
+	// loadWarmUp is the time after a takeover in which loads cause no moves. Callers that return at once after a restart
+	// and upstreams whose admission is cold make loads that do not last; demo --scenario restart-all saw 7 moves.
+	loadWarmUp = 30 * time.Second
+	// planGap is the time without a plan after which the next one is that of a takeover. Plans are at most 0.5 s apart.
+	planGap = 5 * time.Second
 )
 
 // planner is the Plan of a controller that places slices by load. It belongs to the goroutine of the controller.
 type planner struct {
 	loads     *loads
 	churn     *assigner.Churn
-	upstreams int // for which the churn budget was made
+	upstreams int           // for which the churn budget was made
+	started   time.Duration // first plan since the takeover
+	planned   time.Duration // latest plan
 }
 
 func newPlanner() *planner {
-	return &planner{loads: newLoads()}
+	return &planner{loads: newLoads(), planned: -planGap}
 }
 
 // plan returns the moves that the controller may begin now. Without complete loads it makes no move by choice, since
 // slices that have not been measured would count as idle.
 func (p *planner) plan(now time.Duration, input controller.Input) []controller.Move {
 	p.loads.expire(now)
+	if now-p.planned >= planGap {
+		p.started = now
+	}
+	p.planned = now
 	p.renewChurn(now, len(input.Upstreams))
-	measured := input.Voluntary && p.measured(input)
+	measured := input.Voluntary && now-p.started >= loadWarmUp && p.measured(input)
 	wanted := assigner.Plan(now, p.input(now, input, measured))
 	slices.SortStableFunc(wanted, func(a, b assigner.Move) int { return cmp.Compare(urgency(a), urgency(b)) })
 	busy := map[uint32]bool{}
--- a/rhubarbtrackd/internal/granter/planner_test.go
+++ b/rhubarbtrackd/internal/granter/planner_test.go
@@ -28,6 +28,7 @@
 		planner: newPlanner(), rates: map[uint32]uint64{}, medians: map[string]time.Duration{}, limits: map[string]int{},
 		input: controller.Input{Budget: controller.MaxMoves, Voluntary: true},
 	}
+	s.planner.started, s.planner.planned = -loadWarmUp, 0
 	for i := range 4 {
 		name := fmt.Sprint("u", i)
 		s.input.Upstreams = append(s.input.Upstreams, controller.UpstreamState{Name: name, Slots: 6, Eligible: true})
@@ -185,8 +186,8 @@
 	s.input.Slices = append(s.input.Slices, controller.SliceState{
 		ID: 33, Low: hasher.Sum("hot"), HotKey: "hot", Owner: home.Owner,
 	})
-	s.report(time.Minute)
-	moves = s.planner.plan(time.Minute, s.input)
+	s.report(4 * time.Second)
+	moves = s.planner.plan(4*time.Second, s.input)
 	assert.DeepEqual(t, moves, []controller.Move{{Slice: 33, Fold: "hot"}})
 
 	idle := newService()
@@ -200,3 +201,17 @@
 		assert.Equal(t, move.Isolate, "")
 	}
 }
+
+// Guards against moves by the loads right after a takeover, those of a takeover after this host controlled before included.
+func TestNoMoveByLoadAfterTakeover(t *testing.T) {
+	s := newService()
+	for id := uint32(1); id <= 8; id++ {
+		s.rates[id] = 150
+	}
+	for _, start := range []time.Duration{time.Minute, 10 * time.Minute} {
+		owners := append([]controller.SliceState(nil), s.input.Slices...)
+		assert.Equal(t, len(s.run(start, start+loadWarmUp)), 0)
+		assert.Assert(t, len(s.run(start+loadWarmUp, start+2*time.Minute)) > 0)
+		s.input.Slices = owners
+	}
+}
