--- a/core/framer/framer_test.go
+++ b/core/framer/framer_test.go
@@ -135,6 +135,13 @@
 		equal(t, readStamp, stamp)
 		equal(t, readTable, table)
 
+		delta := rapid.Make[slicer.Delta]().Draw(t, "delta")
+		data, err = framer.EncodeTableDelta(delta)
+		assert.NilError(t, err)
+		readDelta, err := framer.DecodeTableDelta(data)
+		assert.NilError(t, err)
+		equal(t, readDelta, delta)
+
 		record := rapid.Make[witness.Record]().Draw(t, "record")
 		data, err = framer.EncodeRecord(record)
 		assert.NilError(t, err)
@@ -194,12 +201,18 @@
 	stored, err := framer.EncodeStored(controller.Stamp{Host: "host-1"}, table)
 	assert.NilError(f, err)
 	f.Add(stored)
+	report, err := framer.EncodeMessage(framer.Message{Service: "marks", Load: &framer.LoadReport{
+		Upstream: "marks.u1", Slices: []framer.SliceRate{{Slice: 1, MilliRPS: 5}}, Keys: []framer.KeyRate{{Key: "k", MilliRPS: 5}},
+	}})
+	assert.NilError(f, err)
+	f.Add(report)
 	message, err := framer.EncodeMessage(framer.Message{Service: "marks", Heartbeat: &controller.Heartbeat{Host: "host-1"}})
 	assert.NilError(f, err)
 	f.Add(message)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		_, _ = framer.DecodeFrame(data)
 		_, _ = framer.DecodeTable(data)
+		_, _ = framer.DecodeTableDelta(data)
 		_, _, _ = framer.DecodeStored(data)
 		_, _ = framer.DecodeRecord(data)
 		_, _ = framer.DecodeMember(data)
