relayer: count every host once in the progress of a change; keep a returned host alive

Causes: a host that had been a root did not report to its parent when its figures were the same, and a former parent that stayed connected went on counting the hosts below; with direction taken from who dialled, some hosts were not counted at all. A declaration of loss and an announcement could get the same number, so neither replaced the other and the host stayed lost for the others.

--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -75,6 +75,7 @@
 	dialling   map[string]bool
 	inForce    uint64
 	sentUp     []RevisionCount
+	reportedTo string    // parent that counts the hosts below this one
 	suspects   []suspect // in the order of their arrival
 	beacons    map[uint32]Key
 	pulses     map[uint32]pendingPulse
@@ -383,29 +384,50 @@
 // reportProgress sends the histogram of configuration revisions to the parent when it changed. Roots publish the
 // histogram of their own subtree as an item instead.
 func (r *Relayer) reportProgress(now time.Duration) []Action {
+	target := r.parent
+	if r.IsRoot() {
+		target = r.options.Self
+	}
+	actions := r.withdrawProgress(now, target)
 	subtree := r.subtree()
 	if slices.Equal(subtree, r.sentUp) {
-		return nil
+		return actions
 	}
 	if r.IsRoot() {
 		r.sentUp = subtree
-		return r.accept(now, "", r.progressItem(subtree))
+		r.reportedTo = target
+		return append(actions, r.accept(now, "", r.progressItem(subtree))...)
 	}
-	if r.parent == "" || r.neighbours[r.parent] == nil {
-		return nil
+	if target == "" || r.neighbours[target] == nil {
+		return actions
 	}
 	r.sentUp = subtree
-	return []Action{r.send(now, r.parent, Frame{Subtree: subtree})}
+	r.reportedTo = target
+	return append(actions, r.send(now, target, Frame{Subtree: subtree}))
+}
+
+// withdrawProgress tells a former parent that is still connected to count nothing below this host any more.
+func (r *Relayer) withdrawProgress(now time.Duration, target string) []Action {
+	former := r.reportedTo
+	if former == "" || former == target {
+		return nil
+	}
+	r.reportedTo = ""
+	r.sentUp = nil
+	if r.neighbours[former] == nil {
+		return nil
+	}
+	return []Action{r.send(now, former, Frame{Subtree: []RevisionCount{{}}})}
 }
 
 func (r *Relayer) subtree() []RevisionCount {
 	hosts := map[uint64]uint32{r.inForce: 1}
-	for peer, n := range r.neighbours {
-		if n.outbound || (r.IsRoot() && r.tree.IsRoot(peer)) {
-			continue
-		}
+	for _, n := range r.neighbours {
+		// Only a neighbour that has chosen this host as its parent reports, and it withdraws the report when it changes.
 		for _, count := range n.subtree {
-			hosts[count.Revision] += count.Hosts
+			if count.Hosts > 0 {
+				hosts[count.Revision] += count.Hosts
+			}
 		}
 	}
 	counts := make([]RevisionCount, 0, len(hosts))
--- a/core/relayer/relayer_test.go
+++ b/core/relayer/relayer_test.go
@@ -228,6 +228,28 @@
 	}
 }
 
+// Guards against a host that is counted twice after the roots have changed: a former root keeps connections to new roots.
+func TestProgressAfterTheRootsChanged(t *testing.T) {
+	for count := 4; count <= 24; count++ {
+		f := newFleet(t, count)
+		all := names(count)
+		for name := range f.hosts {
+			f.step(name, relayer.InForce{Revision: 7})
+		}
+		for _, listed := range [][]string{all[:count/2], all, all[count/3:], all} {
+			for _, name := range all {
+				f.step(name, relayer.Hosts{Names: listed})
+			}
+			f.drain()
+			f.run(3 * time.Second)
+		}
+		for name, host := range f.hosts {
+			assert.DeepEqual(t, host.Progress(), []relayer.RevisionCount{{Revision: 7, Hosts: uint32(count)}})
+			assert.Assert(t, host.Connected(), name)
+		}
+	}
+}
+
 // Guards against unbounded memory by reports about suspects.
 func TestSuspectsAreBoundedAndExpire(t *testing.T) {
 	r := relayer.New(relayer.Options{Self: "host-0"})
--- a/rhubarbtrackd/internal/distributor/distributor.go
+++ b/rhubarbtrackd/internal/distributor/distributor.go
@@ -262,14 +262,15 @@
 	d.hostsChanged(now)
 }
 
-// announce publishes the state of this host above every version seen.
+// announce publishes the state of this host above every version seen. Announcements have even numbers and declarations of
+// a loss odd ones: with equal numbers, neither would replace the other where both were published at the same time.
 func (d *Distributor) announce(now time.Duration) {
 	body, err := framer.EncodeMember(d.options.Self)
 	if err != nil {
 		d.options.Log.Log(eventlog.FrameRefused, zap.Error(err))
 		return
 	}
-	d.selfSeq++
+	d.selfSeq = (d.selfSeq + 2) &^ 1
 	version := relayer.Version{Term: max(d.options.Started, d.versions[d.options.Self.Name].Term), Seq: d.selfSeq}
 	d.announced = version
 	key := relayer.Key{Kind: relayer.Member, Name: d.options.Self.Name}
@@ -293,7 +294,7 @@
 			continue
 		}
 		version := d.versions[name]
-		version.Seq++
+		version.Seq |= 1
 		key := relayer.Key{Kind: relayer.Member, Name: name}
 		d.step(now, relayer.Published{Item: relayer.Item{Key: key, Version: version, Body: body}})
 	}
