operator: list the slices that have to leave their owners

Cause: status always said that nothing was moving, because no part of the daemon filled the list. It now follows from the configuration and the tables.

--- a/rhubarbtrackd/internal/runner/operators.go
+++ b/rhubarbtrackd/internal/runner/operators.go
@@ -64,6 +64,7 @@
 		Hosts:      o.hosts,
 		Rollout:    o.rollout,
 		Problems:   o.problems,
+		Moves:      o.moves,
 		Shortfalls: o.shortfalls,
 		Accepted:   o.accepted,
 	}
@@ -266,6 +267,48 @@
 	return progress
 }
 
+// moves lists the slices that have to leave their owners, from the configuration and the tables. Moves that only balance
+// the load are known to the controller alone.
+func (o *operators) moves() []operator.Move {
+	config := o.daemon.locator.Config()
+	var moves []operator.Move
+	for service := range config.Services {
+		table := o.daemon.locator.Table(service)
+		if table == nil {
+			continue
+		}
+		for _, slice := range table.Ranges {
+			moves = appendMove(moves, config, service, slice)
+		}
+		for _, slice := range table.Hot {
+			moves = appendMove(moves, config, service, slice)
+		}
+	}
+	sort.Slice(moves, func(i, j int) bool {
+		if moves[i].Service != moves[j].Service {
+			return moves[i].Service < moves[j].Service
+		}
+		return moves[i].Slice < moves[j].Slice
+	})
+	return moves
+}
+
+func appendMove(moves []operator.Move, config *configurator.Snapshot, service string, slice slicer.Slice) []operator.Move {
+	owner, configured := config.Upstreams[slice.Owner]
+	reason := ""
+	switch {
+	case slice.Owner == "":
+		reason = "loss"
+	case !configured || owner.Drained:
+		reason = "drain"
+	case config.FailureDomains[owner.FailureDomain].TakenOut:
+		reason = "failure-domain"
+	default:
+		return moves
+	}
+	return append(moves, operator.Move{Service: service, Slice: slice.ID, From: slice.Owner, Reason: reason})
+}
+
 func (o *operators) problems() []operator.Problem {
 	now := o.daemon.clock()
 	var problems []operator.Problem
