--- a/bench/internal/relay/relay.go
+++ b/bench/internal/relay/relay.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	tick = 100 * time.Millisecond
+	tick = 200 * time.Millisecond
 	// latency is the one-way delay between two hosts; regions that are far apart have about this one.
 	latency = 10 * time.Millisecond
 	// settle is the time in which the tree forms before anything is measured.
@@ -33,7 +33,7 @@
 	// hosts.
 	upstreamsPerGroup = 32
 	// beaconInterval is that of the controllers.
-	beaconInterval = time.Second
+	beaconInterval = 500 * time.Millisecond
 	// frameOverhead is the size of WebSocket, TCP and IP headers of one frame in bytes.
 	frameOverhead = 60
 	// heartbeatBytes is the size of a heartbeat of the naive baseline with its headers.
