--- a/rhubarbtrackd/internal/runner/hostile_test.go
+++ b/rhubarbtrackd/internal/runner/hostile_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
@@ -42,7 +43,16 @@
 // startDaemon runs a whole daemon on loopback and returns its addresses for callers and peers.
 func startDaemon(t *testing.T) (callers, peers string) {
 	t.Helper()
-	platform := httptest.NewServer(http.HandlerFunc(emptyPlatform))
+	callers, peers, _ = startDaemonOn(t, emptyPlatform, time.Second)
+	return callers, peers
+}
+
+// startDaemonOn also returns the function that begins the shutdown.
+func startDaemonOn(t *testing.T, serve http.HandlerFunc, timeout time.Duration) (callers, peers string, stop func()) {
+	t.Helper()
+	// The metrics of a daemon are registered once per process; each daemon of the tests gets a registry of its own.
+	prometheus.DefaultRegisterer = prometheus.NewRegistry()
+	platform := httptest.NewServer(serve)
 	core, logs := observer.New(zapcore.InfoLevel)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -50,7 +60,7 @@
 		ended <- Run(ctx, settings.Settings{
 			Name: "host-1", FailureDomain: "a", CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 			PeerAdvertise: "127.0.0.1:1", OperatorListen: "127.0.0.1:0", Platform: platform.URL, PeerSecret: "secret",
-			ShutdownGrace: time.Minute, RequestTimeout: time.Second, MaxBody: 1 << 20,
+			ShutdownGrace: time.Minute, RequestTimeout: timeout, MaxBody: 1 << 20,
 		}, zap.New(core))
 	}()
 	t.Cleanup(func() {
@@ -68,7 +78,7 @@
 		}
 		return poll.Continue("the daemon starts")
 	}, poll.WithTimeout(time.Minute))
-	return callers, peers
+	return callers, peers, cancel
 }
 
 func dial(t *testing.T, address string) net.Conn {
