Hold back moves by load for 10 s after a failure of the store

Cause: a store that loses answers seems to be back after every read, so moves by load began and their slices waited without an owner for a write that was not confirmed (the hottest key for 7 s).

--- a/core/controller/commits.go
+++ b/core/controller/commits.go
@@ -20,6 +20,7 @@
 	down       bool
 	probe      bool // read to learn whether the store answers
 	answeredAt time.Duration
+	failedAt   time.Duration // latest call without effect or with an unknown one, 0 when none
 }
 
 // sendStore reads the table after a takeover and in doubt, else writes it when it differs. One call is under way at a
@@ -60,6 +61,7 @@
 
 func (c *Controller) storeFailed(now time.Duration) {
 	c.store.retryAt = now + storeRetry
+	c.store.failedAt = max(now, 1)
 	if c.store.down {
 		return
 	}
--- a/core/controller/plan.go
+++ b/core/controller/plan.go
@@ -14,8 +14,13 @@
 	Upstreams []UpstreamState // ascending by name
 	Budget    int             // moves that may begin now
 	Voluntary bool            // false: only slices without an owner may move
+	Unsteady  bool            // the store has failed within unsteadyTime: moves that can wait should
 }
 
+// unsteadyTime is the time without a failure of the store after which moves that can wait begin again. A store that loses
+// answers seems to be back after every read, and a move that waits for its write then leaves keys without an owner.
+const unsteadyTime = 10 * time.Second
+
 // SliceState describes a slice to Plan.
 type SliceState struct {
 	ID     uint32
@@ -177,6 +182,7 @@
 	input := Input{
 		Budget:    c.options.MaxMoves,
 		Voluntary: now >= c.settled && c.finished && !c.store.down,
+		Unsteady:  c.store.failedAt > 0 && now-c.store.failedAt < unsteadyTime,
 	}
 	for _, id := range c.order {
 		s := c.slices[id]
--- a/rhubarbtrackd/internal/granter/planner.go
+++ b/rhubarbtrackd/internal/granter/planner.go
@@ -47,7 +47,7 @@
 	}
 	p.planned = now
 	p.renewChurn(now, len(input.Upstreams))
-	measured := input.Voluntary && now-p.started >= loadWarmUp && p.measured(input)
+	measured := input.Voluntary && !input.Unsteady && now-p.started >= loadWarmUp && p.measured(input)
 	wanted := assigner.Plan(now, p.input(now, input, measured))
 	slices.SortStableFunc(wanted, func(a, b assigner.Move) int { return cmp.Compare(urgency(a), urgency(b)) })
 	busy := map[uint32]bool{}
--- a/rhubarbtrackd/internal/granter/planner_test.go
+++ b/rhubarbtrackd/internal/granter/planner_test.go
@@ -166,6 +166,22 @@
 	assert.Assert(t, s.rateOf("u0") <= 300, "%d requests/s", s.rateOf("u0"))
 }
 
+// Guards against moves that could wait while the store loses answers: they would leave keys without an owner until a write
+// is confirmed.
+func TestUnsteadyStoreHoldsBackMovesByLoad(t *testing.T) {
+	s := newService()
+	table := tableOf(s.input)
+	home, ok := table.Lookup("hot")
+	assert.Assert(t, ok)
+	s.rates[home.ID] = 250
+	s.keys = []framer.KeyRate{{Key: "hot", MilliRPS: 200_000}}
+	s.report(0)
+	s.input.Unsteady = true
+	assert.Equal(t, len(s.planner.plan(time.Second, s.input)), 0)
+	s.input.Unsteady = false
+	assert.Assert(t, len(s.planner.plan(2*time.Second, s.input)) > 0)
+}
+
 // Guards against hot keys that stay in their range, keys of an almost idle service that are isolated, and hot keys that
 // keep their slice after they have cooled down.
 func TestHotKey(t *testing.T) {
