Hand controller roles on before a host leaves; finish requests of handed-on admissions

Causes: a leaving controller ended without a successor, so leases came close to their end; a request that may be repeated was given up when its admission host only handed its role on, and the retry budget of a new host is empty. The new test fails without the change. Also: a request whose caller left before it was sent no longer counts against the upstream.

--- a/rhubarbtrackd/internal/dispatcher/run.go
+++ b/rhubarbtrackd/internal/dispatcher/run.go
@@ -75,7 +75,8 @@
 	start := w.dispatcher.options.Clock()
 	end := &ending{worker: w, id: id, ctx: ctx, start: start, cancel: cancel}
 	if ctx.Err() != nil {
-		end.report(admitter.NotSent, "", 0)
+		// Not NotSent, which would be evidence against the upstream.
+		end.report(admitter.Cancelled, "", 0)
 		return nil, &Error{Op: "dispatch", Kind: NotRun, Reason: ReasonCallerLeft, Err: ctx.Err()}
 	}
 	outgoing, err := w.encode(ctx, fence, request)
@@ -96,6 +97,8 @@
 
 func outcomeOf(ctx context.Context, failure *Error) admitter.Outcome {
 	switch {
+	case failure.Kind == NotRun && ctx.Err() != nil:
+		return admitter.Cancelled
 	case failure.Kind == NotRun:
 		return admitter.NotSent
 	case failure.Reason == ReasonDeadline:
--- a/rhubarbtrackd/internal/granter/granter.go
+++ b/rhubarbtrackd/internal/granter/granter.go
@@ -177,6 +177,17 @@
 	g.witness.Learn(record)
 }
 
+// Resign gives up every right to act of this host, so that another host takes over while this one still runs.
+func (g *Granter) Resign() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range g.services {
+		if right := w.right.Load(); right != nil && right.Term > 0 {
+			w.put(elector.Resigned{})
+		}
+	}
+}
+
 // Holding returns the services of which this host is the controller, with their terms.
 func (g *Granter) Holding() map[string]uint64 {
 	g.mu.Lock()
--- a/rhubarbtrackd/internal/receiver/receiver_test.go
+++ b/rhubarbtrackd/internal/receiver/receiver_test.go
@@ -31,6 +31,9 @@
 
 type truncated string
 
+// slow is an admission host that answers after several looks at the table.
+type slow struct{}
+
 // hang is an admission host that never answers.
 type hang struct{}
 
@@ -115,6 +118,13 @@
 	case *dispatcher.Error:
 		failure := *a
 		return nil, &failure
+	case slow:
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(500 * time.Millisecond):
+		}
+		return &dispatcher.Response{Status: 200, Header: http.Header{}, Length: 4, Body: io.NopCloser(strings.NewReader("late"))}, nil
 	case hang:
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -214,6 +224,24 @@
 	assert.Equal(t, len(e.attempts), 2)
 }
 
+// Guards against a request that is given up although its admission host only hands its role on and still answers it.
+func TestRequestStaysWithAHostThatHandsItsRoleOn(t *testing.T) {
+	e := newEntry(t, answers{slow{}})
+	go func() {
+		<-e.started
+		table := e.locator.Table("marks").Clone()
+		table.Version.Seq = 2
+		table.Admission["marks.u1"] = slicer.Admission{Host: "host-2", Epoch: 2}
+		e.locator.SetMembers([]framer.Member{{Name: "host-1", State: framer.Leaving}, {Name: "host-2", State: framer.Live}})
+		e.locator.SetTable(&table)
+	}()
+	response, body, err := e.call(t, "GET", "/marks/x", "", map[string]string{"Rhubarbtrack-Deadline-Ms": "60000"})
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	assert.Equal(t, body, "late")
+	assert.Equal(t, len(e.attempts), 1)
+}
+
 // Guards against a request that waits for ever, or is called unknown, when no admission host takes it in time.
 func TestUnroutableEndsAsNotRun(t *testing.T) {
 	e := newEntry(t, answers{notRun("no-lease", true)})
--- a/rhubarbtrackd/internal/receiver/run.go
+++ b/rhubarbtrackd/internal/receiver/run.go
@@ -7,6 +7,7 @@
 
 	"rhubarbtrack.example/core/balancer"
 	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/framer"
 	"rhubarbtrack.example/core/retrier"
 	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/locator"
@@ -178,8 +179,9 @@
 	return r.options.End(r.options.Clock(), j.service.Name, end.attempt, outcome)
 }
 
-// forward sends the request along a route. A request that may be repeated is given up when the admission has moved to
-// another host: the former one is paused or lost and may not answer before the deadline.
+// forward sends the request along a route. A request that may be repeated is given up when the admission host is lost and
+// another one has taken over: a paused host may not answer before the deadline. A host that hands its role on in order
+// still finishes its requests.
 func (r *Receiver) forward(ctx context.Context, j *job, route locator.Route) result {
 	if j.class != configurator.NeverRepeat {
 		attemptCtx, cancel := context.WithCancel(ctx)
@@ -196,7 +198,8 @@
 	return r.forwardOnce(ctx, j, route)
 }
 
-// whenMoved calls cancel once another host admits to the upstream of the route. The returned function ends the watch.
+// whenMoved calls cancel once the host of the route is lost and another one admits to the upstream. The returned function
+// ends the watch.
 func (r *Receiver) whenMoved(service string, route locator.Route, cancel context.CancelFunc) (stop func()) {
 	var mu sync.Mutex
 	stopped := false
@@ -208,7 +211,8 @@
 			return
 		}
 		table := r.options.Locator.Table(service)
-		if table != nil && table.Admission[route.Upstream.ID()].Host != route.Host.Name {
+		lost := r.options.Locator.Members()[route.Host.Name].State == framer.Lost
+		if lost && table != nil && table.Admission[route.Upstream.ID()].Host != route.Host.Name {
 			cancel()
 			return
 		}
--- a/rhubarbtrackd/internal/runner/runner.go
+++ b/rhubarbtrackd/internal/runner/runner.go
@@ -277,6 +277,19 @@
 	if framer.MemberState(d.announced.Swap(uint32(state))) != state {
 		d.distributor.SetState(state)
 	}
+	if state == framer.Leaving && d.replaceable() {
+		d.granter.Resign()
+	}
+}
+
+// replaceable reports whether another host may take the roles of this one.
+func (d *daemon) replaceable() bool {
+	for name, member := range d.locator.Members() {
+		if name != d.settings.Name && member.State == framer.Live {
+			return true
+		}
+	}
+	return false
 }
 
 func (d *daemon) reloadTLS(time.Duration) {
