--- a/core/elector/elector_test.go
+++ b/core/elector/elector_test.go
@@ -64,8 +64,8 @@
 			f.write(action)
 		case elector.SendConfirm:
 			f.asked = f.now
-			if keeper := f.witnesses[action.Witness]; keeper != nil {
-				f.step(elector.Answered{Reply: keeper.Confirm(f.now, action.Request)})
+			if machine := f.witnesses[action.Witness]; machine != nil {
+				f.step(elector.Answered{Reply: machine.Confirm(f.now, action.Request)})
 			}
 		case elector.Right:
 			f.right = action
--- a/core/witness/witness.go
+++ b/core/witness/witness.go
@@ -6,9 +6,9 @@
 //
 // # Usage
 //
-//	keeper := witness.New(witness.Options{Host: "host-1", Started: now, Lifetime: witness.Lifetime})
-//	keeper.Learn(record)
-//	reply := keeper.Confirm(now, request)
+//	machine := witness.New(witness.Options{Host: "host-1", Started: now, Lifetime: witness.Lifetime})
+//	machine.Learn(record)
+//	reply := machine.Confirm(now, request)
 //	if reply.Granted {
 //		// tell the local elector that a controller is alive
 //	}
--- a/core/witness/witness_test.go
+++ b/core/witness/witness_test.go
@@ -40,12 +40,12 @@
 		{"higher term after the promise", 2320 * ms, 0, 8, b, false, true},
 		{"term below the stored record", 3000 * ms, 9, 8, b, false, false},
 	}
-	keeper := witness.New(witness.Options{Host: "w"})
+	machine := witness.New(witness.Options{Host: "w"})
 	for _, step := range steps {
 		if step.learn > 0 {
-			keeper.Learn(witness.Record{Service: "s", Term: step.learn})
+			machine.Learn(witness.Record{Service: "s", Term: step.learn})
 		}
-		reply := keeper.Confirm(step.at, witness.Request{Service: "s", Term: step.term, Holder: step.holder, Probe: step.probe})
+		reply := machine.Confirm(step.at, witness.Request{Service: "s", Term: step.term, Holder: step.holder, Probe: step.probe})
 		assert.Equal(t, reply.Granted, step.granted, step.name)
 	}
 }
--- a/rhubarbctl/internal/command/failuredomain/list/list.go
+++ b/rhubarbctl/internal/command/failuredomain/list/list.go
@@ -6,52 +6,16 @@
 package list
 
 import (
-	"context"
-
 	"rhubarbtrack.example/rhubarbctl/internal/converter"
-	"rhubarbtrack.example/rhubarbctl/internal/dialer"
-	"rhubarbtrack.example/rhubarbctl/internal/printer"
+	"rhubarbtrack.example/rhubarbctl/internal/lister"
 	"rhubarbtrack.example/rhubarbctl/internal/provider"
 	"rhubarbtrack.example/rhubarbctl/internal/registrar"
-	"rhubarbtrack.example/rhubarbctl/internal/reporter"
-	rhubarbtrackv1 "rhubarbtrack.example/schema/gen/rhubarbtrack/v1"
 )
 
 // Options are the options and dependencies of "failure-domain list".
-type Options struct {
-	Format printer.Format
-
-	Context context.Context                                                                        `no-flag:"yes"`
-	Streams *printer.Streams                                                                       `no-flag:"yes"`
-	List    dialer.Call[rhubarbtrackv1.ListResourcesRequest, rhubarbtrackv1.ListResourcesResponse] `no-flag:"yes"`
-	run     func(*Options) error
-}
+type Options = lister.Options
 
 // New returns the command. A nil run executes it.
 func New(p *provider.Provider, run func(*Options) error) registrar.Verb {
-	if run == nil {
-		run = execute
-	}
-	return registrar.Verb{
-		Name:  "list",
-		Short: "List failure domains",
-		Long:  "Lists the failure domains that the daemon has in force.",
-		Examples: []string{
-			"$ rhubarbctl failure-domain list",
-			"$ rhubarbctl failure-domain list --json name,version",
-		},
-		Options: &Options{Context: p.Context, Streams: p.Streams, List: p.Calls.ListResources, run: run},
-	}
-}
-
-// Execute implements flags.Commander.
-func (o *Options) Execute([]string) error { return o.run(o) }
-
-func execute(o *Options) error {
-	response, err := o.List(o.Context, &rhubarbtrackv1.ListResourcesRequest{Kind: converter.FailureDomain})
-	if err != nil {
-		return err
-	}
-	reporter.Freshness(o.Streams.Err, response.GetFreshness())
-	return o.Format.Print(o.Streams, converter.Table(converter.FailureDomain, response.GetResources()))
+	return lister.New(p, lister.Noun{Command: "failure-domain", Plural: "failure domains", Kind: converter.FailureDomain}, run)
 }
