configurator: hold the calendar of windows in one place

Cause: acceptance and planner computed the runs of a window separately, and only the planner handled hours that clock changes skip or repeat. Both now use the planner's computation.

--- a/core/configurator/check.go
+++ b/core/configurator/check.go
@@ -96,11 +96,11 @@
 // Overlap reports whether two valid windows overlap in the year after now. Windows of any two failure domains are
 // compared, because two domains cleaned at once would both be missing.
 func Overlap(a, b Window, now time.Time) bool {
-	for week := range overlapWeeks {
-		start, end := a.occurrence(now, week)
-		for shift := -1; shift <= 1; shift++ {
-			otherStart, otherEnd := b.occurrence(now, week+shift)
-			if start.Before(otherEnd) && otherStart.Before(end) {
+	end := now.Add(overlapWeeks * 7 * day)
+	others := b.Occurrences(b.zone(), now, end)
+	for _, run := range a.Occurrences(a.zone(), now, end) {
+		for _, other := range others {
+			if run.Start.Before(other.End) && other.Start.Before(run.End) {
 				return true
 			}
 		}
@@ -108,17 +108,13 @@
 	return false
 }
 
-// occurrence returns begin and end of the window in the week that is weeks after the one of now.
-func (w Window) occurrence(now time.Time, weeks int) (start, end time.Time) {
+// zone returns the time zone of a window, UTC for an unknown one, which validation refuses.
+func (w Window) zone() *time.Location {
 	zone, err := w.location()
 	if err != nil {
-		zone = time.UTC
+		return time.UTC
 	}
-	local := now.In(zone)
-	day := local.Day() + int(w.Weekday) - int(local.Weekday()) + 7*weeks
-	minutes := int(w.Start / time.Minute)
-	start = time.Date(local.Year(), local.Month(), day, 0, minutes, 0, 0, zone)
-	return start, start.Add(w.Length)
+	return zone
 }
 
 // KindOf returns the kind part of an object's name, for example "service", and the rest.
--- a/core/planner/window.go
+++ b/core/planner/window.go
@@ -38,10 +38,7 @@
 )
 
 // Occurrence is one run of a window.
-type Occurrence struct {
-	Start time.Time
-	End   time.Time
-}
+type Occurrence = configurator.Occurrence
 
 // CheckWindow reports whether a window may be accepted beside the existing ones, of which one with the same name is
 // replaced. Lead is the time that emptying a domain takes at present; it belongs to the window. Errors are of kind
@@ -52,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	mine := occurrences(added, zone, now, now.Add(checkedAhead))
+	mine := added.Occurrences(zone, now, now.Add(checkedAhead))
 	for _, name := range slices.Sorted(maps.Keys(existing)) {
 		other := existing[name]
 		if name == added.Name || other.FailureDomain == added.FailureDomain {
@@ -62,7 +59,7 @@
 		if err != nil {
 			continue // never carried out, see Unreadable
 		}
-		if at, ok := meet(mine, occurrences(other, otherZone, now, now.Add(checkedAhead)), lead); ok {
+		if at, ok := meet(mine, other.Occurrences(otherZone, now, now.Add(checkedAhead)), lead); ok {
 			return fail("accept window", Overlap, nil, "window %q overlaps window %q of failure domain %q on %s",
 				added.Name, name, other.FailureDomain, at.In(zone).Format(time.DateTime))
 		}
@@ -99,53 +96,7 @@
 
 // Next returns the occurrence of the window that is running at the given time, or else the next one.
 func Next(window configurator.Window, zone *time.Location, at time.Time) Occurrence {
-	return occurrences(window, zone, at, at.Add(9*day))[0]
-}
-
-// occurrences returns the runs of the window that end after from and start before to, in order.
-func occurrences(window configurator.Window, zone *time.Location, from, to time.Time) []Occurrence {
-	var all []Occurrence
-	year, month, date := from.In(zone).Date()
-	for date -= 2; ; date++ { // an occurrence lasts at most a day
-		if time.Date(year, month, date, 0, 0, 0, 0, time.UTC).Weekday() != window.Weekday {
-			continue
-		}
-		start := startOn(year, month, date, window.Start, zone)
-		if !start.Before(to) {
-			return all
-		}
-		if end := start.Add(window.Length); end.After(from) {
-			all = append(all, Occurrence{Start: start, End: end})
-		}
-	}
-}
-
-// startOn returns the first instant at which the clock of the zone shows the given time of the given date or later.
-// time.Date leaves open what it returns for skipped and repeated times.
-func startOn(year int, month time.Month, date int, sinceMidnight time.Duration, zone *time.Location) time.Time {
-	wall := time.Date(year, month, date, 0, 0, 0, 0, time.UTC).Add(sinceMidnight)
-	before, after := offset(wall.Add(-day), zone), offset(wall.Add(day), zone)
-	first, second := wall.Add(-max(before, after)), wall.Add(-min(before, after))
-	for _, candidate := range []time.Time{first, second} {
-		if candidate.Add(offset(candidate, zone)).Equal(wall) {
-			return candidate.In(zone)
-		}
-	}
-	for second.Sub(first) > time.Second { // the clock jumps over the time after first and not after second
-		middle := first.Add(second.Sub(first) / 2).Truncate(time.Second)
-		if offset(middle, zone) == after {
-			second = middle
-		} else {
-			first = middle
-		}
-	}
-	return second.In(zone)
-}
-
-// offset returns the offset of the zone from UTC at the given time.
-func offset(at time.Time, zone *time.Location) time.Duration {
-	_, seconds := at.In(zone).Zone()
-	return time.Duration(seconds) * time.Second
+	return window.Occurrences(zone, at, at.Add(9*day))[0]
 }
 
 // due is an occurrence for which the moves have to start.
