controller: empty upstreams that are drained or taken out during a store outage

Cause: while the store was known to be down, slices of an upstream that gets no new work stayed with it, so its keys were not served until the store was back. After: all served, within the bound of 3 s. The moves are provisional and stored when the store returns.

--- a/core/controller/fault_test.go
+++ b/core/controller/fault_test.go
@@ -70,6 +70,9 @@
 		{"upstream without fence checks killed", []at{{0, fault{"kill-upstream", 3, 20 * sec}}}, 6 * sec, 3 * sec, true, nil},
 		{"all hosts paused", []at{acting("pause-all-hosts", 3*sec)}, 8 * sec, 5 * sec, false, nil},
 		{"drained upstream", []at{acting("drain-upstream", 9*sec)}, 8 * sec, 150 * ms, true, nil},
+		{"failure domain taken out while the store is known to be down", []at{acting("store-down", 20*sec),
+			{1 * sec, fault{"kill-upstream", 1, 30 * sec}}, {5 * sec, fault{"take-out-domain", 0, 15 * sec}}},
+			12 * sec, 3 * sec, true, []controller.Code{controller.AssignedProvisionally}},
 		{"failure domain taken out", []at{acting("take-out-domain", 9*sec)}, 8 * sec, 250 * ms, true, nil},
 	}
 	for _, test := range tests {
--- a/core/controller/plan.go
+++ b/core/controller/plan.go
@@ -13,7 +13,8 @@
 	Slices    []SliceState    // ascending by ID
 	Upstreams []UpstreamState // ascending by name
 	Budget    int             // moves that may begin now
-	Voluntary bool            // false: only slices without an owner may move
+	Voluntary bool            // false: only slices without an owner, and with Emptying those of leaving upstreams, may move
+	Emptying  bool            // slices of leaving upstreams may move, which must not wait for the store to be back
 	Unsteady  bool            // the store has failed within unsteadyTime: moves that can wait should
 }
 
@@ -59,15 +60,14 @@
 			plan.move(s, "")
 		}
 	}
-	if !input.Voluntary {
-		return plan.moves
-	}
 	for _, s := range input.Slices {
-		if plan.leaving[s.Owner] && !s.Moving {
+		if (input.Voluntary || input.Emptying) && plan.leaving[s.Owner] && !s.Moving {
 			plan.move(s, s.Owner)
 		}
 	}
-	plan.even()
+	if input.Voluntary {
+		plan.even()
+	}
 	return plan.moves
 }
 
@@ -170,7 +170,8 @@
 	if s == nil || !known || !input.Upstreams[index].Eligible {
 		return false
 	}
-	voluntary := s.stage == owned && s.owner != move.To && input.Voluntary && s.uncommitted == ""
+	may := input.Voluntary || input.Emptying && input.leaving(s.owner)
+	voluntary := s.stage == owned && s.owner != move.To && may && s.uncommitted == ""
 	if s.stage != unowned && !voluntary {
 		return false
 	}
@@ -178,10 +179,18 @@
 	return true
 }
 
+// leaving reports whether an upstream is to be emptied.
+func (i Input) leaving(name string) bool {
+	return slices.ContainsFunc(i.Upstreams, func(upstream UpstreamState) bool {
+		return upstream.Name == name && upstream.Leaving
+	})
+}
+
 func (c *Controller) input(now time.Duration) Input {
 	input := Input{
 		Budget:    c.options.MaxMoves,
 		Voluntary: now >= c.settled && c.finished && !c.store.down,
+		Emptying:  now >= c.settled && c.finished,
 		Unsteady:  c.store.failedAt > 0 && now-c.store.failedAt < unsteadyTime,
 	}
 	for _, id := range c.order {
--- a/core/controller/slices.go
+++ b/core/controller/slices.go
@@ -196,8 +196,9 @@
 }
 
 func (c *Controller) advanceStop(now time.Duration, s *slice) {
-	if c.store.down {
-		// No voluntary move during a store outage: the old owner still holds the slice.
+	if owner := c.upstreams[s.owner]; c.store.down && !c.closed(owner) && !owner.ended(now) {
+		// No voluntary move during a store outage: the old owner still holds the slice. An owner that is to be emptied
+		// gets no new work soon, so its slices move and are assigned provisionally.
 		s.abandonEdit()
 		s.stage = owned
 		s.target = ""
--- a/rhubarbtrackd/internal/granter/planner.go
+++ b/rhubarbtrackd/internal/granter/planner.go
@@ -58,7 +58,7 @@
 	var moves []controller.Move
 	room := input.Budget
 	for _, move := range wanted {
-		if !allowed(move, input.Voluntary, measured) || slices.ContainsFunc(move.Slices(), func(id uint32) bool { return busy[id] }) {
+		if !allowed(move, input.Voluntary || input.Emptying, measured) || slices.ContainsFunc(move.Slices(), func(id uint32) bool { return busy[id] }) {
 			continue
 		}
 		if room -= len(move.Slices()); room < 0 {
@@ -76,12 +76,12 @@
 
 // allowed reports whether a move may begin: the controller may forbid all but the placement of slices without an owner,
 // and decisions on loads need all of them.
-func allowed(move assigner.Move, voluntary, measured bool) bool {
+func allowed(move assigner.Move, emptying, measured bool) bool {
 	switch move.Reason {
 	case assigner.Unassigned:
 		return true
 	case assigner.OwnerGone:
-		return voluntary
+		return emptying
 	default:
 		return measured
 	}
