controller: abandon a stop by another move in TestStaleStopAnswer

The test abandoned the stop of a drained upstream by a store outage. Without the check of the sequence number it still fails.

--- a/core/controller/fault_test.go
+++ b/core/controller/fault_test.go
@@ -136,7 +136,9 @@
 	w.run(1800 * ms)
 	w.inject(fault{"store-down", 0, 700 * ms})
 	w.run(200 * ms)
-	w.inject(fault{"drain-upstream", 3, 20 * sec})
+	// A move by choice: slices of an upstream that is to be emptied move also while the store is down.
+	w.offload = "x"
+	w.control(acting, acting.clock(w.now), controller.Configured{Snapshot: w.snapshot}) // plans at once
 	w.run(200 * ms)
 	stale := w.stops
 	assert.Assert(t, len(stale) > 0, "no stop was asked for")
--- a/core/controller/world_test.go
+++ b/core/controller/world_test.go
@@ -38,8 +38,9 @@
 	lose      bool // the store loses answers
 	hold      bool // answers to stops are kept in stops instead of being sent
 	stops     []func()
-	churn     bool // random slices are moved all the time
-	edits     bool // random keys become hot and cool down all the time
+	churn     bool   // random slices are moved all the time
+	offload   string // upstream whose slices are moved away by choice
+	edits     bool   // random keys become hot and cool down all the time
 	covered   map[string]map[assignment]bool
 	published slicer.Table // the latest one of any controller
 	late      int          // percentage of messages that are delayed by up to 2 s
@@ -230,12 +231,32 @@
 		to := input.Upstreams[w.random.IntN(len(input.Upstreams))]
 		moves = append(moves, controller.Move{Slice: input.Slices[w.random.IntN(len(input.Slices))].ID, To: to.Name})
 	}
+	if w.offload != "" && input.Voluntary {
+		moves = append(moves, w.offloading(input)...)
+	}
 	if w.edits && input.Voluntary {
 		moves = append(moves, w.edit(input))
 	}
 	return moves
 }
 
+// offloading moves all slices of one upstream to the first other one that may take them.
+func (w *world) offloading(input controller.Input) []controller.Move {
+	var moves []controller.Move
+	for _, upstream := range input.Upstreams {
+		if !upstream.Eligible || upstream.Name == w.offload {
+			continue
+		}
+		for _, s := range input.Slices {
+			if s.Owner == w.offload && !s.Moving {
+				moves = append(moves, controller.Move{Slice: s.ID, To: upstream.Name})
+			}
+		}
+		break
+	}
+	return moves
+}
+
 func (w *world) every(n *node, interval time.Duration, run func(now time.Duration)) {
 	incarnation := n.incarnation
 	var again func()
