--- a/rhubarbtrackd/internal/distributor/distributor.go
+++ b/rhubarbtrackd/internal/distributor/distributor.go
@@ -92,6 +92,7 @@
 	suspects  map[string]time.Duration // lost children by the time of the loss
 	selfSeq   uint64
 	announced relayer.Version // of the latest announcement of this host
+	rebuild   bool            // members have changed since the last tick; a fleet that starts changes thousands at once
 	watching  context.CancelFunc
 	lastPoll  time.Duration
 	polls     int
@@ -197,6 +198,9 @@
 
 func (d *Distributor) tick(ctx context.Context, now time.Duration) {
 	d.step(now, relayer.Ticked{})
+	if d.rebuild {
+		d.hostsChanged(now)
+	}
 	d.declareLost(now)
 	d.watchIfRoot(ctx)
 	d.connected.Store(d.relayer.Connected())
@@ -259,7 +263,7 @@
 	}
 	d.members[member.Name] = member
 	delete(d.suspects, member.Name)
-	d.hostsChanged(now)
+	d.rebuild = true
 }
 
 // announce publishes the state of this host above every version seen. Announcements have even numbers and declarations of
@@ -303,6 +307,7 @@
 // hostsChanged rebuilds the tree from the listed and the announced hosts. A host that only the platform lists may be
 // reachable; one that was declared lost is left out until it announces itself.
 func (d *Distributor) hostsChanged(now time.Duration) {
+	d.rebuild = false
 	known := map[string]framer.Member{}
 	for name, member := range d.listed {
 		known[name] = member
@@ -420,18 +425,26 @@
 			return err
 		}
 		seen()
-		d.ring <- call(func(now time.Duration) { d.takeListing(now, objects, at) })
+		d.queue(ctx, func(now time.Duration) { d.takeListing(now, objects, at) })
 		*revision = at
 	}
 	return d.options.Store.Watch(ctx, configPrefix, *revision, func(change storer.Change) {
 		seen()
 		*revision = max(*revision, change.Version)
 		if change.Name != "" {
-			d.ring <- call(func(now time.Duration) { d.step(now, relayer.Published{Item: configItem(change)}) })
+			d.queue(ctx, func(now time.Duration) { d.step(now, relayer.Published{Item: configItem(change)}) })
 		}
 	})
 }
 
+// queue waits for room in the ring, since changes of the configuration must not be dropped.
+func (d *Distributor) queue(ctx context.Context, run call) {
+	select {
+	case d.ring <- run:
+	case <-ctx.Done():
+	}
+}
+
 // takeListing publishes all listed objects, and the deletion of objects that are held here but no longer exist.
 func (d *Distributor) takeListing(now time.Duration, objects []storer.Object, revision uint64) {
 	listed := map[string]bool{}
