--- a/rhubarbtrackd/internal/distributor/distributor_test.go
+++ b/rhubarbtrackd/internal/distributor/distributor_test.go
@@ -111,6 +111,29 @@
 	}
 }
 
+// Guards against a declaration of loss and an announcement with the same number, of which neither replaces the other:
+// declarations have odd numbers, announcements even ones.
+func TestLossAndAnnouncementNeverMeet(t *testing.T) {
+	n := start(t, 100, down)
+	own := relayer.Key{Kind: relayer.Member, Name: "host-1"}
+	other := relayer.Key{Kind: relayer.Member, Name: "host-2"}
+	live, err := framer.EncodeMember(framer.Member{Name: "host-2", State: framer.Live})
+	assert.NilError(t, err)
+	n.Put(relayer.PeerUp{Peer: "host-2"})
+	n.Put(relayer.PeerUp{Peer: "host-3"})
+	n.Put(relayer.Received{Peer: "host-2", Frame: relayer.Frame{
+		Items: []relayer.Item{{Key: other, Version: relayer.Version{Term: 100, Seq: 6}, Body: live}},
+	}})
+	n.Put(relayer.PeerDown{Peer: "host-2"})
+	eventually(t, "a declaration of loss", func() bool {
+		n.Put(relayer.Received{Peer: "host-3"}) // keeps the connection
+		member, err := framer.DecodeMember(n.state(n.sent, other).Body)
+		return err == nil && member.State == framer.Lost
+	})
+	assert.Equal(t, n.state(n.sent, other).Version.Seq, uint64(7))
+	assert.Equal(t, n.state(n.sent, own).Version.Seq%2, uint64(0))
+}
+
 // fakeStore is down at first, compacts while the watch is cut, and then has one object less.
 type fakeStore struct {
 	up        atomic.Bool
