Keep controller roles while a failure domain is out of service

Cause: hosts of a failure domain that is taken out resigned their controller roles, and a successor needs the store; with lost answers and stale reads the services stopped.

--- a/rhubarbtrackd/internal/runner/runner.go
+++ b/rhubarbtrackd/internal/runner/runner.go
@@ -277,7 +277,9 @@
 	if framer.MemberState(d.announced.Swap(uint32(state))) != state {
 		d.distributor.SetState(state)
 	}
-	if state == framer.Leaving && d.replaceable() {
+	// A host whose failure domain is taken out keeps its controller roles until it stops: a successor needs the store, and
+	// giving a role up while the store is faulty would stop the service.
+	if d.stopping.Load() && d.replaceable() {
 		d.granter.Resign()
 	}
 }
