dispatcher: keep the slot of a cancelled request until the upstream can have noticed

Cause: the slot was free as soon as this host closed the connection, so a cold upstream that noticed it 3 ms later ran two requests at a limit of one. Before: the new test counts 2 at once.

--- a/rhubarbtrackd/internal/dispatcher/dispatcher_test.go
+++ b/rhubarbtrackd/internal/dispatcher/dispatcher_test.go
@@ -248,6 +248,28 @@
 	assert.Equal(t, len(h.dispatcher.Held(h.clock(), "marks")), 0)
 }
 
+// Guards against a cold upstream that runs two requests, because it notices a cancelled one later than this host.
+func TestCancelledRequestKeepsItsSlotForAWhile(t *testing.T) {
+	var running, most atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		now := running.Add(1)
+		defer running.Add(-1)
+		for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		time.Sleep(3 * time.Millisecond) // notices late
+	}))
+	defer server.Close()
+	h := newHost(t, server.Listener.Addr().String(), false)
+	for range 20 {
+		h.apply(controller.Lease{})
+		_, err := h.run(http.MethodGet, slicer.Fence{}, 10*time.Millisecond)
+		assert.Assert(t, err != nil)
+	}
+	assert.Equal(t, most.Load(), int64(1))
+}
+
 // Guards against an upstream that is never admitted to again after a failure domain was taken out and returned before its
 // admission changed hosts, so that the lease keeps its epoch.
 func TestLeaseBeginsAgainWithTheSameEpoch(t *testing.T) {
--- a/rhubarbtrackd/internal/dispatcher/run.go
+++ b/rhubarbtrackd/internal/dispatcher/run.go
@@ -206,16 +206,26 @@
 	once   sync.Once
 }
 
+// cancelGrace is the time after the cancellation or the deadline of a request in which the upstream may not have noticed
+// that the connection was closed. The slot stays occupied that long, or a cold upstream would run more than it bears.
+const cancelGrace = 20 * time.Millisecond
+
 func (e *ending) report(outcome admitter.Outcome, incarnation string, retryAfter time.Duration) {
 	e.once.Do(func() {
+		stopped := outcome == admitter.Cancelled || e.ctx.Err() != nil // by this host, not by the upstream
 		e.cancel()
-		e.worker.put(admitter.Ended{
+		ended := admitter.Ended{
 			ID:          e.id,
 			Outcome:     outcome,
 			Latency:     e.worker.dispatcher.options.Clock() - e.start,
 			Incarnation: incarnation,
 			RetryAfter:  retryAfter,
-		})
+		}
+		if stopped {
+			time.AfterFunc(cancelGrace, func() { e.worker.put(ended) })
+			return
+		}
+		e.worker.put(ended)
 	})
 }
 
