--- a/rhubarbtrackd/internal/dispatcher/dispatcher_test.go
+++ b/rhubarbtrackd/internal/dispatcher/dispatcher_test.go
@@ -251,7 +251,7 @@
 // Guards against a cold upstream that runs two requests, because it notices a cancelled one later than this host.
 func TestCancelledRequestKeepsItsSlotForAWhile(t *testing.T) {
 	var running, most atomic.Int64
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		now := running.Add(1)
 		defer running.Add(-1)
 		for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
