locator: rank the hosts once for each list of hosts; remove unused state

Five times a second and for every service, a host ranked all hosts to learn whether it offers itself for admission roles; with 3,400 hosts that is work on the control path that changes only with the list of hosts. The answer is now kept until the list changes. The cost before and after was not measured. Removed: a time of the last contact with the store and a count of ejected upstreams that nothing read. Behaviour and tests are unchanged.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -314,14 +314,3 @@
 	t.report = reported.InFlight
 	t.reportedAt = now - reported.Age
 }
-
-// Ejected returns the number of upstreams that are ejected.
-func (b *Balancer) Ejected() int {
-	count := 0
-	for _, t := range b.targets {
-		if t.ejected {
-			count++
-		}
-	}
-	return count
-}
--- a/rhubarbtrackd/internal/distributor/distributor.go
+++ b/rhubarbtrackd/internal/distributor/distributor.go
@@ -99,7 +99,6 @@
 
 	progress  atomic.Pointer[[]relayer.RevisionCount]
 	connected atomic.Bool
-	storeAge  atomic.Int64 // time of the last successful contact of this host with the store
 }
 
 // call runs a function in the goroutine of Run.
@@ -356,7 +355,6 @@
 }
 
 func (d *Distributor) takeList(now time.Duration, hosts []storer.Host) {
-	d.storeAge.Store(int64(now))
 	listed := map[string]framer.Member{d.options.Self.Name: d.options.Self}
 	for _, host := range hosts {
 		member := framer.Member{Name: host.Name, Address: host.Address, FailureDomain: host.FailureDomain, State: framer.Live}
@@ -411,7 +409,6 @@
 // watchOnce lists the configuration if there is no revision to resume from, then follows the changes.
 func (d *Distributor) watchOnce(ctx context.Context, revision *uint64, available *bool) error {
 	seen := func() {
-		d.storeAge.Store(int64(d.options.Clock()))
 		if !*available {
 			*available = true
 			d.options.Log.Log(eventlog.StoreAvailable)
--- a/rhubarbtrackd/internal/locator/locator.go
+++ b/rhubarbtrackd/internal/locator/locator.go
@@ -73,6 +73,8 @@
 	tables  map[string]*slicer.Table
 	beacons map[string]heard
 	members map[string]framer.Member
+
+	candidacies *candidacies // for members
 }
 
 type heard struct {
@@ -97,6 +99,8 @@
 		tables:  map[string]*slicer.Table{},
 		beacons: map[string]heard{},
 		members: map[string]framer.Member{},
+
+		candidacies: &candidacies{},
 	})
 	changed := make(chan struct{})
 	l.changed.Store(&changed)
@@ -158,6 +162,7 @@
 // SetMembers replaces the list of hosts.
 func (l *Locator) SetMembers(members []framer.Member) {
 	l.update(func(next *state) {
+		next.candidacies = &candidacies{}
 		next.members = make(map[string]framer.Member, len(members))
 		for _, member := range members {
 			next.members[member.Name] = member
--- a/rhubarbtrackd/internal/runner/assembler.go
+++ b/rhubarbtrackd/internal/runner/assembler.go
@@ -369,7 +369,7 @@
 			}
 		}
 	}
-	return locator.IsCandidate(d.locator.Members(), service, d.settings.Name)
+	return d.locator.IsCandidate(service, d.settings.Name)
 }
 
 func (d *daemon) sendStopAnswer(service string, answer controller.StopAnswer) {
