--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -170,7 +170,8 @@
 		return f.relist(ctx, kind, skip)
 	}
 	if err != nil {
-		return revision, err
+		// Changes may have been lost together with the watch.
+		return 0, err
 	}
 	f.apply(kind, func(now time.Duration) {
 		for _, event := range events {
