Take no new callers once a host leaves the rotation; answer what still runs before it ends

Answers that were ready waited behind a slow one on the same connection and were lost with it. Ruled out: a grace time that was not used (the process ended 5.6 s after the signal).

--- a/rhubarbtrackd/internal/acceptor/connection.go
+++ b/rhubarbtrackd/internal/acceptor/connection.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,8 @@
 	waiting  atomic.Bool // nothing of the next request has been read
 	written  chan struct{}
 	inFlight atomic.Int64
+	mutex    sync.Mutex
+	closing  bool // an answer has announced the end of the connection; guarded by mutex
 }
 
 func newConnection(s *Server, conn net.Conn) *connection {
@@ -173,12 +176,23 @@
 func (c *connection) dispatch(request *Request, last bool) <-chan struct{} {
 	e := &exchange{answer: make(chan *Response, 1), method: request.Method, last: last}
 	done := make(chan struct{})
+	c.mutex.Lock()
+	closing := c.closing
+	if !closing {
+		c.began()
+	}
+	c.mutex.Unlock()
+	if closing {
+		// The caller sends the request again, because the answer before it ended the connection.
+		c.cancel()
+		return nil
+	}
 	select {
 	case c.queue <- e:
 	case <-c.ctx.Done():
+		c.ended()
 		return nil
 	}
-	c.began()
 	go func() {
 		defer close(done)
 		e.answer <- c.server.options.Handle(c.ctx, request)
@@ -238,6 +252,7 @@
 	defer c.close()
 	for e := range c.queue {
 		response := <-e.answer
+		e.last = e.last || c.announceEnd()
 		ok := c.send(e, response)
 		c.ended()
 		if !ok {
@@ -258,6 +273,16 @@
 	}
 }
 
+// announceEnd reports whether the next answer is to end the connection because the host shuts down.
+func (c *connection) announceEnd() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.server.draining.Load() && c.inFlight.Load() == 1 {
+		c.closing = true
+	}
+	return c.closing
+}
+
 func discard(response *Response) {
 	if response.Stream != nil {
 		_ = response.Stream.Close()
--- a/rhubarbtrackd/internal/conductor/conclude.go
+++ b/rhubarbtrackd/internal/conductor/conclude.go
@@ -68,7 +68,8 @@
 	kind := kindOf(err)
 	switch kind {
 	case exchanger.Cancelled:
-		return c.abandon(j, "the caller left")
+		j.ran = true
+		return c.abandon(j)
 	case exchanger.NotSent:
 		c.logAttempt(j, u, "not-sent", err)
 		if j.service.Keyed || j.tries >= maxTries || j.request.Stream != nil {
@@ -127,8 +128,12 @@
 	return response
 }
 
-func (c *Conductor) abandon(j *job, reason string) *acceptor.Response {
-	response := c.final(j, 0, reason)
+// abandon ends a request whose caller has left, or that the end of the process cuts off.
+func (c *Conductor) abandon(j *job) *acceptor.Response {
+	if c.options.Ending.Err() != nil {
+		return c.giveUp(j, "the host shuts down", retryWait)
+	}
+	response := c.final(j, 0, "the caller left")
 	response.Abort = true
 	return response
 }
--- a/rhubarbtrackd/internal/conductor/conductor.go
+++ b/rhubarbtrackd/internal/conductor/conductor.go
@@ -58,6 +58,8 @@
 	Meter         *meter.Meter
 	Now           func() time.Duration
 	Seed          uint64
+	// Ending is done when the process is about to end: requests get their final answers.
+	Ending context.Context
 }
 
 // assumedHosts is the number of hosts on which shares are based until a controller tells the real one.
@@ -141,6 +143,9 @@
 
 // Handle answers a request.
 func (c *Conductor) Handle(ctx context.Context, request *acceptor.Request) *acceptor.Response {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(c.options.Ending, cancel)()
 	snapshot := c.options.Follower.Snapshot()
 	if snapshot.Config == nil {
 		return c.reject(&job{request: request}, "no configuration", startWait)
@@ -200,7 +205,7 @@
 	c.mutex.Unlock()
 	for {
 		if ctx.Err() != nil {
-			return c.abandon(j, "the caller left")
+			return c.abandon(j)
 		}
 		if !time.Now().Before(j.deadline) {
 			return c.timeOut(j)
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -56,6 +56,8 @@
 	rotationDelay = 2200 * time.Millisecond
 	// endReserve is the part of the grace time that is kept for ending the process.
 	endReserve = 400 * time.Millisecond
+	// answerReserve is kept for the last answers.
+	answerReserve = 200 * time.Millisecond
 	// startLimits are used until a configuration was read.
 	startHeaderBytes   = 16 << 10
 	startBodyBytes     = 1 << 20
@@ -110,6 +112,8 @@
 	governor  *governor.Governor
 	server    *acceptor.Server
 	leaving   atomic.Bool
+	ending    context.Context
+	end       context.CancelFunc
 }
 
 // Run serves until ctx ends, and then shuts down.
@@ -136,6 +140,7 @@
 
 func assemble(options Options, s reader.Settings) *daemon {
 	d := &daemon{options: options, settings: s, log: options.Log, meter: meter.New(), tables: director.New()}
+	d.ending, d.end = context.WithCancel(context.Background())
 	store := storer.New(s.StoreAddress)
 	d.follower = follower.New(follower.Options{Store: store, Log: d.log, Now: timer.Now})
 	d.pool = exchanger.New(exchanger.Options{IDHeader: translator.AttemptHeader})
@@ -143,7 +148,7 @@
 	seed := xxhash.Sum64String(name)
 	d.conductor = conductor.New(conductor.Options{
 		FailureDomain: s.FailureDomain, Limits: limits(s.Bounds), Follower: d.follower, Tables: d.tables, Pool: d.pool,
-		Log: d.log, Meter: d.meter, Now: timer.Now, Seed: seed,
+		Log: d.log, Meter: d.meter, Now: timer.Now, Seed: seed, Ending: d.ending,
 	})
 	d.governor = governor.New(governor.Options{
 		Host: name, Address: s.PeerAddress, Delay: takeoverDelay(s.ProcessorShare, seed), MaxLifetime: s.Bounds.MaxHold,
@@ -226,7 +231,7 @@
 		zap.String("callers", d.settings.CallerAddress), zap.Bool("first-start", d.settings.FirstStart))
 	select {
 	case err := <-failed:
-		return &Error{"serve", Serving, err}
+		return &Error{"serve-callers", Serving, err}
 	case <-ctx.Done():
 	}
 	d.shutDown(callers)
@@ -317,18 +322,24 @@
 
 func (d *daemon) shutDown(callers net.Listener) {
 	began := time.Now()
-	end := began.Add(d.settings.Bounds.Grace - endReserve)
+	end := began.Add(d.settings.Bounds.Grace - endReserve - answerReserve)
 	d.leaving.Store(true)
 	d.log.Log(eventlog.DaemonStopping, zap.Int("connections", d.server.Connections()), zap.Int("requests", d.server.Active()))
 	resign, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	go d.governor.Resign(resign)
 	time.Sleep(rotationDelay)
+	// Callers that still come are sent to another host, since this one may end before their answers.
+	_ = callers.Close()
 	d.server.Drain()
 	const poll = 20 * time.Millisecond
 	for time.Now().Before(end) && d.server.Connections() > 0 {
 		time.Sleep(poll)
 	}
-	_ = callers.Close()
+	// Requests that are still running are cut, so that answers that wait behind them are delivered.
+	d.end()
+	for time.Now().Before(end.Add(answerReserve)) && d.server.Connections() > 0 {
+		time.Sleep(poll)
+	}
 	d.log.Log(eventlog.DaemonStopped, zap.Duration("taken", time.Since(began)), zap.Int("requests", d.server.Active()))
 }
