follower: follow the controller's copy of upstreams and failure domains

Ruled out: longer collection of changes, which would use up the time within which leaving upstreams must be left alone. A host reads the store itself 0.65 s after the controller's last word.

--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -63,13 +63,46 @@
 // Put adds or replaces one entry.
 func (l *List) Put(u Upstream) {
 	delete(l.lapsed, u.ID)
-	if old, ok := l.entries[u.ID]; ok && old == u {
+	if old, ok := l.entries[u.ID]; ok && same(old, u) {
 		return
 	}
 	l.entries[u.ID] = u
 	l.changed++
 }
 
+// coldPrecision is the change of ColdEnd that matters. Upstreams report the time left in intervals, so the end that is
+// worked out from it varies.
+const coldPrecision = 300 * time.Millisecond
+
+// same reports whether two entries differ in nothing that matters.
+func same(a, b Upstream) bool {
+	if difference := a.ColdEnd - b.ColdEnd; a.ColdEnd > 0 && b.ColdEnd > 0 && difference.Abs() < coldPrecision {
+		b.ColdEnd = a.ColdEnd
+	}
+	return a == b
+}
+
+// Adopt applies another host's copy of the list, or changes of it. Lapsed entries were dealt with there.
+func (l *List) Adopt(whole bool, puts []Upstream, removed []string) {
+	present := map[string]bool{}
+	for _, u := range puts {
+		present[u.ID] = true
+		l.Put(u)
+	}
+	for id := range l.entries {
+		if whole && !present[id] {
+			removed = append(removed, id)
+		}
+	}
+	for _, id := range removed {
+		if _, ok := l.entries[id]; ok {
+			delete(l.entries, id)
+			delete(l.lapsed, id)
+			l.changed++
+		}
+	}
+}
+
 // Remove takes an entry out, at once or, shortly after an outage, when the upstream had time to register again.
 func (l *List) Remove(now time.Duration, id string) {
 	if _, ok := l.entries[id]; !ok {
--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -128,6 +128,8 @@
 	TableCommitFailed    = register(719, "table-commit-failed", zap.WarnLevel, "The table of ownership could not be written; it is tried again.")
 	TableReceived        = register(720, "table-received", zap.DebugLevel, "The controller sent changes of the table.")
 	RecordWriteFailed    = register(721, "record-write-failed", zap.WarnLevel, "The controller's record could not be written.")
+	RelayFollowed        = register(722, "relay-followed", zap.InfoLevel, "This host follows the controller's copy of the store.")
+	RelayLost            = register(723, "relay-lost", zap.InfoLevel, "The controller's word is too old; this host reads the store itself.")
 	RequestEnded         = register(730, "request-ended", zap.InfoLevel, "A request has its final answer.")
 	RequestAttempted     = register(731, "request-attempted", zap.InfoLevel, "A try at an upstream failed.")
 	RequestRejected      = register(732, "request-rejected", zap.InfoLevel, "A request was answered as not run; the field reason says why.")
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -36,6 +36,11 @@
 	// minRetry and maxRetry bound the time between two calls while the store does not answer.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 600 * time.Millisecond
+	// relayPoll is how often a host that follows the controller's copy checks that it still does.
+	relayPoll = 100 * time.Millisecond
+	// relayLife is how long the controller's word is good for: three beats. After it, the host reads the store itself,
+	// well within the time that upstreams take to leave.
+	relayLife = 650 * time.Millisecond
 	// sweepInterval is how often lapsed entries are looked at.
 	sweepInterval = 100 * time.Millisecond
 )
@@ -48,6 +53,7 @@
 	TakenOut  map[string]time.Duration // failure domain to the time since when it is taken out
 	Draining  map[string]time.Duration // upstream to the time since when it is known to drain
 	Listed    bool                     // the upstreams have been read
+	Revision  int64                    // of the store when the upstreams were read
 }
 
 // Options configures a Follower.
@@ -70,7 +76,11 @@
 	draining map[string]time.Duration
 	listed   bool
 	failing  map[string]time.Duration // kind to the time of the first failure in a row
-	refused  map[string]int64         // entries that were refused, by revision, so that each is logged once
+	revision int64                    // of the store, for the upstreams
+	fresh    time.Duration            // when the controller last vouched for its copy
+	relayed  bool                     // the copy follows that of the controller
+	cancels  map[string]context.CancelFunc
+	refused  map[string]int64 // entries that were refused, by revision, so that each is logged once
 }
 
 // New returns a follower that knows nothing.
@@ -78,6 +88,7 @@
 	f := &Follower{
 		options: options, list: registrar.New(), takenOut: map[string]time.Duration{},
 		draining: map[string]time.Duration{}, failing: map[string]time.Duration{}, refused: map[string]int64{},
+		cancels: map[string]context.CancelFunc{},
 	}
 	f.snapshot.Store(&Snapshot{})
 	return f
@@ -90,9 +101,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	for _, kind := range []kindFollower{
-		{translator.UpstreamKind, f.replaceUpstreams, f.putUpstream, true},
-		{translator.ConfigurationKind, f.replaceConfiguration, f.putConfiguration, false},
-		{translator.TakeOutKind, f.replaceTakeOuts, f.putTakeOut, false},
+		{translator.UpstreamKind, f.replaceUpstreams, f.putUpstream, true, true},
+		{translator.ConfigurationKind, f.replaceConfiguration, f.putConfiguration, false, false},
+		{translator.TakeOutKind, f.replaceTakeOuts, f.putTakeOut, false, true},
 	} {
 		group.Go(func() { f.follow(ctx, kind) })
 	}
@@ -104,11 +115,7 @@
 			group.Wait()
 			return
 		case <-ticker.C:
-			f.mutex.Lock()
-			if f.list.Tick(f.options.Now()) {
-				f.publish()
-			}
-			f.mutex.Unlock()
+			f.sweep()
 		}
 	}
 }
@@ -118,6 +125,7 @@
 	replace func(now time.Duration, objects []storer.Object)
 	put     func(now time.Duration, event storer.Event)
 	tracked bool // its failures decide whether entries lapse
+	relayed bool // the controller passes it on
 }
 
 func (f *Follower) follow(ctx context.Context, kind kindFollower) {
@@ -127,11 +135,21 @@
 	retry := minRetry
 	revision := int64(0)
 	for ctx.Err() == nil {
+		if kind.relayed && f.isRelayed() {
+			revision = 0
+			pause(ctx, relayPoll)
+			continue
+		}
+		call := f.begin(ctx, kind)
 		var err error
 		if revision == 0 {
-			revision, err = f.relist(ctx, kind, skip)
+			revision, err = f.relist(call, kind, skip)
 		} else {
-			revision, err = f.watch(ctx, kind, revision, skip)
+			revision, err = f.watch(call, kind, revision, skip)
+		}
+		if call.Err() != nil && ctx.Err() == nil {
+			// The controller's copy has taken over.
+			continue
 		}
 		f.note(kind, err)
 		if err == nil {
@@ -144,6 +162,21 @@
 	}
 }
 
+// begin returns a context for one call. It ends when the controller's copy takes over.
+func (f *Follower) begin(ctx context.Context, kind kindFollower) context.Context {
+	call, cancel := context.WithCancel(ctx)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if old := f.cancels[kind.kind]; old != nil {
+		old()
+	}
+	f.cancels[kind.kind] = cancel
+	if kind.relayed && f.relayed {
+		cancel()
+	}
+	return call
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -158,7 +191,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.apply(kind, func(now time.Duration) { kind.replace(now, list.Objects) })
+	f.apply(ctx, kind, list.Revision, func(now time.Duration) { kind.replace(now, list.Objects) })
 	return list.Revision, nil
 }
 
@@ -173,7 +206,7 @@
 		// Changes may have been lost together with the watch.
 		return 0, err
 	}
-	f.apply(kind, func(now time.Duration) {
+	f.apply(ctx, kind, next, func(now time.Duration) {
 		for _, event := range events {
 			kind.put(now, event)
 		}
@@ -203,12 +236,16 @@
 	}
 }
 
-func (f *Follower) apply(kind kindFollower, change func(now time.Duration)) {
+func (f *Follower) apply(ctx context.Context, kind kindFollower, revision int64, change func(now time.Duration)) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
 	now := f.options.Now()
 	if kind.tracked {
 		f.list.Reachable(now)
+		f.revision = max(f.revision, revision)
 	}
 	change(now)
 	f.publish()
@@ -219,6 +256,7 @@
 	s := &Snapshot{
 		Config: f.config, Upstreams: f.list.All(), ByService: map[string][]registrar.Upstream{},
 		TakenOut: map[string]time.Duration{}, Draining: map[string]time.Duration{}, Listed: f.listed,
+		Revision: f.revision,
 	}
 	now := f.options.Now()
 	for id, u := range s.Upstreams {
@@ -245,6 +283,102 @@
 	}
 }
 
+// sweep drops lapsed entries, and notices when the controller's word has become too old.
+func (f *Follower) sweep() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := f.options.Now()
+	if f.list.Tick(now) {
+		f.publish()
+	}
+	if f.relayed && now >= f.fresh+relayLife {
+		f.relayed = false
+		f.options.Log.Log(eventlog.RelayLost, zap.Duration("age", now-f.fresh))
+	}
+}
+
+func (f *Follower) isRelayed() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.relayed
+}
+
+// Relayed reports whether the copy follows that of the controller.
+func (f *Follower) Relayed() bool { return f.isRelayed() }
+
+// Direct reports whether the copy is read from the store and none of its reads fails.
+func (f *Follower) Direct() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !f.relayed && f.listed && len(f.failing) == 0
+}
+
+// Lead ends the following of another controller's copy, because this host is the controller.
+func (f *Follower) Lead() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.relayed = false
+}
+
+// Change is a change of the controller's copy, or the whole copy.
+type Change struct {
+	Whole    bool
+	Revision int64
+	Puts     []registrar.Upstream
+	Removed  []string
+	TakenOut []string // all failure domains that are taken out
+}
+
+// Relay applies what the controller says of its copy. It returns false when the host needs the whole copy.
+func (f *Follower) Relay(change Change) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := f.options.Now()
+	if change.Whole && change.Revision < f.revision {
+		// This host has read a newer state itself.
+		return false
+	}
+	if !change.Whole && !f.relayed {
+		return false
+	}
+	f.fresh = now
+	if !f.relayed {
+		f.relayed = true
+		for _, cancel := range f.cancels {
+			cancel()
+		}
+		f.options.Log.Log(eventlog.RelayFollowed, zap.Int64("revision", change.Revision), zap.Int("upstreams", len(change.Puts)))
+	}
+	if !change.Whole && len(change.Puts)+len(change.Removed) == 0 && f.sameTakeOuts(change.TakenOut) {
+		return true
+	}
+	f.revision = max(f.revision, change.Revision)
+	f.list.Adopt(change.Whole, change.Puts, change.Removed)
+	f.listed = true
+	present := map[string]bool{}
+	for _, domain := range change.TakenOut {
+		present[domain] = true
+		f.takeOut(now, domain)
+	}
+	for domain := range f.takenOut {
+		if !present[domain] {
+			f.takeBack(domain)
+		}
+	}
+	f.publish()
+	return true
+}
+
+// sameTakeOuts reports whether exactly the given failure domains are taken out.
+func (f *Follower) sameTakeOuts(domains []string) bool {
+	for _, domain := range domains {
+		if _, ok := f.takenOut[domain]; !ok {
+			return false
+		}
+	}
+	return len(domains) == len(f.takenOut)
+}
+
 func (f *Follower) decode(now time.Duration, object storer.Object) (registrar.Upstream, bool) {
 	u, err := translator.Upstream(now, object)
 	if err == nil {
--- a/rhubarbtrackd/internal/governor/controller.go
+++ b/rhubarbtrackd/internal/governor/controller.go
@@ -11,6 +11,7 @@
 	"rhubarbtrack.example/platform/orderer"
 	"rhubarbtrack.example/platform/storer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
 	"rhubarbtrack.example/rhubarbtrackd/internal/linker"
 	"rhubarbtrack.example/rhubarbtrackd/internal/recorder"
 )
@@ -268,6 +269,11 @@
 
 func (g *Governor) makeBeat(now time.Duration, peer *linker.Peer, index, hosts int, loads []linker.Sighting) linker.Beat {
 	beat := linker.Beat{Term: g.contender.Term(), Valid: g.contender.Valid(now), Index: index, Hosts: hosts, Loads: loads}
+	if g.contender.Valid(now) && !g.contender.Doubtful(now) && g.options.Follower.Direct() {
+		beat.Fresh = true
+		beat.Copy = changeSince(g.copied[peer], g.snapshot)
+		g.copied[peer] = g.snapshot
+	}
 	known := g.sent[peer]
 	if known == nil {
 		known = map[string]keeper.View{}
@@ -291,7 +297,32 @@
 }
 
 func (g *Governor) send(peer *linker.Peer, beat linker.Beat) {
-	if err := g.hub.Send(peer, beat); err != nil {
+	if err := g.hub.Send(g.options.Now(), peer, beat); err != nil {
 		g.options.Log.Log(eventlog.RingOverflow, zap.String("ring", "beats"), zap.String("host", peer.Host), zap.Error(err))
 	}
 }
+
+// changeSince returns what makes old into snapshot. A nil old asks for everything.
+func changeSince(old, snapshot *follower.Snapshot) follower.Change {
+	change := follower.Change{Whole: old == nil, Revision: snapshot.Revision}
+	for domain := range snapshot.TakenOut {
+		change.TakenOut = append(change.TakenOut, domain)
+	}
+	if old == snapshot {
+		return change
+	}
+	for id, u := range snapshot.Upstreams {
+		if old == nil || old.Upstreams[id] != u {
+			change.Puts = append(change.Puts, u)
+		}
+	}
+	if old == nil {
+		return change
+	}
+	for id := range old.Upstreams {
+		if _, ok := snapshot.Upstreams[id]; !ok {
+			change.Removed = append(change.Removed, id)
+		}
+	}
+	return change
+}
--- a/rhubarbtrackd/internal/governor/governor.go
+++ b/rhubarbtrackd/internal/governor/governor.go
@@ -99,6 +99,9 @@
 	beat      uint64
 	snapshot  *follower.Snapshot
 	stopped   chan struct{}
+	// copied is the copy of the store that each host has, as far as it was sent.
+	copied map[*linker.Peer]*follower.Snapshot
+	whole  atomic.Bool // this host needs the controller's whole copy
 }
 
 type sighting struct {
@@ -119,14 +122,28 @@
 		fetching:  map[string]bool{},
 		began:     options.Now(),
 		stopped:   make(chan struct{}),
+		copied:    map[*linker.Peer]*follower.Snapshot{},
 	}
 	g.hub = linker.NewHub(
-		func(peer *linker.Peer, report linker.Report) { g.post(func() { g.takeReport(report) }) },
-		func(peer *linker.Peer) { g.post(func() { delete(g.sent, peer) }) },
+		func(peer *linker.Peer, report linker.Report) {
+			g.post(func() {
+				if report.Whole {
+					delete(g.copied, peer)
+				}
+				g.takeReport(report)
+			})
+		},
+		func(peer *linker.Peer) {
+			g.post(func() {
+				delete(g.sent, peer)
+				delete(g.copied, peer)
+			})
+		},
 	)
 	g.client = linker.NewClient(linker.ClientOptions{
 		Leader: g.leaderAddress,
-		Report: options.Report,
+		Now:    options.Now,
+		Report: g.report,
 		OnBeat: func(beat linker.Beat) { g.post(func() { g.takeBeat(beat) }) },
 		OnOpen: func(address string) {
 			options.Log.Log(eventlog.LeaderFollowed, zap.String("address", address))
@@ -141,6 +158,13 @@
 // Hub accepts the connections of other hosts.
 func (g *Governor) Hub() *linker.Hub { return g.hub }
 
+// report returns what this host has seen, for the controller.
+func (g *Governor) report() linker.Report {
+	report := g.options.Report()
+	report.Whole = g.whole.Swap(false)
+	return report
+}
+
 func (g *Governor) leaderAddress() string {
 	record := g.leader.Load()
 	if record == nil || record.Holder == g.options.Host {
@@ -245,6 +269,7 @@
 		case contender.Lead:
 			g.options.Log.Log(eventlog.LeadershipGained, zap.Uint64("term", action.Term))
 			g.leader.Store(&contender.Record{Holder: g.options.Host, Term: action.Term})
+			g.options.Follower.Lead()
 			g.runs = map[string]*run{}
 			g.waiting = nil
 			g.lapsed = false
@@ -314,6 +339,9 @@
 		}
 		g.options.Tables.Overlay(change.Service, change.Rows)
 	}
+	if beat.Fresh && !g.options.Follower.Relay(beat.Copy) {
+		g.whole.Store(true)
+	}
 	g.options.OnBeat(beat)
 }
 
--- a/rhubarbtrackd/internal/linker/linker.go
+++ b/rhubarbtrackd/internal/linker/linker.go
@@ -39,7 +39,7 @@
 	maxMessage = 256 << 10
 	// outbox bounds the beats that wait for one host; when it is full, the connection is closed and the host gets the
 	// whole table when it connects again.
-	outbox = 4
+	outbox = 16
 )
 
 // Peer is a connected host, as the controller sees it.
@@ -75,8 +75,8 @@
 }
 
 // Send queues a beat for a host.
-func (h *Hub) Send(peer *Peer, beat Beat) error {
-	data, err := encodeBeat(beat)
+func (h *Hub) Send(now time.Duration, peer *Peer, beat Beat) error {
+	data, err := encodeBeat(now, beat)
 	if err != nil {
 		return err
 	}
@@ -174,6 +174,7 @@
 	// OnLost is told of the end of a connection.
 	OnLost func(address string, err error)
 	OnOpen func(address string)
+	Now    func() time.Duration
 }
 
 // Client is the side of a host that is not the controller.
@@ -217,7 +218,7 @@
 		if err != nil {
 			return &Error{"receive", Disconnected, err}
 		}
-		beat, err := decodeBeat(data)
+		beat, err := decodeBeat(c.options.Now(), data)
 		if err != nil {
 			return err
 		}
--- a/rhubarbtrackd/internal/linker/message.go
+++ b/rhubarbtrackd/internal/linker/message.go
@@ -8,6 +8,8 @@
 
 	"rhubarbtrack.example/core/keeper"
 	"rhubarbtrack.example/core/placer"
+	"rhubarbtrack.example/core/registrar"
+	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
 )
 
 // Kind classifies errors of this package.
@@ -38,6 +40,8 @@
 	Keys  map[string][]uint16 // keys of requests since the last report, by service
 	Times []Timing
 	Loads []Sighting
+	// Whole asks for the controller's whole copy of the store.
+	Whole bool
 }
 
 // Timing is the time that requests took at an upstream, without waiting.
@@ -62,6 +66,9 @@
 	Hosts  int
 	Tables []TableChange
 	Loads  []Sighting
+	// Fresh vouches for the copy of the store, with Copy applied.
+	Fresh bool
+	Copy  follower.Change
 }
 
 // TableChange is a change of the table of a service, or the whole table.
@@ -94,6 +101,28 @@
 	Keys  map[string][]uint16
 	Times []wireTiming
 	Loads []wireSighting
+	Whole bool
+}
+
+type wireUpstream struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Life     int64
+	Service  string
+	Address  string
+	Domain   string
+	Slots    int
+	Draining bool
+	ColdLeft int // milliseconds
+}
+
+type wireCopy struct {
+	_        struct{} `cbor:",toarray"`
+	Whole    bool
+	Revision int64
+	Puts     []wireUpstream
+	Removed  []string
+	TakenOut []string
 }
 
 type wireRow struct {
@@ -119,6 +148,33 @@
 	Hosts  int
 	Tables []wireTable
 	Loads  []wireSighting
+	Fresh  bool
+	Copy   wireCopy
+}
+
+func toWireCopy(now time.Duration, c follower.Change) wireCopy {
+	wire := wireCopy{Whole: c.Whole, Revision: c.Revision, Removed: c.Removed, TakenOut: c.TakenOut}
+	for _, u := range c.Puts {
+		wire.Puts = append(wire.Puts, wireUpstream{
+			ID: u.ID, Life: u.Life, Service: u.Service, Address: u.Address, Domain: u.Domain, Slots: u.Slots,
+			Draining: u.Draining, ColdLeft: int(max(0, u.ColdEnd-now).Milliseconds()),
+		})
+	}
+	return wire
+}
+
+func fromWireCopy(now time.Duration, wire wireCopy) follower.Change {
+	c := follower.Change{Whole: wire.Whole, Revision: wire.Revision, Removed: wire.Removed, TakenOut: wire.TakenOut}
+	for _, w := range wire.Puts {
+		u := registrar.Upstream{
+			ID: w.ID, Life: w.Life, Service: w.Service, Address: w.Address, Domain: w.Domain, Slots: w.Slots, Draining: w.Draining,
+		}
+		if w.ColdLeft > 0 {
+			u.ColdEnd = now + time.Duration(w.ColdLeft)*time.Millisecond
+		}
+		c.Puts = append(c.Puts, u)
+	}
+	return c
 }
 
 func toWireSightings(sightings []Sighting) []wireSighting {
@@ -145,7 +201,7 @@
 }
 
 func encodeReport(r Report) ([]byte, error) {
-	wire := wireReport{Host: r.Host, Keys: r.Keys, Loads: toWireSightings(r.Loads)}
+	wire := wireReport{Host: r.Host, Keys: r.Keys, Loads: toWireSightings(r.Loads), Whole: r.Whole}
 	for _, t := range r.Times {
 		wire.Times = append(wire.Times, wireTiming{Upstream: t.Upstream, Count: t.Count, Sum: t.Sum.Milliseconds()})
 	}
@@ -157,15 +213,16 @@
 	if err := cbor.Unmarshal(data, &wire); err != nil {
 		return Report{}, &Error{"decode-report", Unreadable, err}
 	}
-	r := Report{Host: wire.Host, Keys: wire.Keys, Loads: fromWireSightings(wire.Loads)}
+	r := Report{Host: wire.Host, Keys: wire.Keys, Loads: fromWireSightings(wire.Loads), Whole: wire.Whole}
 	for _, t := range wire.Times {
 		r.Times = append(r.Times, Timing{t.Upstream, t.Count, time.Duration(t.Sum) * time.Millisecond})
 	}
 	return r, nil
 }
 
-func encodeBeat(b Beat) ([]byte, error) {
-	wire := wireBeat{Term: b.Term, Valid: b.Valid, Index: b.Index, Hosts: b.Hosts, Loads: toWireSightings(b.Loads)}
+func encodeBeat(now time.Duration, b Beat) ([]byte, error) {
+	wire := wireBeat{Term: b.Term, Valid: b.Valid, Index: b.Index, Hosts: b.Hosts, Loads: toWireSightings(b.Loads),
+		Fresh: b.Fresh, Copy: toWireCopy(now, b.Copy)}
 	for _, t := range b.Tables {
 		table := wireTable{Service: t.Service, Whole: t.Whole}
 		for _, row := range t.Rows {
@@ -176,12 +233,13 @@
 	return cbor.Marshal(wire)
 }
 
-func decodeBeat(data []byte) (Beat, error) {
+func decodeBeat(now time.Duration, data []byte) (Beat, error) {
 	var wire wireBeat
 	if err := cbor.Unmarshal(data, &wire); err != nil {
 		return Beat{}, &Error{"decode-beat", Unreadable, err}
 	}
-	b := Beat{Term: wire.Term, Valid: wire.Valid, Index: wire.Index, Hosts: wire.Hosts, Loads: fromWireSightings(wire.Loads)}
+	b := Beat{Term: wire.Term, Valid: wire.Valid, Index: wire.Index, Hosts: wire.Hosts, Loads: fromWireSightings(wire.Loads),
+		Fresh: wire.Fresh, Copy: fromWireCopy(now, wire.Copy)}
 	for _, t := range wire.Tables {
 		change := TableChange{Service: t.Service, Whole: t.Whole}
 		for _, row := range t.Rows {
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 	"net"
@@ -63,8 +62,12 @@
 	startBodyBytes     = 1 << 20
 	startHeaderTimeout = 3 * time.Second
 	startIdleTimeout   = 15 * time.Second
-	// maxTakeoverDelay spreads takeovers, so that hosts with more processor time come first.
-	maxTakeoverDelay = 300 * time.Millisecond
+	// maxTakeoverDelay is the delay of the weakest hosts before they take the controller's role, and takeoverSpread
+	// keeps hosts of the same strength apart.
+	maxTakeoverDelay = 500 * time.Millisecond
+	takeoverSpread   = 150 * time.Millisecond
+	// controllerShare is the share of a core from which a host suits the controller's role without delay.
+	controllerShare = 0.3
 )
 
 // Kind classifies errors of this package.
@@ -171,11 +174,9 @@
 
 // takeoverDelay is shorter for hosts with more processor time.
 func takeoverDelay(share float64, seed uint64) time.Duration {
-	var bytes [8]byte
-	binary.LittleEndian.PutUint64(bytes[:], seed)
-	spread := float64(bytes[0]) / 256
-	weakness := 1 - min(1, max(0, share))
-	return time.Duration((0.7*weakness + 0.3*spread) * float64(maxTakeoverDelay))
+	weakness := 1 - min(1, max(0, share/controllerShare))
+	spread := float64(seed%256) / 256
+	return time.Duration(weakness*float64(maxTakeoverDelay) + spread*float64(takeoverSpread))
 }
 
 func limits(b reader.Bounds) conductor.Limits {
