follower: read the configuration when the controller names a newer version

Cause: each host kept three watches and read the record several times while the first controller came up.

--- a/core/contender/contender.go
+++ b/core/contender/contender.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	c := contender.New(contender.Options{Name: "host-1"})
+//	c := contender.New(now, contender.Options{Name: "host-1"})
 //	for _, action := range c.Step(now, event) { ... }
 //
 // Times are durations since an arbitrary origin. They must include time during which the host was suspended, otherwise
@@ -124,8 +124,11 @@
 	resigned  bool
 }
 
-// New returns a follower that knows no record.
-func New(options Options) *Contender { return &Contender{options: options} }
+// New returns a follower that knows no record. It reads the record after its delay, so that at the start of all hosts
+// most find a holder with their first call.
+func New(now time.Duration, options Options) *Contender {
+	return &Contender{options: options, next: now + options.Delay}
+}
 
 // Valid reports whether this host may act as controller at now.
 func (c *Contender) Valid(now time.Duration) bool {
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -41,6 +41,9 @@
 	// relayLife is how long the controller's word is good for: three beats. After it, the host reads the store itself,
 	// well within the time that upstreams take to leave.
 	relayLife = 650 * time.Millisecond
+	// startPatience is how long a host that has just started waits for the controller's copy: the read of the record, a
+	// connection and a beat.
+	startPatience = 900 * time.Millisecond
 	// sweepInterval is how often lapsed entries are looked at.
 	sweepInterval = 100 * time.Millisecond
 )
@@ -80,6 +83,8 @@
 	fresh    time.Duration            // when the controller last vouched for its copy
 	relayed  bool                     // the copy follows that of the controller
 	cancels  map[string]context.CancelFunc
+	patience time.Duration    // until then, a host that has just started waits for a controller's copy
+	wanted   int64            // newest known version of the configuration
 	refused  map[string]int64 // entries that were refused, by revision, so that each is logged once
 }
 
@@ -88,7 +93,7 @@
 	f := &Follower{
 		options: options, list: registrar.New(), takenOut: map[string]time.Duration{},
 		draining: map[string]time.Duration{}, failing: map[string]time.Duration{}, refused: map[string]int64{},
-		cancels: map[string]context.CancelFunc{},
+		cancels: map[string]context.CancelFunc{}, patience: options.Now() + startPatience,
 	}
 	f.snapshot.Store(&Snapshot{})
 	return f
@@ -101,9 +106,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	for _, kind := range []kindFollower{
-		{translator.UpstreamKind, f.replaceUpstreams, f.putUpstream, true, true},
-		{translator.ConfigurationKind, f.replaceConfiguration, f.putConfiguration, false, false},
-		{translator.TakeOutKind, f.replaceTakeOuts, f.putTakeOut, false, true},
+		{translator.UpstreamKind, f.replaceUpstreams, f.putUpstream, true},
+		{translator.ConfigurationKind, f.replaceConfiguration, f.putConfiguration, false},
+		{translator.TakeOutKind, f.replaceTakeOuts, f.putTakeOut, false},
 	} {
 		group.Go(func() { f.follow(ctx, kind) })
 	}
@@ -125,7 +130,6 @@
 	replace func(now time.Duration, objects []storer.Object)
 	put     func(now time.Duration, event storer.Event)
 	tracked bool // its failures decide whether entries lapse
-	relayed bool // the controller passes it on
 }
 
 func (f *Follower) follow(ctx context.Context, kind kindFollower) {
@@ -135,7 +139,7 @@
 	retry := minRetry
 	revision := int64(0)
 	for ctx.Err() == nil {
-		if kind.relayed && f.isRelayed() {
+		if f.waits(kind) {
 			revision = 0
 			pause(ctx, relayPoll)
 			continue
@@ -171,12 +175,27 @@
 		old()
 	}
 	f.cancels[kind.kind] = cancel
-	if kind.relayed && f.relayed {
-		cancel()
-	}
 	return call
 }
 
+// waits reports whether the controller's copy makes a call needless.
+func (f *Follower) waits(kind kindFollower) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if kind.kind == translator.ConfigurationKind && f.wanted > f.version() {
+		return false
+	}
+	return f.relayed || f.options.Now() < f.patience
+}
+
+// version returns the version of the configuration in force, or 0. The caller holds the mutex.
+func (f *Follower) version() int64 {
+	if f.config == nil {
+		return 0
+	}
+	return f.config.Version
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -318,6 +337,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.relayed = false
+	f.patience = 0
 }
 
 // Change is a change of the controller's copy, or the whole copy.
@@ -327,6 +347,9 @@
 	Puts     []registrar.Upstream
 	Removed  []string
 	TakenOut []string // all failure domains that are taken out
+	// Configuration is the newest version of the configuration that the controller has read. Hosts read it themselves,
+	// since it may be long.
+	Configuration int64
 }
 
 // Relay applies what the controller says of its copy. It returns false when the host needs the whole copy.
@@ -342,6 +365,7 @@
 		return false
 	}
 	f.fresh = now
+	f.wanted = max(f.wanted, change.Configuration)
 	if !f.relayed {
 		f.relayed = true
 		for _, cancel := range f.cancels {
--- a/rhubarbtrackd/internal/governor/controller.go
+++ b/rhubarbtrackd/internal/governor/controller.go
@@ -305,6 +305,9 @@
 // changeSince returns what makes old into snapshot. A nil old asks for everything.
 func changeSince(old, snapshot *follower.Snapshot) follower.Change {
 	change := follower.Change{Whole: old == nil, Revision: snapshot.Revision}
+	if snapshot.Config != nil {
+		change.Configuration = snapshot.Config.Version
+	}
 	for domain := range snapshot.TakenOut {
 		change.TakenOut = append(change.TakenOut, domain)
 	}
--- a/rhubarbtrackd/internal/governor/governor.go
+++ b/rhubarbtrackd/internal/governor/governor.go
@@ -113,7 +113,7 @@
 func New(options Options) *Governor {
 	g := &Governor{
 		options:   options,
-		contender: contender.New(contender.Options{Name: options.Host, Address: options.Address, Delay: options.Delay}),
+		contender: contender.New(options.Now(), contender.Options{Name: options.Host, Address: options.Address, Delay: options.Delay}),
 		events:    make(chan func(), maxEvents),
 		runs:      map[string]*run{},
 		sent:      map[*linker.Peer]map[string]keeper.View{},
--- a/rhubarbtrackd/internal/linker/message.go
+++ b/rhubarbtrackd/internal/linker/message.go
@@ -123,6 +123,7 @@
 	Puts     []wireUpstream
 	Removed  []string
 	TakenOut []string
+	Config   int64
 }
 
 type wireRow struct {
@@ -153,7 +154,7 @@
 }
 
 func toWireCopy(now time.Duration, c follower.Change) wireCopy {
-	wire := wireCopy{Whole: c.Whole, Revision: c.Revision, Removed: c.Removed, TakenOut: c.TakenOut}
+	wire := wireCopy{Whole: c.Whole, Revision: c.Revision, Removed: c.Removed, TakenOut: c.TakenOut, Config: c.Configuration}
 	for _, u := range c.Puts {
 		wire.Puts = append(wire.Puts, wireUpstream{
 			ID: u.ID, Life: u.Life, Service: u.Service, Address: u.Address, Domain: u.Domain, Slots: u.Slots,
@@ -164,7 +165,8 @@
 }
 
 func fromWireCopy(now time.Duration, wire wireCopy) follower.Change {
-	c := follower.Change{Whole: wire.Whole, Revision: wire.Revision, Removed: wire.Removed, TakenOut: wire.TakenOut}
+	c := follower.Change{Whole: wire.Whole, Revision: wire.Revision, Removed: wire.Removed, TakenOut: wire.TakenOut,
+		Configuration: wire.Config}
 	for _, w := range wire.Puts {
 		u := registrar.Upstream{
 			ID: w.ID, Life: w.Life, Service: w.Service, Address: w.Address, Domain: w.Domain, Slots: w.Slots, Draining: w.Draining,
