keeper: release both owners of an unfinished move after a takeover

Cause: a row of the stored table that names a former owner may belong to a move that is already done, because the table is written after the grant. The successor released the former owner only, and then took the new owner for one without any grant; when that one left, its keys were given away while it had them. A grant that the predecessor had sent and that was carried out late had the same effect. Ruled out: orders of the predecessor after its right ended (it sent none after 18.43 s), renewals by it. Orders that change who has a range are logged now; without them the cause could not be seen.

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -9,7 +9,8 @@
 //   - Fences grow with the term and within a term. Before a release, the former owner gets a grant with a newer fence.
 //     An older grant that is carried out late is refused from then on.
 //   - A grant without an answer counts as given until its lifetime, counted from the end of the call, has passed.
-//   - An upstream that has restarted has no grants.
+//   - After a takeover in the middle of a move, both owners may have grants. Both are released, and the former one gets a
+//     newer fence by a grant that expires at once.
 //
 // # Usage
 //
@@ -34,6 +35,9 @@
 	Lifetime = 3 * time.Second
 	// RenewInterval leaves time for two more tries before a grant expires.
 	RenewInterval = 750 * time.Millisecond
+	// fenceLifetime is the lifetime of a grant that is given for its fence only: long enough to be accepted, and far
+	// shorter than the time for which two owners are tolerated.
+	fenceLifetime = 10 * time.Millisecond
 	// retryDelay is the time between two tries of an order that failed.
 	retryDelay = 150 * time.Millisecond
 	// lostAfter is how long an upstream may leave all orders unanswered before its ranges get another owner: two
@@ -81,10 +85,12 @@
 	handover string
 	// expiry is when every grant that the holder may have has expired. The holder is Previous if there is one.
 	expiry time.Duration
-	order  uint64 // outstanding order, or 0
-	next   time.Duration
-	commit uint64 // table version that names the owner
-	moved  time.Duration
+	// ownerExpiry is the same for Owner while there is a Previous: a predecessor may have given both of them grants.
+	ownerExpiry time.Duration
+	order       uint64 // outstanding order, or 0
+	next        time.Duration
+	commit      uint64 // table version that names the owner
+	moved       time.Duration
 	// served is the upstream that is expected to run requests now, or empty.
 	served string
 }
@@ -193,8 +199,8 @@
 	for _, row := range event.Table {
 		s := &segment{Range: row, phase: granting, expiry: expiry, served: row.Owner, commit: k.version}
 		if row.Previous != "" {
-			s.phase = raising
-			s.served = row.Previous
+			s.phase = clearing
+			s.ownerExpiry = expiry
 		}
 		k.segments = append(k.segments, s)
 	}
--- a/core/keeper/phases.go
+++ b/core/keeper/phases.go
@@ -26,7 +26,11 @@
 		}
 		k.grant(now, s, s.Previous)
 	case releasing:
-		k.release(now, s)
+		if now >= s.expiry {
+			k.free(now, s, "")
+			return
+		}
+		k.release(now, s, s.Previous)
 	case expiring:
 		if now >= s.expiry {
 			k.free(now, s, "")
@@ -38,6 +42,25 @@
 			delete(k.contacts, s.Previous)
 			s.phase = raising
 		}
+	case clearing:
+		if now >= s.expiry {
+			k.free(now, s, "")
+			return
+		}
+		k.release(now, s, s.Previous)
+	case settling:
+		if now >= s.ownerExpiry {
+			s.phase = fencing
+			k.progress(now, s)
+			return
+		}
+		k.release(now, s, s.Owner)
+	case fencing:
+		if now >= s.expiry {
+			k.free(now, s, s.handover)
+			return
+		}
+		k.grant(now, s, s.Previous)
 	case granting:
 		if _, ok := k.owners[s.Owner]; ok {
 			k.grant(now, s, s.Owner)
@@ -86,7 +109,8 @@
 	s.served = ""
 	s.handover = handover
 	s.fence = 0
-	s.expiry = 0
+	s.expiry = s.ownerExpiry
+	s.ownerExpiry = 0
 	s.next = now
 	k.changed(now)
 	k.progress(now, s)
@@ -109,9 +133,13 @@
 		return
 	}
 	// A move needs a newer fence, and so does a range whose last grant was not answered.
-	if s.fence == 0 || (s.phase == raising) {
+	if s.fence == 0 || s.phase == raising || s.phase == fencing {
 		s.fence = k.nextFence()
 	}
+	lifetime := k.lifetime
+	if s.phase == fencing {
+		lifetime = fenceLifetime
+	}
 	handover := ""
 	if s.phase == granting {
 		handover = s.handover
@@ -119,22 +147,25 @@
 	if s.phase == granting || s.phase == held {
 		s.life = k.owners[owner].Life
 	}
-	order := k.newOrder(s, owner, k.lifetime)
-	k.actions = append(k.actions, Grant{order, owner, s.From, s.To, s.fence, k.lifetime, handover})
+	order := k.newOrder(s, owner, lifetime)
+	k.actions = append(k.actions, Grant{
+		order, owner, s.From, s.To, s.fence, lifetime, handover, s.phase == held || s.phase == committing,
+	})
 	s.next = now + RenewInterval
 }
 
-func (k *Keeper) release(now time.Duration, s *segment) {
-	if now >= s.expiry {
-		k.free(now, s, "")
-		return
-	}
+func (k *Keeper) release(now time.Duration, s *segment, owner string) {
 	if len(k.pending) >= maxOrders {
 		return
 	}
-	s.served = ""
-	order := k.newOrder(s, s.Previous, 0)
-	k.actions = append(k.actions, Release{order, s.Previous, s.From, s.To, s.fence})
+	if s.phase != clearing {
+		s.served = ""
+	}
+	if s.fence == 0 {
+		s.fence = k.nextFence()
+	}
+	order := k.newOrder(s, owner, 0)
+	k.actions = append(k.actions, Release{order, owner, s.From, s.To, s.fence})
 	s.next = now + retryDelay
 }
 
@@ -169,15 +200,27 @@
 }
 
 func (k *Keeper) released(now time.Duration, s *segment, event Ordered) {
-	if s.phase != releasing {
-		return
-	}
 	if event.Result == Accepted {
-		k.free(now, s, event.Handover)
+		s.next = now
+		switch s.phase {
+		case clearing:
+			s.phase = settling
+			s.handover = event.Handover
+		case settling:
+			s.phase = fencing
+			if event.Handover != "" {
+				s.handover = event.Handover
+			}
+		default:
+			if event.Handover != "" {
+				s.handover = event.Handover
+			}
+			k.free(now, s, s.handover)
+		}
 		return
 	}
 	s.next = now + retryDelay
-	if k.unreachable(now, s.Previous) {
+	if s.phase == releasing && k.unreachable(now, s.Previous) {
 		k.expire(s)
 	}
 }
@@ -196,6 +239,10 @@
 	case raising:
 		s.phase = releasing
 		s.next = now
+	case fencing:
+		// An older grant may have been carried out since the first release. From now on all are refused.
+		s.phase = releasing
+		s.next = now
 	case granting:
 		s.phase = held
 		s.handover = ""
--- a/core/keeper/types.go
+++ b/core/keeper/types.go
@@ -14,6 +14,12 @@
 	releasing
 	// expiring waits until every grant that the former owner may have has expired.
 	expiring
+	// clearing releases the range at the former owner after a takeover, when the new owner may have a grant as well.
+	clearing
+	// settling releases the range at the new owner for the time of fencing.
+	settling
+	// fencing gives the former owner a grant that expires at once, for its fence.
+	fencing
 	// granting gives the range to its owner.
 	granting
 	// held renews the grant of the owner.
@@ -22,7 +28,7 @@
 
 // String returns the name of the phase for logs.
 func (p phase) String() string {
-	return [...]string{"committing", "raising", "releasing", "expiring", "granting", "held"}[p]
+	return [...]string{"committing", "raising", "releasing", "expiring", "clearing", "settling", "fencing", "granting", "held"}[p]
 }
 
 // Range is a row of the record: an inclusive range of keys and the upstreams that may have a grant for it.
@@ -120,6 +126,7 @@
 	Fence    uint64
 	Lifetime time.Duration
 	Handover string
+	Renewal  bool // the upstream is expected to have the range already
 }
 
 // Release asks to take a range from an upstream.
--- /dev/null
+++ b/core/keeper/world_test.go
@@ -0,0 +1,362 @@
+package keeper_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/keeper"
+)
+
+const (
+	worldStep   = 20 * time.Millisecond
+	maxLifetime = 10 * time.Second
+	keyStride   = 509 // of the keys that are checked
+	slowClock   = 1.02
+	// historyLines bounds what a failed check prints.
+	historyLines = 400
+)
+
+// upstream is a model of an upstream that keeps the platform's contract on grants.
+type upstream struct {
+	life  int64
+	down  time.Duration // silent until then
+	seen  map[uint16]uint64
+	until map[uint16]time.Duration
+}
+
+func newUpstream(life int64) *upstream {
+	return &upstream{life: life, seen: map[uint16]uint64{}, until: map[uint16]time.Duration{}}
+}
+
+func keysOf(from, to uint16) []uint16 {
+	var keys []uint16
+	for key := 0; key < 1<<16; key += keyStride {
+		if int(from) <= key && key <= int(to) {
+			keys = append(keys, uint16(key))
+		}
+	}
+	return keys
+}
+
+func (u *upstream) grant(arrival time.Duration, g keeper.Grant) keeper.Result {
+	for _, key := range keysOf(g.From, g.To) {
+		if u.seen[key] > g.Fence {
+			return keeper.Stale
+		}
+	}
+	for _, key := range keysOf(g.From, g.To) {
+		u.seen[key] = g.Fence
+		u.until[key] = max(u.until[key], arrival+time.Duration(float64(g.Lifetime)*slowClock))
+	}
+	return keeper.Accepted
+}
+
+func (u *upstream) release(r keeper.Release) {
+	for _, key := range keysOf(r.From, r.To) {
+		u.until[key] = 0
+	}
+}
+
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+// world runs one controller after the other against modelled upstreams and a modelled store.
+type world struct {
+	random    *rand.Rand
+	now       time.Duration
+	upstreams map[string]*upstream
+	owners    map[string]keeper.Owner
+	table     []keeper.Range
+	keeper    *keeper.Keeper
+	term      uint64
+	events    []event
+	lossy     float64
+	storeDown time.Duration
+	births    int64
+	history   []string // orders and answers, for a failed check
+}
+
+func newWorld(seed uint64, count int) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, seed)), upstreams: map[string]*upstream{}, owners: map[string]keeper.Owner{}}
+	for i := range count {
+		w.add(fmt.Sprintf("u%d", i))
+	}
+	w.takeOver()
+	return w
+}
+
+func (w *world) add(id string) {
+	w.births++
+	w.upstreams[id] = newUpstream(w.births)
+	w.owners[id] = keeper.Owner{ID: id, Life: w.births, Usable: true, Slots: 6}
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.events = append(w.events, event{w.now + d, run})
+}
+
+// takeOver replaces the controller. The former one sends nothing more, but its orders may still be on their way.
+func (w *world) takeOver() {
+	w.term++
+	w.keeper = keeper.New(keeper.Options{MaxLifetime: maxLifetime, ColdRate: 5})
+	w.feed(w.keeper, keeper.Owners{Owners: w.copyOwners()})
+	w.feed(w.keeper, keeper.Started{Term: w.term, Table: w.table})
+}
+
+func (w *world) note(format string, args ...any) {
+	w.history = append(w.history, fmt.Sprintf("%v term %d ", w.now, w.term)+fmt.Sprintf(format, args...))
+}
+
+func (w *world) copyOwners() map[string]keeper.Owner {
+	owners := map[string]keeper.Owner{}
+	for id, owner := range w.owners {
+		owners[id] = owner
+	}
+	return owners
+}
+
+func (w *world) feed(k *keeper.Keeper, input keeper.Event) {
+	if k != w.keeper {
+		return
+	}
+	if ordered, ok := input.(keeper.Ordered); ok {
+		w.note("%+v", ordered)
+	}
+	for _, action := range k.Step(w.now, input) {
+		if _, commit := action.(keeper.Commit); !commit {
+			w.note("%T%+v", action, action)
+		}
+		switch action := action.(type) {
+		case keeper.Grant:
+			w.sendGrant(k, action)
+		case keeper.Release:
+			w.sendRelease(k, action)
+		case keeper.Commit:
+			w.commit(k, action)
+		}
+	}
+}
+
+func (w *world) sendGrant(k *keeper.Keeper, g keeper.Grant) {
+	u := w.upstreams[g.Owner]
+	answer := func(delay time.Duration, result keeper.Result) {
+		w.after(delay, func() { w.feed(k, keeper.Ordered{Order: g.Order, Result: result}) })
+	}
+	if u == nil || w.now < u.down {
+		answer(250*time.Millisecond, keeper.NotSent)
+		return
+	}
+	if w.random.Float64() < w.lossy {
+		// Carried out late, although its time counts from now.
+		arrival := w.now
+		w.after(time.Duration(2+w.random.IntN(10))*time.Second, func() {
+			if w.upstreams[g.Owner] == u {
+				w.note("late grant %+v: %v", g, u.grant(arrival, g))
+			}
+		})
+		answer(350*time.Millisecond, keeper.Lost)
+		return
+	}
+	w.after(worldStep/2, func() { answer(0, u.grant(w.now, g)) })
+}
+
+func (w *world) sendRelease(k *keeper.Keeper, r keeper.Release) {
+	u := w.upstreams[r.Owner]
+	answer := func(delay time.Duration, result keeper.Result) {
+		w.after(delay, func() { w.feed(k, keeper.Ordered{Order: r.Order, Result: result, Handover: "h"}) })
+	}
+	switch {
+	case u == nil || w.now < u.down:
+		answer(250*time.Millisecond, keeper.NotSent)
+	case w.random.Float64() < w.lossy:
+		answer(350*time.Millisecond, keeper.Lost)
+	default:
+		w.after(worldStep/2, func() {
+			u.release(r)
+			answer(time.Duration(w.random.IntN(300))*time.Millisecond, keeper.Accepted)
+		})
+	}
+}
+
+func (w *world) commit(k *keeper.Keeper, c keeper.Commit) {
+	w.after(worldStep, func() {
+		if k != w.keeper || w.now < w.storeDown {
+			w.feed(k, keeper.CommitFailed{Version: c.Version})
+			return
+		}
+		w.table = c.Table
+		w.feed(k, keeper.Committed{Version: c.Version})
+	})
+}
+
+// run lets time pass and calls check after each step.
+func (w *world) run(d time.Duration, check func()) {
+	for end := w.now + d; w.now < end; {
+		w.now += worldStep
+		due := w.events
+		w.events = nil
+		for _, e := range due {
+			if e.at <= w.now {
+				e.run()
+				continue
+			}
+			w.events = append(w.events, e)
+		}
+		w.feed(w.keeper, keeper.Owners{Owners: w.copyOwners()})
+		w.feed(w.keeper, keeper.Tick{})
+		check()
+	}
+}
+
+// holders returns the upstreams that have a grant for the key.
+func (w *world) holders(key uint16) []string {
+	var ids []string
+	for id, u := range w.upstreams {
+		if u.until[key] > w.now {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (w *world) checkOwners(t *testing.T, seed uint64) {
+	t.Helper()
+	for key := 0; key < 1<<16; key += keyStride {
+		if ids := w.holders(uint16(key)); len(ids) > 1 {
+			for _, line := range w.history[max(0, len(w.history)-historyLines):] {
+				t.Log(line)
+			}
+			t.Fatalf("seed %d, %v: key %d is held by %v", seed, w.now, key, ids)
+		}
+	}
+}
+
+// served returns the share of the checked keys that the view sends to an upstream that has them.
+func (w *world) served() float64 {
+	view := w.keeper.View(w.now)
+	good, all := 0, 0
+	for key := 0; key < 1<<16; key += keyStride {
+		all++
+		row, ok := view.Find(uint16(key))
+		if !ok || row.Owner == "" {
+			continue
+		}
+		if u := w.upstreams[row.Owner]; u != nil && w.now >= u.down && u.until[uint16(key)] > w.now {
+			good++
+		}
+	}
+	return float64(good) / float64(all)
+}
+
+// disturb lets one random trouble happen.
+func (w *world) disturb() {
+	id := fmt.Sprintf("u%d", w.random.IntN(len(w.upstreams)))
+	owner, listed := w.owners[id]
+	switch w.random.IntN(9) {
+	case 0: // begins to drain
+		if listed && len(w.owners) > 3 {
+			owner.Usable = false
+			w.owners[id] = owner
+		}
+	case 1: // usable again
+		if listed {
+			owner.Usable = true
+			w.owners[id] = owner
+		}
+	case 2: // silent for a while, keeping its grants
+		w.upstreams[id].down = w.now + time.Duration(w.random.IntN(6000))*time.Millisecond
+	case 3: // its entry lapses although it serves
+		delete(w.owners, id)
+	case 4: // registers again
+		w.owners[id] = keeper.Owner{ID: id, Life: w.upstreams[id].life, Usable: true, Slots: 6}
+	case 5: // crashes and restarts under its id
+		w.add(id)
+	case 6:
+		w.takeOver()
+	case 7:
+		w.lossy = []float64{0, 0.2, 0.5}[w.random.IntN(3)]
+	case 8:
+		w.storeDown = w.now + time.Duration(w.random.IntN(4000))*time.Millisecond
+	}
+	keys := make([]uint16, 60)
+	hot := w.random.IntN(1 << 16)
+	for i := range keys {
+		keys[i] = uint16(hot + w.random.IntN(3000))
+	}
+	w.feed(w.keeper, keeper.Observed{Keys: keys})
+	w.feed(w.keeper, keeper.Hold{Long: w.random.IntN(4) == 0})
+}
+
+func TestKeysHaveOneOwner(t *testing.T) {
+	for seed := range uint64(60) {
+		w := newWorld(seed, 6)
+		check := func() { w.checkOwners(t, seed) }
+		w.run(4*time.Second, check)
+		for range 60 {
+			w.disturb()
+			w.run(time.Duration(100+w.random.IntN(1500))*time.Millisecond, check)
+		}
+	}
+}
+
+// TestTakeoverDuringMove covers a controller that is lost between its grant to the new owner and the next write of the
+// table: the record still names the former owner, but the new one has a grant.
+func TestTakeoverDuringMove(t *testing.T) {
+	w := newWorld(1, 4)
+	check := func() { w.checkOwners(t, 1) }
+	w.run(3*time.Second, check)
+	leaving := w.owners["u0"]
+	leaving.Usable = false
+	w.owners["u0"] = leaving
+	for range 100 {
+		w.run(worldStep, check)
+		if len(w.holders(0)) == 1 && w.holders(0)[0] != "u0" {
+			break
+		}
+	}
+	owner := w.holders(0)[0]
+	assert.Assert(t, w.table[0].Previous == "u0", "the table was written too early for this test")
+	w.takeOver()
+	next := w.owners[owner]
+	next.Usable = false
+	w.owners[owner] = next
+	w.run(5*time.Second, check)
+	assert.Equal(t, w.served(), 1.0)
+}
+
+func TestAvailability(t *testing.T) {
+	tests := []struct {
+		name    string
+		disturb func(w *world)
+		within  time.Duration
+	}{
+		{"first assignment", func(*world) {}, 0},
+		{"upstream drains", func(w *world) {
+			owner := w.owners["u1"]
+			owner.Usable = false
+			w.owners["u1"] = owner
+		}, 1500 * time.Millisecond},
+		{"upstream crashes silently", func(w *world) {
+			w.upstreams["u1"].down = w.now + time.Hour
+			delete(w.owners, "u1")
+		}, 4500 * time.Millisecond},
+		{"upstream restarts", func(w *world) { w.add("u1") }, 1500 * time.Millisecond},
+		{"controller is replaced", func(w *world) { w.takeOver() }, 500 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(7, 6)
+			check := func() { w.checkOwners(t, 7) }
+			w.run(4*time.Second, check)
+			tt.disturb(w)
+			w.run(tt.within, check)
+			assert.Equal(t, w.served(), 1.0)
+		})
+	}
+}
--- a/rhubarbtrackd/internal/governor/controller.go
+++ b/rhubarbtrackd/internal/governor/controller.go
@@ -136,32 +136,39 @@
 
 func (g *Governor) grant(ctx context.Context, r *run, a keeper.Grant, address string) {
 	result, err := keeper.NotSent, errors.New("the address is not known")
+	target := orderer.Range{Upstream: a.Owner, From: a.From, To: a.To, Fence: a.Fence}
 	if address != "" && g.mayAct() {
 		callCtx, cancel := context.WithTimeout(ctx, grantTimeout)
-		target := orderer.Range{Upstream: a.Owner, From: a.From, To: a.To, Fence: a.Fence}
 		result, err = g.options.Orders.Grant(callCtx, address, target, a.Lifetime, a.Handover)
 		cancel()
 	}
-	g.finish(ctx, r, "grant", a.Owner, a.Fence, keeper.Ordered{Order: a.Order, Result: result}, err)
+	g.logOrder("grant", target, a.Renewal, err)
+	g.post(func() { g.step(ctx, r, keeper.Ordered{Order: a.Order, Result: result}) })
 }
 
 func (g *Governor) release(ctx context.Context, r *run, a keeper.Release, address string) {
 	result, handover, err := keeper.NotSent, "", errors.New("the address is not known")
+	target := orderer.Range{Upstream: a.Owner, From: a.From, To: a.To, Fence: a.Fence}
 	if address != "" && g.mayAct() {
 		callCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
-		target := orderer.Range{Upstream: a.Owner, From: a.From, To: a.To, Fence: a.Fence}
 		result, handover, err = g.options.Orders.Release(callCtx, address, target)
 		cancel()
 	}
-	g.finish(ctx, r, "release", a.Owner, a.Fence, keeper.Ordered{Order: a.Order, Result: result, Handover: handover}, err)
+	g.logOrder("release", target, false, err)
+	g.post(func() { g.step(ctx, r, keeper.Ordered{Order: a.Order, Result: result, Handover: handover}) })
 }
 
-func (g *Governor) finish(ctx context.Context, r *run, verb, owner string, fence uint64, outcome keeper.Ordered, err error) {
+// logOrder logs orders that failed or that change who has a range. Renewals are too many.
+func (g *Governor) logOrder(verb string, target orderer.Range, renewal bool, err error) {
+	if err == nil && renewal {
+		return
+	}
+	event := eventlog.OrderDone
 	if err != nil {
-		g.options.Log.Log(eventlog.OrderFailed, zap.String("order", verb), zap.String("upstream", owner),
-			zap.Uint64("fence", fence), zap.Error(err))
+		event = eventlog.OrderFailed
 	}
-	g.post(func() { g.step(ctx, r, outcome) })
+	g.options.Log.Log(event, zap.String("order", verb), zap.String("upstream", target.Upstream), zap.Uint16("from", target.From),
+		zap.Uint16("to", target.To), zap.Uint64("fence", target.Fence), zap.Error(err))
 }
 
 // commit writes a table. A write without an answer is resolved by reading the object.
