--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -46,6 +46,8 @@
 	Priority    int           // 0 is the highest
 	MaxAttempts int           // upstreams to which one request may be sent
 	Split       []Share       // at least one
+	// Urgent routes have a higher priority than another route of one of their services. Set by Sort.
+	Urgent bool
 }
 
 // Share is the part of a route's requests that goes to one service.
@@ -62,9 +64,22 @@
 	IdleTimeout   time.Duration
 }
 
-// Sort puts the routes of every host name in the order that Match expects.
+// Sort puts the routes of every host name in the order that Match expects, and marks the urgent ones.
 func (c *Config) Sort() {
+	lowest := map[string]int{} // service to its largest number, which is its lowest priority
 	for _, routes := range c.Hosts {
+		for _, r := range routes {
+			for _, share := range r.Split {
+				lowest[share.Service] = max(lowest[share.Service], r.Priority)
+			}
+		}
+	}
+	for _, routes := range c.Hosts {
+		for i := range routes {
+			for _, share := range routes[i].Split {
+				routes[i].Urgent = routes[i].Urgent || routes[i].Priority < lowest[share.Service]
+			}
+		}
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
 }
--- a/rhubarbtrackd/internal/conductor/choose.go
+++ b/rhubarbtrackd/internal/conductor/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rhubarbtrack.example/core/placer"
+	"rhubarbtrack.example/core/rationer"
 	"rhubarbtrack.example/core/registrar"
 	"rhubarbtrack.example/core/throttler"
 	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
@@ -93,8 +94,8 @@
 		return choice{reason: "the owner cannot be reached", wait: max(wait, retryWait)}
 	}
 	estimate := c.board.Estimate(now, u.ID, u.Slots)
-	if late := estimate.Total() - time.Until(j.deadline); late > 0 && estimate.Wait > 0 {
-		return choice{reason: "the owner is overloaded", wait: max(late, retryWait)}
+	if verdict := c.judge(now, j, estimate); !verdict.Admit {
+		return choice{reason: "the owner is overloaded", wait: verdict.Wait}
 	}
 	if !c.takeCold(now, j, u) {
 		return choice{reason: "the owner is cold", wait: retryWait}
@@ -102,6 +103,14 @@
 	return choice{upstream: u}
 }
 
+// judge decides whether a request is worth sending. The caller holds the mutex.
+func (c *Conductor) judge(now time.Duration, j *job, estimate placer.Estimate) rationer.Verdict {
+	request := rationer.Request{
+		Route: j.route.Name, Service: j.service.Name, Objective: j.route.Objective, Left: time.Until(j.deadline), Urgent: j.route.Urgent,
+	}
+	return c.rations.Judge(now, request, j.returning, estimate)
+}
+
 // chooseAny picks an upstream of a service without keys.
 func (c *Conductor) chooseAny(_ context.Context, j *job) choice {
 	now := c.options.Now()
@@ -126,8 +135,8 @@
 	if id, ok := c.board.Pick(now, warm, j.tried); ok {
 		u := snapshot.Upstreams[id]
 		estimate := c.board.Estimate(now, id, u.Slots)
-		if late := estimate.Total() - time.Until(j.deadline); late > 0 && estimate.Wait > 0 {
-			return choice{reason: "all upstreams are overloaded", wait: max(late, retryWait)}
+		if verdict := c.judge(now, j, estimate); !verdict.Admit {
+			return choice{reason: "all upstreams are overloaded", wait: verdict.Wait}
 		}
 		return choice{upstream: u}
 	}
--- a/rhubarbtrackd/internal/conductor/conclude.go
+++ b/rhubarbtrackd/internal/conductor/conclude.go
@@ -46,16 +46,18 @@
 		return c.giveUp(j, "the upstream refused the request", retryWait)
 	}
 	if j.service.Keyed && answer.Status != http.StatusMisdirectedRequest {
-		return c.giveUp(j, "the owner is full", c.fullWait(u))
+		return c.giveUp(j, "the owner is full", c.fullWait(j))
 	}
 	return nil
 }
 
-// fullWait returns when an upstream that is full has probably a place in its queue.
-func (c *Conductor) fullWait(u registrar.Upstream) time.Duration {
+// fullWait returns when the caller may come back after an upstream had no place in its queue.
+func (c *Conductor) fullWait(j *job) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return max(retryWait, c.board.Estimate(c.options.Now(), u.ID, u.Slots).Wait)
+	now := c.options.Now()
+	c.rations.Refused(now, j.service.Name)
+	return c.rations.Wait(now, j.service.Name, time.Until(j.deadline))
 }
 
 func discard(answer *exchanger.Answer) {
@@ -98,7 +100,7 @@
 	taken := time.Since(j.request.Arrived)
 	c.options.Log.Log(eventlog.RequestEnded, zap.String("request", j.id), zap.String("route", j.route.Name),
 		zap.String("service", j.service.Name), zap.String("upstream", u.ID), zap.Int("tries", j.tries),
-		zap.Int("status", answer.Status), zap.Duration("taken", taken))
+		zap.Int("status", answer.Status), zap.Duration("left", j.left), zap.Duration("taken", taken))
 	c.options.Meter.Request(j.service.Name, "answered", taken)
 	return &acceptor.Response{
 		Status: answer.Status, Header: exchanger.Forwardable(answer.Header), Body: answer.Body,
@@ -155,7 +157,8 @@
 	}
 	c.options.Log.Log(eventlog.RequestRejected, zap.String("request", j.id), zap.String("route", route),
 		zap.String("service", service), zap.Uint16("key", j.key), zap.Int("status", status), zap.String("outcome", outcome),
-		zap.String("reason", reason), zap.Int("tries", j.tries), zap.Duration("taken", taken))
+		zap.String("reason", reason), zap.Int("tries", j.tries), zap.Duration("left", j.left),
+		zap.Duration("taken", taken))
 	c.options.Meter.Request(service, outcome, taken)
 	return &acceptor.Response{Status: status, Header: http.Header{}}
 }
--- a/rhubarbtrackd/internal/conductor/conductor.go
+++ b/rhubarbtrackd/internal/conductor/conductor.go
@@ -25,6 +25,7 @@
 
 	"rhubarbtrack.example/core/matcher"
 	"rhubarbtrack.example/core/placer"
+	"rhubarbtrack.example/core/rationer"
 	"rhubarbtrack.example/core/registrar"
 	"rhubarbtrack.example/core/throttler"
 	"rhubarbtrack.example/platform/translator"
@@ -70,6 +71,7 @@
 	options Options
 	mutex   sync.Mutex
 	board   *placer.Board
+	rations *rationer.Rationer
 	cold    map[string]*throttler.Bucket
 	retries map[string]*throttler.Bucket
 	index   int
@@ -81,7 +83,7 @@
 // New returns a conductor.
 func New(options Options) *Conductor {
 	c := &Conductor{
-		options: options, board: placer.New(options.Seed), cold: map[string]*throttler.Bucket{},
+		options: options, board: placer.New(options.Seed), rations: rationer.New(options.Seed), cold: map[string]*throttler.Bucket{},
 		retries: map[string]*throttler.Bucket{}, index: int(options.Seed % assumedHosts), hosts: assumedHosts,
 		seen: newObservations(),
 	}
@@ -139,6 +141,8 @@
 	tried    map[string]bool
 	tries    int
 	ran      bool // a try may have run
+	// returning requests have probably been refused before.
+	returning bool
 }
 
 // Handle answers a request.
@@ -160,6 +164,9 @@
 	if !c.setDeadline(j) {
 		return c.final(j, http.StatusBadRequest, "invalid time left")
 	}
+	c.mutex.Lock()
+	j.returning = c.rations.Returning(route.Name, j.left)
+	c.mutex.Unlock()
 	if !j.service.Keyed {
 		return c.serve(ctx, j, c.chooseAny)
 	}
