Recover at once after all hosts were lost; level by the time for which load was collected

Causes: after a loss of power hosts waited for a controller's copy of the store, read the configuration and the tables only then, and the successor waited for the right of a controller whose address it already had itself. The leveler divided the load of the first half second by 2.8 s, so hot ranges were left alone at the start. Ruled out: the start of the processes (60 ms) and the store (4 ms a call).

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -125,6 +125,9 @@
 	sending   uint64 // version that is being written, or 0
 	dirty     time.Duration
 	load      [keySpace]float32
+	loaded    bool
+	period    time.Duration // for which load was collected, decayed like load
+	counted   time.Duration // until when period counts
 	decayed   time.Duration
 	levelled  time.Duration
 	speeds    map[string]*leveler.Speed
@@ -152,9 +155,7 @@
 	case Owners:
 		k.owners = event.Owners
 	case Observed:
-		for _, key := range event.Keys {
-			k.load[key]++
-		}
+		k.observe(now, event.Keys)
 		return nil
 	case Measured:
 		k.measure(event)
@@ -176,6 +177,17 @@
 	return k.actions
 }
 
+func (k *Keeper) observe(now time.Duration, keys []uint16) {
+	if len(keys) > 0 && !k.loaded {
+		// Idle time before the first request says nothing of the load.
+		k.loaded = true
+		k.counted, k.period = now, 0
+	}
+	for _, key := range keys {
+		k.load[key]++
+	}
+}
+
 // Table returns the record as it should be.
 func (k *Keeper) Table() []Range {
 	table := make([]Range, 0, len(k.segments))
@@ -188,6 +200,9 @@
 func (k *Keeper) start(now time.Duration, event Started) {
 	k.started = true
 	k.startTime = now
+	k.counted = now
+	k.period = 0
+	k.load = [keySpace]float32{}
 	k.term = event.Term
 	k.fence = event.Term << fenceBits
 	k.segments = nil
@@ -231,8 +246,11 @@
 }
 
 func (k *Keeper) advance(now time.Duration) {
+	k.period += now - k.counted
+	k.counted = now
 	if now >= k.decayed+decayInterval {
 		k.decayed = now
+		k.period = time.Duration(float64(k.period) * decay)
 		for i := range k.load {
 			k.load[i] *= decay
 		}
--- a/core/keeper/plan.go
+++ b/core/keeper/plan.go
@@ -6,6 +6,9 @@
 	"rhubarbtrack.example/core/leveler"
 )
 
+// minPeriod is the shortest time over which load is taken for a rate.
+const minPeriod = 400 * time.Millisecond
+
 // minSpeedSamples is the number of measured requests from which the speed of an upstream is used.
 const minSpeedSamples = 10
 
@@ -72,7 +75,7 @@
 
 // newPlan describes the present load to the leveler.
 func (k *Keeper) newPlan() *leveler.Plan {
-	plan := leveler.New(&k.load, decayInterval.Seconds()/(1-decay))
+	plan := leveler.New(&k.load, max(minPeriod, k.period).Seconds())
 	for id, owner := range k.owners {
 		if !owner.Usable {
 			continue
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -191,6 +191,14 @@
 	return s.blocked - now, true
 }
 
+// Age returns the age of the last load report of an upstream, or 0 if there is none.
+func (b *Board) Age(now time.Duration, id string) time.Duration {
+	if s := b.states[id]; s != nil && s.reported > 0 {
+		return now - s.reported
+	}
+	return 0
+}
+
 // InFlight returns the requests that this host has in flight at an upstream.
 func (b *Board) InFlight(id string) int {
 	if s := b.states[id]; s != nil {
--- a/rhubarbtrackd/internal/conductor/choose.go
+++ b/rhubarbtrackd/internal/conductor/choose.go
@@ -15,7 +15,7 @@
 	// startWait is how long callers are asked to wait for a host that has just started.
 	startWait = 300 * time.Millisecond
 	// retryWait is how long callers wait before another host tries the same upstream.
-	retryWait = 150 * time.Millisecond
+	retryWait = 80 * time.Millisecond
 	// ownerWait bounds the time for which a request waits for the owner of its key: a planned move takes about one
 	// request's time.
 	ownerWait = 600 * time.Millisecond
@@ -94,7 +94,7 @@
 		return choice{reason: "the owner cannot be reached", wait: max(wait, retryWait)}
 	}
 	estimate := c.board.Estimate(now, u.ID, u.Slots)
-	if verdict := c.judge(now, j, estimate); !verdict.Admit {
+	if verdict := c.judge(now, j, u.ID, estimate); !verdict.Admit {
 		return choice{reason: "the owner is overloaded", wait: verdict.Wait}
 	}
 	if !c.takeCold(now, j, u) {
@@ -104,10 +104,11 @@
 }
 
 // judge decides whether a request is worth sending. The caller holds the mutex.
-func (c *Conductor) judge(now time.Duration, j *job, estimate placer.Estimate) rationer.Verdict {
+func (c *Conductor) judge(now time.Duration, j *job, id string, estimate placer.Estimate) rationer.Verdict {
 	request := rationer.Request{
 		Route: j.route.Name, Service: j.service.Name, Objective: j.route.Objective, Left: time.Until(j.deadline), Urgent: j.route.Urgent,
 	}
+	j.estimate, j.age = estimate, c.board.Age(now, id)
 	return c.rations.Judge(now, request, j.returning, estimate)
 }
 
@@ -135,7 +136,7 @@
 	if id, ok := c.board.Pick(now, warm, j.tried); ok {
 		u := snapshot.Upstreams[id]
 		estimate := c.board.Estimate(now, id, u.Slots)
-		if verdict := c.judge(now, j, estimate); !verdict.Admit {
+		if verdict := c.judge(now, j, id, estimate); !verdict.Admit {
 			return choice{reason: "all upstreams are overloaded", wait: verdict.Wait}
 		}
 		return choice{upstream: u}
--- a/rhubarbtrackd/internal/conductor/conclude.go
+++ b/rhubarbtrackd/internal/conductor/conclude.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/registrar"
+	"rhubarbtrack.example/platform/translator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/acceptor"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/exchanger"
@@ -45,10 +46,21 @@
 	if j.tries >= maxTries || j.request.Stream != nil {
 		return c.giveUp(j, "the upstream refused the request", retryWait)
 	}
-	if j.service.Keyed && answer.Status != http.StatusMisdirectedRequest {
-		return c.giveUp(j, "the owner is full", c.fullWait(j))
+	if !j.service.Keyed || answer.Status == http.StatusMisdirectedRequest {
+		return nil
 	}
-	return nil
+	if hasRoom(answer) {
+		// The refusal says nothing about the next try, and nobody else can run the request.
+		delete(j.tried, u.ID)
+		return nil
+	}
+	return c.giveUp(j, "the owner is full", c.fullWait(j))
+}
+
+// hasRoom reports whether an upstream refused a request although it has free slots.
+func hasRoom(answer *exchanger.Answer) bool {
+	load, ok := translator.Load(answer.Header.Get(translator.LoadHeader))
+	return ok && load.Waiting == 0 && load.Running < load.Slots
 }
 
 // fullWait returns when the caller may come back after an upstream had no place in its queue.
@@ -100,7 +112,8 @@
 	taken := time.Since(j.request.Arrived)
 	c.options.Log.Log(eventlog.RequestEnded, zap.String("request", j.id), zap.String("route", j.route.Name),
 		zap.String("service", j.service.Name), zap.String("upstream", u.ID), zap.Int("tries", j.tries),
-		zap.Int("status", answer.Status), zap.Duration("left", j.left), zap.Duration("taken", taken))
+		zap.Int("status", answer.Status), zap.Duration("left", j.left), zap.Duration("expected-wait", j.estimate.Wait),
+		zap.Duration("expected-run", j.estimate.Run), zap.Duration("load-age", j.age), zap.Duration("taken", taken))
 	c.options.Meter.Request(j.service.Name, "answered", taken)
 	return &acceptor.Response{
 		Status: answer.Status, Header: exchanger.Forwardable(answer.Header), Body: answer.Body,
@@ -158,6 +171,7 @@
 	c.options.Log.Log(eventlog.RequestRejected, zap.String("request", j.id), zap.String("route", route),
 		zap.String("service", service), zap.Uint16("key", j.key), zap.Int("status", status), zap.String("outcome", outcome),
 		zap.String("reason", reason), zap.Int("tries", j.tries), zap.Duration("left", j.left),
+		zap.Duration("expected-wait", j.estimate.Wait), zap.Duration("expected-run", j.estimate.Run), zap.Duration("load-age", j.age),
 		zap.Duration("taken", taken))
 	c.options.Meter.Request(service, outcome, taken)
 	return &acceptor.Response{Status: status, Header: http.Header{}}
--- a/rhubarbtrackd/internal/conductor/conductor.go
+++ b/rhubarbtrackd/internal/conductor/conductor.go
@@ -143,6 +143,8 @@
 	ran      bool // a try may have run
 	// returning requests have probably been refused before.
 	returning bool
+	estimate  placer.Estimate // of the last choice, with its age
+	age       time.Duration
 }
 
 // Handle answers a request.
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -64,6 +64,8 @@
 	Store *storer.Client
 	Log   *eventlog.Logger
 	Now   func() time.Duration
+	// FirstStart is set when all hosts start together and the first controller's copy is worth waiting for.
+	FirstStart bool
 	// Changed is called after each change of the snapshot.
 	Changed func()
 }
@@ -93,7 +95,10 @@
 	f := &Follower{
 		options: options, list: registrar.New(), takenOut: map[string]time.Duration{},
 		draining: map[string]time.Duration{}, failing: map[string]time.Duration{}, refused: map[string]int64{},
-		cancels: map[string]context.CancelFunc{}, patience: options.Now() + startPatience,
+		cancels: map[string]context.CancelFunc{},
+	}
+	if options.FirstStart {
+		f.patience = options.Now() + startPatience
 	}
 	f.snapshot.Store(&Snapshot{})
 	return f
@@ -182,7 +187,7 @@
 func (f *Follower) waits(kind kindFollower) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if kind.kind == translator.ConfigurationKind && f.wanted > f.version() {
+	if kind.kind == translator.ConfigurationKind && (f.config == nil || f.wanted > f.version()) {
 		return false
 	}
 	return f.relayed || f.options.Now() < f.patience
--- a/rhubarbtrackd/internal/governor/governor.go
+++ b/rhubarbtrackd/internal/governor/governor.go
@@ -55,6 +55,7 @@
 	Address     string // where other hosts connect
 	Delay       time.Duration
 	MaxLifetime time.Duration
+	FirstStart  bool // no tables are stored yet
 	Store       *storer.Client
 	Orders      *orderer.Client
 	Follower    *follower.Follower
@@ -99,6 +100,7 @@
 	beat      uint64
 	snapshot  *follower.Snapshot
 	stopped   chan struct{}
+	ctx       context.Context // of Run
 	// copied is the copy of the store that each host has, as far as it was sent.
 	copied map[*linker.Peer]*follower.Snapshot
 	whole  atomic.Bool // this host needs the controller's whole copy
@@ -125,6 +127,7 @@
 		copied:    map[*linker.Peer]*follower.Snapshot{},
 	}
 	g.hub = linker.NewHub(
+		options.Host,
 		func(peer *linker.Peer, report linker.Report) {
 			g.post(func() {
 				if report.Whole {
@@ -142,6 +145,9 @@
 	)
 	g.client = linker.NewClient(linker.ClientOptions{
 		Leader: g.leaderAddress,
+		OnOther: func(host string) {
+			g.post(func() { g.ended(host) })
+		},
 		Now:    options.Now,
 		Report: g.report,
 		OnBeat: func(beat linker.Beat) { g.post(func() { g.takeBeat(beat) }) },
@@ -165,12 +171,20 @@
 	return report
 }
 
-func (g *Governor) leaderAddress() string {
+// ended notes that the process of a controller has ended.
+func (g *Governor) ended(host string) {
+	record := g.leader.Load()
+	if record != nil && record.Holder == host {
+		g.compete(g.ctx, contender.Gone{Term: record.Term})
+	}
+}
+
+func (g *Governor) leaderAddress() (host, address string) {
 	record := g.leader.Load()
 	if record == nil || record.Holder == g.options.Host {
-		return ""
+		return "", ""
 	}
-	return record.Address
+	return record.Holder, record.Address
 }
 
 // post queues an event for the loop.
@@ -184,6 +198,7 @@
 // Run competes for the record and acts as controller until ctx ends.
 func (g *Governor) Run(ctx context.Context) {
 	defer close(g.stopped)
+	g.ctx = ctx
 	go g.client.Run(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -201,7 +216,7 @@
 
 // Resign gives the role up. It returns when the store has confirmed that, or when ctx ends.
 func (g *Governor) Resign(ctx context.Context) {
-	g.post(func() { g.perform(ctx, g.contender.Step(g.options.Now(), contender.Resign{})) })
+	g.post(func() { g.compete(ctx, contender.Resign{}) })
 	for ctx.Err() == nil {
 		done := make(chan bool, 1)
 		g.post(func() { done <- !g.contender.Holder() })
@@ -221,7 +236,7 @@
 
 func (g *Governor) tick(ctx context.Context) {
 	now := g.options.Now()
-	g.perform(ctx, g.contender.Step(now, contender.Tick{}))
+	g.compete(ctx, contender.Tick{})
 	g.valid.Store(0)
 	if g.contender.Valid(now) {
 		g.valid.Store(int64(now + g.contender.Remaining(now)))
@@ -255,6 +270,11 @@
 	}
 }
 
+// compete feeds the contender and carries out what it asks for.
+func (g *Governor) compete(ctx context.Context, event contender.Event) {
+	g.perform(ctx, g.contender.Step(g.options.Now(), event))
+}
+
 // perform carries the actions of the contender out.
 func (g *Governor) perform(ctx context.Context, actions []contender.Action) {
 	for _, action := range actions {
@@ -266,6 +286,10 @@
 		case contender.Follow:
 			record := action.Record
 			g.leader.Store(&record)
+			if record.Address == g.options.Address {
+				// This process has the address now, so the former one has ended.
+				g.compete(ctx, contender.Gone{Term: record.Term})
+			}
 		case contender.Lead:
 			g.options.Log.Log(eventlog.LeadershipGained, zap.Uint64("term", action.Term))
 			g.leader.Store(&contender.Record{Holder: g.options.Host, Term: action.Term})
@@ -292,7 +316,7 @@
 	case err == nil:
 		record, err = recorder.DecodeRecord(object.Revision, object.Specification)
 	}
-	g.post(func() { g.perform(ctx, g.contender.Step(g.options.Now(), contender.WasRead{Record: record, Err: err})) })
+	g.post(func() { g.compete(ctx, contender.WasRead{Record: record, Err: err}) })
 }
 
 func (g *Governor) writeRecord(ctx context.Context, record contender.Record) {
@@ -319,7 +343,7 @@
 	if outcome.Err != nil {
 		g.options.Log.Log(eventlog.RecordWriteFailed, zap.Uint64("term", record.Term), zap.Error(err))
 	}
-	g.post(func() { g.perform(ctx, g.contender.Step(g.options.Now(), outcome)) })
+	g.post(func() { g.compete(ctx, outcome) })
 }
 
 // takeBeat applies what the controller says.
@@ -330,7 +354,7 @@
 	}
 	g.heard = now
 	if beat.Valid {
-		g.contender.Step(now, contender.Heard{Term: beat.Term})
+		g.compete(g.ctx, contender.Heard{Term: beat.Term})
 	}
 	for _, change := range beat.Tables {
 		if change.Whole {
@@ -347,7 +371,7 @@
 
 // fetchTables reads the stored tables when no controller has sent any, for example after the start.
 func (g *Governor) fetchTables(ctx context.Context, now time.Duration) {
-	if now < max(g.heard, g.began)+tableWait || g.snapshot.Config == nil {
+	if g.snapshot.Config == nil || (g.options.FirstStart && now < max(g.heard, g.began)+tableWait) {
 		return
 	}
 	for name, service := range g.snapshot.Config.Services {
--- a/rhubarbtrackd/internal/linker/linker.go
+++ b/rhubarbtrackd/internal/linker/linker.go
@@ -20,9 +20,13 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 )
 
+// HostHeader names the process that accepts a connection.
+const HostHeader = "Rhubarbtrack-Host"
+
 // Path is where a host accepts connections of other hosts.
 const Path = "/rhubarbtrack/link"
 
@@ -51,6 +55,7 @@
 
 // Hub is the controller's side. It is safe for concurrent use.
 type Hub struct {
+	host     string
 	onReport func(peer *Peer, report Report)
 	onLeave  func(peer *Peer)
 	mutex    sync.Mutex
@@ -58,8 +63,8 @@
 }
 
 // NewHub returns a hub without hosts. A peer's first report comes before any beat is sent to it.
-func NewHub(onReport func(*Peer, Report), onLeave func(*Peer)) *Hub {
-	return &Hub{onReport: onReport, onLeave: onLeave, peers: map[*Peer]bool{}}
+func NewHub(host string, onReport func(*Peer, Report), onLeave func(*Peer)) *Hub {
+	return &Hub{host: host, onReport: onReport, onLeave: onLeave, peers: map[*Peer]bool{}}
 }
 
 // Peers returns the connected hosts, sorted by name.
@@ -91,6 +96,7 @@
 
 // ServeHTTP accepts the connection of a host.
 func (h *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HostHeader, h.host)
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return
@@ -165,8 +171,10 @@
 
 // ClientOptions configures a Client.
 type ClientOptions struct {
-	// Leader returns the address of the controller, or an empty string when it is not known or is this host.
-	Leader func() string
+	// Leader returns the name and the address of the controller, or empty strings when it is not known or is this host.
+	Leader func() (host, address string)
+	// OnOther is told that another process has the address of the controller, which therefore has ended.
+	OnOther func(host string)
 	// Report returns what happened since the last report.
 	Report func() Report
 	// OnBeat is told of each beat; whole is set for the first one of a connection.
@@ -186,9 +194,9 @@
 // Run keeps a connection to the controller until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		address := c.options.Leader()
+		host, address := c.options.Leader()
 		if address != "" {
-			err := c.serve(ctx, address)
+			err := c.serve(ctx, host, address)
 			if ctx.Err() == nil && err != nil {
 				c.options.OnLost(address, err)
 			}
@@ -200,19 +208,23 @@
 	}
 }
 
-func (c *Client) serve(ctx context.Context, address string) error {
+func (c *Client) serve(ctx context.Context, host, address string) error {
 	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+address+Path, nil)
+	conn, response, err := websocket.Dial(dialCtx, "ws://"+address+Path, nil)
 	cancelDial()
 	if err != nil {
 		return &Error{"dial " + address, Disconnected, err}
 	}
 	defer func() { _ = conn.CloseNow() }()
+	if other := response.Header.Get(HostHeader); other != host {
+		c.options.OnOther(host)
+		return &Error{"dial " + address, Disconnected, errors.Newf("%s has the address of %s", other, host)}
+	}
 	conn.SetReadLimit(maxMessage)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.options.OnOpen(address)
-	go c.report(ctx, cancel, conn, address)
+	go c.report(ctx, cancel, conn, host)
 	for {
 		data, err := receive(ctx, conn)
 		if err != nil {
@@ -227,11 +239,14 @@
 }
 
 // report sends reports until the connection ends or the controller is another host.
-func (c *Client) report(ctx context.Context, cancel func(), conn *websocket.Conn, address string) {
+func (c *Client) report(ctx context.Context, cancel func(), conn *websocket.Conn, host string) {
 	defer cancel()
 	ticker := time.NewTicker(ReportInterval)
 	defer ticker.Stop()
-	for c.options.Leader() == address {
+	for {
+		if leader, _ := c.options.Leader(); leader != host {
+			return
+		}
 		data, err := encodeReport(c.options.Report())
 		if err != nil {
 			return
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -145,7 +145,7 @@
 	d := &daemon{options: options, settings: s, log: options.Log, meter: meter.New(), tables: director.New()}
 	d.ending, d.end = context.WithCancel(context.Background())
 	store := storer.New(s.StoreAddress)
-	d.follower = follower.New(follower.Options{Store: store, Log: d.log, Now: timer.Now})
+	d.follower = follower.New(follower.Options{Store: store, Log: d.log, Now: timer.Now, FirstStart: s.FirstStart})
 	d.pool = exchanger.New(exchanger.Options{IDHeader: translator.AttemptHeader})
 	name := incarnation(s.Host)
 	seed := xxhash.Sum64String(name)
@@ -155,7 +155,8 @@
 	})
 	d.governor = governor.New(governor.Options{
 		Host: name, Address: s.PeerAddress, Delay: takeoverDelay(s.ProcessorShare, seed), MaxLifetime: s.Bounds.MaxHold,
-		Store: store, Orders: orderer.New(), Follower: d.follower, Tables: d.tables, Log: d.log, Now: timer.Now,
+		FirstStart: s.FirstStart,
+		Store:      store, Orders: orderer.New(), Follower: d.follower, Tables: d.tables, Log: d.log, Now: timer.Now,
 		Report: func() linker.Report {
 			report := d.conductor.Report()
 			report.Host = name
