--- /dev/null
+++ b/core/contender/contender_test.go
@@ -0,0 +1,245 @@
+package contender_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/contender"
+)
+
+const step = 10 * time.Millisecond
+
+// store is a model of the record with conditional writes. Each write gets a new revision.
+type store struct {
+	record   contender.Record
+	revision int64
+}
+
+func (s *store) write(record contender.Record) (contender.Record, bool) {
+	if record.Revision != s.record.Revision {
+		return s.record, false
+	}
+	s.revision++
+	record.Revision = s.revision
+	s.record = record
+	return record, true
+}
+
+type host struct {
+	contender *contender.Contender
+	dead      bool
+	cut       bool          // from the store
+	frozen    time.Duration // until then
+}
+
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+// world is a set of hosts that compete for one record.
+type world struct {
+	now    time.Duration
+	random *rand.Rand
+	store  store
+	hosts  []*host
+	events []event
+	lost   float64 // share of writes that are carried out and not answered
+	late   float64 // share of writes that are carried out seconds later
+}
+
+func newWorld(seed uint64, count int) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, seed))}
+	for range count {
+		w.add()
+	}
+	return w
+}
+
+func (w *world) add() {
+	options := contender.Options{
+		Name: fmt.Sprintf("host-%d", len(w.hosts)), Delay: time.Duration(w.random.IntN(150)) * time.Millisecond,
+	}
+	w.hosts = append(w.hosts, &host{contender: contender.New(w.now, options)})
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.events = append(w.events, event{w.now + d, run})
+}
+
+func (w *world) feed(h *host, e contender.Event) {
+	if h.dead {
+		return
+	}
+	if w.now < h.frozen {
+		w.after(h.frozen-w.now, func() { w.feed(h, e) })
+		return
+	}
+	for _, action := range h.contender.Step(w.now, e) {
+		switch action := action.(type) {
+		case contender.Read:
+			w.read(h)
+		case contender.Write:
+			w.write(h, action.Record)
+		}
+	}
+}
+
+var errNoAnswer = errors.New("no answer")
+
+func (w *world) read(h *host) {
+	if h.cut {
+		w.after(500*time.Millisecond, func() { w.feed(h, contender.WasRead{Err: errNoAnswer}) })
+		return
+	}
+	w.after(step, func() {
+		record := w.store.record
+		w.after(step, func() { w.feed(h, contender.WasRead{Record: record}) })
+	})
+}
+
+func (w *world) write(h *host, record contender.Record) {
+	sent := w.now
+	noAnswer := func() {
+		w.after(500*time.Millisecond, func() { w.feed(h, contender.WasWritten{Sent: sent, Record: record, Err: errNoAnswer}) })
+	}
+	switch draw := w.random.Float64(); {
+	case h.cut:
+		noAnswer()
+	case draw < w.late:
+		w.after(time.Duration(1+w.random.IntN(6))*time.Second, func() { w.store.write(record) })
+		noAnswer()
+	case draw < w.late+w.lost:
+		w.after(step, func() { w.store.write(record) })
+		noAnswer()
+	default:
+		w.after(step, func() {
+			result, ok := w.store.write(record)
+			w.after(step, func() { w.feed(h, contender.WasWritten{Sent: sent, Record: result, Conflict: !ok}) })
+		})
+	}
+}
+
+// run lets time pass. At every moment at most one host may act.
+func (w *world) run(t *testing.T, d time.Duration) {
+	t.Helper()
+	for end := w.now + d; w.now < end; {
+		w.now += step
+		due := w.events
+		w.events = nil
+		for _, e := range due {
+			if e.at <= w.now {
+				e.run()
+				continue
+			}
+			w.events = append(w.events, e)
+		}
+		for _, h := range w.hosts {
+			if w.now >= h.frozen {
+				w.feed(h, contender.Tick{})
+			}
+		}
+		assert.Assert(t, len(w.acting()) <= 1, "%v: %v act", w.now, w.acting())
+	}
+}
+
+// acting returns the hosts that may act now. A frozen host does nothing, but may act as soon as it is thawed.
+func (w *world) acting() []int {
+	var acting []int
+	for i, h := range w.hosts {
+		if !h.dead && h.contender.Valid(w.now) {
+			acting = append(acting, i)
+		}
+	}
+	return acting
+}
+
+func TestOneHostActs(t *testing.T) {
+	for seed := range uint64(40) {
+		w := newWorld(seed, 5)
+		w.run(t, 2*time.Second)
+		for range 30 {
+			h := w.hosts[w.random.IntN(len(w.hosts))]
+			if acting := w.acting(); len(acting) == 1 && w.random.IntN(2) == 0 {
+				h = w.hosts[acting[0]]
+			}
+			switch w.random.IntN(6) {
+			case 0:
+				h.dead = true
+				w.add()
+			case 1:
+				h.cut = !h.cut
+			case 2:
+				h.frozen = w.now + time.Duration(w.random.IntN(5000))*time.Millisecond
+			case 3:
+				w.feed(h, contender.Resign{})
+				w.add()
+			case 4:
+				w.lost, w.late = 0.3, 0
+			case 5:
+				w.lost, w.late = 0, 0.3
+			}
+			w.run(t, time.Duration(w.random.IntN(3000))*time.Millisecond)
+		}
+	}
+}
+
+func TestTakeover(t *testing.T) {
+	tests := []struct {
+		name   string
+		lose   func(w *world, h *host)
+		within time.Duration
+	}{
+		{"killed", func(_ *world, h *host) { h.dead = true }, 3300 * time.Millisecond},
+		{"cut from the store", func(_ *world, h *host) { h.cut = true }, 3300 * time.Millisecond},
+		{"frozen", func(w *world, h *host) { h.frozen = w.now + time.Hour }, 3300 * time.Millisecond},
+		{"resigned", func(w *world, h *host) { w.feed(h, contender.Resign{}) }, 1200 * time.Millisecond},
+		{"known to have ended", func(w *world, h *host) {
+			h.dead = true
+			for _, other := range w.hosts {
+				w.feed(other, contender.Gone{Term: other.contender.Term()})
+			}
+		}, 500 * time.Millisecond}, // two delays, because the first write may meet a newer revision
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(3, 5)
+			w.run(t, 2*time.Second)
+			first := w.acting()
+			assert.Equal(t, len(first), 1)
+			tt.lose(w, w.hosts[first[0]])
+			w.run(t, tt.within)
+			next := w.acting()
+			assert.Equal(t, len(next), 1)
+			assert.Assert(t, next[0] != first[0])
+		})
+	}
+}
+
+func TestLapsedHolderResumes(t *testing.T) {
+	w := newWorld(1, 1)
+	w.run(t, time.Second)
+	w.hosts[0].cut = true
+	w.run(t, 3*time.Second)
+	assert.Equal(t, len(w.acting()), 0)
+	term := w.hosts[0].contender.Term()
+	w.hosts[0].cut = false
+	w.run(t, 1500*time.Millisecond)
+	assert.Equal(t, len(w.acting()), 1)
+	assert.Equal(t, w.hosts[0].contender.Term(), term)
+}
+
+func TestDoubtComesBeforeTheEndOfTheRight(t *testing.T) {
+	w := newWorld(1, 1)
+	w.run(t, time.Second)
+	w.hosts[0].cut = true
+	for !w.hosts[0].contender.Doubtful(w.now) {
+		w.run(t, step)
+	}
+	assert.Assert(t, w.hosts[0].contender.Remaining(w.now) > time.Second)
+}
