contender: wait for the delay instead of reading again when the record is vacant

Cause: a host that may take over after its delay of up to 0.15 s read the record once more and came back 0.4 s later. Test: TestTakeover/known_to_have_ended failed in the commit before and passes now.

--- a/core/contender/contender.go
+++ b/core/contender/contender.go
@@ -198,13 +198,21 @@
 		return c.write(now, Record{
 			Revision: c.record.Revision, Holder: c.options.Name, Address: c.options.Address, Term: c.record.Term + 1,
 		})
+	case c.vacant():
+		c.next = c.seen + c.options.Delay
+		return nil
 	default:
 		return c.read(now)
 	}
 }
 
+// vacant reports whether nobody can have the right to act.
+func (c *Contender) vacant() bool {
+	return c.record.Revision == 0 || c.record.Resigned || c.gone == c.record.Term
+}
+
 func (c *Contender) mayTakeOver(now time.Duration) bool {
-	if c.record.Revision == 0 || c.record.Resigned || c.gone == c.record.Term {
+	if c.vacant() {
 		return now >= c.seen+c.options.Delay
 	}
 	return now >= c.seen+Right+Right/50+Margin+c.options.Delay
