contender: try again after the delay when a takeover met a newer revision

Cause: the holder's last write had changed the revision, and the loser of the race waited for the renewal interval.

--- a/core/contender/contender.go
+++ b/core/contender/contender.go
@@ -238,6 +238,9 @@
 	changedHolder := !c.known || record.Term != c.record.Term
 	c.known = true
 	c.record = record
+	if c.vacant() {
+		c.next = min(c.next, c.seen+c.options.Delay)
+	}
 	mine := record.Holder == c.options.Name && !record.Resigned
 	if mine && !c.holder {
 		// A takeover took effect although its answer was lost. The right begins with the next confirmed write.
