confirmer: give the keys of an upstream away as soon as its end is certain

Ruled out: taking one host's refused connection for the end; a partition may reset the connections of some hosts. Change: a host that is refused reports it, all hosts try the upstream, and it has ended when 8 in 10 were refused and none was answered.

--- /dev/null
+++ b/core/confirmer/confirmer_test.go
@@ -0,0 +1,48 @@
+package confirmer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/confirmer"
+)
+
+func TestEnded(t *testing.T) {
+	tests := []struct {
+		name    string
+		hosts   int
+		refused int
+		reached bool
+		age     time.Duration
+		ended   bool
+	}{
+		{"refused by all", 11, 11, false, 0, true},
+		{"refused by nearly all", 11, 9, false, 0, true},
+		{"refused by half", 11, 6, false, 0, false},
+		{"reached by one", 11, 10, true, 0, false},
+		{"too few hosts", 2, 2, false, 0, false},
+		{"old evidence", 11, 11, false, 2 * time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := confirmer.New()
+			for i := range tt.refused {
+				c.Refused(0, fmt.Sprint(i), "u")
+			}
+			if tt.reached {
+				c.Reached("u")
+			}
+			assert.Equal(t, len(c.Ended(tt.age, tt.hosts)) == 1, tt.ended)
+		})
+	}
+}
+
+func TestSuspectsAreForgotten(t *testing.T) {
+	c := confirmer.New()
+	c.Refused(0, "h", "u")
+	assert.DeepEqual(t, c.Suspects(time.Second), []string{"u"})
+	assert.Equal(t, len(c.Suspects(3*time.Second)), 0)
+}
--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -120,7 +120,8 @@
 	segments  []*segment
 	pending   map[uint64]pending
 	contacts  map[string]contact
-	version   uint64 // of the table in memory
+	ended     map[string]int64 // upstreams whose process has ended, with its life
+	version   uint64           // of the table in memory
 	stored    uint64
 	sending   uint64 // version that is being written, or 0
 	dirty     time.Duration
@@ -142,6 +143,7 @@
 		owners:   map[string]Owner{},
 		pending:  map[uint64]pending{},
 		contacts: map[string]contact{},
+		ended:    map[string]int64{},
 		speeds:   map[string]*leveler.Speed{},
 	}
 }
@@ -154,6 +156,11 @@
 		k.start(now, event)
 	case Owners:
 		k.owners = event.Owners
+		for id, life := range k.ended {
+			if owner, ok := k.owners[id]; !ok || owner.Life != life {
+				delete(k.ended, id)
+			}
+		}
 	case Observed:
 		k.observe(now, event.Keys)
 		return nil
@@ -168,6 +175,8 @@
 	case CommitFailed:
 		k.sending = 0
 		k.dirty = now + retryDelay
+	case Ended:
+		k.end(now, event.Owner)
 	case Hold:
 		k.setLifetime(now, event.Long)
 	}
@@ -295,7 +304,7 @@
 func (k *Keeper) usable() []string {
 	var ids []string
 	for id, owner := range k.owners {
-		if owner.Usable {
+		if owner.Usable && !k.hasEnded(id) {
 			ids = append(ids, id)
 		}
 	}
--- a/core/keeper/phases.go
+++ b/core/keeper/phases.go
@@ -82,6 +82,8 @@
 	case s.Previous == "":
 		s.phase = granting
 		k.progress(now, s)
+	case now >= s.expiry:
+		k.free(now, s, "")
 	case k.unreachable(now, s.Previous):
 		k.expire(s)
 	default:
@@ -90,6 +92,32 @@
 	}
 }
 
+// end notes that an upstream's process has ended: all its grants are void.
+func (k *Keeper) end(now time.Duration, id string) {
+	owner, ok := k.owners[id]
+	if !ok || k.hasEnded(id) {
+		return
+	}
+	k.ended[id] = owner.Life
+	for _, s := range k.segments {
+		if s.Previous == id || (s.Previous == "" && s.Owner == id) {
+			s.expiry = min(s.expiry, now)
+		}
+		if s.Previous != "" && s.Owner == id {
+			s.ownerExpiry = min(s.ownerExpiry, now)
+		}
+		if s.served == id {
+			s.served = ""
+		}
+	}
+}
+
+// hasEnded reports whether the listed process of an upstream has ended.
+func (k *Keeper) hasEnded(id string) bool {
+	life, ok := k.ended[id]
+	return ok && k.owners[id].Life == life
+}
+
 // unreachable reports whether the upstream leaves orders unanswered.
 func (k *Keeper) unreachable(now time.Duration, id string) bool {
 	c := k.contacts[id]
@@ -226,6 +254,9 @@
 }
 
 func (k *Keeper) granted(now time.Duration, s *segment, order pending, result Result) {
+	if result == Lost && k.hasEnded(order.owner) {
+		result = NotSent
+	}
 	if result == Accepted || result == Lost {
 		s.expiry = max(s.expiry, k.expiryAfter(now, order.lifetime))
 	}
--- a/core/keeper/plan.go
+++ b/core/keeper/plan.go
@@ -53,6 +53,8 @@
 		return "gone"
 	case s.phase == held && s.life != 0 && owner.Life != s.life:
 		return "restarted"
+	case k.hasEnded(s.Owner):
+		return "ended"
 	case !owner.Usable:
 		return "leaving"
 	case k.unreachable(now, s.Owner):
@@ -77,7 +79,7 @@
 func (k *Keeper) newPlan() *leveler.Plan {
 	plan := leveler.New(&k.load, max(minPeriod, k.period).Seconds())
 	for id, owner := range k.owners {
-		if !owner.Usable {
+		if !owner.Usable || k.hasEnded(id) {
 			continue
 		}
 		target := leveler.Target{ID: id, Slots: float64(owner.Slots)}
--- a/core/keeper/types.go
+++ b/core/keeper/types.go
@@ -102,6 +102,9 @@
 // CommitFailed tells that the store did not take the table.
 type CommitFailed struct{ Version uint64 }
 
+// Ended tells that the process of an upstream has certainly ended, so that it has no grants.
+type Ended struct{ Owner string }
+
 // Hold sets the lifetime of the grants from now on.
 type Hold struct{ Long bool }
 
@@ -113,6 +116,7 @@
 func (Ordered) event()      {}
 func (Committed) event()    {}
 func (CommitFailed) event() {}
+func (Ended) event()        {}
 func (Hold) event()         {}
 
 // Action is an output of Step. Its types are the structs below.
--- a/rhubarbtrackd/internal/conductor/conductor.go
+++ b/rhubarbtrackd/internal/conductor/conductor.go
@@ -19,8 +19,10 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/matcher"
@@ -63,6 +65,9 @@
 	Ending context.Context
 }
 
+// probeInterval is the time between two probes of a suspected upstream: a probe is paid for as a new connection.
+const probeInterval = 400 * time.Millisecond
+
 // assumedHosts is the number of hosts on which shares are based until a controller tells the real one.
 const assumedHosts = 16
 
@@ -77,6 +82,8 @@
 	index   int
 	hosts   int
 	seen    observations
+	probing map[string]bool          // upstreams to which a probe is under way
+	probed  map[string]time.Duration // time of the last probe
 	limits  atomic.Pointer[Limits]
 }
 
@@ -85,7 +92,7 @@
 	c := &Conductor{
 		options: options, board: placer.New(options.Seed), rations: rationer.New(options.Seed), cold: map[string]*throttler.Bucket{},
 		retries: map[string]*throttler.Bucket{}, index: int(options.Seed % assumedHosts), hosts: assumedHosts,
-		seen: newObservations(),
+		seen: newObservations(), probing: map[string]bool{}, probed: map[string]time.Duration{},
 	}
 	c.SetLimits(options.Limits)
 	return c
@@ -106,6 +113,27 @@
 	for _, s := range beat.Loads {
 		c.board.Report(now-s.Age, s.Upstream, s.Load)
 	}
+	for _, id := range beat.Suspects {
+		if u, ok := c.options.Follower.Snapshot().Upstreams[id]; ok && !c.probing[id] && now >= c.probed[id]+probeInterval {
+			c.probing[id] = true
+			c.probed[id] = now
+			go c.probe(u)
+		}
+	}
+}
+
+// probe tries to connect to an upstream that refused another host.
+func (c *Conductor) probe(u registrar.Upstream) {
+	err := c.options.Pool.Probe(exchanger.Target{ID: u.ID, Address: u.Address})
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.probing, u.ID)
+	switch {
+	case err == nil:
+		c.seen.contacts[u.ID] = true
+	case errors.Is(err, syscall.ECONNREFUSED):
+		c.seen.contacts[u.ID] = false
+	}
 }
 
 // Report returns what has been seen since the last call.
@@ -121,6 +149,11 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.board.Forget(func(id string) bool { _, ok := upstreams[id]; return ok })
+	for id := range c.probed {
+		if _, ok := upstreams[id]; !ok {
+			delete(c.probed, id)
+		}
+	}
 	for id := range c.cold {
 		if _, ok := upstreams[id]; !ok {
 			delete(c.cold, id)
@@ -284,6 +317,9 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.seen.contacts[u.ID] = false
+		}
 		c.board.End(now, u.ID, map[exchanger.Kind]placer.Outcome{
 			exchanger.NotSent: placer.Unreachable, exchanger.Broken: placer.Failed,
 			exchanger.Late: placer.Failed, exchanger.Cancelled: placer.Abandoned,
--- a/rhubarbtrackd/internal/conductor/observations.go
+++ b/rhubarbtrackd/internal/conductor/observations.go
@@ -15,6 +15,8 @@
 	keys  map[string][]uint16
 	times map[string]linker.Timing
 	loads map[string]seenLoad
+	// contacts are upstreams that refused a connection (false) or accepted one after a suspicion (true).
+	contacts map[string]bool
 }
 
 type seenLoad struct {
@@ -23,7 +25,7 @@
 }
 
 func newObservations() observations {
-	return observations{keys: map[string][]uint16{}, times: map[string]linker.Timing{}, loads: map[string]seenLoad{}}
+	return observations{keys: map[string][]uint16{}, times: map[string]linker.Timing{}, loads: map[string]seenLoad{}, contacts: map[string]bool{}}
 }
 
 func (o *observations) key(service string, key uint16) {
@@ -49,6 +51,13 @@
 	for id, seen := range o.loads {
 		report.Loads = append(report.Loads, linker.Sighting{Upstream: id, Load: seen.load, Age: now - seen.at})
 	}
+	for id, reached := range o.contacts {
+		if reached {
+			report.Reached = append(report.Reached, id)
+			continue
+		}
+		report.Refused = append(report.Refused, id)
+	}
 	*o = newObservations()
 	return report
 }
--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -125,6 +125,7 @@
 	RangeMoved           = register(716, "range-moved", zap.InfoLevel, "The controller gives a range of keys another owner; the field reason says why.")
 	OrderFailed          = register(717, "order-failed", zap.WarnLevel, "An upstream did not carry an order out.")
 	OrderDone            = register(724, "order-done", zap.InfoLevel, "An upstream carried out an order that changes who has a range.")
+	UpstreamEnded        = register(725, "upstream-ended", zap.WarnLevel, "Nearly all hosts were refused by an upstream and none was answered: its process has ended and has no keys.")
 	TableCommitted       = register(718, "table-committed", zap.InfoLevel, "The store holds a new version of the table of ownership.")
 	TableCommitFailed    = register(719, "table-commit-failed", zap.WarnLevel, "The table of ownership could not be written; it is tried again.")
 	TableReceived        = register(720, "table-received", zap.DebugLevel, "The controller sent changes of the table.")
--- a/rhubarbtrackd/internal/exchanger/exchanger.go
+++ b/rhubarbtrackd/internal/exchanger/exchanger.go
@@ -262,6 +262,16 @@
 	return answer, nil
 }
 
+// Probe reports whether the target accepts connections. The connection is kept for later calls.
+func (p *Pool) Probe(target Target) error {
+	l, err := p.dial(context.Background(), target, time.Now().Add(dialTimeout))
+	if err != nil {
+		return err
+	}
+	p.put(target, l)
+	return nil
+}
+
 func classify(ctx context.Context, call *Call, err error) error {
 	var typed *Error
 	if errors.As(err, &typed) {
--- a/rhubarbtrackd/internal/governor/controller.go
+++ b/rhubarbtrackd/internal/governor/controller.go
@@ -225,7 +225,7 @@
 }
 
 // takeReport feeds what a host has seen.
-func (g *Governor) takeReport(report linker.Report) {
+func (g *Governor) takeReport(ctx context.Context, report linker.Report) {
 	now := g.options.Now()
 	for service, keys := range report.Keys {
 		if r := g.runs[service]; r != nil {
@@ -242,6 +242,35 @@
 		if known, ok := g.loads[s.Upstream]; !ok || known.at < at {
 			g.loads[s.Upstream] = sighting{s, at}
 		}
+		g.confirmer.Reached(s.Upstream)
+	}
+	for _, id := range report.Reached {
+		g.confirmer.Reached(id)
+	}
+	for _, id := range report.Refused {
+		g.confirmer.Refused(now, report.Host, id)
+	}
+	if len(report.Refused) > 0 && g.contender.Valid(now) {
+		g.confirm(ctx, now)
+	}
+}
+
+// confirm has all hosts try upstreams that refused one, and tells the keepers of those that have ended.
+func (g *Governor) confirm(ctx context.Context, now time.Duration) {
+	for _, id := range g.confirmer.Ended(now, len(g.hub.Peers())+1) {
+		u, ok := g.snapshot.Upstreams[id]
+		if !ok || g.ended[id] == u.Life {
+			continue
+		}
+		g.ended[id] = u.Life
+		g.options.Log.Log(eventlog.UpstreamEnded, zap.String("upstream", id), zap.String("service", u.Service), zap.Int64("life", u.Life))
+		if r := g.runs[u.Service]; r != nil && r.loaded {
+			g.step(ctx, r, keeper.Ended{Owner: id})
+		}
+		g.confirmer.Reached(id)
+	}
+	if suspects := len(g.confirmer.Suspects(now)); suspects > g.suspects {
+		g.broadcast(now)
 	}
 }
 
@@ -257,11 +286,15 @@
 		s.Age = age
 		loads = append(loads, s.Sighting)
 	}
+	suspects := g.confirmer.Suspects(now)
+	g.suspects = len(suspects)
 	peers := g.hub.Peers()
 	for i, peer := range peers {
-		g.send(peer, g.makeBeat(now, peer, i+1, len(peers)+1, loads))
+		beat := g.makeBeat(now, peer, i+1, len(peers)+1, loads)
+		beat.Suspects = suspects
+		g.send(peer, beat)
 	}
-	beat := linker.Beat{Term: g.contender.Term(), Valid: true, Hosts: len(peers) + 1, Loads: loads}
+	beat := linker.Beat{Term: g.contender.Term(), Valid: true, Hosts: len(peers) + 1, Loads: loads, Suspects: suspects}
 	g.options.OnBeat(beat)
 }
 
--- a/rhubarbtrackd/internal/governor/governor.go
+++ b/rhubarbtrackd/internal/governor/governor.go
@@ -18,6 +18,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbtrack.example/core/confirmer"
 	"rhubarbtrack.example/core/contender"
 	"rhubarbtrack.example/core/keeper"
 	"rhubarbtrack.example/core/registrar"
@@ -93,6 +94,9 @@
 	sent      map[*linker.Peer]map[string]keeper.View
 	addresses map[string]string
 	loads     map[string]sighting
+	confirmer *confirmer.Confirmer
+	ended     map[string]int64 // upstreams whose end was confirmed, with their life
+	suspects  int              // upstreams that hosts were asked to try
 	reported  time.Duration
 	heard     time.Duration
 	began     time.Duration
@@ -121,6 +125,8 @@
 		sent:      map[*linker.Peer]map[string]keeper.View{},
 		addresses: map[string]string{},
 		loads:     map[string]sighting{},
+		confirmer: confirmer.New(),
+		ended:     map[string]int64{},
 		fetching:  map[string]bool{},
 		began:     options.Now(),
 		stopped:   make(chan struct{}),
@@ -133,7 +139,7 @@
 				if report.Whole {
 					delete(g.copied, peer)
 				}
-				g.takeReport(report)
+				g.takeReport(g.ctx, report)
 			})
 		},
 		func(peer *linker.Peer) {
@@ -146,7 +152,7 @@
 	g.client = linker.NewClient(linker.ClientOptions{
 		Leader: g.leaderAddress,
 		OnOther: func(host string) {
-			g.post(func() { g.ended(host) })
+			g.post(func() { g.vacate(host) })
 		},
 		Now:    options.Now,
 		Report: g.report,
@@ -171,8 +177,8 @@
 	return report
 }
 
-// ended notes that the process of a controller has ended.
-func (g *Governor) ended(host string) {
+// vacate notes that the process of a controller has ended.
+func (g *Governor) vacate(host string) {
 	record := g.leader.Load()
 	if record != nil && record.Holder == host {
 		g.compete(g.ctx, contender.Gone{Term: record.Term})
@@ -254,7 +260,7 @@
 	if now >= g.reported+linker.ReportInterval {
 		g.reported = now
 		if g.contender.Holder() {
-			g.takeReport(g.options.Report())
+			g.takeReport(ctx, g.options.Report())
 			g.broadcast(now)
 		}
 	}
@@ -265,6 +271,11 @@
 	if len(g.addresses) > maxGone+len(snapshot.Upstreams) {
 		clear(g.addresses)
 	}
+	for id, life := range g.ended {
+		if u, ok := snapshot.Upstreams[id]; !ok || u.Life != life {
+			delete(g.ended, id)
+		}
+	}
 	for id, u := range snapshot.Upstreams {
 		g.addresses[id] = u.Address
 	}
@@ -295,6 +306,7 @@
 			g.leader.Store(&contender.Record{Holder: g.options.Host, Term: action.Term})
 			g.options.Follower.Lead()
 			g.runs = map[string]*run{}
+			clear(g.ended)
 			g.waiting = nil
 			g.lapsed = false
 		case contender.Yield:
--- a/rhubarbtrackd/internal/linker/message.go
+++ b/rhubarbtrackd/internal/linker/message.go
@@ -42,6 +42,9 @@
 	Loads []Sighting
 	// Whole asks for the controller's whole copy of the store.
 	Whole bool
+	// Refused are upstreams whose address refused a connection, Reached those that accepted one after a suspicion.
+	Refused []string
+	Reached []string
 }
 
 // Timing is the time that requests took at an upstream, without waiting.
@@ -69,6 +72,8 @@
 	// Fresh vouches for the copy of the store, with Copy applied.
 	Fresh bool
 	Copy  follower.Change
+	// Suspects are upstreams that refused a host's connection. Every host tries them and reports.
+	Suspects []string
 }
 
 // TableChange is a change of the table of a service, or the whole table.
@@ -96,12 +101,14 @@
 }
 
 type wireReport struct {
-	_     struct{} `cbor:",toarray"`
-	Host  string
-	Keys  map[string][]uint16
-	Times []wireTiming
-	Loads []wireSighting
-	Whole bool
+	_       struct{} `cbor:",toarray"`
+	Host    string
+	Keys    map[string][]uint16
+	Times   []wireTiming
+	Loads   []wireSighting
+	Whole   bool
+	Refused []string
+	Reached []string
 }
 
 type wireUpstream struct {
@@ -142,15 +149,16 @@
 }
 
 type wireBeat struct {
-	_      struct{} `cbor:",toarray"`
-	Term   uint64
-	Valid  bool
-	Index  int
-	Hosts  int
-	Tables []wireTable
-	Loads  []wireSighting
-	Fresh  bool
-	Copy   wireCopy
+	_        struct{} `cbor:",toarray"`
+	Term     uint64
+	Valid    bool
+	Index    int
+	Hosts    int
+	Tables   []wireTable
+	Loads    []wireSighting
+	Fresh    bool
+	Copy     wireCopy
+	Suspects []string
 }
 
 func toWireCopy(now time.Duration, c follower.Change) wireCopy {
@@ -203,7 +211,8 @@
 }
 
 func encodeReport(r Report) ([]byte, error) {
-	wire := wireReport{Host: r.Host, Keys: r.Keys, Loads: toWireSightings(r.Loads), Whole: r.Whole}
+	wire := wireReport{Host: r.Host, Keys: r.Keys, Loads: toWireSightings(r.Loads), Whole: r.Whole,
+		Refused: r.Refused, Reached: r.Reached}
 	for _, t := range r.Times {
 		wire.Times = append(wire.Times, wireTiming{Upstream: t.Upstream, Count: t.Count, Sum: t.Sum.Milliseconds()})
 	}
@@ -215,7 +224,8 @@
 	if err := cbor.Unmarshal(data, &wire); err != nil {
 		return Report{}, &Error{"decode-report", Unreadable, err}
 	}
-	r := Report{Host: wire.Host, Keys: wire.Keys, Loads: fromWireSightings(wire.Loads), Whole: wire.Whole}
+	r := Report{Host: wire.Host, Keys: wire.Keys, Loads: fromWireSightings(wire.Loads), Whole: wire.Whole,
+		Refused: wire.Refused, Reached: wire.Reached}
 	for _, t := range wire.Times {
 		r.Times = append(r.Times, Timing{t.Upstream, t.Count, time.Duration(t.Sum) * time.Millisecond})
 	}
@@ -224,7 +234,7 @@
 
 func encodeBeat(now time.Duration, b Beat) ([]byte, error) {
 	wire := wireBeat{Term: b.Term, Valid: b.Valid, Index: b.Index, Hosts: b.Hosts, Loads: toWireSightings(b.Loads),
-		Fresh: b.Fresh, Copy: toWireCopy(now, b.Copy)}
+		Fresh: b.Fresh, Copy: toWireCopy(now, b.Copy), Suspects: b.Suspects}
 	for _, t := range b.Tables {
 		table := wireTable{Service: t.Service, Whole: t.Whole}
 		for _, row := range t.Rows {
@@ -241,7 +251,7 @@
 		return Beat{}, &Error{"decode-beat", Unreadable, err}
 	}
 	b := Beat{Term: wire.Term, Valid: wire.Valid, Index: wire.Index, Hosts: wire.Hosts, Loads: fromWireSightings(wire.Loads),
-		Fresh: wire.Fresh, Copy: fromWireCopy(now, wire.Copy)}
+		Fresh: wire.Fresh, Copy: fromWireCopy(now, wire.Copy), Suspects: wire.Suspects}
 	for _, t := range wire.Tables {
 		change := TableChange{Service: t.Service, Whole: t.Whole}
 		for _, row := range t.Rows {
