Take a process whose address another one has for ended; avoid upstreams that other hosts cannot reach

Orders to the old names were answered by the new processes, and the controller waited 3 s for grants of processes that were gone. Each host found out for itself which upstreams were silent, 0.3 s a request. Ruled out: overload (grants to other upstreams were answered in 2 ms).

--- a/core/confirmer/confirmer.go
+++ b/core/confirmer/confirmer.go
@@ -30,44 +30,75 @@
 	leastShare = 0.8
 	// leastHosts must have been refused, however few there are.
 	leastHosts = 3
+	// leastSilences is the number of hosts without an answer that make a suspect.
+	leastSilences = 2
 )
 
 // Confirmer holds the evidence about upstreams that refuse connections.
 type Confirmer struct {
 	refusals map[string]map[string]time.Duration // upstream, host: time of the last refusal
+	silences map[string]map[string]time.Duration // the same for attempts without an answer
 }
 
 // New returns a confirmer without evidence.
-func New() *Confirmer { return &Confirmer{refusals: map[string]map[string]time.Duration{}} }
+func New() *Confirmer {
+	return &Confirmer{
+		refusals: map[string]map[string]time.Duration{}, silences: map[string]map[string]time.Duration{},
+	}
+}
 
 // Refused notes that an upstream's address refused a connection of a host.
 func (c *Confirmer) Refused(now time.Duration, host, upstream string) {
-	if c.refusals[upstream] == nil {
-		c.refusals[upstream] = map[string]time.Duration{}
+	note(c.refusals, now, host, upstream)
+}
+
+// Silent notes that an upstream did not answer a host's attempt to connect. That is no evidence of its end.
+func (c *Confirmer) Silent(now time.Duration, host, upstream string) {
+	note(c.silences, now, host, upstream)
+}
+
+func note(evidence map[string]map[string]time.Duration, now time.Duration, host, upstream string) {
+	if evidence[upstream] == nil {
+		evidence[upstream] = map[string]time.Duration{}
 	}
-	c.refusals[upstream][host] = now
+	evidence[upstream][host] = now
 }
 
-// Reached notes that a host was answered by an upstream or could connect to it. Earlier refusals prove nothing then.
-func (c *Confirmer) Reached(upstream string) { delete(c.refusals, upstream) }
+// Reached notes that a host was answered by an upstream or could connect to it. Earlier failures prove nothing then.
+func (c *Confirmer) Reached(upstream string) {
+	delete(c.refusals, upstream)
+	delete(c.silences, upstream)
+}
 
-// Suspects returns the upstreams with evidence against them.
+// Suspects returns the upstreams that a host could not reach: one host if it was refused, two if there was no answer,
+// since the path of a single host may be cut.
 func (c *Confirmer) Suspects(now time.Duration) []string {
+	expire(c.refusals, now)
+	expire(c.silences, now)
 	var ids []string
-	for id, hosts := range c.refusals {
+	for id := range c.refusals {
+		ids = append(ids, id)
+	}
+	for id, hosts := range c.silences {
+		if len(hosts) >= leastSilences && c.refusals[id] == nil {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func expire(evidence map[string]map[string]time.Duration, now time.Duration) {
+	for id, hosts := range evidence {
 		for host, at := range hosts {
 			if now >= at+evidenceLife {
 				delete(hosts, host)
 			}
 		}
 		if len(hosts) == 0 {
-			delete(c.refusals, id)
-			continue
+			delete(evidence, id)
 		}
-		ids = append(ids, id)
 	}
-	sort.Strings(ids)
-	return ids
 }
 
 // Ended returns the upstreams whose process has certainly ended, when there are as many connected hosts.
--- a/core/confirmer/confirmer_test.go
+++ b/core/confirmer/confirmer_test.go
@@ -46,3 +46,16 @@
 	assert.DeepEqual(t, c.Suspects(time.Second), []string{"u"})
 	assert.Equal(t, len(c.Suspects(3*time.Second)), 0)
 }
+
+func TestSilenceIsNoEnd(t *testing.T) {
+	c := confirmer.New()
+	c.Silent(0, "a", "u")
+	assert.Equal(t, len(c.Suspects(0)), 0)
+	for _, host := range []string{"b", "c", "d", "e"} {
+		c.Silent(0, host, "u")
+	}
+	assert.DeepEqual(t, c.Suspects(0), []string{"u"})
+	assert.Equal(t, len(c.Ended(0, 5)), 0)
+	c.Reached("u")
+	assert.Equal(t, len(c.Suspects(0)), 0)
+}
--- a/core/keeper/phases.go
+++ b/core/keeper/phases.go
@@ -94,11 +94,12 @@
 
 // end notes that an upstream's process has ended: all its grants are void.
 func (k *Keeper) end(now time.Duration, id string) {
-	owner, ok := k.owners[id]
-	if !ok || k.hasEnded(id) {
+	if k.hasEnded(id) {
 		return
 	}
-	k.ended[id] = owner.Life
+	if owner, ok := k.owners[id]; ok {
+		k.ended[id] = owner.Life
+	}
 	for _, s := range k.segments {
 		if s.Previous == id || (s.Previous == "" && s.Owner == id) {
 			s.expiry = min(s.expiry, now)
@@ -206,6 +207,10 @@
 	delete(k.pending, event.Order)
 	s := order.segment
 	s.order = 0
+	if event.Result == Replaced {
+		k.end(now, order.owner)
+		event.Result = NotSent
+	}
 	k.contact(now, order.owner, event.Result)
 	if order.lifetime == 0 {
 		k.released(now, s, event)
--- a/core/keeper/types.go
+++ b/core/keeper/types.go
@@ -87,6 +87,8 @@
 	Lost
 	// NotSent means that the upstream cannot have received the order.
 	NotSent
+	// Replaced means that another process has the address: the upstream's process has ended.
+	Replaced
 )
 
 // Ordered is the outcome of a Grant or Release.
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -45,6 +45,9 @@
 	// minBackoff and maxBackoff bound the time for which an upstream that cannot be reached is avoided.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = time.Second
+	// suspicionTime is how long an upstream is avoided that other hosts cannot reach: until the outcome of an attempt of
+	// this host is known.
+	suspicionTime = 500 * time.Millisecond
 )
 
 // Load is what an upstream reports of itself.
@@ -199,6 +202,18 @@
 	return 0
 }
 
+// Block avoids an upstream for a moment, because other hosts cannot reach it.
+func (b *Board) Block(now time.Duration, id string) {
+	s := b.state(id)
+	s.blocked = max(s.blocked, now+suspicionTime)
+}
+
+// Unblock ends the avoidance of an upstream that can be reached.
+func (b *Board) Unblock(id string) {
+	s := b.state(id)
+	s.blocked, s.backoff = 0, 0
+}
+
 // InFlight returns the requests that this host has in flight at an upstream.
 func (b *Board) InFlight(id string) int {
 	if s := b.states[id]; s != nil {
--- /dev/null
+++ b/rhubarbtrackd/internal/acceptor/acceptor_test.go
@@ -0,0 +1,226 @@
+package acceptor_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/rhubarbtrackd/internal/acceptor"
+)
+
+const testTimeout = 5 * time.Second
+
+type fixture struct {
+	server  *acceptor.Server
+	address string
+	runs    atomic.Int64
+	handle  func(ctx context.Context, r *acceptor.Request) *acceptor.Response
+}
+
+func answer(body string) *acceptor.Response {
+	return &acceptor.Response{Status: 200, Header: http.Header{}, Body: []byte(body)}
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{handle: func(_ context.Context, r *acceptor.Request) *acceptor.Response { return answer(r.Path) }}
+	f.server = acceptor.New(acceptor.Options{
+		Handle: func(ctx context.Context, r *acceptor.Request) *acceptor.Response {
+			f.runs.Add(1)
+			return f.handle(ctx, r)
+		},
+		Limits: func() acceptor.Limits {
+			return acceptor.Limits{HeaderBytes: 2048, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: testTimeout}
+		},
+		Refused: func(int, string, string) {},
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f.address = listener.Addr().String()
+	go func() { _ = f.server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		f.server.Close()
+	})
+	return f
+}
+
+func (f *fixture) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", f.address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	return conn, bufio.NewReader(conn)
+}
+
+func send(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	_, err := io.WriteString(conn, text)
+	assert.NilError(t, err)
+}
+
+func receive(t *testing.T, reader *bufio.Reader) (int, string, *http.Response) {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response.StatusCode, string(body), response
+}
+
+func TestPipelinedRequestsRunTogetherAndAreAnsweredInOrder(t *testing.T) {
+	f := newFixture(t)
+	second := make(chan struct{})
+	f.handle = func(_ context.Context, r *acceptor.Request) *acceptor.Response {
+		if r.Path == "/1" {
+			<-second // ends only if the second request runs meanwhile
+		} else {
+			close(second)
+		}
+		return answer(r.Path)
+	}
+	conn, reader := f.dial(t)
+	send(t, conn, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	for _, want := range []string{"/1", "/2"} {
+		status, body, _ := receive(t, reader)
+		assert.Equal(t, status, 200)
+		assert.Equal(t, body, want)
+	}
+}
+
+func TestUnreadableRequestsRunNothing(t *testing.T) {
+	long := strings.Repeat("x", 4096)
+	tests := []struct {
+		name   string
+		text   string
+		status int
+	}{
+		{"two lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		{"two equal lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nContent-Length: 0\r\n\r\n", 400},
+		{"malformed chunk", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n", 400},
+		{"bare line feed", "GET / HTTP/1.1\r\nHost: h\nX: y\r\n\r\n", 400},
+		{"folded line", "GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n", 400},
+		{"space before colon", "GET / HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc", 400},
+		{"no host", "GET / HTTP/1.1\r\n\r\n", 400},
+		{"no request", "hello\r\n\r\n", 400},
+		{"long header", "GET / HTTP/1.1\r\nHost: h\r\nX: " + long + "\r\n\r\n", 431},
+		{"long body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n", 413},
+		{"slow header", "GET / HTTP/1.1\r\nHost:", 408},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			conn, reader := f.dial(t)
+			send(t, conn, tt.text)
+			status, _, response := receive(t, reader)
+			assert.Equal(t, status, tt.status)
+			assert.Assert(t, response.Close)
+			_, err := reader.ReadByte()
+			assert.Assert(t, err != nil, "the connection stays open")
+			assert.Equal(t, f.runs.Load(), int64(0))
+		})
+	}
+}
+
+func TestBodies(t *testing.T) {
+	f := newFixture(t)
+	f.handle = func(_ context.Context, r *acceptor.Request) *acceptor.Response {
+		if r.Stream == nil {
+			return answer(string(r.Body))
+		}
+		n, err := io.Copy(io.Discard, r.Stream)
+		return answer(fmt.Sprint(n, err))
+	}
+	conn, reader := f.dial(t)
+	send(t, conn, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n1\r\n!\r\n0\r\nTrailer: x\r\n\r\n")
+	_, body, _ := receive(t, reader)
+	assert.Equal(t, body, "hello!")
+	send(t, conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+	_, body, _ = receive(t, reader)
+	assert.Equal(t, body, "abc")
+	const size = 300000
+	send(t, conn, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)+strings.Repeat("x", size))
+	_, body, _ = receive(t, reader)
+	assert.Equal(t, body, fmt.Sprint(size, " <nil>"))
+	send(t, conn, "GET /after HTTP/1.1\r\nHost: h\r\n\r\n")
+	status, _, _ := receive(t, reader)
+	assert.Equal(t, status, 200)
+}
+
+func TestCallerThatLeavesCancelsAllItsRequests(t *testing.T) {
+	f := newFixture(t)
+	cancelled := make(chan string, 2)
+	f.handle = func(ctx context.Context, r *acceptor.Request) *acceptor.Response {
+		<-ctx.Done()
+		cancelled <- r.Path
+		return &acceptor.Response{Abort: true}
+	}
+	conn, _ := f.dial(t)
+	send(t, conn, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	for f.runs.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, conn.Close())
+	for range 2 {
+		select {
+		case <-cancelled:
+		case <-time.After(testTimeout):
+			t.Fatal("a request goes on")
+		}
+	}
+}
+
+func TestBrokenAnswerDoesNotLookComplete(t *testing.T) {
+	f := newFixture(t)
+	f.handle = func(context.Context, *acceptor.Request) *acceptor.Response {
+		broken := io.MultiReader(strings.NewReader("begin"), errorReader{})
+		return &acceptor.Response{Status: 200, Header: http.Header{}, Stream: io.NopCloser(broken), Length: -1}
+	}
+	conn, reader := f.dial(t)
+	send(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	response, err := http.ReadResponse(reader, nil)
+	if err == nil {
+		_, err = io.ReadAll(response.Body)
+	}
+	assert.Assert(t, err != nil)
+}
+
+type errorReader struct{}
+
+func (errorReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func TestDrain(t *testing.T) {
+	f := newFixture(t)
+	release := make(chan struct{})
+	f.handle = func(context.Context, *acceptor.Request) *acceptor.Response {
+		<-release
+		return answer("done")
+	}
+	idle, _ := f.dial(t)
+	busy, busyReader := f.dial(t)
+	send(t, busy, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	for f.runs.Load() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	f.server.Drain()
+	_, err := idle.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+	close(release)
+	_, body, response := receive(t, busyReader)
+	assert.Equal(t, body, "done")
+	assert.Assert(t, response.Close)
+	for deadline := time.Now().Add(testTimeout); f.server.Connections() > 0; {
+		assert.Assert(t, time.Now().Before(deadline), "connections stay open")
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/rhubarbtrackd/internal/conductor/conductor.go
+++ b/rhubarbtrackd/internal/conductor/conductor.go
@@ -19,10 +19,8 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/matcher"
@@ -117,6 +115,7 @@
 		if u, ok := c.options.Follower.Snapshot().Upstreams[id]; ok && !c.probing[id] && now >= c.probed[id]+probeInterval {
 			c.probing[id] = true
 			c.probed[id] = now
+			c.board.Block(now, id)
 			go c.probe(u)
 		}
 	}
@@ -128,12 +127,13 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	delete(c.probing, u.ID)
-	switch {
-	case err == nil:
-		c.seen.contacts[u.ID] = true
-	case errors.Is(err, syscall.ECONNREFUSED):
-		c.seen.contacts[u.ID] = false
+	if err == nil {
+		c.seen.contacts[u.ID] = reached
+		c.board.Unblock(u.ID)
+		return
 	}
+	c.seen.contact(u.ID, err)
+	c.board.Block(c.options.Now(), u.ID)
 }
 
 // Report returns what has been seen since the last call.
@@ -317,8 +317,8 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.seen.contacts[u.ID] = false
+		if kindOf(err) == exchanger.NotSent {
+			c.seen.contact(u.ID, err)
 		}
 		c.board.End(now, u.ID, map[exchanger.Kind]placer.Outcome{
 			exchanger.NotSent: placer.Unreachable, exchanger.Broken: placer.Failed,
@@ -354,5 +354,5 @@
 // logAttempt tells of a try that failed.
 func (c *Conductor) logAttempt(j *job, u registrar.Upstream, outcome string, err error) {
 	c.options.Log.Log(eventlog.RequestAttempted, zap.String("request", j.id), zap.String("upstream", u.ID),
-		zap.Int("try", j.tries), zap.String("outcome", outcome), zap.Error(err))
+		zap.Int("try", j.tries), zap.String("outcome", outcome), eventlog.Cause(err))
 }
--- a/rhubarbtrackd/internal/conductor/observations.go
+++ b/rhubarbtrackd/internal/conductor/observations.go
@@ -1,8 +1,12 @@
 package conductor
 
 import (
+	"net"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"rhubarbtrack.example/core/placer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/linker"
 )
@@ -12,11 +16,10 @@
 
 // observations collects what the next report contains.
 type observations struct {
-	keys  map[string][]uint16
-	times map[string]linker.Timing
-	loads map[string]seenLoad
-	// contacts are upstreams that refused a connection (false) or accepted one after a suspicion (true).
-	contacts map[string]bool
+	keys     map[string][]uint16
+	times    map[string]linker.Timing
+	loads    map[string]seenLoad
+	contacts map[string]contact // outcomes of attempts to connect that are worth telling
 }
 
 type seenLoad struct {
@@ -24,8 +27,16 @@
 	load placer.Load
 }
 
+type contact int
+
+const (
+	refused contact = iota + 1
+	silent
+	reached // after a suspicion
+)
+
 func newObservations() observations {
-	return observations{keys: map[string][]uint16{}, times: map[string]linker.Timing{}, loads: map[string]seenLoad{}, contacts: map[string]bool{}}
+	return observations{keys: map[string][]uint16{}, times: map[string]linker.Timing{}, loads: map[string]seenLoad{}, contacts: map[string]contact{}}
 }
 
 func (o *observations) key(service string, key uint16) {
@@ -43,6 +54,17 @@
 	o.loads[upstream] = seenLoad{now, load}
 }
 
+// contact notes why an attempt to connect failed.
+func (o *observations) contact(upstream string, err error) {
+	var network net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		o.contacts[upstream] = refused
+	case errors.As(err, &network) && network.Timeout():
+		o.contacts[upstream] = silent
+	}
+}
+
 func (o *observations) take(now time.Duration) linker.Report {
 	report := linker.Report{Keys: o.keys}
 	for _, t := range o.times {
@@ -51,12 +73,15 @@
 	for id, seen := range o.loads {
 		report.Loads = append(report.Loads, linker.Sighting{Upstream: id, Load: seen.load, Age: now - seen.at})
 	}
-	for id, reached := range o.contacts {
-		if reached {
+	for id, outcome := range o.contacts {
+		switch outcome {
+		case refused:
+			report.Refused = append(report.Refused, id)
+		case silent:
+			report.Silent = append(report.Silent, id)
+		case reached:
 			report.Reached = append(report.Reached, id)
-			continue
 		}
-		report.Refused = append(report.Refused, id)
 	}
 	*o = newObservations()
 	return report
--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -144,6 +144,14 @@
 	OperatorRefused = register(601, "operator-refused", zap.WarnLevel, "A call of an operator was refused.")
 )
 
+// Cause is the field for an error. It leaves out the stack trace that errors of this program carry.
+func Cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
+
 // Logger writes events.
 type Logger struct {
 	zap *zap.Logger
--- /dev/null
+++ b/rhubarbtrackd/internal/exchanger/exchanger_test.go
@@ -0,0 +1,236 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/rhubarbtrackd/internal/exchanger"
+)
+
+const idHeader = "Request-Id"
+
+// upstream answers each request with raw bytes.
+type upstream struct {
+	address  string
+	requests atomic.Int64
+	conns    atomic.Int64
+}
+
+// newUpstream starts an upstream. answer returns the bytes for the n-th request of a connection; after an empty string
+// the connection is closed.
+func newUpstream(t *testing.T, answer func(n int, r *http.Request) string) *upstream {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	u := &upstream{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			u.conns.Add(1)
+			go u.serve(conn, answer)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(conn net.Conn, answer func(n int, r *http.Request) string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for n := 0; ; n++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		u.requests.Add(1)
+		text := answer(n, request)
+		if text == "" {
+			return
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+	}
+}
+
+func respond(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func call(id string) *exchanger.Call {
+	return &exchanger.Call{
+		Method: "GET", URI: "/x", Host: "h", Header: http.Header{idHeader: {id}}, ID: id, Repeatable: true,
+		Deadline: time.Now().Add(2 * time.Second),
+	}
+}
+
+func kindOf(err error) exchanger.Kind {
+	var typed *exchanger.Error
+	if errors.As(err, &typed) {
+		return typed.Kind
+	}
+	return 0
+}
+
+func TestAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+		body   string
+		kind   exchanger.Kind
+	}{
+		{"whole", respond("a", "ok"), "ok", 0},
+		{"answer to another request first", respond("z", "no") + respond("a", "ok"), "ok", 0},
+		{"interim answer first", "HTTP/1.1 103 Early Hints\r\n\r\n" + respond("a", "ok"), "ok", 0},
+		{"chunked", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "ok", 0},
+		{"no answer", "", "", exchanger.Broken},
+		{"no id", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "", exchanger.Broken},
+		{"not HTTP", "garbage\r\n\r\n", "", exchanger.Broken},
+		{"other answers only", strings.Repeat(respond("z", "no"), 4), "", exchanger.Broken},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			u := newUpstream(t, func(int, *http.Request) string { return tt.answer })
+			pool := exchanger.New(exchanger.Options{IDHeader: idHeader})
+			answer, err := pool.Do(context.Background(), exchanger.Target{ID: "u", Address: u.address}, call("a"))
+			assert.Equal(t, kindOf(err), tt.kind)
+			if err == nil {
+				assert.Equal(t, string(answer.Body), tt.body)
+			}
+			assert.Equal(t, u.requests.Load(), int64(1), "the request was repeated")
+		})
+	}
+}
+
+func TestTruncatedAnswerIsBroken(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 10\r\n\r\nshort")
+		_ = conn.Close()
+	}()
+	pool := exchanger.New(exchanger.Options{IDHeader: idHeader})
+	_, err = pool.Do(context.Background(), exchanger.Target{ID: "u", Address: listener.Addr().String()}, call("a"))
+	assert.Equal(t, kindOf(err), exchanger.Broken)
+}
+
+func TestConnections(t *testing.T) {
+	echo := func(_ int, r *http.Request) string { return respond(r.Header.Get(idHeader), "ok") }
+	tests := []struct {
+		name   string
+		answer func(n int, r *http.Request) string
+		conns  int64
+	}{
+		{"kept", echo, 1},
+		{"closed by the upstream", func(n int, r *http.Request) string {
+			return strings.Replace(echo(n, r), "\r\n", "\r\nConnection: close\r\n", 1)
+		}, 3},
+		{"bytes after the answer", func(n int, r *http.Request) string { return echo(n, r) + "x" }, 3},
+		{"short idle time", func(n int, r *http.Request) string {
+			return strings.Replace(echo(n, r), "\r\n", "\r\nKeep-Alive: timeout=0\r\n", 1)
+		}, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			u := newUpstream(t, tt.answer)
+			pool := exchanger.New(exchanger.Options{IDHeader: idHeader})
+			target := exchanger.Target{ID: "u", Address: u.address}
+			for _, id := range []string{"a", "b", "c"} {
+				_, err := pool.Do(context.Background(), target, call(id))
+				assert.NilError(t, err)
+				time.Sleep(5 * time.Millisecond) // lets the upstream's last bytes arrive
+			}
+			assert.Equal(t, u.conns.Load(), tt.conns)
+		})
+	}
+}
+
+func TestIdleConnectionThatWasClosedIsNotUsed(t *testing.T) {
+	u := newUpstream(t, func(n int, r *http.Request) string {
+		if n == 1 {
+			return ""
+		}
+		return respond(r.Header.Get(idHeader), "ok")
+	})
+	pool := exchanger.New(exchanger.Options{IDHeader: idHeader})
+	target := exchanger.Target{ID: "u", Address: u.address}
+	_, err := pool.Do(context.Background(), target, call("a"))
+	assert.NilError(t, err)
+	_, err = pool.Do(context.Background(), target, call("b"))
+	assert.Equal(t, kindOf(err), exchanger.Broken)
+	assert.Equal(t, u.requests.Load(), int64(2), "a request was repeated")
+}
+
+func TestFailures(t *testing.T) {
+	silent := newUpstream(t, func(int, *http.Request) string {
+		time.Sleep(time.Second)
+		return ""
+	})
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, closed.Close())
+	leaving, leave := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, leave)
+	short := call("a")
+	short.Deadline = time.Now().Add(100 * time.Millisecond)
+	tests := []struct {
+		name    string
+		ctx     context.Context
+		address string
+		call    *exchanger.Call
+		kind    exchanger.Kind
+	}{
+		{"refused", context.Background(), closed.Addr().String(), call("a"), exchanger.NotSent},
+		{"caller leaves", leaving, silent.address, call("a"), exchanger.Cancelled},
+		{"time is up", context.Background(), silent.address, short, exchanger.Late},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			pool := exchanger.New(exchanger.Options{IDHeader: idHeader})
+			_, err := pool.Do(tt.ctx, exchanger.Target{ID: "u", Address: tt.address}, tt.call)
+			assert.Equal(t, kindOf(err), tt.kind)
+		})
+	}
+}
+
+func TestLongAnswersAreStreamed(t *testing.T) {
+	const size = 400000
+	u := newUpstream(t, func(_ int, r *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nRequest-Id: " + r.Header.Get(idHeader) + "\r\nContent-Length: 400000\r\n\r\n" + strings.Repeat("x", size)
+	})
+	pool := exchanger.New(exchanger.Options{IDHeader: idHeader})
+	for _, id := range []string{"a", "b"} {
+		answer, err := pool.Do(context.Background(), exchanger.Target{ID: "u", Address: u.address}, call(id))
+		assert.NilError(t, err)
+		n, err := io.Copy(io.Discard, answer.Stream)
+		assert.NilError(t, err)
+		assert.Equal(t, n, int64(size))
+		assert.NilError(t, answer.Stream.Close())
+	}
+	assert.Equal(t, u.conns.Load(), int64(1))
+}
+
+func TestForwardable(t *testing.T) {
+	header := http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "X-End": {"2"}, "Transfer-Encoding": {"chunked"}}
+	assert.DeepEqual(t, exchanger.Forwardable(header), http.Header{"X-End": {"2"}})
+}
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -139,7 +139,7 @@
 
 func (f *Follower) follow(ctx context.Context, kind kindFollower) {
 	skip := func(raw []byte, err error) {
-		f.options.Log.Log(eventlog.EntryRefused, zap.String("kind", kind.kind), zap.Int("bytes", len(raw)), zap.Error(err))
+		f.options.Log.Log(eventlog.EntryRefused, zap.String("kind", kind.kind), zap.Int("bytes", len(raw)), eventlog.Cause(err))
 	}
 	retry := minRetry
 	revision := int64(0)
@@ -250,7 +250,7 @@
 	switch {
 	case err != nil && !failing:
 		f.failing[kind.kind] = now
-		f.options.Log.Log(eventlog.StoreUnavailable, zap.String("kind", kind.kind), zap.Error(err))
+		f.options.Log.Log(eventlog.StoreUnavailable, zap.String("kind", kind.kind), eventlog.Cause(err))
 		if kind.tracked {
 			f.list.Unreachable()
 		}
@@ -419,7 +419,7 @@
 			clear(f.refused)
 		}
 		f.refused[object.Name] = object.Revision
-		f.options.Log.Log(eventlog.EntryRefused, zap.String("name", object.Name), zap.Int64("revision", object.Revision), zap.Error(err))
+		f.options.Log.Log(eventlog.EntryRefused, zap.String("name", object.Name), zap.Int64("revision", object.Revision), eventlog.Cause(err))
 	}
 	return registrar.Upstream{}, false
 }
@@ -465,7 +465,7 @@
 	}
 	config, err := translator.Configuration(event.Object.Specification)
 	if err != nil {
-		f.options.Log.Log(eventlog.ObjectRefused, zap.String("name", event.Object.Name), zap.Error(err))
+		f.options.Log.Log(eventlog.ObjectRefused, zap.String("name", event.Object.Name), eventlog.Cause(err))
 		return
 	}
 	if f.config != nil && config.Version <= f.config.Version {
--- a/rhubarbtrackd/internal/governor/controller.go
+++ b/rhubarbtrackd/internal/governor/controller.go
@@ -95,7 +95,7 @@
 				return
 			}
 			if err != nil {
-				g.options.Log.Log(eventlog.TableRefused, zap.String("service", r.service), zap.Error(err))
+				g.options.Log.Log(eventlog.TableRefused, zap.String("service", r.service), eventlog.Cause(err))
 				return
 			}
 			r.loaded = true
@@ -168,7 +168,7 @@
 		event = eventlog.OrderFailed
 	}
 	g.options.Log.Log(event, zap.String("order", verb), zap.String("upstream", target.Upstream), zap.Uint16("from", target.From),
-		zap.Uint16("to", target.To), zap.Uint64("fence", target.Fence), zap.Error(err))
+		zap.Uint16("to", target.To), zap.Uint64("fence", target.Fence), eventlog.Cause(err))
 }
 
 // commit writes a table. A write without an answer is resolved by reading the object.
@@ -181,7 +181,7 @@
 		}
 		r.revision = revision
 		if err != nil {
-			g.options.Log.Log(eventlog.TableCommitFailed, zap.String("service", r.service), zap.Uint64("version", a.Version), zap.Error(err))
+			g.options.Log.Log(eventlog.TableCommitFailed, zap.String("service", r.service), zap.Uint64("version", a.Version), eventlog.Cause(err))
 			g.step(ctx, r, keeper.CommitFailed{Version: a.Version})
 			return
 		}
@@ -250,7 +250,10 @@
 	for _, id := range report.Refused {
 		g.confirmer.Refused(now, report.Host, id)
 	}
-	if len(report.Refused) > 0 && g.contender.Valid(now) {
+	for _, id := range report.Silent {
+		g.confirmer.Silent(now, report.Host, id)
+	}
+	if len(report.Refused)+len(report.Silent) > 0 && g.contender.Valid(now) {
 		g.confirm(ctx, now)
 	}
 }
@@ -338,7 +341,7 @@
 
 func (g *Governor) send(peer *linker.Peer, beat linker.Beat) {
 	if err := g.hub.Send(g.options.Now(), peer, beat); err != nil {
-		g.options.Log.Log(eventlog.RingOverflow, zap.String("ring", "beats"), zap.String("host", peer.Host), zap.Error(err))
+		g.options.Log.Log(eventlog.RingOverflow, zap.String("ring", "beats"), zap.String("host", peer.Host), eventlog.Cause(err))
 	}
 }
 
--- a/rhubarbtrackd/internal/governor/governor.go
+++ b/rhubarbtrackd/internal/governor/governor.go
@@ -161,7 +161,7 @@
 			options.Log.Log(eventlog.LeaderFollowed, zap.String("address", address))
 		},
 		OnLost: func(address string, err error) {
-			options.Log.Log(eventlog.LeaderSilent, zap.String("address", address), zap.Error(err))
+			options.Log.Log(eventlog.LeaderSilent, zap.String("address", address), eventlog.Cause(err))
 		},
 	})
 	return g
@@ -353,7 +353,7 @@
 		}
 	}
 	if outcome.Err != nil {
-		g.options.Log.Log(eventlog.RecordWriteFailed, zap.Uint64("term", record.Term), zap.Error(err))
+		g.options.Log.Log(eventlog.RecordWriteFailed, zap.Uint64("term", record.Term), eventlog.Cause(err))
 	}
 	g.post(func() { g.compete(ctx, outcome) })
 }
@@ -409,7 +409,7 @@
 		g.options.Tables.Replace(service, view)
 	})
 	if err != nil {
-		g.options.Log.Log(eventlog.TableRefused, zap.String("service", service), zap.Error(err))
+		g.options.Log.Log(eventlog.TableRefused, zap.String("service", service), eventlog.Cause(err))
 	}
 }
 
--- a/rhubarbtrackd/internal/linker/message.go
+++ b/rhubarbtrackd/internal/linker/message.go
@@ -42,8 +42,10 @@
 	Loads []Sighting
 	// Whole asks for the controller's whole copy of the store.
 	Whole bool
-	// Refused are upstreams whose address refused a connection, Reached those that accepted one after a suspicion.
+	// Refused are upstreams whose address refused a connection, Silent those that did not answer, and Reached those that
+	// accepted one after a suspicion.
 	Refused []string
+	Silent  []string
 	Reached []string
 }
 
@@ -72,7 +74,7 @@
 	// Fresh vouches for the copy of the store, with Copy applied.
 	Fresh bool
 	Copy  follower.Change
-	// Suspects are upstreams that refused a host's connection. Every host tries them and reports.
+	// Suspects are upstreams that other hosts could not reach. Every host tries them and reports.
 	Suspects []string
 }
 
@@ -108,6 +110,7 @@
 	Loads   []wireSighting
 	Whole   bool
 	Refused []string
+	Silent  []string
 	Reached []string
 }
 
@@ -212,7 +215,7 @@
 
 func encodeReport(r Report) ([]byte, error) {
 	wire := wireReport{Host: r.Host, Keys: r.Keys, Loads: toWireSightings(r.Loads), Whole: r.Whole,
-		Refused: r.Refused, Reached: r.Reached}
+		Refused: r.Refused, Silent: r.Silent, Reached: r.Reached}
 	for _, t := range r.Times {
 		wire.Times = append(wire.Times, wireTiming{Upstream: t.Upstream, Count: t.Count, Sum: t.Sum.Milliseconds()})
 	}
@@ -225,7 +228,7 @@
 		return Report{}, &Error{"decode-report", Unreadable, err}
 	}
 	r := Report{Host: wire.Host, Keys: wire.Keys, Loads: fromWireSightings(wire.Loads), Whole: wire.Whole,
-		Refused: wire.Refused, Reached: wire.Reached}
+		Refused: wire.Refused, Silent: wire.Silent, Reached: wire.Reached}
 	for _, t := range wire.Times {
 		r.Times = append(r.Times, Timing{t.Upstream, t.Count, time.Duration(t.Sum) * time.Millisecond})
 	}
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -123,7 +123,7 @@
 func Run(ctx context.Context, options Options) error {
 	settings, err := options.Load()
 	if err != nil {
-		options.Log.Log(eventlog.SettingsFailed, zap.Error(err))
+		options.Log.Log(eventlog.SettingsFailed, eventlog.Cause(err))
 		return err
 	}
 	debug.SetGCPercent(collectPercent)
@@ -241,7 +241,7 @@
 }
 
 func (d *daemon) failed(err error) error {
-	d.log.Log(eventlog.ListenFailed, zap.Error(err))
+	d.log.Log(eventlog.ListenFailed, eventlog.Cause(err))
 	return &Error{"listen", CannotListen, err}
 }
 
@@ -253,7 +253,7 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: startHeaderTimeout, IdleTimeout: startIdleTimeout}
 	go func() {
 		if err := server.Serve(listener); err != nil {
-			d.log.Log(eventlog.ListenFailed, zap.String("address", address), zap.Error(err))
+			d.log.Log(eventlog.ListenFailed, zap.String("address", address), eventlog.Cause(err))
 		}
 	}()
 	return nil
@@ -311,7 +311,7 @@
 func (d *daemon) reload(asked bool) {
 	settings, err := d.options.Load()
 	if err != nil {
-		d.log.Log(eventlog.SettingsFailed, zap.Error(err))
+		d.log.Log(eventlog.SettingsFailed, eventlog.Cause(err))
 		return
 	}
 	if settings == d.settings && !asked {
