follower: notice a store that forgot its watches; controller on strong hosts; encode load reports once

Ruled out: the relay of upstreams (hosts without it were late, too). Tests: acceptor TestDrainEndsBusyConnections fails without the change; starter tests with a store that is silent or forgets its history.

--- a/rhubarbtrackd/internal/acceptor/acceptor_test.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor_test.go
@@ -224,3 +224,27 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestDrainEndsBusyConnections covers a caller that always has further requests under way.
+func TestDrainEndsBusyConnections(t *testing.T) {
+	f := newFixture(t)
+	release := make(chan struct{})
+	f.handle = func(context.Context, *acceptor.Request) *acceptor.Response {
+		<-release
+		return answer("done")
+	}
+	conn, reader := f.dial(t)
+	send(t, conn, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 2))
+	for f.runs.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	f.server.Drain()
+	send(t, conn, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 2))
+	time.Sleep(100 * time.Millisecond) // lets the server read them if it would
+	close(release)
+	_, _, first := receive(t, reader)
+	assert.Assert(t, !first.Close)
+	_, _, second := receive(t, reader)
+	assert.Assert(t, second.Close)
+	assert.Equal(t, f.runs.Load(), int64(2), "a request was taken after the drain began")
+}
--- a/rhubarbtrackd/internal/acceptor/connection.go
+++ b/rhubarbtrackd/internal/acceptor/connection.go
@@ -55,6 +55,11 @@
 func (c *connection) read() {
 	defer close(c.queue)
 	for c.await() {
+		if c.server.draining.Load() && c.inFlight.Load() > 0 {
+			// Requests behind the outstanding answers are left unread; the last of these ends the connection.
+			c.watch()
+			return
+		}
 		request, last, err := c.next()
 		if err != nil {
 			c.refuse(err)
@@ -102,6 +107,10 @@
 			return false
 		}
 		expired := time.Since(began) >= limit
+		if c.inFlight.Load() > 0 && c.server.draining.Load() {
+			c.watch()
+			return false
+		}
 		if c.inFlight.Load() > 0 {
 			// A connection whose answers are outstanding is not idle.
 			if expired {
--- a/rhubarbtrackd/internal/conductor/conductor.go
+++ b/rhubarbtrackd/internal/conductor/conductor.go
@@ -102,13 +102,17 @@
 // OnBeat takes over what the controller says.
 func (c *Conductor) OnBeat(beat linker.Beat) {
 	now := c.options.Now()
+	loads, err := beat.Loads.Decode()
+	if err != nil {
+		c.options.Log.Log(eventlog.FrameRefused, eventlog.Cause(err))
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if beat.Hosts != c.hosts || beat.Index != c.index {
 		c.hosts, c.index = beat.Hosts, beat.Index
 		clear(c.cold)
 	}
-	for _, s := range beat.Loads {
+	for _, s := range loads {
 		c.board.Report(now-s.Age, s.Upstream, s.Load)
 	}
 	for _, id := range beat.Suspects {
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -28,8 +28,11 @@
 const (
 	// watchTime is how long the store may hold a watch. Each watch is a call that is paid for.
 	watchTime = 20 * time.Second
-	// listTimeout bounds a call for a list.
-	listTimeout = 3 * time.Second
+	// probeTime is the same for the configuration. A store that was down may have forgotten its watches, so one of them
+	// is short enough to notice that within the 3 s after which the operators rely on this host again.
+	probeTime = 1500 * time.Millisecond
+	// listTimeout bounds a call for a list. A slow store takes 0.3 s.
+	listTimeout = 1200 * time.Millisecond
 	// batchDelay collects changes for one answer of a watch. It is small against the time within which an upstream that
 	// leaves must get no more requests.
 	batchDelay = 150 * time.Millisecond
@@ -111,9 +114,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	for _, kind := range []kindFollower{
-		{translator.UpstreamKind, f.replaceUpstreams, f.putUpstream, true},
-		{translator.ConfigurationKind, f.replaceConfiguration, f.putConfiguration, false},
-		{translator.TakeOutKind, f.replaceTakeOuts, f.putTakeOut, false},
+		{translator.UpstreamKind, f.replaceUpstreams, f.putUpstream, true, watchTime},
+		{translator.ConfigurationKind, f.replaceConfiguration, f.putConfiguration, false, probeTime},
+		{translator.TakeOutKind, f.replaceTakeOuts, f.putTakeOut, false, watchTime},
 	} {
 		group.Go(func() { f.follow(ctx, kind) })
 	}
@@ -135,6 +138,7 @@
 	replace func(now time.Duration, objects []storer.Object)
 	put     func(now time.Duration, event storer.Event)
 	tracked bool // its failures decide whether entries lapse
+	wait    time.Duration
 }
 
 func (f *Follower) follow(ctx context.Context, kind kindFollower) {
@@ -157,7 +161,8 @@
 			revision, err = f.watch(call, kind, revision, skip)
 		}
 		if call.Err() != nil && ctx.Err() == nil {
-			// The controller's copy has taken over.
+			// The controller's copy has taken over, or the store has failed meanwhile.
+			revision = 0
 			continue
 		}
 		f.note(kind, err)
@@ -190,6 +195,10 @@
 	if kind.kind == translator.ConfigurationKind && (f.config == nil || f.wanted > f.version()) {
 		return false
 	}
+	if _, failing := f.failing[translator.ConfigurationKind]; failing && kind.kind != translator.ConfigurationKind {
+		// One kind of call is enough to find out when the store is back.
+		return true
+	}
 	return f.relayed || f.options.Now() < f.patience
 }
 
@@ -221,7 +230,7 @@
 
 // watch waits for changes. After an error it returns the revision to continue from, or 0 for a new list.
 func (f *Follower) watch(ctx context.Context, kind kindFollower, revision int64, skip func([]byte, error)) (int64, error) {
-	events, next, err := f.options.Store.Watch(ctx, kind.kind, revision, watchTime, skip)
+	events, next, err := f.options.Store.Watch(ctx, kind.kind, revision, kind.wait, skip)
 	if storer.KindOf(err) == storer.Compacted {
 		f.options.Log.Log(eventlog.WatchCompacted, zap.String("kind", kind.kind), zap.Int64("revision", revision))
 		return f.relist(ctx, kind, skip)
@@ -251,8 +260,11 @@
 	case err != nil && !failing:
 		f.failing[kind.kind] = now
 		f.options.Log.Log(eventlog.StoreUnavailable, zap.String("kind", kind.kind), eventlog.Cause(err))
-		if kind.tracked {
-			f.list.Unreachable()
+		f.list.Unreachable()
+		for other, cancel := range f.cancels {
+			if other != kind.kind {
+				cancel()
+			}
 		}
 	case err == nil && failing:
 		delete(f.failing, kind.kind)
--- a/rhubarbtrackd/internal/governor/controller.go
+++ b/rhubarbtrackd/internal/governor/controller.go
@@ -277,8 +277,9 @@
 	}
 }
 
-// broadcast sends a beat to every host, and to this one.
-func (g *Governor) broadcast(now time.Duration) {
+// recentLoads returns the load reports that hosts have not got yet. An owner of keys without a queue is left out: its
+// load changes no decision.
+func (g *Governor) recentLoads(now time.Duration) linker.Sightings {
 	var loads []linker.Sighting
 	for id, s := range g.loads {
 		age := now - s.at
@@ -286,9 +287,23 @@
 			delete(g.loads, id)
 			continue
 		}
+		u := g.snapshot.Upstreams[id]
+		if g.runs[u.Service] != nil && s.Load.Waiting == 0 && s.Load.Running < s.Load.Slots {
+			continue
+		}
 		s.Age = age
 		loads = append(loads, s.Sighting)
 	}
+	encoded, err := linker.EncodeSightings(loads)
+	if err != nil {
+		g.options.Log.Log(eventlog.FrameRefused, eventlog.Cause(err))
+	}
+	return encoded
+}
+
+// broadcast sends a beat to every host, and to this one.
+func (g *Governor) broadcast(now time.Duration) {
+	loads := g.recentLoads(now)
 	suspects := g.confirmer.Suspects(now)
 	g.suspects = len(suspects)
 	peers := g.hub.Peers()
@@ -310,7 +325,7 @@
 	}
 }
 
-func (g *Governor) makeBeat(now time.Duration, peer *linker.Peer, index, hosts int, loads []linker.Sighting) linker.Beat {
+func (g *Governor) makeBeat(now time.Duration, peer *linker.Peer, index, hosts int, loads linker.Sightings) linker.Beat {
 	beat := linker.Beat{Term: g.contender.Term(), Valid: g.contender.Valid(now), Index: index, Hosts: hosts, Loads: loads}
 	if g.contender.Valid(now) && !g.contender.Doubtful(now) && g.options.Follower.Direct() {
 		beat.Fresh = true
--- a/rhubarbtrackd/internal/linker/message.go
+++ b/rhubarbtrackd/internal/linker/message.go
@@ -70,7 +70,7 @@
 	Index  int  // number of the host among Hosts
 	Hosts  int
 	Tables []TableChange
-	Loads  []Sighting
+	Loads  Sightings
 	// Fresh vouches for the copy of the store, with Copy applied.
 	Fresh bool
 	Copy  follower.Change
@@ -85,6 +85,26 @@
 	Rows    keeper.View
 }
 
+// Sightings are load reports in the form in which they are sent, so that they are encoded once for all hosts.
+type Sightings []byte
+
+// EncodeSightings encodes load reports.
+func EncodeSightings(sightings []Sighting) (Sightings, error) {
+	return cbor.Marshal(toWireSightings(sightings))
+}
+
+// Decode returns the load reports.
+func (s Sightings) Decode() ([]Sighting, error) {
+	if len(s) == 0 {
+		return nil, nil
+	}
+	var wire []wireSighting
+	if err := cbor.Unmarshal(s, &wire); err != nil {
+		return nil, &Error{"decode-sightings", Unreadable, err}
+	}
+	return fromWireSightings(wire), nil
+}
+
 type wireSighting struct {
 	_        struct{} `cbor:",toarray"`
 	Upstream string
@@ -158,7 +178,7 @@
 	Index    int
 	Hosts    int
 	Tables   []wireTable
-	Loads    []wireSighting
+	Loads    []byte
 	Fresh    bool
 	Copy     wireCopy
 	Suspects []string
@@ -236,7 +256,7 @@
 }
 
 func encodeBeat(now time.Duration, b Beat) ([]byte, error) {
-	wire := wireBeat{Term: b.Term, Valid: b.Valid, Index: b.Index, Hosts: b.Hosts, Loads: toWireSightings(b.Loads),
+	wire := wireBeat{Term: b.Term, Valid: b.Valid, Index: b.Index, Hosts: b.Hosts, Loads: b.Loads,
 		Fresh: b.Fresh, Copy: toWireCopy(now, b.Copy), Suspects: b.Suspects}
 	for _, t := range b.Tables {
 		table := wireTable{Service: t.Service, Whole: t.Whole}
@@ -253,7 +273,7 @@
 	if err := cbor.Unmarshal(data, &wire); err != nil {
 		return Beat{}, &Error{"decode-beat", Unreadable, err}
 	}
-	b := Beat{Term: wire.Term, Valid: wire.Valid, Index: wire.Index, Hosts: wire.Hosts, Loads: fromWireSightings(wire.Loads),
+	b := Beat{Term: wire.Term, Valid: wire.Valid, Index: wire.Index, Hosts: wire.Hosts, Loads: wire.Loads,
 		Fresh: wire.Fresh, Copy: fromWireCopy(now, wire.Copy), Suspects: wire.Suspects}
 	for _, t := range wire.Tables {
 		change := TableChange{Service: t.Service, Whole: t.Whole}
--- a/rhubarbtrackd/internal/meter/meter.go
+++ b/rhubarbtrackd/internal/meter/meter.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -35,7 +36,9 @@
 
 // New returns a meter without figures.
 func New() *Meter {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own lets several hosts run in one process, as in tests.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "rhubarbtrack",
 		CachedReporter: reporter,
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -10,6 +10,7 @@
 package starter
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -64,7 +65,7 @@
 	startIdleTimeout   = 15 * time.Second
 	// maxTakeoverDelay is the delay of the weakest hosts before they take the controller's role, and takeoverSpread
 	// keeps hosts of the same strength apart.
-	maxTakeoverDelay = 500 * time.Millisecond
+	maxTakeoverDelay = 1200 * time.Millisecond
 	takeoverSpread   = 150 * time.Millisecond
 	// controllerShare is the share of a core from which a host suits the controller's role without delay.
 	controllerShare = 0.3
@@ -101,6 +102,8 @@
 	Reload <-chan struct{}
 	// Dropped returns the number of log lines dropped since the last call.
 	Dropped func() int64
+	// MetricsPort replaces the usual port, for hosts that share an address.
+	MetricsPort string
 }
 
 type daemon struct {
@@ -218,7 +221,7 @@
 	}{
 		{d.settings.PeerAddress, mux},
 		{d.settings.ReadyAddress, ready},
-		{net.JoinHostPort(d.settings.IP, MetricsPort), metrics},
+		{net.JoinHostPort(d.settings.IP, cmp.Or(d.options.MetricsPort, MetricsPort)), metrics},
 	} {
 		if err := d.serveHTTP(listener.address, listener.handler); err != nil {
 			return err
--- /dev/null
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -0,0 +1,287 @@
+package starter_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/platform/reader"
+	"rhubarbtrack.example/platform/simulator"
+	"rhubarbtrack.example/platform/translator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/starter"
+)
+
+const (
+	hostCount   = 3
+	readyWithin = 20 * time.Second
+	workTime    = 20 * time.Millisecond
+)
+
+type testHost struct {
+	settings reader.Settings
+	stop     context.CancelFunc
+	stopped  chan error
+}
+
+// system is a store, upstreams and hosts on loopback.
+type system struct {
+	store     *simulator.Store
+	upstreams []*simulator.Upstream
+	hosts     []*testHost
+	mutex     sync.Mutex
+	runs      map[string]int
+}
+
+func freePort(t *testing.T, ip string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", ip+":0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	_, port, err := net.SplitHostPort(listener.Addr().String())
+	assert.NilError(t, err)
+	return port
+}
+
+func configuration(version int) map[string]any {
+	route := func(prefix, kind, service string) map[string]any {
+		return map[string]any{
+			"name": "r-" + prefix, "path_prefix": prefix, "kind": kind, "timeout_s": 2, "target_latency_s": 0.5, "priority": 1,
+			"service": service, "max_attempts": 2,
+		}
+	}
+	return map[string]any{
+		"version": version,
+		"services": []any{
+			map[string]any{"name": "keyed", "health_check_path": "/health", "max_connections": 100, "warmup_s": 1, "warmup_per_s": 50, "sharded": true},
+			map[string]any{"name": "plain", "health_check_path": "/health", "max_connections": 100, "warmup_s": 1, "warmup_per_s": 50},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_s": 3, "idle_timeout_s": 15},
+		"virtual_hosts": []any{map[string]any{"hostname": "shop.example", "route_paths": []any{
+			route("/read/", "idempotent", "keyed"), route("/order/", "non_idempotent", "keyed"), route("/plain/", "idempotent", "plain"),
+		}}},
+	}
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{store: simulator.NewStore(), runs: map[string]int{}}
+	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, configuration(3), nil))
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.CloseClientConnections)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for i := range 6 {
+		s.addUpstream(t, ctx, i)
+	}
+	for i := range hostCount {
+		s.startHost(t, i, strings.TrimPrefix(server.URL, "http://"))
+	}
+	for _, h := range s.hosts {
+		waitReady(t, h)
+	}
+	return s
+}
+
+func (s *system) addUpstream(t *testing.T, ctx context.Context, i int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	options := simulator.UpstreamOptions{
+		ID: fmt.Sprintf("u%d", i), Service: "keyed", Address: listener.Addr().String(), Domain: fmt.Sprintf("zone-%d", i%2),
+		Keyed: true, Slots: 6, Queue: 24, WorkTime: workTime, LateOrders: 0.1,
+		OnRun: func(run simulator.Run) {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			s.runs[run.Attempt]++
+		},
+	}
+	if i >= 4 {
+		options.Service, options.Keyed = "plain", false
+	}
+	u := simulator.NewUpstream(options)
+	s.upstreams = append(s.upstreams, u)
+	server := &http.Server{Handler: u}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = u.Register(ctx, s.store) }()
+}
+
+func (s *system) startHost(t *testing.T, i int, store string) {
+	t.Helper()
+	ip := fmt.Sprintf("127.0.0.%d", 10+i)
+	h := &testHost{stopped: make(chan error, 1), settings: reader.Settings{
+		Host: fmt.Sprintf("host-%d", i), FailureDomain: fmt.Sprintf("zone-%d", i%2), IP: ip,
+		CallerAddress: ip + ":" + freePort(t, ip), ReadyAddress: ip + ":" + freePort(t, ip), PeerAddress: ip + ":" + freePort(t, ip),
+		StoreAddress: store, FirstStart: true, ProcessorShare: 1, FileDescriptors: 4000,
+		Bounds: reader.Bounds{
+			LeaveDelay: 2 * time.Second, Grace: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60,
+			ColdRateFactor: 1.5, ColdSlack: 5, TakeOutDelay: 5 * time.Second, MaxHold: 10 * time.Second,
+		},
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	s.hosts = append(s.hosts, h)
+	port := freePort(t, ip)
+	go func() {
+		h.stopped <- starter.Run(ctx, starter.Options{
+			Load: func() (reader.Settings, error) { return h.settings, nil }, Log: eventlog.New(zap.NewNop()),
+			Dropped: func() int64 { return 0 }, MetricsPort: port,
+		})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-h.stopped
+	})
+}
+
+func waitReady(t *testing.T, h *testHost) {
+	t.Helper()
+	for deadline := time.Now().Add(readyWithin); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		response, err := http.Get("http://" + h.settings.ReadyAddress + translator.ReadyPath)
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	t.Fatalf("%s is not ready", h.settings.Host)
+}
+
+// outcome is what a caller saw.
+type outcome struct {
+	attempt string
+	order   bool
+	status  int
+	right   bool // the answer is the whole answer to this request
+	err     error
+}
+
+// request sends one request to a host, over a connection of its own.
+func request(h *testHost, n int) outcome {
+	path := []string{"/read/", "/order/", "/plain/"}[n%3] + strconv.Itoa(n)
+	method := []string{http.MethodGet, http.MethodPost, http.MethodGet}[n%3]
+	o := outcome{attempt: fmt.Sprintf("%08x%08x", rand.Uint32(), n), order: n%3 == 1}
+	r, err := http.NewRequest(method, "http://"+h.settings.CallerAddress+path, strings.NewReader(""))
+	if err != nil {
+		o.err = err
+		return o
+	}
+	r.Host = "shop.example"
+	r.Header.Set(translator.AttemptHeader, o.attempt)
+	r.Header.Set(translator.TimeLeftHeader, "3000")
+	r.Header.Set(translator.KeyHeader, strconv.Itoa(rand.IntN(1<<16)))
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(r)
+	if err != nil {
+		o.err = err
+		return o
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	o.status, o.err = response.StatusCode, err
+	o.right = string(body) == simulator.Sign(o.attempt, path)
+	return o
+}
+
+// load sends requests to the hosts until stop, and returns what callers saw.
+func load(hosts []*testHost, stop *atomic.Bool) []outcome {
+	var mutex sync.Mutex
+	var outcomes []outcome
+	var group sync.WaitGroup
+	for worker := range 8 {
+		group.Go(func() {
+			for n := worker; !stop.Load(); n += 8 {
+				o := request(hosts[rand.IntN(len(hosts))], n)
+				mutex.Lock()
+				outcomes = append(outcomes, o)
+				mutex.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	return outcomes
+}
+
+// check verifies the promises that hold whatever happens, and returns the share of requests that were served.
+func (s *system) check(t *testing.T, outcomes []outcome) float64 {
+	t.Helper()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	served := 0
+	kinds := map[string]int{}
+	defer func() { t.Log(kinds) }()
+	for _, o := range outcomes {
+		kinds[fmt.Sprintf("%d %v", o.status, o.err)]++
+		if o.err == nil && o.status == http.StatusOK {
+			assert.Assert(t, o.right, "%s got another answer", o.attempt)
+			served++
+		}
+		if o.order {
+			assert.Assert(t, s.runs[o.attempt] <= 1, "%s ran %d times", o.attempt, s.runs[o.attempt])
+		}
+		if o.status == http.StatusServiceUnavailable && o.order {
+			assert.Equal(t, s.runs[o.attempt], 0, "%s ran although it was refused", o.attempt)
+		}
+	}
+	return float64(served) / float64(len(outcomes))
+}
+
+func TestServes(t *testing.T) {
+	tests := []struct {
+		name    string
+		disturb func(t *testing.T, s *system)
+		served  float64 // least share of requests
+	}{
+		{"calm", func(*testing.T, *system) {}, 0.98},
+		{"an upstream drains", func(_ *testing.T, s *system) { s.upstreams[0].Drain() }, 0.98},
+		{"a failure domain is taken out", func(t *testing.T, s *system) {
+			assert.NilError(t, s.store.Put(translator.TakeOutKind, "zone-1", map[string]any{}, nil))
+		}, 0.98},
+		{"the store is down", func(_ *testing.T, s *system) {
+			s.store.SetFault(simulator.Fault{Kind: simulator.Silent})
+		}, 0.95},
+		{"the store forgets its history", func(t *testing.T, s *system) {
+			assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, configuration(9), nil))
+			s.store.Compact()
+		}, 0.95},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSystem(t)
+			var stop atomic.Bool
+			time.AfterFunc(time.Second, func() { tt.disturb(t, s) })
+			time.AfterFunc(4*time.Second, func() { stop.Store(true) })
+			outcomes := load(s.hosts, &stop)
+			served := s.check(t, outcomes)
+			assert.Assert(t, served >= tt.served, "served %.3f of %d", served, len(outcomes))
+		})
+	}
+}
+
+// TestControllerHandsOver stops one host after the other. Callers use the others, as the balancer does.
+func TestControllerHandsOver(t *testing.T) {
+	s := newSystem(t)
+	for i := range hostCount - 1 {
+		s.hosts[i].stop()
+		var stop atomic.Bool
+		time.AfterFunc(3*time.Second, func() { stop.Store(true) })
+		served := s.check(t, load(s.hosts[i+1:], &stop))
+		assert.Assert(t, served >= 0.95, "after %d hosts: served %.3f", i+1, served)
+	}
+}
