starter: report ready only when keys have owners that serve

Hosts were ready as soon as a table named owners, before any grant; the test then stopped the controller before it had written the table, and the next one waited for upstreams again. Ruled out: the hand-over itself (requests were refused from the first moment on).

--- a/rhubarbtrackd/internal/director/director.go
+++ b/rhubarbtrackd/internal/director/director.go
@@ -52,6 +52,18 @@
 	return len(t.views[service]) > 0
 }
 
+// Serves reports whether any key of the service has an owner that serves.
+func (t *Tables) Serves(service string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, row := range t.views[service] {
+		if row.Owner != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // Find returns the row of a key, and a channel that is closed at the next change of a table.
 func (t *Tables) Find(service string, key uint16) (keeper.Assignment, <-chan struct{}, bool) {
 	t.mutex.Lock()
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -269,7 +269,7 @@
 		return false
 	}
 	for name, service := range snapshot.Config.Services {
-		if service.Keyed && !d.tables.Has(name) {
+		if service.Keyed && !d.tables.Serves(name) {
 			return false
 		}
 	}
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -138,7 +139,7 @@
 	port := freePort(t, ip)
 	go func() {
 		h.stopped <- starter.Run(ctx, starter.Options{
-			Load: func() (reader.Settings, error) { return h.settings, nil }, Log: eventlog.New(zap.NewNop()),
+			Load: func() (reader.Settings, error) { return h.settings, nil }, Log: eventlog.New(testLogger(t)),
 			Dropped: func() int64 { return 0 }, MetricsPort: port,
 		})
 	}()
@@ -285,3 +286,18 @@
 		assert.Assert(t, served >= 0.95, "after %d hosts: served %.3f", i+1, served)
 	}
 }
+
+// testLogger writes to the file that the variable names, for tracing a failed run.
+func testLogger(t *testing.T) *zap.Logger {
+	t.Helper()
+	path := os.Getenv("RHUBARBTRACK_TEST_LOG")
+	if path == "" {
+		return zap.NewNop()
+	}
+	config := zap.NewProductionConfig()
+	config.OutputPaths = []string{path}
+	config.Sampling = nil
+	logger, err := config.Build()
+	assert.NilError(t, err)
+	return logger
+}
