--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -375,7 +375,8 @@
 	defer f.mutex.Unlock()
 	now := f.options.Now()
 	if change.Whole && change.Revision < f.revision {
-		// This host has read a newer state itself.
+		// This host has read a newer state itself. It stops reading, so that the controller gets ahead of it.
+		f.patience = now + relayLife
 		return false
 	}
 	if !change.Whole && !f.relayed {
