Measure upstreams that are always busy; as many corrections of the load as upstreams; use the whole retry ratio

Cause: the time of a request counted only when its upstream had no queue, so a slow upstream that was always busy was taken for a usual one and kept its share of keys.

--- a/core/leveler/leveler.go
+++ b/core/leveler/leveler.go
@@ -27,8 +27,8 @@
 	imbalance = 1.2
 	// noiseFactor is the number of standard deviations of the request count that an excess must be above the mean.
 	noiseFactor = 1.5
-	// maxMoves bounds the corrections of one call.
-	maxMoves = 32
+	// leastMoves bounds the corrections of one call, or the number of upstreams where that is larger.
+	leastMoves = 32
 	// maxParts bounds the parts of one range that loses its owner.
 	maxParts = 8
 	// partShare is the load of such a part, relative to the mean load of an upstream.
@@ -240,7 +240,7 @@
 	p.prepare()
 	var parts []Part
 	stuck := map[*target]bool{}
-	for len(parts) < maxMoves {
+	for len(parts) < max(leastMoves, len(p.targets)) {
 		part, ok := p.correct(stuck)
 		if !ok {
 			break
--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -92,5 +92,5 @@
 // ratio times the requests plus slack in each window.
 func RetryShare(ratio, slack float64, hosts int) (perRequest, burst float64) {
 	// A window holds at most one full bucket and what flows in meanwhile.
-	return ratio * safety / 2, max(1, slack*safety/float64(max(hosts, 1)))
+	return ratio * safety, max(1, slack*safety/float64(max(hosts, 1)))
 }
--- a/rhubarbtrackd/internal/conductor/conductor.go
+++ b/rhubarbtrackd/internal/conductor/conductor.go
@@ -311,12 +311,12 @@
 		ID: j.id, Repeatable: j.route.Idempotent, Deadline: j.deadline,
 	}
 	answer, err := c.options.Pool.Do(ctx, exchanger.Target{ID: u.ID, Address: u.Address}, call)
-	c.observe(began, u, answer, err)
+	c.observe(began, j.estimate.Wait, u, answer, err)
 	return answer, err
 }
 
 // observe turns an outcome into evidence.
-func (c *Conductor) observe(began time.Duration, u registrar.Upstream, answer *exchanger.Answer, err error) {
+func (c *Conductor) observe(began, expected time.Duration, u registrar.Upstream, answer *exchanger.Answer, err error) {
 	now := c.options.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -345,12 +345,18 @@
 	}
 	c.board.Report(now, u.ID, load)
 	c.seen.load(now, u.ID, load)
-	if !refused && answer.Status < 500 && load.Waiting == 0 {
-		c.board.Measure(u.ID, now-began, load.Pace)
-		c.seen.timing(u.ID, now-began)
+	if !refused && answer.Status < 500 {
+		// An upstream that is always busy would never be measured if only requests without a wait counted.
+		taken := now - began
+		run := max(taken-expected, time.Duration(leastRunShare*float64(taken)))
+		c.board.Measure(u.ID, run, load.Pace)
+		c.seen.timing(u.ID, run)
 	}
 }
 
+// leastRunShare bounds the error of the expected wait, which is taken off the time of a request to get its run.
+const leastRunShare = 0.25
+
 func isRefusal(answer *exchanger.Answer) bool {
 	return translator.Refused(answer.Status, answer.Header)
 }
