conductor: take no upstream for ended on which a request is still in flight

An upstream that leaves closes its listener and finishes its work; all hosts were refused, so the confirmer took it for ended. Ruled out: the expiry of the grant (the order began after the last renewal, 1.1 s before). Test: TestContact/refused_while_a_request_is_in_flight; draining upstreams are left out as well.

--- a/rhubarbtrackd/internal/conductor/conductor.go
+++ b/rhubarbtrackd/internal/conductor/conductor.go
@@ -136,7 +136,7 @@
 		c.board.Unblock(u.ID)
 		return
 	}
-	c.seen.contact(u.ID, err)
+	c.seen.contact(u.ID, err, c.board.InFlight(u.ID))
 	c.board.Block(c.options.Now(), u.ID)
 }
 
@@ -321,9 +321,11 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if err != nil {
-		if kindOf(err) == exchanger.NotSent {
-			c.seen.contact(u.ID, err)
-		}
+		defer func() {
+			if kindOf(err) == exchanger.NotSent {
+				c.seen.contact(u.ID, err, c.board.InFlight(u.ID))
+			}
+		}()
 		c.board.End(now, u.ID, map[exchanger.Kind]placer.Outcome{
 			exchanger.NotSent: placer.Unreachable, exchanger.Broken: placer.Failed,
 			exchanger.Late: placer.Failed, exchanger.Cancelled: placer.Abandoned,
--- a/rhubarbtrackd/internal/conductor/observations.go
+++ b/rhubarbtrackd/internal/conductor/observations.go
@@ -54,10 +54,13 @@
 	o.loads[upstream] = seenLoad{now, load}
 }
 
-// contact notes why an attempt to connect failed.
-func (o *observations) contact(upstream string, err error) {
+// contact notes why an attempt to connect failed. A process that shuts down closes its listener and goes on with its
+// work. One that has ended has no connections, so a request that is still in flight there proves that it has not.
+func (o *observations) contact(upstream string, err error, inFlight int) {
 	var network net.Error
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED) && inFlight > 0:
+		o.contacts[upstream] = reached
 	case errors.Is(err, syscall.ECONNREFUSED):
 		o.contacts[upstream] = refused
 	case errors.As(err, &network) && network.Timeout():
--- /dev/null
+++ b/rhubarbtrackd/internal/conductor/observations_test.go
@@ -0,0 +1,58 @@
+package conductor
+
+import (
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/placer"
+)
+
+func TestContact(t *testing.T) {
+	refusal := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	timeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	tests := []struct {
+		name     string
+		err      error
+		inFlight int
+		refused  int
+		silent   int
+		reached  int
+	}{
+		{"refused", refusal, 0, 1, 0, 0},
+		{"refused while a request is in flight", refusal, 1, 0, 0, 1},
+		{"no answer", timeout, 0, 0, 1, 0},
+		{"no route", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.EHOSTUNREACH)}, 0, 0, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := newObservations()
+			o.contact("u", tt.err, tt.inFlight)
+			report := o.take(0)
+			assert.Equal(t, len(report.Refused), tt.refused)
+			assert.Equal(t, len(report.Silent), tt.silent)
+			assert.Equal(t, len(report.Reached), tt.reached)
+		})
+	}
+}
+
+func TestReportIsTakenOnce(t *testing.T) {
+	o := newObservations()
+	for key := range uint16(maxKeys + 10) {
+		o.key("s", key)
+	}
+	o.timing("u", time.Second)
+	o.timing("u", time.Second)
+	o.load(time.Second, "u", placer.Load{Running: 1, Slots: 6})
+	report := o.take(3 * time.Second)
+	assert.Equal(t, len(report.Keys["s"]), maxKeys)
+	assert.Equal(t, report.Times[0].Count, 2)
+	assert.Equal(t, report.Times[0].Sum, 2*time.Second)
+	assert.Equal(t, report.Loads[0].Age, 2*time.Second)
+	again := o.take(4 * time.Second)
+	assert.Equal(t, len(again.Keys)+len(again.Times)+len(again.Loads), 0)
+}
--- a/rhubarbtrackd/internal/governor/controller.go
+++ b/rhubarbtrackd/internal/governor/controller.go
@@ -262,7 +262,8 @@
 func (g *Governor) confirm(ctx context.Context, now time.Duration) {
 	for _, id := range g.confirmer.Ended(now, len(g.hub.Peers())+1) {
 		u, ok := g.snapshot.Upstreams[id]
-		if !ok || g.ended[id] == u.Life {
+		if !ok || u.Draining || g.ended[id] == u.Life {
+			// An upstream that drains refuses connections while it finishes its work.
 			continue
 		}
 		g.ended[id] = u.Life
