demo: fault soak on the platform's stand-ins

The real daemons and upstreams run as processes behind loopback proxies; signals, links and the store misbehave in a seeded order, and promises are checked from what callers and upstreams see.

--- a/demo/internal/launcher/launcher.go
+++ b/demo/internal/launcher/launcher.go
@@ -52,11 +52,17 @@
 
 // Start starts a program. Its output goes to <name>.log in the work folder.
 func (l *Launcher) Start(name, program string, args ...string) (*Process, error) {
+	return l.StartWith(nil, name, program, args...)
+}
+
+// StartWith starts a program with further variables in its environment.
+func (l *Launcher) StartWith(environment []string, name, program string, args ...string) (*Process, error) {
 	log, err := os.Create(filepath.Join(l.work, name+".log"))
 	if err != nil {
 		return nil, errors.Wrap(err, "launcher: create log")
 	}
 	command := exec.Command(filepath.Join(l.binaries, program), args...)
+	command.Env = append(os.Environ(), environment...)
 	command.Stderr = log
 	output, err := command.StdoutPipe()
 	if err != nil {
--- a/demo/internal/runner/runner.go
+++ b/demo/internal/runner/runner.go
@@ -35,6 +35,10 @@
 	NoFence     bool    `long:"no-fence" description:"run upstreams that do not check fences"`
 	NoKills     bool    `long:"no-kills" description:"kill neither a daemon nor an upstream"`
 	Scenario    string  `long:"scenario" value-name:"NAME" description:"fault scenario to run, or 'all'; 'list' prints their names"`
+	Soak        int     `long:"soak" value-name:"COUNT" description:"play this many seeds of the fault soak on the platform's stand-ins, from --seed on"`
+	SoakSeconds int     `long:"soak-seconds" default:"15" description:"length of the faults of each soak seed"`
+	SoakHosts   int     `long:"soak-hosts" default:"4" description:"daemons of a soak"`
+	SoakKeyed   int     `long:"soak-upstreams" default:"4" description:"upstreams with keys of a soak; half as many without are added"`
 	Keep        bool    `long:"keep" description:"keep the folder with logs and results"`
 }
 
@@ -48,6 +52,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if parsed.Soak > 0 {
+		return soak(ctx, parsed, stdout, stderr)
+	}
 	if parsed.Scenario == "list" {
 		for _, named := range catalogue() {
 			_, _ = fmt.Fprintf(stdout, "%-18s %s\n", named.name, named.proves)
--- a/upstreamsim/internal/runner/runner.go
+++ b/upstreamsim/internal/runner/runner.go
@@ -6,6 +6,8 @@
 package runner
 
 import (
+	"cmp"
+	"context"
 	"crypto/rand"
 	"fmt"
 	"io"
@@ -16,9 +18,13 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"rhubarbtrack.example/platform/simulator"
 	"rhubarbtrack.example/upstreamsim/internal/responder"
 )
 
+// platformQueue is the number of requests that wait at an upstream of the users' platform.
+const platformQueue = 24
+
 type options struct {
 	Listen        string  `long:"listen" default:"127.0.0.1:0" description:"address to listen on"`
 	Slots         int     `long:"slots" default:"6" description:"requests that run at once"`
@@ -30,6 +36,12 @@
 	Fragile       bool    `long:"fragile" description:"crash above twice the work that is borne"`
 	Warm          bool    `long:"warm" description:"start with all slots usable"`
 	Seed          uint64  `long:"seed" default:"1" description:"seed of the running times"`
+	Store         string  `long:"store" description:"address of the platform's store: own ranges of numeric keys by the platform's grants"`
+	ID            string  `long:"id" description:"name in the store"`
+	Service       string  `long:"service" description:"service in the store"`
+	Domain        string  `long:"failure-domain" description:"failure domain in the store"`
+	Advertise     string  `long:"advertise" description:"address in the store, if it differs from the one to listen on"`
+	LateOrders    float64 `long:"late-orders" description:"share of grants that are carried out late and without an answer"`
 	RunsFile      string  `long:"runs-file" description:"file to which each run is appended as lines of JSON"`
 }
 
@@ -64,6 +76,14 @@
 	if err != nil {
 		return err
 	}
+	if parsed.Store != "" {
+		_, _ = fmt.Fprintf(stdout, "listening on %s\n", listener.Addr())
+		return simulator.RunProcess(context.Background(), simulator.UpstreamOptions{
+			ID: parsed.ID, Service: parsed.Service, Domain: parsed.Domain, Address: cmp.Or(parsed.Advertise, listener.Addr().String()),
+			Keyed: !parsed.NoKeys, Slots: parsed.Slots, Queue: platformQueue, WorkTime: milliseconds(parsed.ServiceTime),
+			LateOrders: parsed.LateOrders,
+		}, listener, parsed.Store, stdout)
+	}
 	start := time.Now()
 	handler := responder.New(responder.Options{
 		Incarnation:   rand.Text(),
