--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -59,7 +59,7 @@
 	TakenOut  map[string]time.Duration // failure domain to the time since when it is taken out
 	Draining  map[string]time.Duration // upstream to the time since when it is known to drain
 	Listed    bool                     // the upstreams have been read
-	Revision  int64                    // of the store when the upstreams were read
+	Revision  int64                    // newest revision among the entries of upstreams that were seen
 }
 
 // Options configures a Follower.
@@ -84,7 +84,7 @@
 	draining map[string]time.Duration
 	listed   bool
 	failing  map[string]time.Duration // kind to the time of the first failure in a row
-	revision int64                    // of the store, for the upstreams
+	revision int64                    // newest revision among the entries of upstreams that were seen
 	fresh    time.Duration            // when the controller last vouched for its copy
 	relayed  bool                     // the copy follows that of the controller
 	cancels  map[string]context.CancelFunc
@@ -199,6 +199,9 @@
 		// One kind of call is enough to find out when the store is back.
 		return true
 	}
+	if kind.kind == translator.ConfigurationKind {
+		return f.relayed
+	}
 	return f.relayed || f.options.Now() < f.patience
 }
 
@@ -224,7 +227,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.apply(ctx, kind, list.Revision, func(now time.Duration) { kind.replace(now, list.Objects) })
+	f.apply(ctx, kind, func(now time.Duration) { kind.replace(now, list.Objects) })
 	return list.Revision, nil
 }
 
@@ -239,7 +242,7 @@
 		// Changes may have been lost together with the watch.
 		return 0, err
 	}
-	f.apply(ctx, kind, next, func(now time.Duration) {
+	f.apply(ctx, kind, func(now time.Duration) {
 		for _, event := range events {
 			kind.put(now, event)
 		}
@@ -272,7 +275,7 @@
 	}
 }
 
-func (f *Follower) apply(ctx context.Context, kind kindFollower, revision int64, change func(now time.Duration)) {
+func (f *Follower) apply(ctx context.Context, kind kindFollower, change func(now time.Duration)) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if ctx.Err() != nil {
@@ -281,7 +284,6 @@
 	now := f.options.Now()
 	if kind.tracked {
 		f.list.Reachable(now)
-		f.revision = max(f.revision, revision)
 	}
 	change(now)
 	f.publish()
@@ -374,6 +376,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := f.options.Now()
+	f.wanted = max(f.wanted, change.Configuration)
 	if change.Whole && change.Revision < f.revision {
 		// This host has read a newer state itself. It stops reading, so that the controller gets ahead of it.
 		f.patience = now + relayLife
@@ -383,7 +386,6 @@
 		return false
 	}
 	f.fresh = now
-	f.wanted = max(f.wanted, change.Configuration)
 	if !f.relayed {
 		f.relayed = true
 		for _, cancel := range f.cancels {
@@ -422,6 +424,7 @@
 }
 
 func (f *Follower) decode(now time.Duration, object storer.Object) (registrar.Upstream, bool) {
+	f.revision = max(f.revision, object.Revision)
 	u, err := translator.Upstream(now, object)
 	if err == nil {
 		return u, true
@@ -451,6 +454,7 @@
 func (f *Follower) putUpstream(now time.Duration, event storer.Event) {
 	if event.Removed {
 		f.options.Log.Log(eventlog.UpstreamRemoved, zap.String("upstream", event.Object.Name), zap.Int64("revision", event.Object.Revision))
+		f.revision = max(f.revision, event.Object.Revision)
 		f.list.Remove(now, event.Object.Name)
 		return
 	}
--- /dev/null
+++ b/rhubarbtrackd/internal/follower/follower_test.go
@@ -0,0 +1,127 @@
+package follower_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/registrar"
+	"rhubarbtrack.example/platform/simulator"
+	"rhubarbtrack.example/platform/storer"
+	"rhubarbtrack.example/platform/translator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
+	"rhubarbtrack.example/rhubarbtrackd/internal/timer"
+)
+
+const patience = 5 * time.Second
+
+func newFollower(t *testing.T) (*simulator.Store, *follower.Follower) {
+	t.Helper()
+	store := simulator.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.CloseClientConnections)
+	f := follower.New(follower.Options{
+		Store: storer.New(strings.TrimPrefix(server.URL, "http://")), Log: eventlog.New(zap.NewNop()), Now: timer.Now,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	return store, f
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), what)
+	}
+}
+
+func putUpstream(t *testing.T, store *simulator.Store, id string) {
+	t.Helper()
+	u := simulator.NewUpstream(simulator.UpstreamOptions{ID: id, Service: "s", Address: "127.0.0.1:1", Domain: "d", Slots: 6})
+	specification, status := u.Entry()
+	assert.NilError(t, store.Put(translator.UpstreamKind, id, specification, status))
+}
+
+func putConfiguration(t *testing.T, store *simulator.Store, version int) {
+	t.Helper()
+	err := store.Put(translator.ConfigurationKind, translator.ConfigurationName, simulator.Configuration(version), nil)
+	assert.NilError(t, err)
+}
+
+func version(f *follower.Follower) int64 {
+	if config := f.Snapshot().Config; config != nil {
+		return config.Version
+	}
+	return 0
+}
+
+func TestFollowsTheStore(t *testing.T) {
+	store, f := newFollower(t)
+	putConfiguration(t, store, 3)
+	putUpstream(t, store, "a")
+	eventually(t, "first state", func() bool { return version(f) == 3 && len(f.Snapshot().Upstreams) == 1 })
+	putUpstream(t, store, "b")
+	assert.NilError(t, store.Put(translator.UpstreamKind, "forged", map[string]any{"address": 7}, nil))
+	assert.NilError(t, store.Put(translator.TakeOutKind, "d", map[string]any{}, nil))
+	putConfiguration(t, store, 9)
+	eventually(t, "changes", func() bool {
+		s := f.Snapshot()
+		return version(f) == 9 && len(s.Upstreams) == 2 && len(s.TakenOut) == 1
+	})
+	store.Delete(translator.UpstreamKind, "a")
+	store.Delete(translator.TakeOutKind, "d")
+	putConfiguration(t, store, 5)
+	eventually(t, "removals", func() bool { return len(f.Snapshot().Upstreams) == 1 && len(f.Snapshot().TakenOut) == 0 })
+	assert.Equal(t, version(f), int64(9), "the configuration went back")
+}
+
+func TestNoticesAStoreThatForgotItsWatches(t *testing.T) {
+	store, f := newFollower(t)
+	putConfiguration(t, store, 3)
+	eventually(t, "first state", func() bool { return version(f) == 3 })
+	store.SetFault(simulator.Fault{Kind: simulator.Silent})
+	time.Sleep(500 * time.Millisecond)
+	putConfiguration(t, store, 9)
+	putUpstream(t, store, "a")
+	store.SetFault(simulator.Fault{})
+	eventually(t, "state after the outage", func() bool { return version(f) == 9 && len(f.Snapshot().Upstreams) == 1 })
+}
+
+func TestFollowsTheController(t *testing.T) {
+	store, f := newFollower(t)
+	putConfiguration(t, store, 3)
+	putUpstream(t, store, "a")
+	eventually(t, "first state", func() bool { return version(f) == 3 && len(f.Snapshot().Upstreams) == 1 })
+	own := f.Snapshot().Upstreams["a"]
+	copied := follower.Change{
+		Whole: true, Revision: f.Snapshot().Revision, Configuration: 3,
+		Puts: []registrar.Upstream{own, {ID: "b", Service: "s", Address: "127.0.0.1:2", Slots: 6}},
+	}
+	assert.Assert(t, f.Relay(copied))
+	assert.Equal(t, len(f.Snapshot().Upstreams), 2)
+	assert.Assert(t, f.Relay(follower.Change{Revision: copied.Revision + 1, Configuration: 3, Removed: []string{"b"}}))
+	assert.Equal(t, len(f.Snapshot().Upstreams), 1)
+	eventually(t, "the controller's word expires", func() bool { return !f.Relayed() })
+	assert.Assert(t, !f.Relay(follower.Change{Revision: copied.Revision + 2}), "changes without the whole copy")
+}
+
+// TestOlderCopyDoesNotHideAConfiguration covers a host that has read more of the store than the controller.
+func TestOlderCopyDoesNotHideAConfiguration(t *testing.T) {
+	store, f := newFollower(t)
+	putConfiguration(t, store, 3)
+	putUpstream(t, store, "a")
+	eventually(t, "first state", func() bool { return version(f) == 3 && len(f.Snapshot().Upstreams) == 1 })
+	putConfiguration(t, store, 9)
+	older := follower.Change{Whole: true, Revision: f.Snapshot().Revision - 1, Configuration: 3}
+	eventually(t, "a configuration beside refused copies", func() bool {
+		assert.Assert(t, !f.Relay(older))
+		return version(f) == 9
+	})
+}
