keeper: try an upstream whose grants are left to expire; soak: wait for the platform's bound of recovery

An upstream was killed while the store failed, when grants are long, and came back at the same address; nobody asked it. Test: TestAvailability/upstream_is_cut_off_under_long_grants,_and_back fails without the change. The soak waited 9 s for recovery, less than the longest grant; it now waits for the platform's 15 s.

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -46,6 +46,11 @@
 	// lostOrders is the number of unanswered orders in a row that is required as well, because upstreams leave single
 	// orders unanswered.
 	lostOrders = 5
+	// probeInterval is the time between two tries at an upstream whose grants are left to expire.
+	probeInterval = 500 * time.Millisecond
+	// probeReserve is the time before the expiry in which no more tries are made, because a try that is under way would
+	// delay the new owner.
+	probeReserve = 1700 * time.Millisecond
 	// driftMargin covers the time between deciding on an order and the end of its call.
 	driftMargin = 100 * time.Millisecond
 	// commitDelay collects changes for one write.
--- a/core/keeper/phases.go
+++ b/core/keeper/phases.go
@@ -41,6 +41,12 @@
 			s.life = owner.Life
 			delete(k.contacts, s.Previous)
 			s.phase = raising
+			return
+		}
+		if s.expiry-now > probeReserve {
+			// The upstream may be back, or another process may have its address.
+			k.release(now, s, s.Previous)
+			s.next = now + probeInterval
 		}
 	case clearing:
 		if now >= s.expiry {
@@ -244,6 +250,9 @@
 			if event.Handover != "" {
 				s.handover = event.Handover
 			}
+		case expiring:
+			// It answers again. A newer fence makes sure that older grants have no effect.
+			s.phase = raising
 		default:
 			if event.Handover != "" {
 				s.handover = event.Handover
--- a/core/keeper/world_test.go
+++ b/core/keeper/world_test.go
@@ -365,6 +365,11 @@
 			w.upstreams["u1"].down = w.now + time.Hour
 			w.feed(w.keeper, keeper.Ended{Owner: "u1"})
 		}, 300 * time.Millisecond},
+		{"upstream is cut off under long grants, and back", func(w *world) {
+			w.feed(w.keeper, keeper.Hold{Long: true})
+			w.run(time.Second, func() {})
+			w.upstreams["u1"].down = w.now + 3*time.Second
+		}, 5 * time.Second},
 		{"upstream restarts", func(w *world) { w.add("u1") }, 1500 * time.Millisecond},
 		{"controller is replaced", func(w *world) { w.takeOver() }, 500 * time.Millisecond},
 	}
--- a/demo/internal/soaker/soaker.go
+++ b/demo/internal/soaker/soaker.go
@@ -41,8 +41,8 @@
 	readyPoll    = 50 * time.Millisecond
 	workTimeMS   = "25"
 	lateOrders   = "0.1"
-	settleTime   = 9 * time.Second // after the last fault: grace of a shutdown and the longest grant
-	finalTime    = 3 * time.Second // of load after that
+	settleTime   = 15 * time.Second // after the last fault: the platform's bound for recovery
+	finalTime    = 3 * time.Second  // of load after that
 	expireTick   = 200 * time.Millisecond
 	stopDeadline = 7 * time.Second
 	// planEvery is the interval at which planned seeds get only planned work.
