--- a/core/keeper/phases.go
+++ b/core/keeper/phases.go
@@ -9,7 +9,7 @@
 	if s.order != 0 {
 		return
 	}
-	if now < s.next && !(s.phase == committing && k.stored >= s.commit) {
+	if committed := s.phase == committing && k.stored >= s.commit; now < s.next && !committed {
 		return
 	}
 	switch s.phase {
--- /dev/null
+++ b/core/throttler/throttler_test.go
@@ -0,0 +1,88 @@
+package throttler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/throttler"
+)
+
+// TestColdSharesKeepTheCommonLimit plays hosts that send as much as they may to one cold upstream.
+func TestColdSharesKeepTheCommonLimit(t *testing.T) {
+	tests := []struct {
+		hosts int
+		limit float64 // requests in any second
+	}{{1, 13.7}, {3, 13.7}, {11, 13.7}, {79, 14.6}, {300, 14.6}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.hosts), func(t *testing.T) {
+			for upstream := range 20 {
+				id := fmt.Sprintf("u%d", upstream)
+				var buckets []*throttler.Bucket
+				for i := range tt.hosts {
+					share := throttler.ColdShare(id, i, tt.hosts, tt.limit)
+					buckets = append(buckets, throttler.NewBucket(0, share.Rate, share.Burst))
+				}
+				random := rand.New(rand.NewPCG(uint64(upstream), 1))
+				var sent []time.Duration
+				for now := time.Duration(0); now < 6*time.Second; now += 5 * time.Millisecond {
+					for _, b := range buckets {
+						if random.IntN(3) == 0 && b.Take(now) {
+							sent = append(sent, now)
+						}
+					}
+				}
+				most, first := 0, 0
+				for i, at := range sent {
+					for sent[first] <= at-time.Second {
+						first++
+					}
+					most = max(most, i-first+1)
+				}
+				assert.Assert(t, float64(most) <= tt.limit, "%s gets %d in a second", id, most)
+				assert.Assert(t, len(sent) >= 10, "%s gets %d in 6 s", id, len(sent))
+			}
+		})
+	}
+}
+
+// TestRetrySharesKeepTheBudget plays hosts all of whose requests fail.
+func TestRetrySharesKeepTheBudget(t *testing.T) {
+	const (
+		hosts  = 11
+		ratio  = 0.2
+		slack  = 62.0
+		window = 10 * time.Second
+		rate   = 25 // requests per second of each host
+	)
+	perRequest, burst := throttler.RetryShare(ratio, slack, hosts)
+	retries := 0
+	for range hosts {
+		bucket := throttler.NewBucket(0, 0, burst)
+		for i := range int(window.Seconds()) * rate {
+			now := time.Duration(i) * time.Second / rate
+			bucket.Add(now, perRequest)
+			if bucket.Take(now) {
+				retries++
+			}
+		}
+	}
+	requests := hosts * rate * window.Seconds()
+	assert.Assert(t, float64(retries) <= ratio*requests+slack, "%d repeats for %.0f requests", retries, requests)
+	assert.Assert(t, float64(retries) >= 0.5*ratio*requests, "%d repeats for %.0f requests", retries, requests)
+}
+
+func TestBucket(t *testing.T) {
+	b := throttler.NewBucket(0, 2, 1)
+	assert.Assert(t, b.Take(0))
+	assert.Assert(t, !b.Take(100*time.Millisecond))
+	assert.Assert(t, b.Take(600*time.Millisecond))
+	b.Add(600*time.Millisecond, 5)
+	assert.Assert(t, b.Take(600*time.Millisecond))
+	assert.Assert(t, !b.Take(600*time.Millisecond), "the burst is bounded")
+	b.Set(0, 0, 0)
+	assert.Assert(t, !b.Take(time.Hour))
+}
--- a/rhubarbtrackd/internal/governor/governor.go
+++ b/rhubarbtrackd/internal/governor/governor.go
@@ -101,7 +101,6 @@
 	heard     time.Duration
 	began     time.Duration
 	fetching  map[string]bool
-	beat      uint64
 	snapshot  *follower.Snapshot
 	stopped   chan struct{}
 	ctx       context.Context // of Run
