--- a/demo/internal/soaker/fault.go
+++ b/demo/internal/soaker/fault.go
@@ -49,8 +49,8 @@
 
 // plan does a piece of planned work. Hosts are stopped one at a time, as a rolling restart does.
 func (w *world) plan(ctx context.Context) {
-	switch w.random.IntN(5) {
-	case 0:
+	switch w.random.IntN(7) {
+	default:
 		w.restart(ctx, w.hosts[w.random.IntN(len(w.hosts))])
 	case 1:
 		w.say("configuration")
--- a/demo/internal/soaker/soaker.go
+++ b/demo/internal/soaker/soaker.go
@@ -39,7 +39,7 @@
 	peerPort     = 7103
 	readyWithin  = 15 * time.Second
 	readyPoll    = 50 * time.Millisecond
-	workTimeMS   = "25"
+	workTimeMS   = "100" // long enough for each signal to meet requests in flight
 	lateOrders   = "0.1"
 	settleTime   = 15 * time.Second // after the last fault: the platform's bound for recovery
 	finalTime    = 3 * time.Second  // of load after that
