--- a/core/keeper/types.go
+++ b/core/keeper/types.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Order says what a key range needs next.
+// phase is what a range needs next.
 type phase int
 
 const (
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -2,9 +2,9 @@
 //
 // # Usage
 //
-//	list := registrar.New(registrar.Options{})
+//	list := registrar.New()
 //	list.Replace(now, entries)          // a complete list
-//	list.Put(now, entry)                // one entry has changed
+//	list.Put(entry)                     // one entry has changed
 //	list.Remove(now, id)
 //	upstream, ok := list.Get(id)
 //
--- a/rhubarbtrackd/internal/exchanger/exchanger.go
+++ b/rhubarbtrackd/internal/exchanger/exchanger.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	pool := exchanger.New(exchanger.Options{IDHeader: "Attempt-Id"})
+//	pool := exchanger.New(exchanger.Options{IDHeader: "Request-Id"})
 //	answer, err := pool.Do(ctx, exchanger.Target{ID: id, Address: address}, call)
 //
 // Errors are of type *Error. After Kind NotSent the upstream has not received the request and never will.
--- a/rhubarbtrackd/internal/linker/linker.go
+++ b/rhubarbtrackd/internal/linker/linker.go
@@ -177,10 +177,11 @@
 	OnOther func(host string)
 	// Report returns what happened since the last report.
 	Report func() Report
-	// OnBeat is told of each beat; whole is set for the first one of a connection.
+	// OnBeat is told of each beat.
 	OnBeat func(beat Beat)
 	// OnLost is told of the end of a connection.
 	OnLost func(address string, err error)
+	// OnOpen is told of a new connection.
 	OnOpen func(address string)
 	Now    func() time.Duration
 }
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -57,30 +57,10 @@
 	return port
 }
 
-func configuration(version int) map[string]any {
-	route := func(prefix, kind, service string) map[string]any {
-		return map[string]any{
-			"name": "r-" + prefix, "path_prefix": prefix, "kind": kind, "timeout_s": 2, "target_latency_s": 0.5, "priority": 1,
-			"service": service, "max_attempts": 2,
-		}
-	}
-	return map[string]any{
-		"version": version,
-		"services": []any{
-			map[string]any{"name": "keyed", "health_check_path": "/health", "max_connections": 100, "warmup_s": 1, "warmup_per_s": 50, "sharded": true},
-			map[string]any{"name": "plain", "health_check_path": "/health", "max_connections": 100, "warmup_s": 1, "warmup_per_s": 50},
-		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_s": 3, "idle_timeout_s": 15},
-		"virtual_hosts": []any{map[string]any{"hostname": "shop.example", "route_paths": []any{
-			route("/read/", "idempotent", "keyed"), route("/order/", "non_idempotent", "keyed"), route("/plain/", "idempotent", "plain"),
-		}}},
-	}
-}
-
 func newSystem(t *testing.T) *system {
 	t.Helper()
 	s := &system{store: simulator.NewStore(), runs: map[string]int{}}
-	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, configuration(3), nil))
+	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, simulator.Configuration(3), nil))
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.CloseClientConnections)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -102,7 +82,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	options := simulator.UpstreamOptions{
-		ID: fmt.Sprintf("u%d", i), Service: "keyed", Address: listener.Addr().String(), Domain: fmt.Sprintf("zone-%d", i%2),
+		ID: fmt.Sprintf("u%d", i), Service: simulator.KeyedService, Address: listener.Addr().String(), Domain: fmt.Sprintf("domain-%d", i%2),
 		Keyed: true, Slots: 6, Queue: 24, WorkTime: workTime, LateOrders: 0.1,
 		OnRun: func(run simulator.Run) {
 			s.mutex.Lock()
@@ -111,7 +91,7 @@
 		},
 	}
 	if i >= 4 {
-		options.Service, options.Keyed = "plain", false
+		options.Service, options.Keyed = simulator.PlainService, false
 	}
 	u := simulator.NewUpstream(options)
 	s.upstreams = append(s.upstreams, u)
@@ -125,7 +105,7 @@
 	t.Helper()
 	ip := fmt.Sprintf("127.0.0.%d", 10+i)
 	h := &testHost{stopped: make(chan error, 1), settings: reader.Settings{
-		Host: fmt.Sprintf("host-%d", i), FailureDomain: fmt.Sprintf("zone-%d", i%2), IP: ip,
+		Host: fmt.Sprintf("host-%d", i), FailureDomain: fmt.Sprintf("domain-%d", i%2), IP: ip,
 		CallerAddress: ip + ":" + freePort(t, ip), ReadyAddress: ip + ":" + freePort(t, ip), PeerAddress: ip + ":" + freePort(t, ip),
 		StoreAddress: store, FirstStart: true, ProcessorShare: 1, FileDescriptors: 4000,
 		Bounds: reader.Bounds{
@@ -175,7 +155,7 @@
 
 // request sends one request to a host, over a connection of its own.
 func request(h *testHost, n int) outcome {
-	path := []string{"/read/", "/order/", "/plain/"}[n%3] + strconv.Itoa(n)
+	path := []string{simulator.ReadPrefix, simulator.OrderPrefix, simulator.PlainPrefix}[n%3] + strconv.Itoa(n)
 	method := []string{http.MethodGet, http.MethodPost, http.MethodGet}[n%3]
 	o := outcome{attempt: fmt.Sprintf("%08x%08x", rand.Uint32(), n), order: n%3 == 1}
 	r, err := http.NewRequest(method, "http://"+h.settings.CallerAddress+path, strings.NewReader(""))
@@ -183,7 +163,7 @@
 		o.err = err
 		return o
 	}
-	r.Host = "shop.example"
+	r.Host = simulator.Hostname
 	r.Header.Set(translator.AttemptHeader, o.attempt)
 	r.Header.Set(translator.TimeLeftHeader, "3000")
 	r.Header.Set(translator.KeyHeader, strconv.Itoa(rand.IntN(1<<16)))
@@ -252,13 +232,13 @@
 		{"calm", func(*testing.T, *system) {}, 0.98},
 		{"an upstream drains", func(_ *testing.T, s *system) { s.upstreams[0].Drain() }, 0.98},
 		{"a failure domain is taken out", func(t *testing.T, s *system) {
-			assert.NilError(t, s.store.Put(translator.TakeOutKind, "zone-1", map[string]any{}, nil))
+			assert.NilError(t, s.store.Put(translator.TakeOutKind, "domain-1", map[string]any{}, nil))
 		}, 0.98},
 		{"the store is down", func(_ *testing.T, s *system) {
 			s.store.SetFault(simulator.Fault{Kind: simulator.Silent})
 		}, 0.95},
 		{"the store forgets its history", func(t *testing.T, s *system) {
-			assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, configuration(9), nil))
+			assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, simulator.Configuration(9), nil))
 			s.store.Compact()
 		}, 0.95},
 	}
