--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -108,6 +108,12 @@
 	PlannerFailed    = register(558, "planner-failed", zap.WarnLevel, "The planner could not read or write the store; it tries again.")
 )
 
+// Events of operators.
+var (
+	OperatorCall    = register(600, "operator-call", zap.InfoLevel, "An operator changed the configuration.")
+	OperatorRefused = register(601, "operator-refused", zap.WarnLevel, "A call of an operator was refused.")
+)
+
 // Events of a host on the users' platform.
 var (
 	EntryRefused         = register(700, "entry-refused", zap.WarnLevel, "The entry of an upstream is invalid; it names no upstream to use.")
@@ -138,12 +144,6 @@
 	RequestUnreadable    = register(733, "request-unreadable", zap.InfoLevel, "A request was refused before it was routed.")
 )
 
-// Events of operators.
-var (
-	OperatorCall    = register(600, "operator-call", zap.InfoLevel, "An operator changed the configuration.")
-	OperatorRefused = register(601, "operator-refused", zap.WarnLevel, "A call of an operator was refused.")
-)
-
 // Cause is the field for an error. It leaves out the stack trace that errors of this program carry.
 func Cause(err error) zap.Field {
 	if err == nil {
