--- a/demo/internal/soaker/fault.go
+++ b/demo/internal/soaker/fault.go
@@ -13,7 +13,7 @@
 
 const (
 	minGap   = 150 * time.Millisecond
-	gapRange = 900 * time.Millisecond
+	gapRange = 400 * time.Millisecond
 	minHold  = 300 * time.Millisecond
 	maxHold  = 4 * time.Second
 )
@@ -105,7 +105,7 @@
 func (w *world) fault(ctx context.Context) {
 	h := w.hosts[w.random.IntN(len(w.hosts))]
 	u := w.upstreams[w.random.IntN(len(w.upstreams))]
-	switch w.random.IntN(9) {
+	switch w.random.IntN(12) {
 	case 0:
 		w.say("kill %s", h.settings.Name)
 		h.process.Kill()
@@ -115,7 +115,7 @@
 		}
 	case 1:
 		w.pause(ctx, h.settings.Name, h.process.Signal)
-	case 2:
+	case 2, 7, 8:
 		w.say("kill %s", u.id)
 		u.process.Kill()
 		w.ends[u.id] = time.Now()
