conductor: keep a second of the delay for leaving upstreams

The news had taken 0.4 s to the host, all of the reserve. Ruled out: a host that did not know (it stopped 2.1 s after it learned). Test: TestLeavingUpstream (its second check fails with the former 0.4 s).

--- a/rhubarbtrackd/internal/conductor/choose.go
+++ b/rhubarbtrackd/internal/conductor/choose.go
@@ -21,8 +21,9 @@
 	ownerWait = 600 * time.Millisecond
 	// ownerWaitShare bounds it relative to the objective of the route.
 	ownerWaitShare = 0.5
-	// leaveReserve is the part of the delay for leaving upstreams that is kept for requests on their way.
-	leaveReserve = 400 * time.Millisecond
+	// leaveReserve is the part of the delay for leaving upstreams that is kept for the news on its way to this host (a
+	// collected watch, a beat, a weak controller) and for requests on their way.
+	leaveReserve = time.Second
 )
 
 // sendable reports whether an upstream may get requests now, by what is known of its leaving.
--- a/rhubarbtrackd/internal/conductor/observations_test.go
+++ b/rhubarbtrackd/internal/conductor/observations_test.go
@@ -10,6 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbtrack.example/core/placer"
+	"rhubarbtrack.example/core/registrar"
+	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
 )
 
 func TestContact(t *testing.T) {
@@ -40,6 +42,23 @@
 	}
 }
 
+// TestLeavingUpstream covers news that take 0.6 s from the store to this host.
+func TestLeavingUpstream(t *testing.T) {
+	const (
+		bound   = 2500 * time.Millisecond
+		learned = time.Minute
+		news    = 600 * time.Millisecond
+	)
+	c := New(Options{Limits: Limits{LeaveDelay: bound, TakeOutDelay: bound}})
+	u := registrar.Upstream{ID: "u", Domain: "d"}
+	draining := &follower.Snapshot{Draining: map[string]time.Duration{"u": learned}}
+	takenOut := &follower.Snapshot{TakenOut: map[string]time.Duration{"d": learned}}
+	for _, snapshot := range []*follower.Snapshot{draining, takenOut} {
+		assert.Assert(t, c.sendable(learned+time.Second, snapshot, u))
+		assert.Assert(t, !c.sendable(learned+bound-news, snapshot, u))
+	}
+}
+
 func TestReportIsTakenOnce(t *testing.T) {
 	o := newObservations()
 	for key := range uint16(maxKeys + 10) {
