linker, acceptor: log why connections of hosts end and are not accepted

The hub dropped the errors of hosts' connections, the client those of its reports, and the acceptor a lack of descriptors. Each is logged now (host-lost, accept-failed once a series). The two loops that sent beats are one.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -92,7 +92,6 @@
 	failedAt  time.Duration
 	blocked   time.Duration
 	backoff   time.Duration
-	lastBegin time.Duration
 }
 
 // Board holds the evidence about all upstreams.
@@ -157,7 +156,6 @@
 func (b *Board) Begin(now time.Duration, id string) {
 	s := b.state(id)
 	s.inFlight++
-	s.lastBegin = now
 }
 
 // End notes the outcome of a request that was sent to an upstream.
--- a/rhubarbtrackd/internal/acceptor/acceptor.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor.go
@@ -33,6 +33,8 @@
 	writeTimeout = 8 * time.Second
 	// drainPoll is how often a connection looks for further requests while the host shuts down.
 	drainPoll = 50 * time.Millisecond
+	// acceptRetry is the pause after a failure to accept. A lack of descriptors passes when connections end.
+	acceptRetry = 10 * time.Millisecond
 	// lingerTime is how long the rest of a caller's bytes is read after the last answer, so that the answer is not lost
 	// to a reset.
 	lingerTime = 300 * time.Millisecond
@@ -78,6 +80,8 @@
 	Limits func() Limits
 	// Refused is told of requests that do not reach Handle.
 	Refused func(status int, remote, reason string)
+	// AcceptFailed is told of the first of a series of connections that could not be accepted, for lack of descriptors.
+	AcceptFailed func(err error)
 	// MaxConnections bounds the open connections.
 	MaxConnections int
 }
@@ -108,6 +112,7 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
+	failing := false
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -118,10 +123,14 @@
 			if errors.As(err, &temporary) && temporary.Timeout() {
 				continue
 			}
-			// A lack of descriptors passes when connections end.
-			time.Sleep(10 * time.Millisecond)
+			if !failing && s.options.AcceptFailed != nil {
+				s.options.AcceptFailed(err)
+			}
+			failing = true
+			time.Sleep(acceptRetry)
 			continue
 		}
+		failing = false
 		s.open(conn)
 	}
 }
--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -138,10 +138,12 @@
 	RelayLost            = register(723, "relay-lost", zap.InfoLevel, "The controller's word is too old; this host reads the store itself.")
 	OrderDone            = register(724, "order-done", zap.InfoLevel, "An upstream carried out an order that changes who has a range.")
 	UpstreamEnded        = register(725, "upstream-ended", zap.WarnLevel, "Nearly all hosts were refused by an upstream and none was answered: its process has ended and has no keys.")
+	HostLost             = register(726, "host-lost", zap.WarnLevel, "A host no longer reports to the controller, or could not be understood.")
 	RequestEnded         = register(730, "request-ended", zap.InfoLevel, "A request has its final answer.")
 	RequestAttempted     = register(731, "request-attempted", zap.InfoLevel, "A try at an upstream failed.")
 	RequestRejected      = register(732, "request-rejected", zap.InfoLevel, "A request was answered as not run; the field reason says why.")
 	RequestUnreadable    = register(733, "request-unreadable", zap.InfoLevel, "A request was refused before it was routed.")
+	AcceptFailed         = register(734, "accept-failed", zap.ErrorLevel, "A connection of a caller could not be accepted. Later ones are not logged until one is accepted.")
 )
 
 // Cause is the field for an error. It leaves out the stack trace that errors of this program carry.
--- a/rhubarbtrackd/internal/governor/controller.go
+++ b/rhubarbtrackd/internal/governor/controller.go
@@ -65,7 +65,8 @@
 		if len(view.Diff(r.view)) > 0 || len(view) != len(r.view) {
 			r.view = view
 			g.options.Tables.Replace(name, view)
-			g.spread()
+			// Hosts must not send requests to former owners until the next beat.
+			g.sendBeats(g.options.Now(), linker.Beat{})
 		}
 	}
 }
@@ -302,32 +303,29 @@
 	return encoded
 }
 
-// broadcast sends a beat to every host, and to this one.
+// broadcast sends every host a beat with what the others have seen, and tells this host.
 func (g *Governor) broadcast(now time.Duration) {
-	loads := g.recentLoads(now)
-	suspects := g.confirmer.Suspects(now)
-	g.suspects = len(suspects)
-	peers := g.hub.Peers()
-	for i, peer := range peers {
-		beat := g.makeBeat(now, peer, i+1, len(peers)+1, loads)
-		beat.Suspects = suspects
-		g.send(peer, beat)
-	}
-	beat := linker.Beat{Term: g.contender.Term(), Valid: true, Hosts: len(peers) + 1, Loads: loads, Suspects: suspects}
-	g.options.OnBeat(beat)
+	news := linker.Beat{Loads: g.recentLoads(now), Suspects: g.confirmer.Suspects(now)}
+	g.suspects = len(news.Suspects)
+	hosts := g.sendBeats(now, news)
+	g.options.OnBeat(linker.Beat{Term: g.contender.Term(), Valid: true, Hosts: hosts, Loads: news.Loads, Suspects: news.Suspects})
 }
 
-// spread sends changes of the tables at once.
-func (g *Governor) spread() {
-	now := g.options.Now()
+// sendBeats sends every host a beat that carries the news, the state of the controller and what changed in the tables
+// and in the copy of the store. It returns the number of hosts, this one included.
+func (g *Governor) sendBeats(now time.Duration, news linker.Beat) int {
 	peers := g.hub.Peers()
+	hosts := len(peers) + 1
 	for i, peer := range peers {
-		g.send(peer, g.makeBeat(now, peer, i+1, len(peers)+1, nil))
+		beat := g.makeBeat(now, peer, i+1, hosts)
+		beat.Loads, beat.Suspects = news.Loads, news.Suspects
+		g.send(peer, beat)
 	}
+	return hosts
 }
 
-func (g *Governor) makeBeat(now time.Duration, peer *linker.Peer, index, hosts int, loads linker.Sightings) linker.Beat {
-	beat := linker.Beat{Term: g.contender.Term(), Valid: g.contender.Valid(now), Index: index, Hosts: hosts, Loads: loads}
+func (g *Governor) makeBeat(now time.Duration, peer *linker.Peer, index, hosts int) linker.Beat {
+	beat := linker.Beat{Term: g.contender.Term(), Valid: g.contender.Valid(now), Index: index, Hosts: hosts}
 	if g.contender.Valid(now) && !g.contender.Doubtful(now) && g.options.Follower.Direct() {
 		beat.Fresh = true
 		beat.Copy = changeSince(g.copied[peer], g.snapshot)
--- a/rhubarbtrackd/internal/governor/governor.go
+++ b/rhubarbtrackd/internal/governor/governor.go
@@ -141,7 +141,8 @@
 				g.takeReport(g.ctx, report)
 			})
 		},
-		func(peer *linker.Peer) {
+		func(peer *linker.Peer, err error) {
+			options.Log.Log(eventlog.HostLost, zap.String("host", peer.Host), eventlog.Cause(err))
 			g.post(func() {
 				delete(g.sent, peer)
 				delete(g.copied, peer)
--- a/rhubarbtrackd/internal/linker/linker.go
+++ b/rhubarbtrackd/internal/linker/linker.go
@@ -5,9 +5,9 @@
 //
 // # Usage
 //
-//	hub := linker.NewHub(onReport)         // on every host; used while it is the controller
+//	hub := linker.NewHub(host, onReport, onLeave)   // on every host; used while it is the controller
 //	mux.Handle(linker.Path, hub)
-//	hub.Broadcast(func(peer linker.Peer) linker.Beat { ... })
+//	for _, peer := range hub.Peers() { hub.Send(now, peer, beat) }
 //
 //	client := linker.NewClient(options)    // on every host
 //	go client.Run(ctx)
@@ -57,13 +57,14 @@
 type Hub struct {
 	host     string
 	onReport func(peer *Peer, report Report)
-	onLeave  func(peer *Peer)
+	onLeave  func(peer *Peer, err error)
 	mutex    sync.Mutex
 	peers    map[*Peer]bool
 }
 
-// NewHub returns a hub without hosts. A peer's first report comes before any beat is sent to it.
-func NewHub(host string, onReport func(*Peer, Report), onLeave func(*Peer)) *Hub {
+// NewHub returns a hub without hosts. A peer's first report comes before any beat is sent to it. onLeave is told why a
+// connection ended, also of one that never reported.
+func NewHub(host string, onReport func(*Peer, Report), onLeave func(*Peer, error)) *Hub {
 	return &Hub{host: host, onReport: onReport, onLeave: onLeave, peers: map[*Peer]bool{}}
 }
 
@@ -99,6 +100,7 @@
 	w.Header().Set(HostHeader, h.host)
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
+		h.onLeave(&Peer{}, &Error{"accept", Disconnected, err})
 		return
 	}
 	conn.SetReadLimit(maxMessage)
@@ -107,15 +109,19 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	go peer.write(ctx)
-	defer h.leave(peer)
+	h.leave(peer, h.serve(ctx, peer))
+}
+
+// serve takes the reports of a host until its connection fails.
+func (h *Hub) serve(ctx context.Context, peer *Peer) error {
 	for {
-		data, err := receive(ctx, conn)
+		data, err := receive(ctx, peer.conn)
 		if err != nil {
-			return
+			return &Error{"receive", Disconnected, err}
 		}
 		report, err := decodeReport(data)
 		if err != nil {
-			return
+			return err
 		}
 		h.join(peer, report.Host)
 		h.onReport(peer, report)
@@ -131,14 +137,11 @@
 	}
 }
 
-func (h *Hub) leave(peer *Peer) {
+func (h *Hub) leave(peer *Peer, err error) {
 	h.mutex.Lock()
-	known := h.peers[peer]
 	delete(h.peers, peer)
 	h.mutex.Unlock()
-	if known {
-		h.onLeave(peer)
-	}
+	h.onLeave(peer, err)
 }
 
 func (p *Peer) write(ctx context.Context) {
@@ -222,12 +225,15 @@
 		return &Error{"dial " + address, Disconnected, errors.Newf("%s has the address of %s", other, host)}
 	}
 	conn.SetReadLimit(maxMessage)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	c.options.OnOpen(address)
 	go c.report(ctx, cancel, conn, host)
 	for {
 		data, err := receive(ctx, conn)
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
 		if err != nil {
 			return &Error{"receive", Disconnected, err}
 		}
@@ -240,19 +246,21 @@
 }
 
 // report sends reports until the connection ends or the controller is another host.
-func (c *Client) report(ctx context.Context, cancel func(), conn *websocket.Conn, host string) {
-	defer cancel()
+func (c *Client) report(ctx context.Context, cancel context.CancelCauseFunc, conn *websocket.Conn, host string) {
 	ticker := time.NewTicker(ReportInterval)
 	defer ticker.Stop()
 	for {
 		if leader, _ := c.options.Leader(); leader != host {
+			cancel(errors.New("the controller is another host"))
 			return
 		}
 		data, err := encodeReport(c.options.Report())
 		if err != nil {
+			cancel(err)
 			return
 		}
 		if err := send(ctx, conn, data); err != nil {
+			cancel(err)
 			return
 		}
 		select {
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -172,6 +172,7 @@
 		Refused: func(status int, remote, reason string) {
 			d.log.Log(eventlog.RequestUnreadable, zap.Int("status", status), zap.String("remote", remote), zap.String("reason", reason))
 		},
+		AcceptFailed: func(err error) { d.log.Log(eventlog.AcceptFailed, eventlog.Cause(err)) },
 	})
 	return d
 }
