starter: a host that is cut off sends its callers elsewhere

Cause: while a failure domain is cut off, callers of its hosts were refused for as long as the cut lasted, because the hosts reported themselves ready: the balancer sends callers to another domain only when no host of the domain is in rotation. Ruled out: giving up earlier or waiting longer for owners, since no upstream outside is in reach.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -83,15 +83,15 @@
 )
 
 type state struct {
-	inFlight  int
-	reported  time.Duration
-	load      Load
-	ownThen   int           // own requests in flight at the time of the report
-	time      time.Duration // mean time of a request without waiting, at the usual pace
-	failures  float64       // share of failures
-	failedAt  time.Duration
-	blocked   time.Duration
-	backoff   time.Duration
+	inFlight int
+	reported time.Duration
+	load     Load
+	ownThen  int           // own requests in flight at the time of the report
+	time     time.Duration // mean time of a request without waiting, at the usual pace
+	failures float64       // share of failures
+	failedAt time.Duration
+	blocked  time.Duration
+	backoff  time.Duration
 }
 
 // Board holds the evidence about all upstreams.
--- a/rhubarbtrackd/internal/acceptor/acceptor.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor.go
@@ -90,6 +90,7 @@
 type Server struct {
 	options  Options
 	draining atomic.Bool
+	turning  atomic.Bool // callers are sent elsewhere
 	mutex    sync.Mutex
 	conns    map[*connection]bool
 	active   atomic.Int64
@@ -158,6 +159,10 @@
 	s.mutex.Unlock()
 }
 
+// TurnAway sets whether connections end with the answer to their last request, so that callers come back through the
+// balancer. New connections are taken nevertheless.
+func (s *Server) TurnAway(away bool) { s.turning.Store(away) }
+
 // Drain ends connections as soon as they are idle. Answers announce the end of their connection.
 func (s *Server) Drain() {
 	s.draining.Store(true)
--- a/rhubarbtrackd/internal/conductor/choose.go
+++ b/rhubarbtrackd/internal/conductor/choose.go
@@ -92,7 +92,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if wait, blocked := c.board.Blocked(now, u.ID); blocked {
-		return choice{reason: "the owner cannot be reached", wait: max(wait, retryWait)}
+		return choice{reason: "the owner cannot be reached", wait: max(wait, retryWait), unreachable: true}
 	}
 	estimate := c.board.Estimate(now, u.ID, u.Slots)
 	if verdict := c.judge(now, j, u.ID, estimate); !verdict.Admit {
@@ -155,7 +155,7 @@
 	if len(warm)+len(cold) == 0 {
 		return choice{reason: "no upstream can be used", wait: startWait}
 	}
-	return choice{reason: "no upstream can be reached", wait: retryWait}
+	return choice{reason: "no upstream can be reached", wait: retryWait, unreachable: true}
 }
 
 func without(candidates []placer.Candidate, id string) []placer.Candidate {
--- a/rhubarbtrackd/internal/conductor/conductor.go
+++ b/rhubarbtrackd/internal/conductor/conductor.go
@@ -80,6 +80,8 @@
 	index   int
 	hosts   int
 	seen    observations
+	sent    int // requests since the last call of Reach
+	unsent  int
 	probing map[string]bool          // upstreams to which a probe is under way
 	probed  map[string]time.Duration // time of the last probe
 	limits  atomic.Pointer[Limits]
@@ -140,6 +142,26 @@
 	c.board.Block(c.options.Now(), u.ID)
 }
 
+// Reach returns the numbers of requests since the last call that an upstream answered, and that could not be sent because
+// their upstream cannot be reached.
+func (c *Conductor) Reach() (sent, unsent int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	sent, unsent = c.sent, c.unsent
+	c.sent, c.unsent = 0, 0
+	return sent, unsent
+}
+
+func (c *Conductor) countReach(sent bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if sent {
+		c.sent++
+	} else {
+		c.unsent++
+	}
+}
+
 // Report returns what has been seen since the last call.
 func (c *Conductor) Report() linker.Report {
 	c.mutex.Lock()
@@ -242,6 +264,8 @@
 	upstream registrar.Upstream
 	reason   string        // why there is none
 	wait     time.Duration // after which the caller may come back
+	// unreachable is set when upstreams would serve the request and cannot be reached.
+	unreachable bool
 }
 
 // serve sends the request until it has a final answer.
@@ -258,12 +282,18 @@
 		}
 		chosen := choose(ctx, j)
 		if chosen.reason != "" {
+			if chosen.unreachable {
+				c.countReach(false)
+			}
 			return c.giveUp(j, chosen.reason, chosen.wait)
 		}
 		if j.tries > 0 && !c.takeRetry(j) {
 			return c.giveUp(j, "the retry budget is used up", retryWait)
 		}
 		answer, err := c.try(ctx, j, chosen.upstream)
+		if err == nil || kindOf(err) == exchanger.NotSent {
+			c.countReach(err == nil)
+		}
 		if response := c.conclude(j, chosen.upstream, answer, err); response != nil {
 			return response
 		}
--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -144,6 +144,8 @@
 	RequestRejected      = register(732, "request-rejected", zap.InfoLevel, "A request was answered as not run; the field reason says why.")
 	RequestUnreadable    = register(733, "request-unreadable", zap.InfoLevel, "A request was refused before it was routed.")
 	AcceptFailed         = register(734, "accept-failed", zap.ErrorLevel, "A connection of a caller could not be accepted. Later ones are not logged until one is accepted.")
+	HostIsolated         = register(740, "host-isolated", zap.WarnLevel, "This host hears neither the controller nor the store and cannot reach most upstreams; it reports itself not ready.")
+	HostReconnected      = register(741, "host-reconnected", zap.InfoLevel, "This host is no longer cut off.")
 )
 
 // Cause is the field for an error. It leaves out the stack trace that errors of this program carry.
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -87,10 +87,12 @@
 	revision int64                    // newest revision among the entries of upstreams that were seen
 	fresh    time.Duration            // when the controller last vouched for its copy
 	relayed  bool                     // the copy follows that of the controller
-	cancels  map[string]context.CancelFunc
-	patience time.Duration    // until then, a host that has just started waits for a controller's copy
-	wanted   int64            // newest known version of the configuration
-	refused  map[string]int64 // entries that were refused, by revision, so that each is logged once
+	// connected is set when the store or the controller has been heard of, and cleared when either is lost.
+	connected bool
+	cancels   map[string]context.CancelFunc
+	patience  time.Duration    // until then, a host that has just started waits for a controller's copy
+	wanted    int64            // newest known version of the configuration
+	refused   map[string]int64 // entries that were refused, by revision, so that each is logged once
 }
 
 // New returns a follower that knows nothing.
@@ -262,6 +264,7 @@
 	switch {
 	case err != nil && !failing:
 		f.failing[kind.kind] = now
+		f.connected = f.relayed
 		f.options.Log.Log(eventlog.StoreUnavailable, zap.String("kind", kind.kind), eventlog.Cause(err))
 		f.list.Unreachable()
 		for other, cancel := range f.cancels {
@@ -282,6 +285,7 @@
 		return
 	}
 	now := f.options.Now()
+	f.connected = true
 	if kind.tracked {
 		f.list.Reachable(now)
 	}
@@ -330,7 +334,7 @@
 		f.publish()
 	}
 	if f.relayed && now >= f.fresh+relayLife {
-		f.relayed = false
+		f.relayed, f.connected = false, false
 		f.options.Log.Log(eventlog.RelayLost, zap.Duration("age", now-f.fresh))
 	}
 }
@@ -351,6 +355,13 @@
 	return !f.relayed && f.listed && len(f.failing) == 0
 }
 
+// Connected reports whether the store or the controller has been heard of, after the last that was lost.
+func (f *Follower) Connected() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.connected
+}
+
 // Lead ends the following of another controller's copy, because this host is the controller.
 func (f *Follower) Lead() {
 	f.mutex.Lock()
@@ -386,6 +397,7 @@
 		return false
 	}
 	f.fresh = now
+	f.connected = true
 	if !f.relayed {
 		f.relayed = true
 		for _, cancel := range f.cancels {
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -24,6 +24,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"rhubarbtrack.example/core/isolator"
 	"rhubarbtrack.example/platform/orderer"
 	"rhubarbtrack.example/platform/reader"
 	"rhubarbtrack.example/platform/storer"
@@ -58,6 +59,8 @@
 	endReserve = 400 * time.Millisecond
 	// answerReserve is kept for the last answers.
 	answerReserve = 200 * time.Millisecond
+	// lookInterval is how often the host looks whether it is cut off: several times between two polls of the balancer.
+	lookInterval = 200 * time.Millisecond
 	// startLimits are used until a configuration was read.
 	startHeaderBytes   = 16 << 10
 	startBodyBytes     = 1 << 20
@@ -118,6 +121,7 @@
 	governor  *governor.Governor
 	server    *acceptor.Server
 	leaving   atomic.Bool
+	isolated  atomic.Bool
 	ending    context.Context
 	end       context.CancelFunc
 }
@@ -266,7 +270,7 @@
 // ready reports whether this host can serve callers.
 func (d *daemon) ready() bool {
 	snapshot := d.follower.Snapshot()
-	if d.leaving.Load() || snapshot.Config == nil || !snapshot.Listed {
+	if d.leaving.Load() || d.isolated.Load() || snapshot.Config == nil || !snapshot.Listed {
 		return false
 	}
 	for name, service := range snapshot.Config.Services {
@@ -289,6 +293,9 @@
 	defer sweep.Stop()
 	reload := time.NewTicker(reloadInterval)
 	defer reload.Stop()
+	look := time.NewTicker(lookInterval)
+	defer look.Stop()
+	detector := isolator.New()
 	for {
 		select {
 		case <-ctx.Done():
@@ -303,6 +310,8 @@
 			if dropped := d.options.Dropped(); dropped > 0 {
 				d.log.Log(eventlog.LogLinesDropped, zap.Int64("lines", dropped))
 			}
+		case <-look.C:
+			d.look(detector)
 		case <-reload.C:
 			d.reload(false)
 		case <-d.options.Reload:
@@ -311,6 +320,22 @@
 	}
 }
 
+// look finds out whether this host is cut off.
+func (d *daemon) look(detector *isolator.Detector) {
+	sight := isolator.Sight{Connected: d.follower.Connected()}
+	sight.Sent, sight.Unsent = d.conductor.Reach()
+	if !detector.Step(timer.Now(), sight) {
+		return
+	}
+	event := eventlog.HostReconnected
+	if detector.Isolated() {
+		event = eventlog.HostIsolated
+	}
+	d.isolated.Store(detector.Isolated())
+	d.server.TurnAway(detector.Isolated())
+	d.log.Log(event, zap.Bool("connected", sight.Connected), zap.Int("sent", sight.Sent), zap.Int("unsent", sight.Unsent))
+}
+
 // reload reads the settings again. Addresses take effect at the next start only.
 func (d *daemon) reload(asked bool) {
 	settings, err := d.options.Load()
