contender: take over when the right that was told has passed

Beats carry the revision of the record and how much longer the right lasts. While the record stays at that revision the right cannot be longer, since each confirmation changes it, and a takeover is conditional on the revision.

--- a/core/contender/contender.go
+++ b/core/contender/contender.go
@@ -2,7 +2,8 @@
 //
 // The right to act comes from a record in the platform's store. The holder rewrites the record at short intervals. Its
 // right lasts for Right from the moment at which the last confirmed write was sent. Another host takes the record over
-// when it has seen the same revision for longer than Right, or when the holder has resigned. Terms are ordered by the
+// when it has seen the same revision for longer than Right, when the right that the holder has told it of has passed
+// without a newer revision, or when the holder has resigned. Terms are ordered by the
 // store alone, since each takeover is a conditional write.
 //
 // # Usage
@@ -29,6 +30,11 @@
 	ReadInterval = 400 * time.Millisecond
 	// Silence is how long a follower hears nothing from the holder before it reads the record: two missed beats.
 	Silence = 600 * time.Millisecond
+	// MaxPause bounds the time between two calls of a host that the store does not answer. Calls are paid for, also
+	// refused ones, and the first host whose pause ends becomes controller.
+	MaxPause = 1600 * time.Millisecond
+	// maxDoublings is the number of doublings after which a pause is at its bound.
+	maxDoublings = 2
 	// DoubtAge is the age of the last confirmation from which the holder expects to lose the store.
 	DoubtAge = 900 * time.Millisecond
 )
@@ -55,8 +61,15 @@
 // Tick lets time pass.
 type Tick struct{}
 
-// Heard tells that the holder of the term sent a message with which it proved its right.
-type Heard struct{ Term uint64 }
+// Claim is what a holder tells other hosts of its right.
+type Claim struct {
+	Term      uint64
+	Revision  int64         // of the record, as far as the holder knows
+	Remaining time.Duration // of the right, from the moment of sending
+}
+
+// Heard carries the claim of a holder.
+type Heard struct{ Claim Claim }
 
 // Gone tells that the process of the holder has ended, or that it has given its role up.
 type Gone struct{ Term uint64 }
@@ -72,7 +85,8 @@
 	Sent     time.Duration
 	Record   Record
 	Conflict bool
-	Err      error // no answer: the write may take effect later
+	Err      error // the write was not confirmed
+	Refused  bool  // the write certainly has no effect; otherwise it may take effect later
 }
 
 // Resign asks the host to give its role up.
@@ -118,8 +132,10 @@
 	heard     time.Duration
 	confirmed time.Duration // when the last confirmed write was sent
 	holder    bool
-	gone      uint64 // term whose holder has ended
-	busy      bool   // a call is outstanding
+	gone      uint64        // term whose holder has ended
+	ends      time.Duration // when the right passes that belongs to the revision of record; 0: not known
+	fruitless int           // calls in a row that failed
+	busy      bool          // a call is outstanding
 	next      time.Duration
 	resigned  bool
 }
@@ -138,6 +154,11 @@
 // Doubtful reports whether the holder should prepare for the loss of the store.
 func (c *Contender) Doubtful(now time.Duration) bool { return c.holder && now >= c.confirmed+DoubtAge }
 
+// Claim returns what the holder tells other hosts of its right.
+func (c *Contender) Claim(now time.Duration) Claim {
+	return Claim{Term: c.record.Term, Revision: c.record.Revision, Remaining: c.Remaining(now)}
+}
+
 // Remaining returns how much longer the right lasts.
 func (c *Contender) Remaining(now time.Duration) time.Duration { return c.confirmed + Right - now }
 
@@ -151,9 +172,7 @@
 func (c *Contender) Step(now time.Duration, event Event) []Action {
 	switch event := event.(type) {
 	case Heard:
-		if event.Term >= c.record.Term {
-			c.heard = now
-		}
+		c.hear(now, event.Claim)
 	case Gone:
 		if event.Term >= c.record.Term {
 			c.gone = event.Term
@@ -167,6 +186,7 @@
 		if event.Err == nil {
 			return c.learn(now, event.Record)
 		}
+		c.fruitless++
 	case WasWritten:
 		c.busy = false
 		return c.written(now, event)
@@ -174,6 +194,27 @@
 	return c.act(now)
 }
 
+// hear takes over a claim. While the record stays at the claimed revision, the right passes when the claim says: a newer
+// confirmation would have changed the revision.
+func (c *Contender) hear(now time.Duration, claim Claim) {
+	if claim.Term < c.record.Term {
+		return
+	}
+	c.heard = now
+	c.fruitless = 0
+	if claim.Term > c.record.Term || claim.Revision < c.record.Revision {
+		return
+	}
+	if claim.Revision > c.record.Revision {
+		c.record.Revision = claim.Revision
+		c.seen = now
+	}
+	c.ends = now + safely(claim.Remaining)
+}
+
+// safely adds the drift between clocks and the delay between deciding and sending to a time of another host.
+func safely(d time.Duration) time.Duration { return d + d/50 + Margin }
+
 func (c *Contender) act(now time.Duration) []Action {
 	if c.busy || now < c.next {
 		return nil
@@ -215,31 +256,49 @@
 	if c.vacant() {
 		return now >= c.seen+c.options.Delay
 	}
-	return now >= c.seen+Right+Right/50+Margin+c.options.Delay
+	ends := c.seen + safely(Right)
+	if c.ends > 0 {
+		ends = min(ends, c.ends)
+	}
+	return now >= ends+c.options.Delay
 }
 
 func (c *Contender) read(now time.Duration) []Action {
 	c.busy = true
-	c.next = now + ReadInterval
+	c.next = now + c.pause(ReadInterval)
 	return []Action{Read{}}
 }
 
 func (c *Contender) write(now time.Duration, record Record) []Action {
 	c.busy = true
-	c.next = now + RenewInterval
+	c.next = now + c.pause(RenewInterval)
 	return []Action{Write{record}}
 }
 
+// pause returns the time until the next call. The holder does not pause longer, since its right depends on the calls.
+func (c *Contender) pause(interval time.Duration) time.Duration {
+	if c.holder {
+		return interval
+	}
+	return min(MaxPause, interval<<min(c.fruitless, maxDoublings))
+}
+
 // learn takes over what the store says of the record.
 func (c *Contender) learn(now time.Duration, record Record) []Action {
 	if !c.known || record.Revision != c.record.Revision {
 		c.seen = now
+		c.ends = 0
 	}
+	c.fruitless = 0
 	changedHolder := !c.known || record.Term != c.record.Term
 	c.known = true
 	c.record = record
-	if c.vacant() {
+	switch {
+	case c.vacant():
 		c.next = min(c.next, c.seen+c.options.Delay)
+	case now < c.ends:
+		// The record has not changed since the claim, so nobody can take over before.
+		c.next = c.ends + c.options.Delay
 	}
 	mine := record.Holder == c.options.Name && !record.Resigned
 	if mine && !c.holder {
@@ -263,6 +322,10 @@
 }
 
 func (c *Contender) written(now time.Duration, event WasWritten) []Action {
+	if event.Refused {
+		c.fruitless++
+		return c.act(now)
+	}
 	if event.Err != nil {
 		// The write may have taken effect, so the revision has to be read again.
 		return c.read(now)
@@ -275,6 +338,7 @@
 		c.seen = now
 	}
 	c.record = event.Record
+	c.ends, c.fruitless = 0, 0
 	if c.record.Resigned {
 		c.holder = false
 		return []Action{Yield{}}
--- a/core/contender/contender_test.go
+++ b/core/contender/contender_test.go
@@ -49,6 +49,8 @@
 	store  store
 	hosts  []*host
 	events []event
+	beats  bool // holders tell the others of their right
+	beat   time.Duration
 	lost   float64 // share of writes that are carried out and not answered
 	late   float64 // share of writes that are carried out seconds later
 }
@@ -144,10 +146,29 @@
 				w.feed(h, contender.Tick{})
 			}
 		}
+		if w.beats && w.now >= w.beat {
+			w.beat = w.now + 200*time.Millisecond
+			w.sendBeats()
+		}
 		assert.Assert(t, len(w.acting()) <= 1, "%v: %v act", w.now, w.acting())
 	}
 }
 
+// sendBeats has the holder tell all others of its right. A beat may be late.
+func (w *world) sendBeats() {
+	for _, h := range w.hosts {
+		if h.dead || w.now < h.frozen || !h.contender.Valid(w.now) {
+			continue
+		}
+		claim := h.contender.Claim(w.now)
+		for _, other := range w.hosts {
+			if other != h {
+				w.after(time.Duration(1+w.random.IntN(5))*step, func() { w.feed(other, contender.Heard{Claim: claim}) })
+			}
+		}
+	}
+}
+
 // acting returns the hosts that may act now. A frozen host does nothing, but may act as soon as it is thawed.
 func (w *world) acting() []int {
 	var acting []int
@@ -160,8 +181,9 @@
 }
 
 func TestOneHostActs(t *testing.T) {
-	for seed := range uint64(40) {
+	for seed := range uint64(80) {
 		w := newWorld(seed, 5)
+		w.beats = seed%2 == 1
 		w.run(t, 2*time.Second)
 		for range 30 {
 			h := w.hosts[w.random.IntN(len(w.hosts))]
@@ -221,6 +243,52 @@
 	}
 }
 
+// TestTakeoverAfterBeats checks that hosts which hear the holder do not wait longer than its right lasts.
+func TestTakeoverAfterBeats(t *testing.T) {
+	tests := []struct {
+		name string
+		lose func(w *world, h *host)
+	}{
+		{"killed", func(_ *world, h *host) { h.dead = true }},
+		{"cut from the store", func(_ *world, h *host) { h.cut = true }},
+		{"frozen", func(w *world, h *host) { h.frozen = w.now + time.Hour }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(3, 5)
+			w.beats = true
+			w.run(t, 3*time.Second)
+			first := w.acting()
+			assert.Equal(t, len(first), 1)
+			tt.lose(w, w.hosts[first[0]])
+			// The right, its margins, the longest delay and one call.
+			w.run(t, contender.Right+contender.Right/50+contender.Margin+150*time.Millisecond+5*step)
+			next := w.acting()
+			assert.Equal(t, len(next), 1)
+			assert.Assert(t, next[0] != first[0])
+		})
+	}
+}
+
+// TestRefusedHostsCallSeldom checks that a host which the store refuses does not call it at full pace.
+func TestRefusedHostsCallSeldom(t *testing.T) {
+	c := contender.New(0, contender.Options{Name: "host"})
+	calls := 0
+	for now := time.Duration(0); now < 10*time.Second; now += step {
+		for _, action := range c.Step(now, contender.Tick{}) {
+			calls++
+			switch action.(type) {
+			case contender.Read:
+				c.Step(now, contender.WasRead{Err: errNoAnswer})
+			case contender.Write:
+				c.Step(now, contender.WasWritten{Err: errNoAnswer, Refused: true})
+			}
+		}
+	}
+	// Longest pause 1.6 s, after pauses of 0.4 and 0.8 s.
+	assert.Assert(t, calls <= 8, "%d calls", calls)
+}
+
 func TestLapsedHolderResumes(t *testing.T) {
 	w := newWorld(1, 1)
 	w.run(t, time.Second)
--- a/rhubarbtrackd/internal/governor/controller.go
+++ b/rhubarbtrackd/internal/governor/controller.go
@@ -325,7 +325,10 @@
 }
 
 func (g *Governor) makeBeat(now time.Duration, peer *linker.Peer, index, hosts int) linker.Beat {
-	beat := linker.Beat{Term: g.contender.Term(), Valid: g.contender.Valid(now), Index: index, Hosts: hosts}
+	claim := g.contender.Claim(now)
+	beat := linker.Beat{
+		Term: claim.Term, Revision: claim.Revision, Remaining: claim.Remaining, Valid: g.contender.Valid(now), Index: index, Hosts: hosts,
+	}
 	if g.contender.Valid(now) && !g.contender.Doubtful(now) && g.options.Follower.Direct() {
 		beat.Fresh = true
 		beat.Copy = changeSince(g.copied[peer], g.snapshot)
--- a/rhubarbtrackd/internal/governor/governor.go
+++ b/rhubarbtrackd/internal/governor/governor.go
@@ -352,6 +352,7 @@
 			outcome.Conflict, outcome.Record, outcome.Err = true, decoded, nil
 		}
 	}
+	outcome.Refused = storer.KindOf(outcome.Err) == storer.Unavailable
 	if outcome.Err != nil {
 		g.options.Log.Log(eventlog.RecordWriteFailed, zap.Uint64("term", record.Term), eventlog.Cause(err))
 	}
@@ -366,7 +367,7 @@
 	}
 	g.heard = now
 	if beat.Valid {
-		g.compete(g.ctx, contender.Heard{Term: beat.Term})
+		g.compete(g.ctx, contender.Heard{Claim: contender.Claim{Term: beat.Term, Revision: beat.Revision, Remaining: beat.Remaining}})
 	}
 	for _, change := range beat.Tables {
 		if change.Whole {
--- a/rhubarbtrackd/internal/linker/linker_test.go
+++ b/rhubarbtrackd/internal/linker/linker_test.go
@@ -67,3 +67,15 @@
 		t.Fatal("the client did not leave")
 	}
 }
+
+// TestBeatKeepsTheClaim checks that a beat never understates how long the controller's right lasts.
+func TestBeatKeepsTheClaim(t *testing.T) {
+	sent := Beat{Term: 7, Valid: true, Revision: 1 << 40, Remaining: 1234567 * time.Microsecond, Index: 2, Hosts: 9}
+	data, err := encodeBeat(0, sent)
+	assert.NilError(t, err)
+	got, err := decodeBeat(0, data)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Term, sent.Term)
+	assert.Equal(t, got.Revision, sent.Revision)
+	assert.Assert(t, got.Remaining >= sent.Remaining && got.Remaining <= sent.Remaining+time.Millisecond)
+}
--- a/rhubarbtrackd/internal/linker/message.go
+++ b/rhubarbtrackd/internal/linker/message.go
@@ -65,12 +65,15 @@
 
 // Beat is what the controller tells a host.
 type Beat struct {
-	Term   uint64
-	Valid  bool // the controller's right to act is confirmed
-	Index  int  // number of the host among Hosts
-	Hosts  int
-	Tables []TableChange
-	Loads  Sightings
+	Term  uint64
+	Valid bool // the controller's right to act is confirmed
+	// Revision is that of the record to which the right belongs, and Remaining how much longer it lasts.
+	Revision  int64
+	Remaining time.Duration
+	Index     int // number of the host among Hosts
+	Hosts     int
+	Tables    []TableChange
+	Loads     Sightings
 	// Fresh vouches for the copy of the store, with Copy applied.
 	Fresh bool
 	Copy  follower.Change
@@ -175,6 +178,8 @@
 	_        struct{} `cbor:",toarray"`
 	Term     uint64
 	Valid    bool
+	Revision int64
+	Left     int // milliseconds of the right
 	Index    int
 	Hosts    int
 	Tables   []wireTable
@@ -256,7 +261,7 @@
 }
 
 func encodeBeat(now time.Duration, b Beat) ([]byte, error) {
-	wire := wireBeat{Term: b.Term, Valid: b.Valid, Index: b.Index, Hosts: b.Hosts, Loads: b.Loads,
+	wire := wireBeat{Term: b.Term, Valid: b.Valid, Revision: b.Revision, Left: int(b.Remaining.Milliseconds()) + 1, Index: b.Index, Hosts: b.Hosts, Loads: b.Loads,
 		Fresh: b.Fresh, Copy: toWireCopy(now, b.Copy), Suspects: b.Suspects}
 	for _, t := range b.Tables {
 		table := wireTable{Service: t.Service, Whole: t.Whole}
@@ -273,7 +278,7 @@
 	if err := cbor.Unmarshal(data, &wire); err != nil {
 		return Beat{}, &Error{"decode-beat", Unreadable, err}
 	}
-	b := Beat{Term: wire.Term, Valid: wire.Valid, Index: wire.Index, Hosts: wire.Hosts, Loads: wire.Loads,
+	b := Beat{Term: wire.Term, Valid: wire.Valid, Revision: wire.Revision, Remaining: time.Duration(wire.Left) * time.Millisecond, Index: wire.Index, Hosts: wire.Hosts, Loads: wire.Loads,
 		Fresh: wire.Fresh, Copy: fromWireCopy(now, wire.Copy), Suspects: wire.Suspects}
 	for _, t := range wire.Tables {
 		change := TableChange{Service: t.Service, Whole: t.Whole}
