governor: a new controller tells hosts of itself

Cause: hosts that the store refuses could not learn who the new controller is. Ruled out: the relay itself; hosts that had found the controller were in step.

The controller collects where hosts accept others and spreads the list with its beats. A host follows a later term only, and what it is told cannot make it take over.

--- a/core/contender/contender.go
+++ b/core/contender/contender.go
@@ -71,6 +71,13 @@
 // Heard carries the claim of a holder.
 type Heard struct{ Claim Claim }
 
+// Announced carries what a new holder says of itself. It spares hosts that the store refuses the way to the store.
+type Announced struct {
+	Claim   Claim
+	Holder  string
+	Address string
+}
+
 // Gone tells that the process of the holder has ended, or that it has given its role up.
 type Gone struct{ Term uint64 }
 
@@ -94,6 +101,7 @@
 
 func (Tick) event()       {}
 func (Heard) event()      {}
+func (Announced) event()  {}
 func (Gone) event()       {}
 func (WasRead) event()    {}
 func (WasWritten) event() {}
@@ -146,6 +154,9 @@
 	return &Contender{options: options, next: now + options.Delay}
 }
 
+// Name returns the name of this host.
+func (c *Contender) Name() string { return c.options.Name }
+
 // Valid reports whether this host may act as controller at now.
 func (c *Contender) Valid(now time.Duration) bool {
 	return c.holder && !c.resigned && now < c.confirmed+Right
@@ -173,6 +184,16 @@
 	switch event := event.(type) {
 	case Heard:
 		c.hear(now, event.Claim)
+	case Announced:
+		if event.Claim.Term <= c.record.Term {
+			return nil
+		}
+		c.heard = now
+		actions := c.learn(now, Record{
+			Revision: event.Claim.Revision, Holder: event.Holder, Address: event.Address, Term: event.Claim.Term,
+		})
+		c.hear(now, event.Claim)
+		return actions
 	case Gone:
 		if event.Term >= c.record.Term {
 			c.gone = event.Term
@@ -285,6 +306,10 @@
 
 // learn takes over what the store says of the record.
 func (c *Contender) learn(now time.Duration, record Record) []Action {
+	if c.known && record.Revision < c.record.Revision {
+		// The answer was on its way while the holder told of a newer revision.
+		return c.act(now)
+	}
 	if !c.known || record.Revision != c.record.Revision {
 		c.seen = now
 		c.ends = 0
--- a/core/contender/contender_test.go
+++ b/core/contender/contender_test.go
@@ -88,6 +88,10 @@
 			w.read(h)
 		case contender.Write:
 			w.write(h, action.Record)
+		case contender.Lead:
+			if w.beats {
+				w.announce(h)
+			}
 		}
 	}
 }
@@ -169,6 +173,16 @@
 	}
 }
 
+// announce has the holder tell all others of itself.
+func (w *world) announce(h *host) {
+	event := contender.Announced{Claim: h.contender.Claim(w.now), Holder: h.contender.Name(), Address: "address"}
+	for _, other := range w.hosts {
+		if other != h && w.random.IntN(3) > 0 {
+			w.after(time.Duration(1+w.random.IntN(30))*step, func() { w.feed(other, event) })
+		}
+	}
+}
+
 // acting returns the hosts that may act now. A frozen host does nothing, but may act as soon as it is thawed.
 func (w *world) acting() []int {
 	var acting []int
@@ -270,6 +284,30 @@
 	}
 }
 
+// TestAnnouncement checks that a host which the store refuses follows a holder that tells of itself, and no older one.
+func TestAnnouncement(t *testing.T) {
+	c := contender.New(0, contender.Options{Name: "host"})
+	c.Step(0, contender.Tick{})
+	c.Step(0, contender.WasRead{Err: errNoAnswer})
+	announcement := contender.Announced{
+		Claim: contender.Claim{Term: 4, Revision: 90, Remaining: time.Second}, Holder: "other", Address: "address",
+	}
+	var followed []contender.Record
+	step := func(event contender.Event) {
+		for _, action := range c.Step(time.Second, event) {
+			if follow, ok := action.(contender.Follow); ok {
+				followed = append(followed, follow.Record)
+			}
+		}
+	}
+	step(announcement)
+	step(announcement)
+	announcement.Claim.Term = 3
+	step(announcement)
+	step(contender.WasRead{Record: contender.Record{Revision: 80, Holder: "former", Term: 3}})
+	assert.DeepEqual(t, followed, []contender.Record{{Revision: 90, Holder: "other", Address: "address", Term: 4}})
+}
+
 // TestRefusedHostsCallSeldom checks that a host which the store refuses does not call it at full pace.
 func TestRefusedHostsCallSeldom(t *testing.T) {
 	c := contender.New(0, contender.Options{Name: "host"})
--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -139,6 +139,7 @@
 	OrderDone            = register(724, "order-done", zap.InfoLevel, "An upstream carried out an order that changes who has a range.")
 	UpstreamEnded        = register(725, "upstream-ended", zap.WarnLevel, "Nearly all hosts were refused by an upstream and none was answered: its process has ended and has no keys.")
 	HostLost             = register(726, "host-lost", zap.WarnLevel, "A host no longer reports to the controller, or could not be understood.")
+	HostNotTold          = register(727, "host-not-told", zap.InfoLevel, "A host that has not connected could not be told of the new controller; it is tried again.")
 	RequestEnded         = register(730, "request-ended", zap.InfoLevel, "A request has its final answer.")
 	RequestAttempted     = register(731, "request-attempted", zap.InfoLevel, "A try at an upstream failed.")
 	RequestRejected      = register(732, "request-rejected", zap.InfoLevel, "A request was answered as not run; the field reason says why.")
--- a/rhubarbtrackd/internal/governor/controller.go
+++ b/rhubarbtrackd/internal/governor/controller.go
@@ -43,6 +43,7 @@
 			event()
 		}
 	}
+	g.announce(ctx, now)
 	if g.snapshot.Config == nil || !g.snapshot.Listed {
 		return
 	}
@@ -71,6 +72,25 @@
 	}
 }
 
+// announce tells hosts that have not connected of this controller: the store may refuse them.
+func (g *Governor) announce(ctx context.Context, now time.Duration) {
+	if g.announced > 0 && now < g.announced+announceInterval {
+		return
+	}
+	g.announced = now
+	claim := g.contender.Claim(now)
+	announcement := linker.Announcement{
+		Term: claim.Term, Revision: claim.Revision, Remaining: claim.Remaining, Host: g.options.Host, Address: g.options.Address,
+	}
+	for _, address := range g.roster.missing(now, g.hub.Peers()) {
+		go func() {
+			if err := linker.Announce(ctx, address, announcement); err != nil {
+				g.options.Log.Log(eventlog.HostNotTold, zap.String("address", address), eventlog.Cause(err))
+			}
+		}()
+	}
+}
+
 func (g *Governor) owners(now time.Duration, service string) map[string]keeper.Owner {
 	owners := map[string]keeper.Owner{}
 	for _, u := range g.snapshot.ByService[service] {
@@ -319,6 +339,7 @@
 	for i, peer := range peers {
 		beat := g.makeBeat(now, peer, i+1, hosts)
 		beat.Loads, beat.Suspects = news.Loads, news.Suspects
+		beat.Addresses = g.roster.news(peer)
 		g.send(peer, beat)
 	}
 	return hosts
--- a/rhubarbtrackd/internal/governor/governor.go
+++ b/rhubarbtrackd/internal/governor/governor.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +45,8 @@
 	releaseTimeout = 1500 * time.Millisecond
 	// tableWait is how long a host waits for the controller's table before it reads the stored one.
 	tableWait = 1200 * time.Millisecond
+	// announceInterval is the time between two announcements to a host that has not connected.
+	announceInterval = time.Second
 	// maxEvents bounds the events that wait for the loop. Senders wait when it is full.
 	maxEvents = 256
 	// maxGone bounds the addresses that are remembered of upstreams whose entries were removed.
@@ -98,6 +101,7 @@
 	ended     map[string]int64 // upstreams whose end was confirmed, with their life
 	suspects  int              // upstreams that hosts were asked to try
 	reported  time.Duration
+	announced time.Duration // when this controller last told hosts of itself
 	heard     time.Duration
 	began     time.Duration
 	fetching  map[string]bool
@@ -106,6 +110,7 @@
 	ctx       context.Context // of Run
 	// copied is the copy of the store that each host has, as far as it was sent.
 	copied map[*linker.Peer]*follower.Snapshot
+	roster *roster
 	whole  atomic.Bool // this host needs the controller's whole copy
 }
 
@@ -130,6 +135,7 @@
 		began:     options.Now(),
 		stopped:   make(chan struct{}),
 		copied:    map[*linker.Peer]*follower.Snapshot{},
+		roster:    newRoster(options.Address),
 	}
 	g.hub = linker.NewHub(
 		options.Host,
@@ -146,6 +152,7 @@
 			g.post(func() {
 				delete(g.sent, peer)
 				delete(g.copied, peer)
+				g.roster.forget(peer)
 			})
 		},
 	)
@@ -167,6 +174,16 @@
 	return g
 }
 
+// Announcements takes the announcements of new controllers.
+func (g *Governor) Announcements() http.Handler {
+	return linker.AnnouncementHandler(func(a linker.Announcement) {
+		g.post(func() {
+			claim := contender.Claim{Term: a.Term, Revision: a.Revision, Remaining: a.Remaining}
+			g.compete(g.ctx, contender.Announced{Claim: claim, Holder: a.Host, Address: a.Address})
+		})
+	})
+}
+
 // Hub accepts the connections of other hosts.
 func (g *Governor) Hub() *linker.Hub { return g.hub }
 
@@ -174,6 +191,7 @@
 func (g *Governor) report() linker.Report {
 	report := g.options.Report()
 	report.Whole = g.whole.Swap(false)
+	report.Address = g.options.Address
 	return report
 }
 
@@ -305,6 +323,7 @@
 			g.options.Log.Log(eventlog.LeadershipGained, zap.Uint64("term", action.Term))
 			g.leader.Store(&contender.Record{Holder: g.options.Host, Term: action.Term})
 			g.options.Follower.Lead()
+			g.announced = 0
 			g.runs = map[string]*run{}
 			clear(g.ended)
 			g.waiting = nil
@@ -379,6 +398,7 @@
 	if beat.Fresh && !g.options.Follower.Relay(beat.Copy) {
 		g.whole.Store(true)
 	}
+	g.roster.adopt(now, beat.Addresses)
 	g.options.OnBeat(beat)
 }
 
--- a/rhubarbtrackd/internal/linker/linker.go
+++ b/rhubarbtrackd/internal/linker/linker.go
@@ -48,9 +48,10 @@
 
 // Peer is a connected host, as the controller sees it.
 type Peer struct {
-	Host string
-	conn *websocket.Conn
-	out  chan []byte
+	Host    string
+	Address string // where the host accepts others
+	conn    *websocket.Conn
+	out     chan []byte
 }
 
 // Hub is the controller's side. It is safe for concurrent use.
@@ -123,16 +124,16 @@
 		if err != nil {
 			return err
 		}
-		h.join(peer, report.Host)
+		h.join(peer, report)
 		h.onReport(peer, report)
 	}
 }
 
-func (h *Hub) join(peer *Peer, host string) {
+func (h *Hub) join(peer *Peer, report Report) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if !h.peers[peer] {
-		peer.Host = host
+		peer.Host, peer.Address = report.Host, report.Address
 		h.peers[peer] = true
 	}
 }
--- a/rhubarbtrackd/internal/linker/message.go
+++ b/rhubarbtrackd/internal/linker/message.go
@@ -36,10 +36,12 @@
 
 // Report is what a host tells the controller.
 type Report struct {
-	Host  string
-	Keys  map[string][]uint16 // keys of requests since the last report, by service
-	Times []Timing
-	Loads []Sighting
+	Host string
+	// Address is where the host accepts others.
+	Address string
+	Keys    map[string][]uint16 // keys of requests since the last report, by service
+	Times   []Timing
+	Loads   []Sighting
 	// Whole asks for the controller's whole copy of the store.
 	Whole bool
 	// Refused are upstreams whose address refused a connection, Silent those that did not answer, and Reached those that
@@ -79,6 +81,8 @@
 	Copy  follower.Change
 	// Suspects are upstreams that other hosts could not reach. Every host tries them and reports.
 	Suspects []string
+	// Addresses are where hosts accept others, or empty when they are as before.
+	Addresses []string
 }
 
 // TableChange is a change of the table of a service, or the whole table.
@@ -128,6 +132,7 @@
 type wireReport struct {
 	_       struct{} `cbor:",toarray"`
 	Host    string
+	Address string
 	Keys    map[string][]uint16
 	Times   []wireTiming
 	Loads   []wireSighting
@@ -175,18 +180,19 @@
 }
 
 type wireBeat struct {
-	_        struct{} `cbor:",toarray"`
-	Term     uint64
-	Valid    bool
-	Revision int64
-	Left     int // milliseconds of the right
-	Index    int
-	Hosts    int
-	Tables   []wireTable
-	Loads    []byte
-	Fresh    bool
-	Copy     wireCopy
-	Suspects []string
+	_         struct{} `cbor:",toarray"`
+	Term      uint64
+	Valid     bool
+	Revision  int64
+	Left      int // milliseconds of the right
+	Index     int
+	Hosts     int
+	Tables    []wireTable
+	Loads     []byte
+	Fresh     bool
+	Copy      wireCopy
+	Suspects  []string
+	Addresses []string
 }
 
 func toWireCopy(now time.Duration, c follower.Change) wireCopy {
@@ -239,7 +245,7 @@
 }
 
 func encodeReport(r Report) ([]byte, error) {
-	wire := wireReport{Host: r.Host, Keys: r.Keys, Loads: toWireSightings(r.Loads), Whole: r.Whole,
+	wire := wireReport{Host: r.Host, Address: r.Address, Keys: r.Keys, Loads: toWireSightings(r.Loads), Whole: r.Whole,
 		Refused: r.Refused, Silent: r.Silent, Reached: r.Reached}
 	for _, t := range r.Times {
 		wire.Times = append(wire.Times, wireTiming{Upstream: t.Upstream, Count: t.Count, Sum: t.Sum.Milliseconds()})
@@ -252,7 +258,7 @@
 	if err := cbor.Unmarshal(data, &wire); err != nil {
 		return Report{}, &Error{"decode-report", Unreadable, err}
 	}
-	r := Report{Host: wire.Host, Keys: wire.Keys, Loads: fromWireSightings(wire.Loads), Whole: wire.Whole,
+	r := Report{Host: wire.Host, Address: wire.Address, Keys: wire.Keys, Loads: fromWireSightings(wire.Loads), Whole: wire.Whole,
 		Refused: wire.Refused, Silent: wire.Silent, Reached: wire.Reached}
 	for _, t := range wire.Times {
 		r.Times = append(r.Times, Timing{t.Upstream, t.Count, time.Duration(t.Sum) * time.Millisecond})
@@ -262,7 +268,7 @@
 
 func encodeBeat(now time.Duration, b Beat) ([]byte, error) {
 	wire := wireBeat{Term: b.Term, Valid: b.Valid, Revision: b.Revision, Left: int(b.Remaining.Milliseconds()) + 1, Index: b.Index, Hosts: b.Hosts, Loads: b.Loads,
-		Fresh: b.Fresh, Copy: toWireCopy(now, b.Copy), Suspects: b.Suspects}
+		Fresh: b.Fresh, Copy: toWireCopy(now, b.Copy), Suspects: b.Suspects, Addresses: b.Addresses}
 	for _, t := range b.Tables {
 		table := wireTable{Service: t.Service, Whole: t.Whole}
 		for _, row := range t.Rows {
@@ -279,7 +285,7 @@
 		return Beat{}, &Error{"decode-beat", Unreadable, err}
 	}
 	b := Beat{Term: wire.Term, Valid: wire.Valid, Revision: wire.Revision, Remaining: time.Duration(wire.Left) * time.Millisecond, Index: wire.Index, Hosts: wire.Hosts, Loads: wire.Loads,
-		Fresh: wire.Fresh, Copy: fromWireCopy(now, wire.Copy), Suspects: wire.Suspects}
+		Fresh: wire.Fresh, Copy: fromWireCopy(now, wire.Copy), Suspects: wire.Suspects, Addresses: wire.Addresses}
 	for _, t := range wire.Tables {
 		change := TableChange{Service: t.Service, Whole: t.Whole}
 		for _, row := range t.Rows {
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -216,6 +216,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(linker.Path, d.governor.Hub())
+	mux.Handle(linker.AnnouncePath, d.governor.Announcements())
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+translator.ReadyPath, d.answerReady)
 	metrics := http.NewServeMux()
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"rhubarbtrack.example/platform/reader"
@@ -36,6 +38,13 @@
 	settings reader.Settings
 	stop     context.CancelFunc
 	stopped  chan error
+	refused  atomic.Bool // the store refuses this host
+	logs     *observer.ObservedLogs
+}
+
+// logged returns how often the host has logged an event.
+func (h *testHost) logged(event eventlog.Event) int {
+	return h.logs.FilterMessage(event.Name).Len()
 }
 
 // system is a store, upstreams and hosts on loopback.
@@ -61,15 +70,13 @@
 	t.Helper()
 	s := &system{store: simulator.NewStore(), runs: map[string]int{}}
 	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, simulator.Configuration(3), nil))
-	server := httptest.NewServer(s.store)
-	t.Cleanup(server.CloseClientConnections)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	for i := range 6 {
 		s.addUpstream(t, ctx, i)
 	}
 	for i := range hostCount {
-		s.startHost(t, i, strings.TrimPrefix(server.URL, "http://"))
+		s.startHost(t, i)
 	}
 	for _, h := range s.hosts {
 		waitReady(t, h)
@@ -101,25 +108,36 @@
 	go func() { _ = u.Register(ctx, s.store) }()
 }
 
-func (s *system) startHost(t *testing.T, i int, store string) {
+func (s *system) startHost(t *testing.T, i int) {
 	t.Helper()
 	ip := fmt.Sprintf("127.0.0.%d", 10+i)
-	h := &testHost{stopped: make(chan error, 1), settings: reader.Settings{
+	core, logs := observer.New(zap.InfoLevel)
+	h := &testHost{stopped: make(chan error, 1), logs: logs}
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.refused.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(store.CloseClientConnections)
+	h.settings = reader.Settings{
 		Host: fmt.Sprintf("host-%d", i), FailureDomain: fmt.Sprintf("domain-%d", i%2), IP: ip,
 		CallerAddress: ip + ":" + freePort(t, ip), ReadyAddress: ip + ":" + freePort(t, ip), PeerAddress: ip + ":" + freePort(t, ip),
-		StoreAddress: store, FirstStart: true, ProcessorShare: 1, FileDescriptors: 4000,
+		StoreAddress: strings.TrimPrefix(store.URL, "http://"), FirstStart: true, ProcessorShare: 1, FileDescriptors: 4000,
 		Bounds: reader.Bounds{
 			LeaveDelay: 2 * time.Second, Grace: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60,
 			ColdRateFactor: 1.5, ColdSlack: 5, TakeOutDelay: 5 * time.Second, MaxHold: 10 * time.Second,
 		},
-	}}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	s.hosts = append(s.hosts, h)
 	port := freePort(t, ip)
+	logger := zap.New(zapcore.NewTee(testLogger(t).Core(), core))
 	go func() {
 		h.stopped <- starter.Run(ctx, starter.Options{
-			Load: func() (reader.Settings, error) { return h.settings, nil }, Log: eventlog.New(testLogger(t)),
+			Load: func() (reader.Settings, error) { return h.settings, nil }, Log: eventlog.New(logger),
 			Dropped: func() int64 { return 0 }, MetricsPort: port,
 		})
 	}()
@@ -267,6 +285,37 @@
 	}
 }
 
+// TestRefusedHostFollowsTheNewController stops the controller while the store refuses one host. The host has to hear of
+// the new controller from that one.
+func TestRefusedHostFollowsTheNewController(t *testing.T) {
+	s := newSystem(t)
+	var controller, refused *testHost
+	for _, h := range s.hosts {
+		if h.logged(eventlog.LeadershipGained) > 0 {
+			controller = h
+		} else {
+			refused = h
+		}
+	}
+	// The list of hosts is on its way with the next beats.
+	time.Sleep(time.Second)
+	refused.refused.Store(true)
+	controller.stop()
+	follows := func() bool {
+		for _, entry := range refused.logs.FilterMessage(eventlog.LeaderFollowed.Name).All() {
+			if address := entry.ContextMap()["address"]; address != controller.settings.PeerAddress {
+				return true
+			}
+		}
+		return false
+	}
+	deadline := time.Now().Add(4 * time.Second)
+	for !follows() {
+		assert.Assert(t, time.Now().Before(deadline), "the host does not follow the new controller")
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // testLogger writes to the file that the variable names, for tracing a failed run.
 func testLogger(t *testing.T) *zap.Logger {
 	t.Helper()
