acceptor: connections of a cut-off host end with an announced last answer

Cause: the change that turns callers away was made in the reader, which must stop only when the host shuts down, instead of where the end is announced: a connection ended after its answers without 'Connection: close'. Found by TestTurnAway, which failed. Tests of keys given twice and of Connected.

--- a/rhubarbtrackd/internal/acceptor/acceptor_test.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor_test.go
@@ -248,3 +248,20 @@
 	assert.Assert(t, second.Close)
 	assert.Equal(t, f.runs.Load(), int64(2), "a request was taken after the drain began")
 }
+
+// TestTurnAway checks that a host which is cut off ends connections with their last answer, and takes new ones.
+func TestTurnAway(t *testing.T) {
+	f := newFixture(t)
+	f.handle = func(context.Context, *acceptor.Request) *acceptor.Response { return answer("done") }
+	f.server.TurnAway(true)
+	conn, reader := f.dial(t)
+	send(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, _, turned := receive(t, reader)
+	assert.Assert(t, turned.Close)
+
+	f.server.TurnAway(false)
+	conn, reader = f.dial(t)
+	send(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, _, kept := receive(t, reader)
+	assert.Assert(t, !kept.Close)
+}
--- a/rhubarbtrackd/internal/acceptor/connection.go
+++ b/rhubarbtrackd/internal/acceptor/connection.go
@@ -55,7 +55,7 @@
 func (c *connection) read() {
 	defer close(c.queue)
 	for c.await() {
-		if (c.server.draining.Load() || c.server.turning.Load()) && c.inFlight.Load() > 0 {
+		if c.server.draining.Load() && c.inFlight.Load() > 0 {
 			// Requests behind the outstanding answers are left unread; the last of these ends the connection.
 			c.watch()
 			return
@@ -286,7 +286,7 @@
 func (c *connection) announceEnd() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.server.draining.Load() && c.inFlight.Load() == 1 {
+	if (c.server.draining.Load() || c.server.turning.Load()) && c.inFlight.Load() == 1 {
 		c.closing = true
 	}
 	return c.closing
--- a/rhubarbtrackd/internal/follower/follower_test.go
+++ b/rhubarbtrackd/internal/follower/follower_test.go
@@ -82,6 +82,19 @@
 	assert.Equal(t, version(f), int64(9), "the configuration went back")
 }
 
+func TestConnected(t *testing.T) {
+	store, f := newFollower(t)
+	putConfiguration(t, store, 3)
+	eventually(t, "the store is heard", f.Connected)
+	store.SetFault(simulator.Fault{Kind: simulator.Silent})
+	eventually(t, "the store is lost", func() bool { return !f.Connected() })
+	assert.Assert(t, f.Relay(follower.Change{Whole: true, Revision: 1 << 30}))
+	assert.Assert(t, f.Connected(), "the controller is heard")
+	eventually(t, "the controller is silent", func() bool { return !f.Connected() })
+	store.SetFault(simulator.Fault{})
+	eventually(t, "the store is heard again", f.Connected)
+}
+
 func TestNoticesAStoreThatForgotItsWatches(t *testing.T) {
 	store, f := newFollower(t)
 	putConfiguration(t, store, 3)
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -273,6 +273,25 @@
 	}
 }
 
+// TestKeyGivenTwice checks that a request with two keys runs nowhere: an upstream might take the other one.
+func TestKeyGivenTwice(t *testing.T) {
+	s := newSystem(t)
+	for _, keys := range [][]string{{"1", "2"}, {}, {"65536"}, {"-1"}} {
+		r, err := http.NewRequest(http.MethodPost, "http://"+s.hosts[0].settings.CallerAddress+simulator.OrderPrefix+"1", nil)
+		assert.NilError(t, err)
+		r.Host = simulator.Hostname
+		r.Header.Set(translator.AttemptHeader, "twice")
+		r.Header[translator.KeyHeader] = keys
+		response, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, http.StatusBadRequest, "%q", keys)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	assert.Equal(t, s.runs["twice"], 0)
+}
+
 // TestControllerHandsOver stops one host after the other. Callers use the others, as the balancer does.
 func TestControllerHandsOver(t *testing.T) {
 	s := newSystem(t)
