--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -153,7 +153,7 @@
 }
 
 // Begin notes a request that is sent to an upstream.
-func (b *Board) Begin(now time.Duration, id string) {
+func (b *Board) Begin(id string) {
 	s := b.state(id)
 	s.inFlight++
 }
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -42,12 +42,12 @@
 		{"slow for a moment", func(b *placer.Board) { b.Report(now, "a", placer.Load{Running: 3, Slots: 6, Pace: 3}) }, "a"},
 		{"fails while it looks healthy", func(b *placer.Board) {
 			for range 5 {
-				b.Begin(now, "a")
+				b.Begin("a")
 				b.End(now, "a", placer.Failed)
 			}
 		}, "a"},
 		{"cannot be reached", func(b *placer.Board) {
-			b.Begin(now, "a")
+			b.Begin("a")
 			b.End(now, "a", placer.Unreachable)
 		}, "a"},
 		{"other hosts cannot reach it", func(b *placer.Board) { b.Block(now, "a") }, "a"},
@@ -71,7 +71,7 @@
 		b.End(0, "b", placer.Failed)
 	}
 	for range 7 {
-		b.Begin(20*time.Second, "c")
+		b.Begin("c")
 	}
 	assert.Assert(t, shares(b, 20*time.Second, candidates("b", "c"))["b"] > 0, "a failed upstream gets no request any more")
 }
@@ -88,7 +88,7 @@
 func TestOwnRequestsCount(t *testing.T) {
 	b := placer.New(1)
 	for range 9 {
-		b.Begin(0, "a")
+		b.Begin("a")
 	}
 	assert.Equal(t, b.InFlight("a"), 9)
 	assert.Assert(t, b.Estimate(0, "a", 6).Wait > 0)
--- a/rhubarbtrackd/internal/conductor/conductor.go
+++ b/rhubarbtrackd/internal/conductor/conductor.go
@@ -326,7 +326,7 @@
 func (c *Conductor) try(ctx context.Context, j *job, u registrar.Upstream) (*exchanger.Answer, error) {
 	began := c.options.Now()
 	c.mutex.Lock()
-	c.board.Begin(began, u.ID)
+	c.board.Begin(u.ID)
 	c.mutex.Unlock()
 	j.tries++
 	j.tried[u.ID] = true
