governor: keep the list of hosts however long it has not changed

Cause: a follower noted the time at which it got the list, which is sent only when it changes. A controller that took over more than 30 s later took all of its hosts for gone and announced itself to none. Hosts that were replaced also stayed in the lists of followers. TestRoster plays both.

--- a/rhubarbtrackd/internal/governor/governor.go
+++ b/rhubarbtrackd/internal/governor/governor.go
@@ -324,6 +324,7 @@
 			g.leader.Store(&contender.Record{Holder: g.options.Host, Term: action.Term})
 			g.options.Follower.Lead()
 			g.announced = 0
+			g.roster.begin(g.options.Now())
 			g.runs = map[string]*run{}
 			clear(g.ended)
 			g.waiting = nil
--- a/rhubarbtrackd/internal/governor/roster.go
+++ b/rhubarbtrackd/internal/governor/roster.go
@@ -28,8 +28,11 @@
 	return &roster{own: own, seen: map[string]time.Duration{}, told: map[*linker.Peer]int{}}
 }
 
-// adopt takes over the controller's list. An empty list changes nothing.
+// adopt replaces the list by the controller's. An empty list changes nothing.
 func (r *roster) adopt(now time.Duration, addresses []string) {
+	if len(addresses) > 0 {
+		clear(r.seen)
+	}
 	for _, address := range addresses {
 		r.note(now, address)
 	}
@@ -48,6 +51,13 @@
 	r.seen[address] = now
 }
 
+// begin starts a term as controller: hosts are remembered from now on, however long ago the former controller listed them.
+func (r *roster) begin(now time.Duration) {
+	for address := range r.seen {
+		r.seen[address] = now
+	}
+}
+
 // missing returns the hosts that are not connected. It drops those that have been away for long.
 func (r *roster) missing(now time.Duration, peers []*linker.Peer) []string {
 	connected := map[string]bool{}
@@ -60,6 +70,7 @@
 		switch {
 		case now >= seen+rosterLife:
 			delete(r.seen, address)
+			r.version++
 		case !connected[address]:
 			missing = append(missing, address)
 		}
--- a/rhubarbtrackd/internal/governor/roster_test.go
+++ b/rhubarbtrackd/internal/governor/roster_test.go
@@ -18,10 +18,15 @@
 	assert.Assert(t, is.Len(former.news(b), 0), "the list is sent once")
 
 	successor := newRoster("b")
+	successor.adopt(0, []string{"a", "b", "c", "replaced"})
 	successor.adopt(time.Second, []string{"a", "b", "c"})
-	assert.DeepEqual(t, successor.missing(2*time.Second, nil), []string{"a", "c"})
-	assert.DeepEqual(t, successor.missing(3*time.Second, []*linker.Peer{c}), []string{"a"})
-	assert.Assert(t, is.Len(successor.missing(time.Second+rosterLife, []*linker.Peer{c}), 0), "the former controller is forgotten")
+	start := 10 * time.Minute // the list has not changed since
+	successor.begin(start)
+	assert.DeepEqual(t, successor.missing(start, nil), []string{"a", "c"})
+	assert.DeepEqual(t, successor.missing(start+time.Second, []*linker.Peer{c}), []string{"a"})
+	assert.DeepEqual(t, successor.news(c), []string{"a", "b", "c"})
+	assert.Assert(t, is.Len(successor.missing(start+rosterLife, []*linker.Peer{c}), 0), "the former controller is forgotten")
+	assert.DeepEqual(t, successor.news(c), []string{"b", "c"})
 	former.forget(b)
 	assert.DeepEqual(t, former.news(b), []string{"a", "b", "c"})
 }
