copier: one copy of long bodies in chunks

acceptor and exchanger each had the loop that passes a long body on, in chunks when its length is not known. They differ only in what they do with the connection afterwards, which stays with them.

--- a/rhubarbtrackd/internal/acceptor/connection.go
+++ b/rhubarbtrackd/internal/acceptor/connection.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"rhubarbtrack.example/rhubarbtrackd/internal/copier"
 )
 
 // exchange is a request and the place of its answer.
@@ -350,33 +352,15 @@
 
 // stream sends the rest of a long answer.
 func (c *connection) stream(response *Response) bool {
-	chunk := make([]byte, 16<<10)
-	for {
-		n, err := response.Stream.Read(chunk)
-		if n > 0 {
-			_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-			data := chunk[:n]
-			if response.Length < 0 {
-				data = append(strconv.AppendInt(nil, int64(n), 16), "\r\n"...)
-				data = append(append(data, chunk[:n]...), "\r\n"...)
-			}
-			if _, err := c.conn.Write(data); err != nil {
-				return false
-			}
-		}
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			c.reset()
-			return false
-		}
-	}
-	if response.Length < 0 {
-		_, err := c.conn.Write([]byte("0\r\n\r\n"))
-		return err == nil
+	err := copier.Copy(func(data []byte) error {
+		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_, err := c.conn.Write(data)
+		return err
+	}, response.Stream, response.Length)
+	if copier.KindOf(err) == copier.Incomplete {
+		c.reset()
 	}
-	return true
+	return err == nil
 }
 
 func appendHead(buffer []byte, response *Response, last, bodyless bool) []byte {
--- a/rhubarbtrackd/internal/exchanger/exchanger.go
+++ b/rhubarbtrackd/internal/exchanger/exchanger.go
@@ -27,6 +27,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"rhubarbtrack.example/rhubarbtrackd/internal/copier"
 )
 
 // Kind classifies errors of this package.
@@ -439,33 +441,15 @@
 }
 
 func sendStream(l *link, call *Call) error {
-	chunk := make([]byte, 16<<10)
-	for {
-		n, err := call.Stream.Read(chunk)
-		if n > 0 {
-			data := chunk[:n]
-			if call.Length < 0 {
-				data = append(strconv.AppendInt(nil, int64(n), 16), "\r\n"...)
-				data = append(append(data, chunk[:n]...), "\r\n"...)
-			}
-			if _, err := l.Write(data); err != nil {
-				return err
-			}
-		}
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			// The body is incomplete; the connection must not look as if it were whole.
-			_ = l.Close()
-			return err
-		}
-	}
-	if call.Length < 0 {
-		_, err := l.Write([]byte("0\r\n\r\n"))
+	err := copier.Copy(func(data []byte) error {
+		_, err := l.Write(data)
 		return err
+	}, call.Stream, call.Length)
+	if copier.KindOf(err) == copier.Incomplete {
+		// The connection must not look as if the body were whole.
+		_ = l.Close()
 	}
-	return nil
+	return err
 }
 
 type joined struct {
