--- a/core/contender/contender_test.go
+++ b/core/contender/contender_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbtrack.example/core/contender"
+	"rhubarbtrack.example/core/internal/sequencer"
 )
 
 const step = 10 * time.Millisecond
@@ -37,18 +38,12 @@
 	frozen    time.Duration // until then
 }
 
-type event struct {
-	at  time.Duration
-	run func()
-}
-
 // world is a set of hosts that compete for one record.
 type world struct {
-	now    time.Duration
+	sequencer.Queue
 	random *rand.Rand
 	store  store
 	hosts  []*host
-	events []event
 	beats  bool // holders tell the others of their right
 	beat   time.Duration
 	lost   float64 // share of writes that are carried out and not answered
@@ -67,22 +62,18 @@
 	options := contender.Options{
 		Name: fmt.Sprintf("host-%d", len(w.hosts)), Delay: time.Duration(w.random.IntN(150)) * time.Millisecond,
 	}
-	w.hosts = append(w.hosts, &host{contender: contender.New(w.now, options)})
-}
-
-func (w *world) after(d time.Duration, run func()) {
-	w.events = append(w.events, event{w.now + d, run})
+	w.hosts = append(w.hosts, &host{contender: contender.New(w.Now, options)})
 }
 
 func (w *world) feed(h *host, e contender.Event) {
 	if h.dead {
 		return
 	}
-	if w.now < h.frozen {
-		w.after(h.frozen-w.now, func() { w.feed(h, e) })
+	if w.Now < h.frozen {
+		w.After(h.frozen-w.Now, func() { w.feed(h, e) })
 		return
 	}
-	for _, action := range h.contender.Step(w.now, e) {
+	for _, action := range h.contender.Step(w.Now, e) {
 		switch action := action.(type) {
 		case contender.Read:
 			w.read(h)
@@ -100,33 +91,33 @@
 
 func (w *world) read(h *host) {
 	if h.cut {
-		w.after(500*time.Millisecond, func() { w.feed(h, contender.WasRead{Err: errNoAnswer}) })
+		w.After(500*time.Millisecond, func() { w.feed(h, contender.WasRead{Err: errNoAnswer}) })
 		return
 	}
-	w.after(step, func() {
+	w.After(step, func() {
 		record := w.store.record
-		w.after(step, func() { w.feed(h, contender.WasRead{Record: record}) })
+		w.After(step, func() { w.feed(h, contender.WasRead{Record: record}) })
 	})
 }
 
 func (w *world) write(h *host, record contender.Record) {
-	sent := w.now
+	sent := w.Now
 	noAnswer := func() {
-		w.after(500*time.Millisecond, func() { w.feed(h, contender.WasWritten{Sent: sent, Record: record, Err: errNoAnswer}) })
+		w.After(500*time.Millisecond, func() { w.feed(h, contender.WasWritten{Sent: sent, Record: record, Err: errNoAnswer}) })
 	}
 	switch draw := w.random.Float64(); {
 	case h.cut:
 		noAnswer()
 	case draw < w.late:
-		w.after(time.Duration(1+w.random.IntN(6))*time.Second, func() { w.store.write(record) })
+		w.After(time.Duration(1+w.random.IntN(6))*time.Second, func() { w.store.write(record) })
 		noAnswer()
 	case draw < w.late+w.lost:
-		w.after(step, func() { w.store.write(record) })
+		w.After(step, func() { w.store.write(record) })
 		noAnswer()
 	default:
-		w.after(step, func() {
+		w.After(step, func() {
 			result, ok := w.store.write(record)
-			w.after(step, func() { w.feed(h, contender.WasWritten{Sent: sent, Record: result, Conflict: !ok}) })
+			w.After(step, func() { w.feed(h, contender.WasWritten{Sent: sent, Record: result, Conflict: !ok}) })
 		})
 	}
 }
@@ -134,40 +125,31 @@
 // run lets time pass. At every moment at most one host may act.
 func (w *world) run(t *testing.T, d time.Duration) {
 	t.Helper()
-	for end := w.now + d; w.now < end; {
-		w.now += step
-		due := w.events
-		w.events = nil
-		for _, e := range due {
-			if e.at <= w.now {
-				e.run()
-				continue
-			}
-			w.events = append(w.events, e)
-		}
+	for end := w.Now + d; w.Now < end; {
+		w.Advance(step)
 		for _, h := range w.hosts {
-			if w.now >= h.frozen {
+			if w.Now >= h.frozen {
 				w.feed(h, contender.Tick{})
 			}
 		}
-		if w.beats && w.now >= w.beat {
-			w.beat = w.now + 200*time.Millisecond
+		if w.beats && w.Now >= w.beat {
+			w.beat = w.Now + 200*time.Millisecond
 			w.sendBeats()
 		}
-		assert.Assert(t, len(w.acting()) <= 1, "%v: %v act", w.now, w.acting())
+		assert.Assert(t, len(w.acting()) <= 1, "%v: %v act", w.Now, w.acting())
 	}
 }
 
 // sendBeats has the holder tell all others of its right. A beat may be late.
 func (w *world) sendBeats() {
 	for _, h := range w.hosts {
-		if h.dead || w.now < h.frozen || !h.contender.Valid(w.now) {
+		if h.dead || w.Now < h.frozen || !h.contender.Valid(w.Now) {
 			continue
 		}
-		claim := h.contender.Claim(w.now)
+		claim := h.contender.Claim(w.Now)
 		for _, other := range w.hosts {
 			if other != h {
-				w.after(time.Duration(1+w.random.IntN(5))*step, func() { w.feed(other, contender.Heard{Claim: claim}) })
+				w.After(time.Duration(1+w.random.IntN(5))*step, func() { w.feed(other, contender.Heard{Claim: claim}) })
 			}
 		}
 	}
@@ -175,10 +157,10 @@
 
 // announce has the holder tell all others of itself.
 func (w *world) announce(h *host) {
-	event := contender.Announced{Claim: h.contender.Claim(w.now), Holder: h.contender.Name(), Address: "address"}
+	event := contender.Announced{Claim: h.contender.Claim(w.Now), Holder: h.contender.Name(), Address: "address"}
 	for _, other := range w.hosts {
 		if other != h && w.random.IntN(3) > 0 {
-			w.after(time.Duration(1+w.random.IntN(30))*step, func() { w.feed(other, event) })
+			w.After(time.Duration(1+w.random.IntN(30))*step, func() { w.feed(other, event) })
 		}
 	}
 }
@@ -187,7 +169,7 @@
 func (w *world) acting() []int {
 	var acting []int
 	for i, h := range w.hosts {
-		if !h.dead && h.contender.Valid(w.now) {
+		if !h.dead && h.contender.Valid(w.Now) {
 			acting = append(acting, i)
 		}
 	}
@@ -211,7 +193,7 @@
 			case 1:
 				h.cut = !h.cut
 			case 2:
-				h.frozen = w.now + time.Duration(w.random.IntN(5000))*time.Millisecond
+				h.frozen = w.Now + time.Duration(w.random.IntN(5000))*time.Millisecond
 			case 3:
 				w.feed(h, contender.Resign{})
 				w.add()
@@ -233,7 +215,7 @@
 	}{
 		{"killed", func(_ *world, h *host) { h.dead = true }, 3300 * time.Millisecond},
 		{"cut from the store", func(_ *world, h *host) { h.cut = true }, 3300 * time.Millisecond},
-		{"frozen", func(w *world, h *host) { h.frozen = w.now + time.Hour }, 3300 * time.Millisecond},
+		{"frozen", func(w *world, h *host) { h.frozen = w.Now + time.Hour }, 3300 * time.Millisecond},
 		{"resigned", func(w *world, h *host) { w.feed(h, contender.Resign{}) }, 1200 * time.Millisecond},
 		{"known to have ended", func(w *world, h *host) {
 			h.dead = true
@@ -265,7 +247,7 @@
 	}{
 		{"killed", func(_ *world, h *host) { h.dead = true }},
 		{"cut from the store", func(_ *world, h *host) { h.cut = true }},
-		{"frozen", func(w *world, h *host) { h.frozen = w.now + time.Hour }},
+		{"frozen", func(w *world, h *host) { h.frozen = w.Now + time.Hour }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -344,8 +326,8 @@
 	w := newWorld(1, 1)
 	w.run(t, time.Second)
 	w.hosts[0].cut = true
-	for !w.hosts[0].contender.Doubtful(w.now) {
+	for !w.hosts[0].contender.Doubtful(w.Now) {
 		w.run(t, step)
 	}
-	assert.Assert(t, w.hosts[0].contender.Remaining(w.now) > time.Second)
+	assert.Assert(t, w.hosts[0].contender.Remaining(w.Now) > time.Second)
 }
--- a/core/keeper/world_test.go
+++ b/core/keeper/world_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"rhubarbtrack.example/core/internal/sequencer"
 	"rhubarbtrack.example/core/keeper"
 )
 
@@ -68,21 +69,15 @@
 	}
 }
 
-type event struct {
-	at  time.Duration
-	run func()
-}
-
 // world runs one controller after the other against modelled upstreams and a modelled store.
 type world struct {
-	random    *rand.Rand
-	now       time.Duration
+	random *rand.Rand
+	sequencer.Queue
 	upstreams map[string]*upstream
 	owners    map[string]keeper.Owner
 	table     []keeper.Range
 	keeper    *keeper.Keeper
 	term      uint64
-	events    []event
 	lossy     float64
 	storeDown time.Duration
 	births    int64
@@ -104,10 +99,6 @@
 	w.owners[id] = keeper.Owner{ID: id, Life: w.births, Usable: true, Slots: 6}
 }
 
-func (w *world) after(d time.Duration, run func()) {
-	w.events = append(w.events, event{w.now + d, run})
-}
-
 // takeOver replaces the controller. The former one sends nothing more, but its orders may still be on their way.
 func (w *world) takeOver() {
 	w.term++
@@ -117,7 +108,7 @@
 }
 
 func (w *world) note(format string, args ...any) {
-	w.history = append(w.history, fmt.Sprintf("%v term %d ", w.now, w.term)+fmt.Sprintf(format, args...))
+	w.history = append(w.history, fmt.Sprintf("%v term %d ", w.Now, w.term)+fmt.Sprintf(format, args...))
 }
 
 func (w *world) copyOwners() map[string]keeper.Owner {
@@ -135,7 +126,7 @@
 	if ordered, ok := input.(keeper.Ordered); ok {
 		w.note("%+v", ordered)
 	}
-	for _, action := range k.Step(w.now, input) {
+	for _, action := range k.Step(w.Now, input) {
 		if _, commit := action.(keeper.Commit); !commit {
 			w.note("%T%+v", action, action)
 		}
@@ -153,16 +144,16 @@
 func (w *world) sendGrant(k *keeper.Keeper, g keeper.Grant) {
 	u := w.upstreams[g.Owner]
 	answer := func(delay time.Duration, result keeper.Result) {
-		w.after(delay, func() { w.feed(k, keeper.Ordered{Order: g.Order, Result: result}) })
+		w.After(delay, func() { w.feed(k, keeper.Ordered{Order: g.Order, Result: result}) })
 	}
-	if u == nil || w.now < u.down {
+	if u == nil || w.Now < u.down {
 		answer(250*time.Millisecond, keeper.NotSent)
 		return
 	}
 	if w.random.Float64() < w.lossy {
 		// Carried out late, although its time counts from now.
-		arrival := w.now
-		w.after(time.Duration(2+w.random.IntN(10))*time.Second, func() {
+		arrival := w.Now
+		w.After(time.Duration(2+w.random.IntN(10))*time.Second, func() {
 			if w.upstreams[g.Owner] == u {
 				w.note("late grant %+v: %v", g, u.grant(arrival, g))
 			}
@@ -170,21 +161,21 @@
 		answer(350*time.Millisecond, keeper.Lost)
 		return
 	}
-	w.after(worldStep/2, func() { answer(0, u.grant(w.now, g)) })
+	w.After(worldStep/2, func() { answer(0, u.grant(w.Now, g)) })
 }
 
 func (w *world) sendRelease(k *keeper.Keeper, r keeper.Release) {
 	u := w.upstreams[r.Owner]
 	answer := func(delay time.Duration, result keeper.Result) {
-		w.after(delay, func() { w.feed(k, keeper.Ordered{Order: r.Order, Result: result, Handover: "h"}) })
+		w.After(delay, func() { w.feed(k, keeper.Ordered{Order: r.Order, Result: result, Handover: "h"}) })
 	}
 	switch {
-	case u == nil || w.now < u.down:
+	case u == nil || w.Now < u.down:
 		answer(250*time.Millisecond, keeper.NotSent)
 	case w.random.Float64() < w.lossy:
 		answer(350*time.Millisecond, keeper.Lost)
 	default:
-		w.after(worldStep/2, func() {
+		w.After(worldStep/2, func() {
 			u.release(r)
 			answer(time.Duration(w.random.IntN(300))*time.Millisecond, keeper.Accepted)
 		})
@@ -192,8 +183,8 @@
 }
 
 func (w *world) commit(k *keeper.Keeper, c keeper.Commit) {
-	w.after(worldStep, func() {
-		if k != w.keeper || w.now < w.storeDown {
+	w.After(worldStep, func() {
+		if k != w.keeper || w.Now < w.storeDown {
 			w.feed(k, keeper.CommitFailed{Version: c.Version})
 			return
 		}
@@ -204,17 +195,8 @@
 
 // run lets time pass and calls check after each step.
 func (w *world) run(d time.Duration, check func()) {
-	for end := w.now + d; w.now < end; {
-		w.now += worldStep
-		due := w.events
-		w.events = nil
-		for _, e := range due {
-			if e.at <= w.now {
-				e.run()
-				continue
-			}
-			w.events = append(w.events, e)
-		}
+	for end := w.Now + d; w.Now < end; {
+		w.Advance(worldStep)
 		w.feed(w.keeper, keeper.Owners{Owners: w.copyOwners()})
 		w.feed(w.keeper, keeper.Tick{})
 		check()
@@ -225,7 +207,7 @@
 func (w *world) holders(key uint16) []string {
 	var ids []string
 	for id, u := range w.upstreams {
-		if u.until[key] > w.now {
+		if u.until[key] > w.Now {
 			ids = append(ids, id)
 		}
 	}
@@ -239,14 +221,14 @@
 			for _, line := range w.history[max(0, len(w.history)-historyLines):] {
 				t.Log(line)
 			}
-			t.Fatalf("seed %d, %v: key %d is held by %v", seed, w.now, key, ids)
+			t.Fatalf("seed %d, %v: key %d is held by %v", seed, w.Now, key, ids)
 		}
 	}
 }
 
 // served returns the share of the checked keys that the view sends to an upstream that has them.
 func (w *world) served() float64 {
-	view := w.keeper.View(w.now)
+	view := w.keeper.View(w.Now)
 	good, all := 0, 0
 	for key := 0; key < 1<<16; key += keyStride {
 		all++
@@ -254,7 +236,7 @@
 		if !ok || row.Owner == "" {
 			continue
 		}
-		if u := w.upstreams[row.Owner]; u != nil && w.now >= u.down && u.until[uint16(key)] > w.now {
+		if u := w.upstreams[row.Owner]; u != nil && w.Now >= u.down && u.until[uint16(key)] > w.Now {
 			good++
 		}
 	}
@@ -277,7 +259,7 @@
 			w.owners[id] = owner
 		}
 	case 2: // silent for a while, keeping its grants
-		w.upstreams[id].down = w.now + time.Duration(w.random.IntN(6000))*time.Millisecond
+		w.upstreams[id].down = w.Now + time.Duration(w.random.IntN(6000))*time.Millisecond
 	case 3: // its entry lapses although it serves
 		delete(w.owners, id)
 	case 4: // registers again
@@ -292,11 +274,11 @@
 		if listed {
 			w.feed(w.keeper, keeper.Ended{Owner: id})
 			w.upstreams[id] = newUpstream(0)
-			w.upstreams[id].down = w.now + time.Second
-			w.after(time.Second, func() { w.add(id) })
+			w.upstreams[id].down = w.Now + time.Second
+			w.After(time.Second, func() { w.add(id) })
 		}
 	case 8:
-		w.storeDown = w.now + time.Duration(w.random.IntN(4000))*time.Millisecond
+		w.storeDown = w.Now + time.Duration(w.random.IntN(4000))*time.Millisecond
 	}
 	keys := make([]uint16, 60)
 	hot := w.random.IntN(1 << 16)
@@ -357,18 +339,18 @@
 			w.owners["u1"] = owner
 		}, 1500 * time.Millisecond},
 		{"upstream crashes silently", func(w *world) {
-			w.upstreams["u1"].down = w.now + time.Hour
+			w.upstreams["u1"].down = w.Now + time.Hour
 			delete(w.owners, "u1")
 		}, 4500 * time.Millisecond},
 		{"upstream has ended", func(w *world) {
 			w.upstreams["u1"] = newUpstream(0)
-			w.upstreams["u1"].down = w.now + time.Hour
+			w.upstreams["u1"].down = w.Now + time.Hour
 			w.feed(w.keeper, keeper.Ended{Owner: "u1"})
 		}, 300 * time.Millisecond},
 		{"upstream is cut off under long grants, and back", func(w *world) {
 			w.feed(w.keeper, keeper.Hold{Long: true})
 			w.run(time.Second, func() {})
-			w.upstreams["u1"].down = w.now + 3*time.Second
+			w.upstreams["u1"].down = w.Now + 3*time.Second
 		}, 5 * time.Second},
 		{"upstream restarts", func(w *world) { w.add("u1") }, 1500 * time.Millisecond},
 		{"controller is replaced", func(w *world) { w.takeOver() }, 500 * time.Millisecond},
