--- a/demo/internal/soaker/caller.go
+++ b/demo/internal/soaker/caller.go
@@ -5,27 +5,20 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"rhubarbtrack.example/platform/simulator"
-	"rhubarbtrack.example/platform/translator"
 )
 
-type osSignal = os.Signal
-
 const (
 	callerCount = 12
 	callerPause = 15 * time.Millisecond
 	// hotKeys is the number of different keys, few enough for the same key to be asked for by several callers.
 	hotKeys  = 96
-	timeLeft = "3000" // milliseconds
+	timeLeft = 3 * time.Second
 	// callerTimeout ends requests to hosts that are paused.
 	callerTimeout = 3500 * time.Millisecond
 )
@@ -37,10 +30,8 @@
 	order   bool
 	key     int
 	begin   time.Time
-	status  int
-	right   bool // the answer is the whole answer to this request
-	retry   bool // the answer says when to come back
-	err     error
+	simulator.Reply
+	err error
 }
 
 // callers send requests and record what they see. Half of them keep their connections.
@@ -79,35 +70,13 @@
 }
 
 func (c *callers) request(client *http.Client, address string, caller, n int) outcome {
-	prefix := []string{simulator.ReadPrefix, simulator.OrderPrefix, simulator.PlainPrefix}[n%3]
+	prefix := simulator.Prefixes[n%len(simulator.Prefixes)]
 	o := outcome{
 		attempt: fmt.Sprintf("%04x%012x", caller, n), host: address, order: prefix == simulator.OrderPrefix,
 		key: rand.IntN(hotKeys) * (1 << 16 / hotKeys), begin: time.Now(),
 	}
-	method := http.MethodGet
-	if o.order {
-		method = http.MethodPost
-	}
-	target := prefix + o.attempt
-	request, err := http.NewRequest(method, "http://"+address+target, strings.NewReader(""))
-	if err != nil {
-		o.err = err
-		return o
-	}
-	request.Host = simulator.Hostname
-	request.Header.Set(translator.AttemptHeader, o.attempt)
-	request.Header.Set(translator.TimeLeftHeader, timeLeft)
-	request.Header.Set(translator.KeyHeader, strconv.Itoa(o.key))
-	response, err := client.Do(request)
-	if err != nil {
-		o.err = err
-		return o
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	o.status, o.err = response.StatusCode, err
-	o.right = string(body) == simulator.Sign(o.attempt, target)
-	o.retry = response.Header.Get("Retry-After") != ""
+	call := simulator.Call{Prefix: prefix, Name: o.attempt, Attempt: o.attempt, Key: o.key, Left: timeLeft}
+	o.Reply, o.err = call.Send(client, address)
 	return o
 }
 
--- a/demo/internal/soaker/check.go
+++ b/demo/internal/soaker/check.go
@@ -50,7 +50,7 @@
 		checkOutcome(&report, o, runs[o.attempt], planned)
 		if o.begin.After(quiet) {
 			late++
-			if o.right {
+			if o.Right {
 				lateServed++
 			}
 		}
@@ -66,27 +66,27 @@
 }
 
 func checkOutcome(report *Report, o outcome, runs int, planned bool) {
-	if o.right {
+	if o.Right {
 		report.Served++
 	}
-	if o.err == nil && o.status == http.StatusOK && !o.right {
+	if o.err == nil && o.Status == http.StatusOK && !o.Right {
 		report.violate("mixed: %s got the answer to another request or a part of its own", o.attempt)
 	}
 	if o.order && runs > 1 {
 		report.violate("twice: %s ran %d times", o.attempt, runs)
 	}
-	refused := o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests
+	refused := o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests
 	if o.order && refused && runs > 0 {
-		report.violate("refused: %s was answered %d and ran", o.attempt, o.status)
+		report.violate("refused: %s was answered %d and ran", o.attempt, o.Status)
 	}
-	if refused && !o.retry {
+	if refused && !o.Retry {
 		report.violate("refused: %s was not told when to come back", o.attempt)
 	}
-	if o.status == http.StatusNotFound || o.status == http.StatusBadRequest {
-		report.violate("denied: %s was answered %d", o.attempt, o.status)
+	if o.Status == http.StatusNotFound || o.Status == http.StatusBadRequest {
+		report.violate("denied: %s was answered %d", o.attempt, o.Status)
 	}
-	if planned && runs > 0 && (o.err != nil || o.status >= http.StatusInternalServerError) {
-		report.violate("lost: %s at %s ran and ended with status %d, %v", o.attempt, o.host, o.status, o.err)
+	if planned && runs > 0 && (o.err != nil || o.Status >= http.StatusInternalServerError) {
+		report.violate("lost: %s at %s ran and ended with status %d, %v", o.attempt, o.host, o.Status, o.err)
 	}
 }
 
--- a/demo/internal/soaker/fault.go
+++ b/demo/internal/soaker/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"syscall"
 	"time"
 
@@ -139,7 +140,7 @@
 	}
 }
 
-func (w *world) pause(ctx context.Context, name string, signal func(s osSignal) error) {
+func (w *world) pause(ctx context.Context, name string, signal func(s os.Signal) error) {
 	w.say("pause %s", name)
 	_ = signal(syscall.SIGSTOP) // a process that has just been replaced is left alone
 	w.later(ctx, func() { _ = signal(syscall.SIGCONT) })
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -166,35 +165,17 @@
 type outcome struct {
 	attempt string
 	order   bool
-	status  int
-	right   bool // the answer is the whole answer to this request
-	err     error
+	simulator.Reply
+	err error
 }
 
 // request sends one request to a host, over a connection of its own.
 func request(h *testHost, n int) outcome {
-	path := []string{simulator.ReadPrefix, simulator.OrderPrefix, simulator.PlainPrefix}[n%3] + strconv.Itoa(n)
-	method := []string{http.MethodGet, http.MethodPost, http.MethodGet}[n%3]
-	o := outcome{attempt: fmt.Sprintf("%08x%08x", rand.Uint32(), n), order: n%3 == 1}
-	r, err := http.NewRequest(method, "http://"+h.settings.CallerAddress+path, strings.NewReader(""))
-	if err != nil {
-		o.err = err
-		return o
-	}
-	r.Host = simulator.Hostname
-	r.Header.Set(translator.AttemptHeader, o.attempt)
-	r.Header.Set(translator.TimeLeftHeader, "3000")
-	r.Header.Set(translator.KeyHeader, strconv.Itoa(rand.IntN(1<<16)))
+	prefix := simulator.Prefixes[n%len(simulator.Prefixes)]
+	o := outcome{attempt: fmt.Sprintf("%08x%08x", rand.Uint32(), n), order: prefix == simulator.OrderPrefix}
+	call := simulator.Call{Prefix: prefix, Name: strconv.Itoa(n), Attempt: o.attempt, Key: rand.IntN(1 << 16), Left: 3 * time.Second}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Do(r)
-	if err != nil {
-		o.err = err
-		return o
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	o.status, o.err = response.StatusCode, err
-	o.right = string(body) == simulator.Sign(o.attempt, path)
+	o.Reply, o.err = call.Send(&client, h.settings.CallerAddress)
 	return o
 }
 
@@ -226,15 +207,15 @@
 	kinds := map[string]int{}
 	defer func() { t.Log(kinds) }()
 	for _, o := range outcomes {
-		kinds[fmt.Sprintf("%d %v", o.status, o.err)]++
-		if o.err == nil && o.status == http.StatusOK {
-			assert.Assert(t, o.right, "%s got another answer", o.attempt)
+		kinds[fmt.Sprintf("%d %v", o.Status, o.err)]++
+		if o.err == nil && o.Status == http.StatusOK {
+			assert.Assert(t, o.Right, "%s got another answer", o.attempt)
 			served++
 		}
 		if o.order {
 			assert.Assert(t, s.runs[o.attempt] <= 1, "%s ran %d times", o.attempt, s.runs[o.attempt])
 		}
-		if o.status == http.StatusServiceUnavailable && o.order {
+		if o.Status == http.StatusServiceUnavailable && o.order {
 			assert.Equal(t, s.runs[o.attempt], 0, "%s ran although it was refused", o.attempt)
 		}
 	}
