conductor, follower: less code for the same

The share of further tries was worked out twice for each request, in two functions, and the bucket's burst was set beside Bucket.Set. follower had a callback that nobody set and two names for one question. Usage lines of package comments name the parameters that exist.

--- a/core/confirmer/confirmer.go
+++ b/core/confirmer/confirmer.go
@@ -9,7 +9,7 @@
 //
 //	c := confirmer.New()
 //	c.Refused(now, host, upstream)
-//	c.Reached(now, upstream)
+//	c.Reached(upstream)
 //	for _, id := range c.Suspects(now) { ... }   // every host should try to connect
 //	for _, id := range c.Ended(now, hosts) { ... }
 //
--- a/core/contender/contender.go
+++ b/core/contender/contender.go
@@ -3,8 +3,8 @@
 // The right to act comes from a record in the platform's store. The holder rewrites the record at short intervals. Its
 // right lasts for Right from the moment at which the last confirmed write was sent. Another host takes the record over
 // when it has seen the same revision for longer than Right, when the right that the holder has told it of has passed
-// without a newer revision, or when the holder has resigned. Terms are ordered by the
-// store alone, since each takeover is a conditional write.
+// without a newer revision, or when the holder has resigned. Terms are ordered by the store alone, since each takeover is
+// a conditional write.
 //
 // # Usage
 //
--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	share := throttler.ColdShare(id, index, hosts, limit)
-//	bucket := throttler.NewBucket(share.Rate, share.Burst)
+//	bucket := throttler.NewBucket(now, share.Rate, share.Burst)
 //	if bucket.Take(now) { ... }
 //
 // Times are durations since an arbitrary origin.
--- a/rhubarbtrackd/internal/acceptor/acceptor.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor.go
@@ -9,7 +9,7 @@
 //
 //	server := acceptor.New(acceptor.Options{Handle: handle, Limits: limits})
 //	go server.Serve(listener)
-//	server.Drain(deadline)
+//	server.Drain()
 package acceptor
 
 import (
--- a/rhubarbtrackd/internal/conductor/conductor.go
+++ b/rhubarbtrackd/internal/conductor/conductor.go
@@ -271,7 +271,9 @@
 // serve sends the request until it has a final answer.
 func (c *Conductor) serve(ctx context.Context, j *job, choose func(context.Context, *job) choice) *acceptor.Response {
 	c.mutex.Lock()
-	c.retryBucket(j.service.Name).Add(c.options.Now(), c.retryRate())
+	now := c.options.Now()
+	bucket, perRequest := c.retryBucket(now, j.service.Name)
+	bucket.Add(now, perRequest)
 	c.mutex.Unlock()
 	for {
 		if ctx.Err() != nil {
@@ -300,26 +302,26 @@
 	}
 }
 
-func (c *Conductor) retryRate() float64 {
-	perRequest, _ := throttler.RetryShare(c.limits.Load().RetryRatio, c.limits.Load().RetrySlack, c.hosts)
-	return perRequest
-}
-
-func (c *Conductor) retryBucket(service string) *throttler.Bucket {
-	_, burst := throttler.RetryShare(c.limits.Load().RetryRatio, c.limits.Load().RetrySlack, c.hosts)
-	bucket := c.retries[service]
+// retryBucket returns the bucket of a service for further tries, and what each request adds to it. The caller holds the
+// mutex.
+func (c *Conductor) retryBucket(now time.Duration, service string) (bucket *throttler.Bucket, perRequest float64) {
+	limits := c.limits.Load()
+	perRequest, burst := throttler.RetryShare(limits.RetryRatio, limits.RetrySlack, c.hosts)
+	bucket = c.retries[service]
 	if bucket == nil {
-		bucket = throttler.NewBucket(c.options.Now(), 0, burst)
+		bucket = throttler.NewBucket(now, 0, burst)
 		c.retries[service] = bucket
 	}
-	bucket.Burst = burst
-	return bucket
+	bucket.Set(now, 0, burst)
+	return bucket, perRequest
 }
 
 func (c *Conductor) takeRetry(j *job) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.retryBucket(j.service.Name).Take(c.options.Now())
+	now := c.options.Now()
+	bucket, _ := c.retryBucket(now, j.service.Name)
+	return bucket.Take(now)
 }
 
 // try sends the request to an upstream once.
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -69,8 +69,6 @@
 	Now   func() time.Duration
 	// FirstStart is set when all hosts start together and the first controller's copy is worth waiting for.
 	FirstStart bool
-	// Changed is called after each change of the snapshot.
-	Changed func()
 }
 
 // Follower is safe for concurrent use.
@@ -320,9 +318,6 @@
 		s.TakenOut[domain] = since
 	}
 	f.snapshot.Store(s)
-	if f.options.Changed != nil {
-		f.options.Changed()
-	}
 }
 
 // sweep drops lapsed entries, and notices when the controller's word has become too old.
@@ -339,15 +334,13 @@
 	}
 }
 
-func (f *Follower) isRelayed() bool {
+// Relayed reports whether the copy follows that of the controller.
+func (f *Follower) Relayed() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.relayed
 }
 
-// Relayed reports whether the copy follows that of the controller.
-func (f *Follower) Relayed() bool { return f.isRelayed() }
-
 // Direct reports whether the copy is read from the store and none of its reads fails.
 func (f *Follower) Direct() bool {
 	f.mutex.Lock()
--- a/rhubarbtrackd/internal/lineprinter/lineprinter.go
+++ b/rhubarbtrackd/internal/lineprinter/lineprinter.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	out := lineprinter.New(os.Stdout, onDropped)
+//	out := lineprinter.New(os.Stdout)
 //	core := zapcore.NewCore(encoder, out, level)
 //	defer out.Stop()
 //
