exchanger: bound what is read for a response, and attribute every response

Cause: heads, discarded bodies and error texts had no bound in bytes, and a failure without a request ID was returned to whichever request was outstanding. Bytes without end were read until the deadline; a late copy of a 404 without an ID reached the next caller; the rest of a discarded body beyond 256 KiB was parsed as the next response; a late copy of a rejection could answer a second attempt with the same ID and make a false statement that it had not run.

Change: 32 KiB for all heads of an exchange, 64 KiB for bodies of other requests, 256 bytes of error text, and a body is streamed from 128 KiB on. On a connection that has carried another request, a response without an ID belongs to nobody. Requests without an ID and repeated attempts get a new connection.

--- a/rhubarbtrackd/internal/exchanger/exchanger.go
+++ b/rhubarbtrackd/internal/exchanger/exchanger.go
@@ -1,8 +1,9 @@
 // Package exchanger sends HTTP/1.1 requests to upstreams over a pool of persistent connections.
 //
-// It differs from the transport of net/http in three points. It never sends a request again by itself, because the
-// request may have run. Its errors state whether the upstream can have received the request. It discards responses
-// whose ID belongs to another request.
+// It differs from the transport of net/http in four points. It never sends a request again by itself, because the
+// request may have run. Its errors state whether the upstream can have received the request. It returns only responses
+// that it can attribute to the request, by their ID or because the connection has carried no other request. It bounds
+// the bytes that it reads for a response whose body is not passed on.
 //
 // # Usage
 //
@@ -79,11 +80,17 @@
 	// maxIdleConns bounds the idle connections to one upstream.
 	maxIdleConns = 4
 	// maxBufferedBody is the size in bytes from which on a response body is streamed instead of buffered.
-	maxBufferedBody = 256 << 10
+	maxBufferedBody = 128 << 10
 	// maxStrayResponses bounds the responses read for one request, including interim responses and responses to other
 	// requests.
 	maxStrayResponses = 4
-	readBuffer        = 2 << 10
+	// maxHeadBytes bounds the status lines and headers of all responses read for one request.
+	maxHeadBytes = 32 << 10
+	// maxStrayBytes bounds the bodies of responses to other requests that are discarded for one request.
+	maxStrayBytes = 64 << 10
+	// maxErrorText bounds the text of an error in bytes, because it may quote what an upstream has sent.
+	maxErrorText = 256
+	readBuffer   = 2 << 10
 )
 
 // Target identifies one incarnation of an upstream by its ID and its address. Connections are pooled by target.
@@ -104,6 +111,7 @@
 	Length     int64     // of Stream in bytes; -1 if unknown
 	ID         string    // if not empty, a successful response must carry it
 	Repeatable bool      // the request may be sent again, so a connection that was idle for long may be used
+	Repeated   bool      // the target has received the ID before
 	Deadline   time.Time
 }
 
@@ -125,8 +133,33 @@
 type pooledConn struct {
 	net.Conn
 	reader      *bufio.Reader
+	used        bool // a request has been sent on the connection
 	idleSince   time.Time
 	maxIdleTime time.Duration
+	headBytes   int  // that may still be read while readsHead is set
+	readsHead   bool // the next bytes belong to a head
+}
+
+var errHeadTooLong = errors.Newf("the heads of the responses exceed %d bytes", maxHeadBytes)
+
+// Read reads from the connection. While a head is read, it fails after maxHeadBytes.
+func (c *pooledConn) Read(p []byte) (int, error) {
+	if !c.readsHead {
+		return c.Conn.Read(p)
+	}
+	if c.headBytes <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headBytes)])
+	c.headBytes -= n
+	return n, err
+}
+
+// readHead reads a status line and a header. The body of the result is read from the connection.
+func (c *pooledConn) readHead(request *http.Request) (*http.Response, error) {
+	c.readsHead = true
+	defer func() { c.readsHead = false }()
+	return http.ReadResponse(c.reader, request)
 }
 
 // Pool holds idle connections to upstreams. It is safe for concurrent use.
@@ -237,7 +270,10 @@
 	if !req.Repeatable {
 		maxIdleTime = maxIdleUnrepeatable
 	}
-	c := p.take(target, maxIdleTime)
+	var c *pooledConn
+	if req.ID != "" && !req.Repeated {
+		c = p.take(target, maxIdleTime)
+	}
 	if c == nil {
 		dialed, err := p.dial(ctx, target, req.Deadline)
 		if err != nil {
@@ -282,13 +318,16 @@
 		return typed
 	}
 	kind := NoResponse
-	var network net.Error
 	switch {
 	case ctx.Err() != nil:
 		kind = Cancelled
-	case errors.As(err, &network) && network.Timeout() && !time.Now().Before(req.Deadline):
+	case !time.Now().Before(req.Deadline):
+		// A response that is incomplete at the deadline can also fail to parse.
 		kind = TimedOut
 	}
+	if text := err.Error(); len(text) > maxErrorText {
+		err = errors.New(strings.ToValidUTF8(text[:maxErrorText], "") + " [truncated]")
+	}
 	return &Error{"exchange", kind, err}
 }
 
@@ -299,11 +338,16 @@
 	if err != nil {
 		return nil, &Error{"dial " + target.ID, NotSent, err}
 	}
-	return &pooledConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), maxIdleTime: defaultIdleTime}, nil
+	c := &pooledConn{Conn: conn, maxIdleTime: defaultIdleTime}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
 }
 
 // exchange sends the request on the connection and reads the response.
 func (p *Pool) exchange(c *pooledConn, req *Request) (response *Response, reusable bool, err error) {
+	reused := c.used
+	c.used = true
+	c.headBytes = maxHeadBytes
 	if _, err := c.Write(appendRequest(nil, req)); err != nil {
 		return nil, false, err
 	}
@@ -315,24 +359,30 @@
 		}
 	}
 	httpRequest := &http.Request{Method: req.Method}
+	strayBytes := int64(maxStrayBytes)
 	for range maxStrayResponses {
-		httpResponse, err := http.ReadResponse(c.reader, httpRequest)
+		httpResponse, err := c.readHead(httpRequest)
 		if err != nil {
 			return nil, false, err
 		}
 		if httpResponse.StatusCode < 200 && httpResponse.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		id := httpResponse.Header.Get(p.options.IDHeader)
-		if id != "" && req.ID != "" && id != req.ID {
-			if _, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, maxBufferedBody)); err != nil {
+		owner, err := p.attribute(httpResponse, req, reused)
+		if err != nil {
+			return nil, false, err
+		}
+		if owner != req.ID {
+			n, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, strayBytes))
+			if err != nil {
 				return nil, false, err
 			}
+			if strayBytes -= n; strayBytes <= 0 {
+				// The rest of the body would be parsed as the next response.
+				return nil, false, errors.Newf("the responses to other requests exceed %d bytes", maxStrayBytes)
+			}
 			continue
 		}
-		if id == "" && req.ID != "" && httpResponse.StatusCode < 300 {
-			return nil, false, errors.New("response carries no request ID")
-		}
 		buffered, err := bufferResponse(httpResponse)
 		if err != nil {
 			return nil, false, err
@@ -343,6 +393,23 @@
 	return nil, false, errors.New("too many responses to other requests")
 }
 
+// attribute returns the ID of the request that a response belongs to. On a connection that has carried other requests,
+// a response without an ID may be a late copy of a response to one of them, so it belongs to no request.
+func (p *Pool) attribute(response *http.Response, req *Request, reused bool) (string, error) {
+	ids := response.Header.Values(p.options.IDHeader)
+	switch {
+	case len(ids) > 1:
+		return "", errors.New("response carries several request IDs")
+	case len(ids) == 1 && ids[0] != "" && req.ID != "":
+		return ids[0], nil
+	case reused:
+		return "", errors.New("response on a reused connection carries no request ID")
+	case req.ID != "" && response.StatusCode < 300:
+		return "", errors.New("response carries no request ID")
+	}
+	return req.ID, nil
+}
+
 // bufferResponse reads the full body of a response, or returns it as a stream if it is too long.
 func bufferResponse(httpResponse *http.Response) (*Response, error) {
 	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Length: httpResponse.ContentLength}
--- a/rhubarbtrackd/internal/exchanger/exchanger_test.go
+++ b/rhubarbtrackd/internal/exchanger/exchanger_test.go
@@ -27,7 +27,7 @@
 }
 
 // newUpstream starts an upstream. handle returns the bytes to send for request n of a connection, counted from 0. If it
-// returns an empty string, the connection is closed.
+// returns an empty string, or a text that ends with "\x00close", the connection is closed after it.
 func newUpstream(t *testing.T, handle func(n int, r *http.Request) string) *upstream {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -61,7 +61,8 @@
 		if text == "" {
 			return
 		}
-		if _, err := io.WriteString(conn, text); err != nil {
+		text, closes := strings.CutSuffix(text, "\x00close")
+		if _, err := io.WriteString(conn, text); err != nil || closes {
 			return
 		}
 	}
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -198,9 +199,10 @@
 	service    matcher.Service
 	header     http.Header
 	key        uint16
-	deadline   time.Time     // of the response to the caller
-	timeLeft   time.Duration // from the request's header, or the timeout of the route
-	tried      map[string]bool
+	deadline   time.Time       // of the response to the caller
+	timeLeft   time.Duration   // from the request's header, or the timeout of the route
+	tried      map[string]bool // upstreams that are not chosen again
+	received   []string        // upstreams to which an attempt was sent
 	attempts   int
 	mayHaveRun bool // an upstream may have run the request
 	// isRetry is set when the caller has probably sent the request before and received a rejection.
@@ -344,8 +346,9 @@
 			{translator.UpstreamHeader, u.ID},
 		},
 		Body: j.request.Body, Stream: j.request.Stream, Length: j.request.Length,
-		ID: j.id, Repeatable: j.route.Idempotent, Deadline: j.deadline,
+		ID: j.id, Repeatable: j.route.Idempotent, Repeated: slices.Contains(j.received, u.ID), Deadline: j.deadline,
 	}
+	j.received = append(j.received, u.ID)
 	resp, err := r.options.Pool.Do(ctx, exchanger.Target{ID: u.ID, Address: u.Address}, call)
 	r.observe(began, j.estimate.Wait, u, resp, err)
 	return resp, err
