Contain panics and bound foreign bytes on every path of the platform's assembly

Cause: no goroutine of the platform's assembly recovered from a panic, so one message ended all requests of a host.

Change: package recoverer (log event 107, metric panics_total) around requests, connections of callers, the link to the controller, reads of the store, and each event of the coordinator. After a panic the coordinator discards its allocators and resigns for 5 s, since its state may be half changed; mutexes of the router are released by defer. A hub removes the peer of a connection whose handling panicked. Timings that no host can measure are dropped.

--- a/core/contender/contender.go
+++ b/core/contender/contender.go
@@ -103,8 +103,8 @@
 	Rejected bool  // the write has no effect; with Err alone, it may take effect later
 }
 
-// Resign makes the host give up the lease and never take over again.
-type Resign struct{}
+// Resign makes the host give up the lease. It takes over again after Pause at the earliest, or never if Pause is 0.
+type Resign struct{ Pause time.Duration }
 
 func (Tick) event()                 {}
 func (HeartbeatReceived) event()    {}
@@ -154,6 +154,7 @@
 	callPending    bool
 	nextCall       time.Duration // earliest time of the next call
 	resigned       bool
+	returnAt       time.Duration // from which a host that has resigned may take over again; 0: never
 }
 
 // New returns the state of a host that has not read the record. It first reads the record after its delay, so that most
@@ -214,6 +215,10 @@
 		}
 	case Resign:
 		c.resigned = true
+		c.returnAt = 0
+		if event.Pause > 0 {
+			c.returnAt = now + event.Pause
+		}
 	case ReadResult:
 		c.callPending = false
 		if event.Err == nil {
@@ -252,6 +257,9 @@
 	if c.callPending || now < c.nextCall {
 		return nil
 	}
+	if c.resigned && !c.holder && c.returnAt > 0 && now >= c.returnAt {
+		c.resigned = false
+	}
 	switch {
 	case c.holder && c.resigned:
 		if c.record.Resigned {
--- a/rhubarbtrackd/internal/acceptor/acceptor.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"rhubarbtrack.example/rhubarbtrackd/internal/recoverer"
 )
 
 const (
@@ -40,6 +42,8 @@
 	// lingerTimeout is how long data from the caller is read and discarded after the last response. Closing a socket with
 	// unread data sends a reset, by which the caller could lose the response.
 	lingerTimeout = 300 * time.Millisecond
+	// maxLingerBytes bounds that data. It covers the rest of a body of the usual size limit.
+	maxLingerBytes = 1 << 20
 )
 
 // Limits bound what callers may send. They may change while connections are open and then apply to the next request.
@@ -78,6 +82,7 @@
 // Options configures a Server.
 type Options struct {
 	// Handle returns the response to a request. It is called concurrently. ctx is cancelled when the caller disconnects.
+	// After a panic, the response is 500.
 	Handle func(ctx context.Context, request *Request) *Response
 	Limits func() Limits
 	// Refused is called for requests and connections that are rejected before Handle. status is 0 if there is no response.
@@ -85,6 +90,8 @@
 	// AcceptFailed is called for the first of consecutive failures to accept, for example for lack of descriptors. It may
 	// be nil.
 	AcceptFailed func(err error)
+	// Panics contains panics in Handle and in the goroutines of connections.
+	Panics *recoverer.Recoverer
 	// MaxConnections bounds the open connections; 0 means no bound.
 	MaxConnections int
 }
@@ -152,8 +159,8 @@
 		_ = conn.Close()
 		return
 	}
-	go c.read()
-	go c.write()
+	go c.run("read-caller", c.read)
+	go c.run("write-caller", c.write)
 }
 
 func (s *Server) remove(c *connection) {
--- a/rhubarbtrackd/internal/acceptor/connection.go
+++ b/rhubarbtrackd/internal/acceptor/connection.go
@@ -53,6 +53,14 @@
 	}
 }
 
+// run calls a function that reads or writes the connection. After a panic, its requests are cancelled and it is closed.
+func (c *connection) run(task string, f func()) {
+	if !c.server.options.Panics.Do(task, f) {
+		c.cancel()
+		_ = c.conn.Close()
+	}
+}
+
 // read reads requests until the caller disconnects or the connection is to be closed.
 func (c *connection) read() {
 	defer close(c.queue)
@@ -210,11 +218,14 @@
 	}
 	go func() {
 		defer close(done)
-		e.response <- c.server.options.Handle(c.ctx, request)
+		// The request may have run, which 500 does not exclude.
+		response := &Response{Status: http.StatusInternalServerError, Header: http.Header{}}
+		c.server.options.Panics.Do("handle-request", func() { response = c.server.options.Handle(c.ctx, request) })
+		e.response <- response
 	}()
 	if last && request.Stream == nil {
 		// No further request is read, but a disconnect of the caller still has to cancel this one.
-		go c.watchDisconnect()
+		go c.run("watch-caller", c.watchDisconnect)
 	}
 	if request.Stream != nil {
 		return done
@@ -321,7 +332,7 @@
 		return
 	}
 	_ = tcp.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, tcp)
+	_, _ = io.CopyN(io.Discard, tcp, maxLingerBytes)
 }
 
 // reset closes the connection with a TCP reset, so that the caller cannot mistake a truncated response for a complete
--- a/rhubarbtrackd/internal/acceptor/parser.go
+++ b/rhubarbtrackd/internal/acceptor/parser.go
@@ -6,9 +6,10 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
-	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 )
 
 // Kind classifies errors of this package.
@@ -38,16 +39,17 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 func malformed(reason string) error {
-	return &Error{"parse-request", Malformed, http.StatusBadRequest, errors.New(reason)}
+	return &Error{"parse-request", Malformed, http.StatusBadRequest, errors.New(eventlog.Shorten(reason))}
 }
 
 // readHead reads the request line and the header, including the empty line at the end, of up to limit bytes.
 func readHead(reader *bufio.Reader, limit int) ([]byte, error) {
 	var head []byte
+	skipped := 0
 	for {
 		line, err := reader.ReadSlice('\n')
 		head = append(head, line...)
-		if len(head) > limit {
+		if skipped+len(head) > limit {
 			return nil, &Error{
 				"read-head", TooLarge, http.StatusRequestHeaderFieldsTooLarge, errors.New("header exceeds the size limit"),
 			}
@@ -61,6 +63,7 @@
 		if len(line) == 2 && line[0] == '\r' && (len(head) == 2 || head[len(head)-3] == '\n') {
 			if len(head) == 2 {
 				// RFC 9112, section 2.2, allows an empty line before a request.
+				skipped += len(head)
 				head = head[:0]
 				continue
 			}
@@ -107,7 +110,7 @@
 	}
 	parsed, err := http.ReadRequest(bufio.NewReaderSize(bytes.NewReader(head), len(head)))
 	if err != nil {
-		return nil, &Error{"parse-request", Malformed, http.StatusBadRequest, err}
+		return nil, malformed(err.Error())
 	}
 	if parsed.Host == "" && parsed.ProtoAtLeast(1, 1) {
 		return nil, malformed("Host header is missing")
@@ -169,17 +172,22 @@
 	return n, io.EOF
 }
 
+// maxTrailerBytes bounds the trailer of a chunked body.
+const maxTrailerBytes = 4 << 10
+
 func (c *chunked) skipTrailer() error {
+	lineStart := true
 	for size := 0; ; {
-		line, err := c.source.ReadString('\n')
-		if err != nil {
+		part, err := c.source.ReadSlice('\n')
+		if err != nil && err != bufio.ErrBufferFull {
 			return io.ErrUnexpectedEOF
 		}
-		if strings.TrimRight(line, "\r\n") == "" {
+		if lineStart && len(bytes.TrimRight(part, "\r\n")) == 0 {
 			return nil
 		}
-		if size += len(line); size > 4<<10 {
+		if size += len(part); size > maxTrailerBytes {
 			return malformed("trailer exceeds 4 KiB")
 		}
+		lineStart = err == nil
 	}
 }
--- a/rhubarbtrackd/internal/connector/announcement.go
+++ b/rhubarbtrackd/internal/connector/announcement.go
@@ -39,7 +39,9 @@
 	Address   string
 }
 
-var announceClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: announceTimeout}
+var announceClient = &http.Client{
+	Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}, Timeout: announceTimeout,
+}
 
 // Announce sends an announcement to the host at address.
 func Announce(ctx context.Context, address string, a Announcement) error {
--- a/rhubarbtrackd/internal/connector/connector.go
+++ b/rhubarbtrackd/internal/connector/connector.go
@@ -28,6 +28,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
+
+	"rhubarbtrack.example/rhubarbtrackd/internal/recoverer"
 )
 
 // HostHeader is the response header with the name of the process that accepts a connection.
@@ -45,6 +47,8 @@
 	writeTimeout     = 500 * time.Millisecond
 	dialTimeout      = 700 * time.Millisecond
 	redialDelay      = 200 * time.Millisecond
+	// maxHeadBytes bounds the head of a response of another host.
+	maxHeadBytes = 16 << 10
 	// maxMessage bounds a message in bytes. A table of 4,000 ranges fits.
 	maxMessage = 256 << 10
 	// maxQueued bounds the heartbeats queued for one host. When the queue is full, the connection is closed, and the host
@@ -117,7 +121,9 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	go peer.write(ctx)
-	h.remove(peer, h.serve(ctx, peer))
+	err = error(&Error{"receive", Disconnected, errors.New("the report could not be handled")})
+	defer func() { h.remove(peer, err) }() // also after a panic
+	err = h.serve(ctx, peer)
 }
 
 // serve handles the reports of a host until its connection fails.
@@ -180,6 +186,9 @@
 	return conn.Write(ctx, websocket.MessageBinary, data)
 }
 
+// linkClient opens connections to the controller.
+var linkClient = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}}
+
 // ClientOptions configures a Client.
 type ClientOptions struct {
 	// Leader returns the name and the address of the controller, or empty strings when it is unknown or is this host.
@@ -196,6 +205,8 @@
 	// OnConnect is called after a connection was made.
 	OnConnect func(address string)
 	Now       func() time.Duration
+	// Panics contains panics in the handling of a connection, which then ends.
+	Panics *recoverer.Recoverer
 }
 
 // Client connects a host that is not the controller with the controller.
@@ -209,7 +220,8 @@
 	for ctx.Err() == nil {
 		host, address := c.options.Leader()
 		if address != "" {
-			err := c.serve(ctx, host, address)
+			err := error(&Error{"receive", Disconnected, errors.New("a message could not be handled")})
+			c.options.Panics.Do("follow-controller", func() { err = c.serve(ctx, host, address) })
 			if ctx.Err() == nil && err != nil {
 				c.options.OnDisconnect(address, err)
 			}
@@ -223,7 +235,7 @@
 
 func (c *Client) serve(ctx context.Context, host, address string) error {
 	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
-	conn, response, err := websocket.Dial(dialCtx, "ws://"+address+Path, nil)
+	conn, response, err := websocket.Dial(dialCtx, "ws://"+address+Path, &websocket.DialOptions{HTTPClient: linkClient})
 	cancelDial()
 	if err != nil {
 		return &Error{"dial " + address, Disconnected, err}
@@ -237,7 +249,11 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.options.OnConnect(address)
-	go c.report(ctx, cancel, conn, host)
+	go func() {
+		if !c.options.Panics.Do("report", func() { c.report(ctx, cancel, conn, host) }) {
+			cancel(errors.New("the report could not be made"))
+		}
+	}()
 	for {
 		data, err := receive(ctx, conn)
 		if cause := context.Cause(ctx); cause != nil {
--- a/rhubarbtrackd/internal/connector/connector_test.go
+++ b/rhubarbtrackd/internal/connector/connector_test.go
@@ -82,3 +82,17 @@
 	assert.Equal(t, got.Revision, sent.Revision)
 	assert.Assert(t, got.Remaining >= sent.Remaining && got.Remaining <= sent.Remaining+time.Millisecond)
 }
+
+// TestImpossibleTimingsAreDropped guards against a report that ends the process of the controller: sums of figures that
+// no host measures overflowed, and an average was divided by zero.
+func TestImpossibleTimingsAreDropped(t *testing.T) {
+	const huge = int(^uint(0) >> 1)
+	data, err := encodeReport(Report{Host: "h", Timings: []Timing{
+		{Upstream: "a", Count: huge, Sum: time.Second}, {Upstream: "b", Count: -60, Sum: time.Second},
+		{Upstream: "c", Count: 1, Sum: -time.Second}, {Upstream: "d", Count: 2, Sum: time.Second},
+	}})
+	assert.NilError(t, err)
+	report, err := decodeReport(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, report.Timings, []Timing{{Upstream: "d", Count: 2, Sum: time.Second}})
+}
--- a/rhubarbtrackd/internal/connector/message.go
+++ b/rhubarbtrackd/internal/connector/message.go
@@ -130,6 +130,12 @@
 	Sum      int64 // milliseconds
 }
 
+// maxTimingCount and maxTimingSum bound what a host can measure at one upstream between two reports.
+const (
+	maxTimingCount = 1 << 20
+	maxTimingSum   = time.Hour
+)
+
 type wireReport struct {
 	_             struct{} `cbor:",toarray"`
 	Host          string
@@ -262,6 +268,9 @@
 	r := Report{Host: wire.Host, Address: wire.Address, Keys: wire.Keys, Loads: fromWireLoads(wire.Loads),
 		NeedsFullCopy: wire.NeedsFullCopy, Refused: wire.Refused, Unresponsive: wire.Unresponsive, Reached: wire.Reached}
 	for _, t := range wire.Timings {
+		if t.Count <= 0 || t.Count > maxTimingCount || t.Sum < 0 || t.Sum > maxTimingSum.Milliseconds() {
+			continue // no host measures this, and the averages of the controller could overflow
+		}
 		r.Timings = append(r.Timings, Timing{t.Upstream, t.Count, time.Duration(t.Sum) * time.Millisecond})
 	}
 	return r, nil
--- a/rhubarbtrackd/internal/coordinator/controller.go
+++ b/rhubarbtrackd/internal/coordinator/controller.go
@@ -87,11 +87,11 @@
 		Term: lease.Term, Revision: lease.Revision, Remaining: lease.Remaining, Host: c.options.Host, Address: c.options.Address,
 	}
 	for _, address := range c.hostList.disconnected(now, c.hub.Peers()) {
-		go func() {
+		c.spawn(ctx, func() {
 			if err := connector.Announce(ctx, address, announcement); err != nil {
 				c.options.Log.Log(eventlog.HostNotNotified, zap.String("address", address), eventlog.Cause(err))
 			}
-		}()
+		})
 	}
 }
 
@@ -112,7 +112,7 @@
 	}
 	svc.loading = true
 	term := c.contender.Term()
-	go func() {
+	c.spawn(ctx, func() {
 		table, revision, err := c.readTable(ctx, svc.service)
 		c.post(func() {
 			svc.loading = false
@@ -127,7 +127,7 @@
 			svc.revision = revision
 			c.step(ctx, svc, allocator.TermStarted{Term: term, Table: table.Ranges})
 		})
-	}()
+	})
 }
 
 // step passes an event to the allocator of a service and starts the resulting actions. Events are deferred while the
@@ -144,11 +144,14 @@
 	for _, action := range svc.allocator.Step(now, event) {
 		switch action := action.(type) {
 		case allocator.Grant:
-			go c.grant(ctx, svc, action, c.addresses[action.Upstream])
+			address := c.addresses[action.Upstream]
+			c.spawn(ctx, func() { c.grant(ctx, svc, action, address) })
 		case allocator.Release:
-			go c.release(ctx, svc, action, c.addresses[action.Upstream])
+			address := c.addresses[action.Upstream]
+			c.spawn(ctx, func() { c.release(ctx, svc, action, address) })
 		case allocator.Commit:
-			go c.commit(ctx, svc, action, c.contender.Term(), svc.revision)
+			term, revision := c.contender.Term(), svc.revision
+			c.spawn(ctx, func() { c.commit(ctx, svc, action, term, revision) })
 		case allocator.Moved:
 			c.options.Log.Log(eventlog.RangeMoved, zap.String("service", svc.service), zap.Uint16("from", action.From),
 				zap.Uint16("to", action.To), zap.String("previous", action.Previous), zap.String("owner", action.Owner),
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -29,6 +29,7 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/connector"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
+	"rhubarbtrack.example/rhubarbtrackd/internal/recoverer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/resolver"
 	"rhubarbtrack.example/rhubarbtrackd/internal/serializer"
 )
@@ -50,6 +51,8 @@
 	announceInterval = time.Second
 	// maxEvents bounds the queue of the event loop. Senders block while it is full.
 	maxEvents = 256
+	// panicPause is how long a host that resigned after a panic leaves the role to others.
+	panicPause = 5 * time.Second
 	// maxRemovedAddresses bounds the number of addresses kept of upstreams whose entries were removed.
 	maxRemovedAddresses = 1024
 )
@@ -71,6 +74,8 @@
 	Report func() connector.Report
 	// OnHeartbeat is called with every heartbeat of the controller, also when this host is the controller.
 	OnHeartbeat func(connector.Heartbeat)
+	// Panics contains panics in the handling of an event. This host then resigns as controller.
+	Panics *recoverer.Recoverer
 }
 
 // serviceState is the state of one service while this host is the controller.
@@ -166,6 +171,7 @@
 			c.post(func() { c.controllerStopped(host) })
 		},
 		Now:         options.Now,
+		Panics:      options.Panics,
 		Report:      c.report,
 		OnHeartbeat: func(heartbeat connector.Heartbeat) { c.post(func() { c.handleHeartbeat(heartbeat) }) },
 		OnConnect: func(address string) {
@@ -235,13 +241,33 @@
 		case <-ctx.Done():
 			return
 		case event := <-c.events:
-			event()
+			c.contain(ctx, event)
 		case <-ticker.C:
-			c.tick(ctx)
+			c.contain(ctx, func() { c.tick(ctx) })
 		}
 	}
 }
 
+// contain calls f on the goroutine of Run. After a panic, the state of the allocators may be inconsistent, so this host
+// discards it and resigns. The successor starts from the stored tables.
+func (c *Coordinator) contain(ctx context.Context, f func()) {
+	if c.options.Panics.Do("coordinate", f) {
+		return
+	}
+	c.services = map[string]*serviceState{}
+	c.deferred = nil
+	c.options.Panics.Do("resign", func() { c.stepElection(ctx, contender.Resign{Pause: panicPause}) })
+}
+
+// spawn calls f on a goroutine of its own. After a panic, no result of f arrives, so this host resigns as controller.
+func (c *Coordinator) spawn(ctx context.Context, f func()) {
+	go func() {
+		if !c.options.Panics.Do("call", f) {
+			c.post(func() { c.stepElection(ctx, contender.Resign{Pause: panicPause}) })
+		}
+	}()
+}
+
 // Resign releases the lease. It returns when the store has confirmed the release, or when ctx is done.
 func (c *Coordinator) Resign(ctx context.Context) {
 	c.post(func() { c.stepElection(ctx, contender.Resign{}) })
@@ -314,9 +340,9 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case contender.Read:
-			go c.readRecord(ctx)
+			c.spawn(ctx, func() { c.readRecord(ctx) })
 		case contender.Write:
-			go c.writeRecord(ctx, action.Record)
+			c.spawn(ctx, func() { c.writeRecord(ctx, action.Record) })
 		case contender.Follow:
 			record := action.Record
 			c.leader.Store(&record)
@@ -420,7 +446,7 @@
 			continue
 		}
 		c.fetching[name] = true
-		go c.fetchTable(ctx, name)
+		c.spawn(ctx, func() { c.fetchTable(ctx, name) })
 	}
 }
 
--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -10,6 +10,8 @@
 package eventlog
 
 import (
+	"strings"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -40,6 +42,8 @@
 	ListenFailed   = register(104, "listen-failed", zap.ErrorLevel, "A listener could not be opened or failed.")
 	TLSReloaded    = register(105, "tls-reloaded", zap.InfoLevel, "The TLS certificate, key and certificate authority were reloaded.")
 	TLSFailed      = register(106, "tls-reload-failed", zap.ErrorLevel, "The TLS files could not be read; the previous certificates stay in use.")
+
+	PanicRecovered = register(107, "panic-recovered", zap.ErrorLevel, "A panic ended the request, message or connection that the field task names; the process goes on.")
 )
 
 // Events of the store.
@@ -149,12 +153,23 @@
 	HostReconnected      = register(741, "host-reconnected", zap.InfoLevel, "This host is no longer isolated.")
 )
 
+// maxText bounds texts that may quote bytes from outside, in bytes.
+const maxText = 256
+
+// Shorten returns at most the first maxText bytes of a text that may quote bytes from outside.
+func Shorten(text string) string {
+	if len(text) <= maxText {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxText], "") + " [truncated]"
+}
+
 // Cause returns the log field for an error, without the stack trace that errors of this program contain.
 func Cause(err error) zap.Field {
 	if err == nil {
 		return zap.Skip()
 	}
-	return zap.String("error", err.Error())
+	return zap.String("error", Shorten(err.Error()))
 }
 
 // Logger writes events. It is safe for concurrent use.
--- a/rhubarbtrackd/internal/exchanger/exchanger.go
+++ b/rhubarbtrackd/internal/exchanger/exchanger.go
@@ -32,6 +32,7 @@
 	"golang.org/x/sys/unix"
 
 	"rhubarbtrack.example/rhubarbtrackd/internal/copier"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 )
 
 // Kind classifies errors of this package.
@@ -88,9 +89,7 @@
 	maxHeadBytes = 32 << 10
 	// maxStrayBytes bounds the bodies of responses to other requests that are discarded for one request.
 	maxStrayBytes = 64 << 10
-	// maxErrorText bounds the text of an error in bytes, because it may quote what an upstream has sent.
-	maxErrorText = 256
-	readBuffer   = 2 << 10
+	readBuffer    = 2 << 10
 )
 
 // Target identifies one incarnation of an upstream by its ID and its address. Connections are pooled by target.
@@ -140,6 +139,12 @@
 	readsHead   bool // the next bytes belong to a head
 }
 
+func newPooledConn(conn net.Conn) *pooledConn {
+	c := &pooledConn{Conn: conn, maxIdleTime: defaultIdleTime}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c
+}
+
 var errHeadTooLong = errors.Newf("the heads of the responses exceed %d bytes", maxHeadBytes)
 
 // Read reads from the connection. While a head is read, it fails after maxHeadBytes.
@@ -325,10 +330,8 @@
 		// A response that is incomplete at the deadline can also fail to parse.
 		kind = TimedOut
 	}
-	if text := err.Error(); len(text) > maxErrorText {
-		err = errors.New(strings.ToValidUTF8(text[:maxErrorText], "") + " [truncated]")
-	}
-	return &Error{"exchange", kind, err}
+	// The text may quote what the upstream has sent.
+	return &Error{"exchange", kind, errors.New(eventlog.Shorten(err.Error()))}
 }
 
 func (p *Pool) dial(ctx context.Context, target Target, deadline time.Time) (*pooledConn, error) {
@@ -338,9 +341,7 @@
 	if err != nil {
 		return nil, &Error{"dial " + target.ID, NotSent, err}
 	}
-	c := &pooledConn{Conn: conn, maxIdleTime: defaultIdleTime}
-	c.reader = bufio.NewReaderSize(c, readBuffer)
-	return c, nil
+	return newPooledConn(conn), nil
 }
 
 // exchange sends the request on the connection and reads the response.
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/matcher"
@@ -28,6 +29,7 @@
 	"rhubarbtrack.example/platform/storer"
 	"rhubarbtrack.example/platform/translator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/recoverer"
 )
 
 const (
@@ -75,6 +77,8 @@
 	// FirstStart is set when all hosts start together. The host then waits for the first controller's relay before it
 	// lists the upstreams and failure domains itself.
 	FirstStart bool
+	// Panics contains panics in the handling of a response of the store, which then counts as failed.
+	Panics *recoverer.Recoverer
 }
 
 // Follower is safe for concurrent use.
@@ -135,7 +139,7 @@
 			group.Wait()
 			return
 		case <-ticker.C:
-			f.sweep()
+			f.options.Panics.Do("sweep-copy", f.sweep)
 		}
 	}
 }
@@ -161,12 +165,16 @@
 			continue
 		}
 		call := f.beginCall(ctx, kind)
-		var err error
-		if revision == 0 {
-			revision, err = f.relist(call, kind, skip)
-		} else {
-			revision, err = f.watch(call, kind, revision, skip)
-		}
+		// After a panic, the next list replaces what the call may have changed in part.
+		next, err := int64(0), errors.New("the response of the store could not be handled")
+		f.options.Panics.Do("follow-store", func() {
+			if revision == 0 {
+				next, err = f.relist(call, kind, skip)
+			} else {
+				next, err = f.watch(call, kind, revision, skip)
+			}
+		})
+		revision = next
 		if call.Err() != nil && ctx.Err() == nil {
 			// The relay has started, or a call for another kind has failed.
 			revision = 0
--- a/rhubarbtrackd/internal/meter/meter.go
+++ b/rhubarbtrackd/internal/meter/meter.go
@@ -70,6 +70,11 @@
 	m.scope.Tagged(map[string]string{"ring": queue}).Counter("ring_overflows_total").Inc(1)
 }
 
+// Panicked counts a panic that was contained in the named task.
+func (m *Meter) Panicked(task string) {
+	m.scope.Tagged(map[string]string{"task": task}).Counter("panics_total").Inc(1)
+}
+
 // Admission sets the gauges of admission control for one upstream, in requests.
 func (m *Meter) Admission(service, upstream string, limit, inFlight, queued int) {
 	scope := m.scope.Tagged(map[string]string{"service": service, "upstream": upstream})
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -36,6 +36,7 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/exchanger"
 	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
 	"rhubarbtrack.example/rhubarbtrackd/internal/meter"
+	"rhubarbtrack.example/rhubarbtrackd/internal/recoverer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/resolver"
 )
 
@@ -62,6 +63,8 @@
 	Seed          uint64
 	// Shutdown is done when the process is about to exit. Requests in flight then get their final responses.
 	Shutdown context.Context
+	// Panics contains panics in probes of upstreams.
+	Panics *recoverer.Recoverer
 }
 
 // probeInterval is the minimum time between two probes of a suspected upstream, because each probe has the cost of a new
@@ -126,7 +129,7 @@
 			r.probing[id] = true
 			r.lastProbe[id] = now
 			r.selector.Block(now, id)
-			go r.probe(u)
+			go r.options.Panics.Do("probe", func() { r.probe(u) })
 		}
 	}
 }
@@ -231,9 +234,7 @@
 	if !r.setDeadline(j) {
 		return r.finish(j, http.StatusBadRequest, "the header with the time left is invalid")
 	}
-	r.mutex.Lock()
-	j.isRetry = r.shedder.LikelyRetry(route.Name, j.timeLeft)
-	r.mutex.Unlock()
+	r.locked(func() { j.isRetry = r.shedder.LikelyRetry(route.Name, j.timeLeft) })
 	if !j.service.Keyed {
 		return r.serve(ctx, j, r.chooseAny)
 	}
@@ -246,12 +247,17 @@
 		return r.finish(j, http.StatusBadRequest, "the key is not a number from 0 to 65535")
 	}
 	j.key = uint16(key)
-	r.mutex.Lock()
-	r.observed.recordKey(j.service.Name, j.key)
-	r.mutex.Unlock()
+	r.locked(func() { r.observed.recordKey(j.service.Name, j.key) })
 	return r.serve(ctx, j, r.chooseOwner)
 }
 
+// locked calls f with the mutex held. A panic in f releases the mutex.
+func (r *Router) locked(f func()) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	f()
+}
+
 func (r *Router) setDeadline(j *job) bool {
 	j.timeLeft = j.route.Timeout
 	if value := j.request.Header.Get(translator.TimeLeftHeader); value != "" {
@@ -276,11 +282,11 @@
 
 // serve sends the request until there is a response for the caller.
 func (r *Router) serve(ctx context.Context, j *job, choose func(context.Context, *job) choice) *acceptor.Response {
-	r.mutex.Lock()
-	now := r.options.Now()
-	bucket, perRequest := r.retryBucket(now, j.service.Name)
-	bucket.Add(now, perRequest)
-	r.mutex.Unlock()
+	r.locked(func() {
+		now := r.options.Now()
+		bucket, perRequest := r.retryBucket(now, j.service.Name)
+		bucket.Add(now, perRequest)
+	})
 	for {
 		if ctx.Err() != nil {
 			return r.abandon(j)
@@ -333,9 +339,13 @@
 // attempt sends the request to an upstream once.
 func (r *Router) attempt(ctx context.Context, j *job, u registrar.Upstream) (*exchanger.Response, error) {
 	began := r.options.Now()
-	r.mutex.Lock()
-	r.selector.Begin(u.ID)
-	r.mutex.Unlock()
+	r.locked(func() { r.selector.Begin(u.ID) })
+	observed := false
+	defer func() {
+		if !observed { // a panic must not leave the request in flight for ever
+			r.locked(func() { r.selector.End(r.options.Now(), u.ID, selector.Abandoned) })
+		}
+	}()
 	j.attempts++
 	j.tried[u.ID] = true
 	left := time.Until(j.deadline)
@@ -350,6 +360,7 @@
 	}
 	j.received = append(j.received, u.ID)
 	resp, err := r.options.Pool.Do(ctx, exchanger.Target{ID: u.ID, Address: u.Address}, call)
+	observed = true
 	r.observe(began, j.estimate.Wait, u, resp, err)
 	return resp, err
 }
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -41,6 +41,7 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/exchanger"
 	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
 	"rhubarbtrack.example/rhubarbtrackd/internal/meter"
+	"rhubarbtrack.example/rhubarbtrackd/internal/recoverer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/resolver"
 	"rhubarbtrack.example/rhubarbtrackd/internal/router"
 	"rhubarbtrack.example/rhubarbtrackd/internal/timer"
@@ -134,6 +135,7 @@
 	isolated       atomic.Bool
 	shutdown       context.Context
 	cancelRequests context.CancelFunc
+	panics         *recoverer.Recoverer
 }
 
 // Run serves callers until ctx is done, and then shuts down gracefully. It returns an error if the settings cannot be
@@ -162,14 +164,17 @@
 func assemble(options Options, s reader.Settings) *daemon {
 	d := &daemon{options: options, settings: s, log: options.Log, meter: meter.New(), tables: resolver.New()}
 	d.shutdown, d.cancelRequests = context.WithCancel(context.Background())
+	d.panics = recoverer.New(d.log, d.meter)
 	store := storer.New(s.StoreAddress)
-	d.follower = follower.New(follower.Options{Store: store, Log: d.log, Now: timer.Now, FirstStart: s.FirstStart})
+	d.follower = follower.New(follower.Options{
+		Store: store, Log: d.log, Now: timer.Now, FirstStart: s.FirstStart, Panics: d.panics,
+	})
 	d.pool = exchanger.New(exchanger.Options{IDHeader: translator.AttemptHeader})
 	name := incarnation(s.Host)
 	seed := xxhash.Sum64String(name)
 	d.router = router.New(router.Options{
 		FailureDomain: s.FailureDomain, Limits: limits(s.Bounds), Follower: d.follower, Tables: d.tables, Pool: d.pool,
-		Log: d.log, Meter: d.meter, Now: timer.Now, Seed: seed, Shutdown: d.shutdown,
+		Log: d.log, Meter: d.meter, Now: timer.Now, Seed: seed, Shutdown: d.shutdown, Panics: d.panics,
 	})
 	d.coordinator = coordinator.New(coordinator.Options{
 		Host: name, Address: s.PeerAddress, TakeoverDelay: takeoverDelay(s.CPUShare, seed), MaxLifetime: s.Bounds.MaxGrantLifetime,
@@ -181,12 +186,15 @@
 			return report
 		},
 		OnHeartbeat: d.router.OnHeartbeat,
+		Panics:      d.panics,
 	})
 	d.server = acceptor.New(acceptor.Options{
 		Handle: d.router.Handle, Limits: d.callerLimits, MaxConnections: max(64, s.FileDescriptors-descriptorReserve),
 		Refused: func(status int, remote, reason string) {
-			d.log.Log(eventlog.RequestUnreadable, zap.Int("status", status), zap.String("remote", remote), zap.String("reason", reason))
+			d.log.Log(eventlog.RequestUnreadable, zap.Int("status", status), zap.String("remote", remote),
+				zap.String("reason", eventlog.Shorten(reason)))
 		},
+		Panics:       d.panics,
 		AcceptFailed: func(err error) { d.log.Log(eventlog.AcceptFailed, eventlog.Cause(err)) },
 	})
 	return d
@@ -271,7 +279,7 @@
 	if err != nil {
 		return d.listenFailed(err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	server := &http.Server{Handler: d.panics.Handler("serve-http", handler), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	go func() {
 		if err := server.Serve(listener); err != nil {
 			d.log.Log(eventlog.ListenFailed, zap.String("address", address), eventlog.Cause(err))
@@ -314,25 +322,30 @@
 		case <-ctx.Done():
 			return
 		case <-sweep.C:
-			d.router.Sweep()
-			snapshot := d.follower.Snapshot()
-			d.pool.Sweep(time.Now(), func(t exchanger.Target) bool {
-				u, ok := snapshot.Upstreams[t.ID]
-				return ok && u.Address == t.Address
-			})
-			if dropped := d.options.Dropped(); dropped > 0 {
-				d.log.Log(eventlog.LogLinesDropped, zap.Int64("lines", dropped))
-			}
+			d.panics.Do("sweep", d.sweep)
 		case <-isolation.C:
-			d.checkIsolation(detector)
+			d.panics.Do("check-isolation", func() { d.checkIsolation(detector) })
 		case <-reload.C:
-			d.reload(false)
+			d.panics.Do("reload", func() { d.reload(false) })
 		case <-d.options.Reload:
-			d.reload(true)
+			d.panics.Do("reload", func() { d.reload(true) })
 		}
 	}
 }
 
+// sweep removes the state of upstreams that are no longer registered.
+func (d *daemon) sweep() {
+	d.router.Sweep()
+	snapshot := d.follower.Snapshot()
+	d.pool.Sweep(time.Now(), func(t exchanger.Target) bool {
+		u, ok := snapshot.Upstreams[t.ID]
+		return ok && u.Address == t.Address
+	})
+	if dropped := d.options.Dropped(); dropped > 0 {
+		d.log.Log(eventlog.LogLinesDropped, zap.Int64("lines", dropped))
+	}
+}
+
 // checkIsolation checks whether this host is isolated. An isolated host reports itself not ready and closes connections
 // after their last response.
 func (d *daemon) checkIsolation(detector *partitiondetector.Detector) {
