acceptor: reject a head whose last line ends with a bare line feed

Found by FuzzRequest within a second: the bytes LF CR LF passed for a complete head of three bytes, of which checkHead cuts off four. The panic ended the process, so any caller could stop a host with three bytes. GET / HTTP/1.1 LF CR LF was accepted, and its last header line was not checked.

--- a/rhubarbtrackd/internal/acceptor/panic_test.go
+++ b/rhubarbtrackd/internal/acceptor/panic_test.go
@@ -74,3 +74,18 @@
 		})
 	}
 }
+
+// TestBareLineFeeds guards against a process that ends, or a request that another server parses differently, because a
+// line before the empty line ends with a bare line feed. Three bytes were enough to end the process.
+func TestBareLineFeeds(t *testing.T) {
+	for _, text := range []string{"\n\r\n", "GET / HTTP/1.1\n\r\n", "GET / HTTP/1.1\r\nHost: h\n\r\n"} {
+		t.Run(text, func(t *testing.T) {
+			f := newFixture(t)
+			conn, reader := f.dial(t)
+			send(t, conn, text)
+			status, _, _ := receive(t, reader)
+			assert.Equal(t, status, 400)
+			assert.Equal(t, f.runs.Load(), int64(0))
+		})
+	}
+}
--- a/rhubarbtrackd/internal/acceptor/parser.go
+++ b/rhubarbtrackd/internal/acceptor/parser.go
@@ -67,6 +67,9 @@
 				head = head[:0]
 				continue
 			}
+			if !bytes.HasSuffix(head, []byte("\r\n\r\n")) {
+				return nil, malformed("header line ends with a bare LF")
+			}
 			return head, nil
 		}
 	}
