Share run times between hosts, and divide load by the cost of one more request

Cause: a third of the upstreams of a service take over twice as long as the others. Owners of keys had equal utilization, so keys of slow owners waited while fast ones had free slots.

Change: the controller collects run times from the reports (core/profiler) and sends noticeable changes with the heartbeats. Candidates are drawn by their target rates and the best of the drawn ones by its load, because load reports are too old to let 95 hosts prefer the same fast upstreams. The rebalancer moves load to where one more request adds the least response time (TargetRates). Older hosts ignore the new entries, which look like outdated load reports.

Ruled out: run times in the score alone.

--- a/core/rebalancer/rebalancer.go
+++ b/core/rebalancer/rebalancer.go
@@ -1,7 +1,8 @@
 // Package rebalancer divides ranges of numeric keys among upstreams by the load of each key.
 //
 // It handles two cases: hot spots, in which a few adjacent keys get a large part of all requests, and upstreams with
-// different run times, of which equal shares would overload the slow ones.
+// different run times. Load moves to where one more request adds the least to the total response time, so fast upstreams
+// get a higher utilization than slow ones.
 //
 // # Usage
 //
@@ -22,12 +23,13 @@
 
 // Thresholds and limits of moves.
 const (
-	// minUtilization is the utilization of an upstream below which no load is moved away from it, because requests seldom
-	// queue there.
-	minUtilization = 0.5
-	// imbalanceRatio is the minimum ratio of an upstream's utilization to the mean from which load is moved away from it.
+	// minCostRatio is the minimum ratio of the cost of one more request at two upstreams from which load is moved. Each
+	// move interrupts requests.
+	minCostRatio = 1.25
+	// imbalanceRatio is the minimum ratio of an upstream's load to its target load from which load is moved away from it.
 	imbalanceRatio = 1.2
-	// noiseDeviations is the number of standard deviations of the request count by which load must exceed its fair share.
+	// noiseDeviations is the number of standard deviations of the request count by which load must exceed its target,
+	// divided by the ratio of the costs: the more a move gains, the more often it may turn out to be needless.
 	noiseDeviations = 1.5
 	// minMoveLimit limits the moves of one call of Rebalance. With more upstreams than that, their number is the limit.
 	minMoveLimit = 32
@@ -81,11 +83,16 @@
 
 type target struct {
 	Target
-	capacity float64 // requests in the period of the plan
-	load     float64
-	ranges   int
+	server     Server
+	capacity   float64 // requests in the period of the plan
+	load       float64
+	targetLoad float64
+	ranges     int
 }
 
+// excess is the load beyond the target load. It is negative if the upstream should get more load.
+func (t *target) excess() float64 { return t.load - t.targetLoad }
+
 type span struct {
 	from, to int
 	owner    *target
@@ -160,15 +167,14 @@
 		if runTime == 0 {
 			runTime = average
 		}
-		t.capacity = max(t.Slots, 1) / runTime.Seconds() * p.period
+		t.server = Server{Slots: max(t.Slots, 1), RunTime: runTime.Seconds()}
+		t.capacity = t.server.capacity() * p.period
 		if t.MaxRate > 0 {
 			t.capacity = min(t.capacity, t.MaxRate*coldRateShare*p.period)
 		}
 	}
 }
 
-func (t *target) utilization() float64 { return t.load / t.capacity }
-
 // meanUtilization returns the utilization that all targets would have if the load were balanced.
 func (p *Plan) meanUtilization() float64 {
 	load, capacity := 0.0, 0.0
@@ -234,16 +240,17 @@
 func (p *Plan) leastLoaded(extra float64) *target {
 	var best *target
 	for _, t := range p.targets {
-		if best == nil || (t.load+extra)/t.capacity < (best.load+extra)/best.capacity {
+		if best == nil || t.cost(t.load+extra) < best.cost(best.load+extra) {
 			best = t
 		}
 	}
 	return best
 }
 
-// Rebalance returns moves that balance the load, those from the most utilized targets first.
+// Rebalance returns moves that bring the upstreams to their target loads, the most effective ones first.
 func (p *Plan) Rebalance() []Assignment {
 	p.setCapacities()
+	p.setTargetLoads()
 	var parts []Assignment
 	exhausted := map[*target]bool{}
 	for len(parts) < max(minMoveLimit, len(p.targets)) {
@@ -261,23 +268,18 @@
 // nextMove returns the next move. It returns false when none is needed or possible. An Assignment without an owner
 // means that the search continues, because the chosen range cannot be moved.
 func (p *Plan) nextMove(exhausted map[*target]bool) (Assignment, bool) {
-	high, low := p.mostAndLeastUtilized(exhausted)
+	high, low := p.source(exhausted), p.destination()
 	if high == nil || low == nil || high == low {
 		return Assignment{}, false
 	}
-	mean := p.meanUtilization()
-	excess := high.load - mean*high.capacity
-	empty := low.ranges == 0 && low.MaxRate == 0
-	if !empty {
-		if high.utilization() < minUtilization || high.utilization() < imbalanceRatio*mean ||
-			excess < noiseDeviations*math.Sqrt(high.load) {
-			return Assignment{}, false
-		}
-	}
-	headroom := mean*low.capacity - low.load
+	excess, headroom := high.excess(), -low.excess()
 	amount := min(excess, headroom)
-	if empty {
+	if low.ranges == 0 && low.MaxRate == 0 {
 		amount = min(headroom, high.load/2)
+	} else if ratio := high.cost(high.load) / low.cost(low.load); ratio < minCostRatio ||
+		high.load < imbalanceRatio*high.targetLoad || excess < noiseDeviations/ratio*math.Sqrt(high.load) {
+		exhausted[high] = true
+		return Assignment{}, true
 	}
 	if amount <= 0 {
 		return Assignment{}, false
@@ -290,16 +292,26 @@
 	return part, true
 }
 
-func (p *Plan) mostAndLeastUtilized(exhausted map[*target]bool) (high, low *target) {
+// source returns the upstream whose load is the furthest above its target load, relative to its capacity.
+func (p *Plan) source(exhausted map[*target]bool) *target {
+	var best *target
 	for _, t := range p.targets {
-		if !exhausted[t] && t.ranges > 0 && (high == nil || t.utilization() > high.utilization()) {
-			high = t
+		if !exhausted[t] && t.ranges > 0 && (best == nil || t.excess()/t.capacity > best.excess()/best.capacity) {
+			best = t
 		}
-		if low == nil || t.utilization() < low.utilization() {
-			low = t
+	}
+	return best
+}
+
+// destination returns the upstream whose load is the furthest below its target load, relative to its capacity.
+func (p *Plan) destination() *target {
+	var best *target
+	for _, t := range p.targets {
+		if best == nil || t.excess()/t.capacity < best.excess()/best.capacity {
+			best = t
 		}
 	}
-	return high, low
+	return best
 }
 
 // moveLoad moves the first keys of the most loaded movable range of high, with about the given load, to low.
@@ -317,7 +329,7 @@
 	moved := p.sum(source.from, end)
 	// A single hot key may have more load than the other upstream has headroom for. Moving it would only move the
 	// overload, so it stays and later moves take the keys behind it.
-	if low.load+moved-low.capacity*p.meanUtilization() > high.load-moved-high.capacity*p.meanUtilization() && moved > 2*amount {
+	if low.excess()+moved > high.excess()-moved && moved > 2*amount {
 		source.movable = false
 		if source.to > end {
 			rest := &span{from: end + 1, to: source.to, owner: high, movable: true, load: source.load - moved}
--- a/core/rebalancer/rebalancer_test.go
+++ b/core/rebalancer/rebalancer_test.go
@@ -214,3 +214,84 @@
 	average.Observe(0, 0)
 	assert.Assert(t, average.Mean > 390*time.Millisecond)
 }
+
+// responseTime returns the mean run time of the requests, weighted by the load of the owners, and the highest utilization.
+func (k *keyLoads) responseTime() (mean time.Duration, highest float64) {
+	byID := map[string]rebalancer.Target{}
+	for _, t := range k.targets {
+		byID[t.ID] = t
+	}
+	total, sum := 0.0, 0.0
+	for key, owner := range k.owners {
+		total += float64(k.load[key])
+		sum += float64(k.load[key]) * byID[owner].RunTime.Seconds()
+	}
+	highest, _ = k.utilization()
+	return time.Duration(sum / total * float64(time.Second)), highest
+}
+
+// TestFastUpstreamsGetMoreLoad plays a calm day of a large fleet: 198 upstreams of three speeds at half of their capacity.
+// With loads in proportion to the capacities, many requests run on slow upstreams while fast ones have free slots. The
+// mean run time must come at least half of the way from there to that of the target rates, no upstream may be overloaded,
+// and the moves must come to rest.
+func TestFastUpstreamsGetMoreLoad(t *testing.T) {
+	k := newKeyLoads(198)
+	capacity, slots := 0.0, 0.0
+	var servers []rebalancer.Server
+	for i := range k.targets {
+		k.targets[i].RunTime = []time.Duration{300, 600, 600, 900}[i%4] * time.Millisecond
+		server := rebalancer.Server{Slots: k.targets[i].Slots, RunTime: k.targets[i].RunTime.Seconds()}
+		servers = append(servers, server)
+		capacity += server.Slots / server.RunTime
+		slots += server.Slots
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	rate := 0.5 * capacity
+	var moves int
+	for range 30 {
+		k.load = [1 << 16]float32{}
+		k.add(random, rate, 0, 1<<16)
+		parts := k.plan().Rebalance()
+		moves = len(parts)
+		k.apply(parts)
+	}
+	mean, highest := k.responseTime()
+	proportional, best := time.Duration(slots/capacity*float64(time.Second)), time.Duration(0)
+	for i, target := range rebalancer.TargetRates(servers, rate) {
+		best += time.Duration(target / rate * servers[i].RunTime * float64(time.Second))
+	}
+	assert.Assert(t, mean <= (proportional+best)/2, "mean run time %s, in proportion to the capacities %s, target %s",
+		mean, proportional, best)
+	assert.Assert(t, highest < 1, "highest utilization %.2f", highest)
+	assert.Assert(t, moves <= len(k.targets)/5, "%d moves in the last round", moves)
+}
+
+// TestTargetRates checks that the rates add up, that equal servers get equal rates, and that a fast server has the higher
+// utilization below saturation.
+func TestTargetRates(t *testing.T) {
+	fast, slow := rebalancer.Server{Slots: 6, RunTime: 0.2}, rebalancer.Server{Slots: 6, RunTime: 0.6}
+	tests := []struct {
+		name    string
+		servers []rebalancer.Server
+		rate    float64
+	}{
+		{"idle", []rebalancer.Server{fast, slow}, 0.1},
+		{"calm", []rebalancer.Server{fast, fast, slow}, 30},
+		{"busy", []rebalancer.Server{fast, slow, slow}, 45},
+		{"overloaded", []rebalancer.Server{fast, slow}, 120},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rates := rebalancer.TargetRates(tt.servers, tt.rate)
+			sum := 0.0
+			for i, rate := range rates {
+				sum += rate
+				if tt.servers[i] == fast {
+					assert.Assert(t, rate*fast.RunTime >= rates[len(rates)-1]*slow.RunTime)
+				}
+			}
+			assert.Assert(t, math.Abs(sum-tt.rate) <= 0.05*tt.rate, "sum %.2f, want %.2f", sum, tt.rate)
+		})
+	}
+	assert.Equal(t, len(rebalancer.TargetRates(nil, 5)), 0)
+}
--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -8,7 +8,7 @@
 //
 //	s := selector.New(seed)
 //	s.RecordLoad(now, id, selector.Load{Running: 5, Waiting: 2, Slots: 6, Slowdown: 1})
-//	id, ok := s.Pick(now, candidates, exclude)
+//	id, ok := s.Pick(now, service, candidates, exclude)
 //	s.Begin(id)
 //	s.End(now, id, outcome)
 //
@@ -19,6 +19,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"rhubarbtrack.example/core/rebalancer"
 )
 
 // Parameters of the estimate.
@@ -30,12 +32,18 @@
 	defaultRunTime = 300 * time.Millisecond
 	// runTimeWeight is the weight of a measured run time in the moving average.
 	runTimeWeight = 0.1
+	// sharedRunTimeSamples is the number of measurements of this host that count as much as the shared run time.
+	sharedRunTimeSamples = 10
+	// meanWeight is the weight of one load report in the means over all upstreams.
+	meanWeight = 0.02
 	// sampleSize is the number of random candidates from which the best one is selected. With more candidates, all hosts
 	// would send their requests to the same upstream.
 	sampleSize = 4
-	// remoteCostFactor multiplies the score of upstreams in other failure domains. It accounts for the network latency and
-	// the price of traffic between failure domains.
-	remoteCostFactor = 1.1
+	// remoteCost is the cost of an upstream in another failure domain as a share of the run time. It accounts for the
+	// network latency and the price of traffic between failure domains.
+	remoteCost = 0.1
+	// weightInterval is the time between two calculations of the weights of candidates.
+	weightInterval = 500 * time.Millisecond
 	// failureWeight is the weight of one outcome in the failure rate.
 	failureWeight = 0.2
 	// failurePenalty is the cost of a failure to the caller, as a multiple of the response time.
@@ -88,23 +96,29 @@
 	reportedAt       time.Duration
 	load             Load
 	inFlightAtReport int           // requests of this host in flight at reportedAt
-	runTime          time.Duration // mean run time of a request without slowdown
+	runTime          time.Duration // mean run time of a request without slowdown, measured by this host
+	runTimeSamples   int
+	sharedRunTime    time.Duration // mean run time of a request, measured by all hosts; 0: unknown
 	failureRate      float64       // share of failed requests, without the decay since failedAt
 	failedAt         time.Duration // time of the last failure
 	blockedUntil     time.Duration
 	backoff          time.Duration
+	weight           float64 // share of the requests that the upstream should get
 }
 
 // Selector holds the load and the outcomes of all upstreams.
 type Selector struct {
 	states        map[string]*state
 	random        *rand.Rand
-	meanOccupancy float64 // mean occupancy of a slot over all upstreams
+	meanOccupancy float64                  // mean occupancy of a slot over all upstreams
+	meanSlowdown  float64                  // over all upstreams
+	weightsAt     map[string]time.Duration // time of the last calculation of weights, by service
 }
 
 // New returns a Selector without records. seed determines the random choice of candidates.
 func New(seed uint64) *Selector {
-	return &Selector{states: map[string]*state{}, random: rand.New(rand.NewPCG(seed, seed)), meanOccupancy: 0.5}
+	return &Selector{states: map[string]*state{}, random: rand.New(rand.NewPCG(seed, seed)), meanOccupancy: 0.5, meanSlowdown: 1,
+		weightsAt: map[string]time.Duration{}}
 }
 
 func (sel *Selector) state(id string) *state {
@@ -136,14 +150,17 @@
 	s.load = load
 	s.inFlightAtReport = s.inFlight
 	if load.Slots > 0 {
-		const weight = 0.02
-		sel.meanOccupancy += weight * (float64(load.Running+load.Waiting)/float64(load.Slots) - sel.meanOccupancy)
+		sel.meanOccupancy += meanWeight * (float64(load.Running+load.Waiting)/float64(load.Slots) - sel.meanOccupancy)
+	}
+	if load.Slowdown > 0 {
+		sel.meanSlowdown += meanWeight * (load.Slowdown - sel.meanSlowdown)
 	}
 }
 
 // RecordRunTime records the run time of a request at an upstream. slowdown is Load.Slowdown at that time.
 func (sel *Selector) RecordRunTime(id string, runTime time.Duration, slowdown float64) {
 	s := sel.state(id)
+	s.runTimeSamples++
 	if slowdown > 0 {
 		runTime = time.Duration(float64(runTime) / slowdown)
 	}
@@ -154,6 +171,27 @@
 	s.runTime += time.Duration(runTimeWeight * float64(runTime-s.runTime))
 }
 
+// RecordSharedRunTime records the mean run time of an upstream over the requests of all hosts, including slowdowns.
+func (sel *Selector) RecordSharedRunTime(id string, mean time.Duration) {
+	sel.state(id).sharedRunTime = mean
+}
+
+// runTime returns the expected run time of a request without slowdown. In a large fleet, this host has few measurements
+// of each upstream, so the shared run time counts more at first.
+func (sel *Selector) runTime(s *state) time.Duration {
+	own, shared := s.runTime, time.Duration(float64(s.sharedRunTime)/sel.meanSlowdown)
+	switch {
+	case own == 0 && shared == 0:
+		return defaultRunTime
+	case own == 0:
+		return shared
+	case shared == 0:
+		return own
+	}
+	samples := min(float64(s.runTimeSamples), 1/runTimeWeight)
+	return time.Duration((samples*float64(own) + sharedRunTimeSamples*float64(shared)) / (samples + sharedRunTimeSamples))
+}
+
 // Begin records that a request is sent to an upstream. Each call must be followed by a call of End.
 func (sel *Selector) Begin(id string) {
 	s := sel.state(id)
@@ -222,6 +260,23 @@
 	return 0
 }
 
+// reportWeight returns the weight of the last load report.
+func (s *state) reportWeight(now time.Duration) float64 {
+	if s.reportedAt == 0 {
+		return 0
+	}
+	return math.Exp(-float64(max(0, now-s.reportedAt)) / float64(reportDecayTime))
+}
+
+// occupied returns the expected number of requests at an upstream, running or waiting.
+func (sel *Selector) occupied(now time.Duration, s *state, slots int) float64 {
+	reportWeight := s.reportWeight(now)
+	expected := min(sel.meanOccupancy, 1) * float64(slots)
+	occupied := reportWeight*float64(s.load.Running+s.load.Waiting) + (1-reportWeight)*expected
+	occupied += float64(s.inFlight) - reportWeight*float64(s.inFlightAtReport)
+	return max(occupied, float64(s.inFlight))
+}
+
 // Estimate is the expected duration of a request at an upstream.
 type Estimate struct {
 	Wait time.Duration // queueing time
@@ -236,22 +291,12 @@
 func (sel *Selector) Estimate(now time.Duration, id string, slots int) Estimate {
 	s := sel.state(id)
 	slots = max(slots, 1)
-	run := s.runTime
-	if run == 0 {
-		run = defaultRunTime
-	}
-	reportWeight := 0.0
-	if s.reportedAt > 0 {
-		reportWeight = math.Exp(-float64(max(0, now-s.reportedAt)) / float64(reportDecayTime))
-	}
-	slowdown := 1.0
+	run := sel.runTime(s)
+	slowdown, reportWeight := 1.0, s.reportWeight(now)
 	if s.load.Slowdown > 0 {
 		slowdown += reportWeight * (s.load.Slowdown - 1)
 	}
-	expected := min(sel.meanOccupancy, 1) * float64(slots)
-	occupied := reportWeight*float64(s.load.Running+s.load.Waiting) + (1-reportWeight)*expected
-	occupied += float64(s.inFlight) - reportWeight*float64(s.inFlightAtReport)
-	occupied = max(occupied, float64(s.inFlight))
+	occupied := sel.occupied(now, s, slots)
 	e := Estimate{Run: time.Duration(float64(run) * slowdown)}
 	if ahead := occupied + 1 - float64(slots); ahead > 0 {
 		e.Wait = time.Duration(float64(e.Run) * ahead / float64(slots))
@@ -259,10 +304,19 @@
 	return e
 }
 
-// Pick returns the ID of the best of sampleSize random candidates. It skips blocked candidates and those in exclude,
-// and returns false when no candidate is left.
-func (sel *Selector) Pick(now time.Duration, candidates []Candidate, exclude map[string]bool) (string, bool) {
-	selectable := make([]Candidate, 0, len(candidates))
+// Pick returns the ID of the best of sampleSize random candidates of a service. It skips blocked candidates and those in
+// exclude, and returns false when no candidate is left.
+//
+// The probability of a candidate is the share of requests that it should get according to its run time. Load reports are
+// too old to prefer fast upstreams by the score alone: many hosts would overload them at the same time.
+func (sel *Selector) Pick(now time.Duration, service string, candidates []Candidate, exclude map[string]bool) (string, bool) {
+	if at, ok := sel.weightsAt[service]; !ok || now >= at+weightInterval {
+		sel.weightsAt[service] = now
+		sel.setWeights(now, candidates)
+	}
+	var sample [sampleSize]Candidate
+	var ranks [sampleSize]float64 // ascending
+	count := 0
 	for _, c := range candidates {
 		if exclude[c.ID] {
 			continue
@@ -270,25 +324,57 @@
 		if _, blocked := sel.Blocked(now, c.ID); blocked {
 			continue
 		}
-		selectable = append(selectable, c)
+		// The smallest of exponentially distributed ranks are a weighted sample without replacement.
+		weight := sel.state(c.ID).weight
+		if weight == 0 {
+			weight = 1 // a candidate that is newer than the last calculation
+		}
+		rank := sel.random.ExpFloat64() / weight
+		i := count
+		for ; i > 0 && rank < ranks[i-1]; i-- {
+			if i < sampleSize {
+				sample[i], ranks[i] = sample[i-1], ranks[i-1]
+			}
+		}
+		if i < sampleSize {
+			sample[i], ranks[i] = c, rank
+			count = min(count+1, sampleSize)
+		}
 	}
 	best, bestScore := "", math.Inf(1)
-	for i := range min(sampleSize, len(selectable)) {
-		j := i + sel.random.IntN(len(selectable)-i)
-		selectable[i], selectable[j] = selectable[j], selectable[i]
-		if score := sel.score(now, selectable[i]); score < bestScore {
-			best, bestScore = selectable[i].ID, score
+	for _, c := range sample[:count] {
+		if score := sel.score(now, c); score < bestScore {
+			best, bestScore = c.ID, score
 		}
 	}
 	return best, best != ""
 }
 
+// setWeights sets the weights of candidates to their target rates, relative to the mean.
+func (sel *Selector) setWeights(now time.Duration, candidates []Candidate) {
+	servers := make([]rebalancer.Server, len(candidates))
+	rate := 0.0
+	for i, c := range candidates {
+		s := sel.state(c.ID)
+		run := sel.runTime(s).Seconds() * sel.meanSlowdown
+		servers[i] = rebalancer.Server{Slots: float64(max(c.Slots, 1)), RunTime: run}
+		rate += min(sel.occupied(now, s, c.Slots), servers[i].Slots) / run
+	}
+	for i, target := range rebalancer.TargetRates(servers, rate) {
+		sel.state(candidates[i].ID).weight = target * float64(len(candidates)) / max(rate, 1e-9)
+	}
+}
+
+// score returns the cost of a request at a candidate, in nanoseconds. The usual run time is not part of it, because it
+// determines the probability of the candidate.
 func (sel *Selector) score(now time.Duration, c Candidate) float64 {
+	s := sel.state(c.ID)
 	e := sel.Estimate(now, c.ID, c.Slots)
-	score := float64(e.Total())
-	score *= 1 + failurePenalty*sel.state(c.ID).failureShare(now)
+	usual := float64(sel.runTime(s))
+	score := float64(e.Total()) - usual
+	score += failurePenalty * s.failureShare(now) * float64(e.Total())
 	if c.Remote {
-		score *= remoteCostFactor
+		score += remoteCost * usual
 	}
 	return score
 }
--- a/rhubarbtrackd/internal/connector/message.go
+++ b/rhubarbtrackd/internal/connector/message.go
@@ -93,24 +93,43 @@
 	Rows    allocator.RoutingTable
 }
 
-// EncodedLoads holds load reports as they are sent, so that they are encoded once for all hosts.
+// EncodedLoads holds load reports and run times as they are sent, so that they are encoded once for all hosts.
 type EncodedLoads []byte
 
-// EncodeLoads encodes load reports. Ages are rounded down to milliseconds.
-func EncodeLoads(loads []LoadReport) (EncodedLoads, error) {
-	return cbor.Marshal(toWireLoads(loads))
+// runTimeAge is the age of an entry that carries a run time instead of a load. Hosts of earlier versions ignore it as
+// outdated.
+const runTimeAge = 24 * time.Hour
+
+// EncodeLoads encodes load reports, and mean run times by upstream. Ages are rounded down to milliseconds.
+func EncodeLoads(loads []LoadReport, runTimes map[string]time.Duration) (EncodedLoads, error) {
+	wire := toWireLoads(loads)
+	for id, mean := range runTimes {
+		wire = append(wire, wireLoad{Upstream: id, Running: int(mean.Milliseconds()), Age: int(runTimeAge.Milliseconds())})
+	}
+	return cbor.Marshal(wire)
 }
 
-// Decode returns the load reports, none for an empty encoding.
-func (e EncodedLoads) Decode() ([]LoadReport, error) {
+// Decode returns the load reports and the run times, none for an empty encoding.
+func (e EncodedLoads) Decode() ([]LoadReport, map[string]time.Duration, error) {
 	if len(e) == 0 {
-		return nil, nil
+		return nil, nil, nil
 	}
 	var wire []wireLoad
 	if err := cbor.Unmarshal(e, &wire); err != nil {
-		return nil, &Error{"decode-load-reports", Unreadable, err}
+		return nil, nil, &Error{"decode-load-reports", Unreadable, err}
+	}
+	runTimes := map[string]time.Duration{}
+	loads := wire[:0]
+	for _, w := range wire {
+		if int64(w.Age) < runTimeAge.Milliseconds() {
+			loads = append(loads, w)
+			continue
+		}
+		if mean := time.Duration(w.Running) * time.Millisecond; mean > 0 && mean <= maxTimingSum {
+			runTimes[w.Upstream] = mean
+		}
 	}
-	return fromWireLoads(wire), nil
+	return fromWireLoads(loads), runTimes, nil
 }
 
 type wireLoad struct {
--- a/rhubarbtrackd/internal/coordinator/controller.go
+++ b/rhubarbtrackd/internal/coordinator/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -70,7 +71,7 @@
 			svc.routingTable = table
 			c.options.Tables.Replace(name, table)
 			// Without an immediate heartbeat, hosts would send requests to former owners until the next one is due.
-			c.sendHeartbeats(c.options.Now(), connector.Heartbeat{})
+			c.sendHeartbeats(c.options.Now(), nil)
 		}
 	}
 }
@@ -266,6 +267,7 @@
 		}
 	}
 	for _, timing := range report.Timings {
+		c.profiler.Observe(timing.Upstream, timing.Count, timing.Sum)
 		for _, svc := range c.services {
 			svc.allocator.Step(now, allocator.RunTimesMeasured{Upstream: timing.Upstream, Count: timing.Count, Sum: timing.Sum})
 		}
@@ -314,7 +316,7 @@
 
 // recentLoads returns the load reports to send to hosts and deletes those that are too old. It omits owners of keys
 // that have a free slot and an empty queue, because their load changes no decision.
-func (c *Coordinator) recentLoads(now time.Duration) connector.EncodedLoads {
+func (c *Coordinator) recentLoads(now time.Duration) []connector.LoadReport {
 	var loads []connector.LoadReport
 	for id, load := range c.loads {
 		age := now - load.at
@@ -329,7 +331,11 @@
 		load.Age = age
 		loads = append(loads, load.LoadReport)
 	}
-	encoded, err := connector.EncodeLoads(loads)
+	return loads
+}
+
+func (c *Coordinator) encodeLoads(loads []connector.LoadReport, runTimes map[string]time.Duration) connector.EncodedLoads {
+	encoded, err := connector.EncodeLoads(loads, runTimes)
 	if err != nil {
 		c.options.Log.Log(eventlog.FrameRefused, eventlog.Cause(err))
 	}
@@ -338,22 +344,33 @@
 
 // broadcast sends every host a heartbeat with the load reports and suspects of all hosts, and applies it on this host.
 func (c *Coordinator) broadcast(now time.Duration) {
-	update := connector.Heartbeat{Loads: c.recentLoads(now), Suspects: c.confirmer.Suspects(now)}
+	loads := c.recentLoads(now)
+	update := connector.Heartbeat{Loads: c.encodeLoads(loads, c.profiler.TakeChanges()), Suspects: c.confirmer.Suspects(now)}
 	c.sentSuspects = len(update.Suspects)
-	hosts := c.sendHeartbeats(now, update)
+	// A host that has just connected gets all run times, the others get the changes.
+	firstLoads := sync.OnceValue(func() connector.EncodedLoads { return c.encodeLoads(loads, c.profiler.All()) })
+	hosts := c.sendHeartbeats(now, func(peer *connector.Peer, heartbeat *connector.Heartbeat) {
+		heartbeat.Loads, heartbeat.Suspects = update.Loads, update.Suspects
+		if !c.sentRunTimes[peer] {
+			c.sentRunTimes[peer] = true
+			heartbeat.Loads = firstLoads()
+		}
+	})
 	c.options.OnHeartbeat(connector.Heartbeat{
 		Term: c.contender.Term(), Valid: true, Hosts: hosts, Loads: update.Loads, Suspects: update.Suspects,
 	})
 }
 
-// sendHeartbeats sends every host a heartbeat with the loads and suspects of update, the state of the controller, and
-// the changes to tables and to the copy of the store. It returns the number of hosts, including this one.
-func (c *Coordinator) sendHeartbeats(now time.Duration, update connector.Heartbeat) int {
+// sendHeartbeats sends every host a heartbeat with the state of the controller and the changes to tables and to the copy
+// of the store. complete adds the rest; it may be nil. The result is the number of hosts, including this one.
+func (c *Coordinator) sendHeartbeats(now time.Duration, complete func(*connector.Peer, *connector.Heartbeat)) int {
 	peers := c.hub.Peers()
 	hosts := len(peers) + 1
 	for i, peer := range peers {
 		heartbeat := c.newHeartbeat(now, peer, i+1, hosts)
-		heartbeat.Loads, heartbeat.Suspects = update.Loads, update.Suspects
+		if complete != nil {
+			complete(peer, &heartbeat)
+		}
 		heartbeat.Addresses = c.hostList.update(peer)
 		c.send(peer, heartbeat)
 	}
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -23,6 +23,7 @@
 	"rhubarbtrack.example/core/allocator"
 	"rhubarbtrack.example/core/confirmer"
 	"rhubarbtrack.example/core/contender"
+	"rhubarbtrack.example/core/profiler"
 	"rhubarbtrack.example/core/registrar"
 	"rhubarbtrack.example/platform/orderer"
 	"rhubarbtrack.example/platform/storer"
@@ -117,6 +118,8 @@
 	ctx              context.Context // of Run
 	// sentSnapshots holds the last snapshot of the store that was sent to each host.
 	sentSnapshots map[*connector.Peer]*follower.Snapshot
+	sentRunTimes  map[*connector.Peer]bool // hosts that have received the run times of all upstreams
+	profiler      *profiler.Profiler
 	hostList      *hostList
 	needsFullCopy atomic.Bool // the next report requests the controller's full copy of the store
 }
@@ -144,6 +147,8 @@
 		started:          options.Now(),
 		stopped:          make(chan struct{}),
 		sentSnapshots:    map[*connector.Peer]*follower.Snapshot{},
+		sentRunTimes:     map[*connector.Peer]bool{},
+		profiler:         profiler.New(),
 		hostList:         newHostList(options.Address),
 	}
 	c.hub = connector.NewHub(
@@ -161,6 +166,7 @@
 			c.post(func() {
 				delete(c.sentTables, peer)
 				delete(c.sentSnapshots, peer)
+				delete(c.sentRunTimes, peer)
 				c.hostList.removePeer(peer)
 			})
 		},
@@ -328,6 +334,7 @@
 	for id, u := range snapshot.Upstreams {
 		c.addresses[id] = u.Address
 	}
+	c.profiler.Forget(func(id string) bool { _, ok := snapshot.Upstreams[id]; return ok })
 }
 
 // stepElection passes an event to the election state machine and performs the resulting actions.
--- a/rhubarbtrackd/internal/router/choose.go
+++ b/rhubarbtrackd/internal/router/choose.go
@@ -138,7 +138,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if id, ok := r.selector.Pick(now, warm, j.tried); ok {
+	if id, ok := r.selector.Pick(now, j.service.Name, warm, j.tried); ok {
 		u := snapshot.Upstreams[id]
 		estimate := r.selector.Estimate(now, id, u.Slots)
 		if decision := r.decideAdmission(now, j, id, estimate); !decision.Admit {
@@ -147,7 +147,7 @@
 		return choice{upstream: u}
 	}
 	for len(cold) > 0 {
-		id, ok := r.selector.Pick(now, cold, j.tried)
+		id, ok := r.selector.Pick(now, j.service.Name+"/cold", cold, j.tried)
 		if !ok {
 			break
 		}
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -111,7 +111,7 @@
 // suspected upstreams, which this host probes.
 func (r *Router) OnHeartbeat(heartbeat connector.Heartbeat) {
 	now := r.options.Now()
-	loads, err := heartbeat.Loads.Decode()
+	loads, runTimes, err := heartbeat.Loads.Decode()
 	if err != nil {
 		r.options.Log.Log(eventlog.FrameRefused, eventlog.Cause(err))
 	}
@@ -124,6 +124,9 @@
 	for _, s := range loads {
 		r.selector.RecordLoad(now-s.Age, s.Upstream, s.Load)
 	}
+	for id, mean := range runTimes {
+		r.selector.RecordSharedRunTime(id, mean)
+	}
 	for _, id := range heartbeat.Suspects {
 		if u, ok := r.options.Follower.Snapshot().Upstreams[id]; ok && !r.probing[id] && now >= r.lastProbe[id]+probeInterval {
 			r.probing[id] = true
