Move a hot key to the fastest upstream; write the ends of moves together

A key has one owner, so the fastest upstream without other keys is all that can be done.

Change: Rebalance first moves a key that alone exceeds its owner's capacity to the largest upstream, if that has 1.3 times the capacity; the key then rests for 5 s, because its load makes any owner look slow. Ends of moves and merges wait 500 ms for a write; a new move is still written after 30 ms.

Failing before: TestHotKeyMovesToTheFastestUpstream, TestMovesShareWritesOfTheTable (110 writes in 10 s, 40 allowed).

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -52,8 +52,11 @@
 	lastProbeBeforeExpiry = 1700 * time.Millisecond
 	// expiryMargin is added to the expiry of grants for the time between deciding on an order and the end of its call.
 	expiryMargin = 100 * time.Millisecond
-	// commitDelay is the time for which changes of the table are batched into one write.
+	// commitDelay is the time for which moves are batched into one write of the table. They wait for it.
 	commitDelay = 30 * time.Millisecond
+	// settledCommitDelay is the same for the end of a move and for merged ranges. Nothing waits for this write, but a
+	// successor repeats a move whose end is not stored.
+	settledCommitDelay = 500 * time.Millisecond
 	// registrationTime is how long a controller without a stored table waits for upstreams to register before it assigns
 	// all keys.
 	registrationTime = 1500 * time.Millisecond
@@ -128,7 +131,8 @@
 	version        uint64           // of the table in memory
 	storedVersion  uint64
 	writingVersion uint64        // version that is being written, or 0
-	writeAt        time.Duration // earliest time of the next write
+	writeAt        time.Duration // time of the next write
+	retryAt        time.Duration // earliest time of a write after a failed one
 	load           [keySpace]float32
 	hasLoad        bool          // a request was recorded
 	loadPeriod     time.Duration // time over which load was recorded, decayed like load
@@ -178,7 +182,7 @@
 		a.writingVersion = 0
 	case CommitFailed:
 		a.writingVersion = 0
-		a.writeAt = now + retryDelay
+		a.retryAt = now + retryDelay
 	case UpstreamStopped:
 		a.markStopped(now, event.Upstream)
 	case SetLifetime:
@@ -300,7 +304,7 @@
 			Range: Range{From: uint16(from), To: uint16(to), Owner: id}, phase: committing, nextOrder: now,
 		})
 	}
-	a.markChanged(now)
+	a.markChanged(now, commitDelay)
 	for _, s := range a.segments {
 		s.commitVersion = a.version
 	}
@@ -317,16 +321,17 @@
 	return ids
 }
 
-// markChanged gives the table a new version and schedules its write.
-func (a *Allocator) markChanged(now time.Duration) {
-	a.version++
-	if a.writeAt < now {
-		a.writeAt = now + commitDelay
+// markChanged gives the table a new version and schedules its write after delay at the latest.
+func (a *Allocator) markChanged(now, delay time.Duration) {
+	if a.version <= max(a.storedVersion, a.writingVersion) {
+		a.writeAt = now + delay // no earlier change waits for a write
 	}
+	a.version++
+	a.writeAt = min(a.writeAt, now+delay)
 }
 
 func (a *Allocator) commitTable(now time.Duration) {
-	if a.writingVersion != 0 || a.storedVersion >= a.version || now < a.writeAt {
+	if a.writingVersion != 0 || a.storedVersion >= a.version || now < max(a.writeAt, a.retryAt) {
 		return
 	}
 	a.writingVersion = a.version
@@ -345,7 +350,7 @@
 				last.expiry = max(last.expiry, s.expiry)
 				last.nextOrder = now
 				last.fence = 0
-				a.markChanged(now)
+				a.markChanged(now, settledCommitDelay)
 				continue
 			}
 		}
--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -81,6 +81,7 @@
 	lossRate  float64       // fraction of orders without a response
 	storeDown time.Duration // writes fail before this time
 	started   int64         // number of started upstream processes
+	commits   int           // number of writes of the table
 	history   []string      // orders and results, printed by a failed check
 }
 
@@ -185,6 +186,7 @@
 }
 
 func (sim *simulation) commit(a *allocator.Allocator, c allocator.Commit) {
+	sim.commits++
 	sim.After(stepTime, func() {
 		if a != sim.allocator || sim.Now < sim.storeDown {
 			sim.feed(a, allocator.CommitFailed{Version: c.Version})
@@ -373,3 +375,26 @@
 		})
 	}
 }
+
+// TestMovesShareWritesOfTheTable guards against a write to the store for each finished move and each merged range. It
+// plays hot spots that move every second. Rebalancing starts moves twice a second, and the ends of moves may wait for half
+// a second, so four writes a second suffice.
+func TestMovesShareWritesOfTheTable(t *testing.T) {
+	const (
+		period    = 10 * time.Second
+		maxWrites = 4 * 10
+	)
+	sim := newSimulation(3, 40)
+	sim.run(4*time.Second, func() {})
+	sim.commits = 0
+	sim.run(period, func() {
+		first := sim.Now / time.Second * 6000
+		var keys []uint16
+		for range 20 {
+			keys = append(keys, uint16(sim.random.IntN(1<<16)), uint16(int(first)+sim.random.IntN(300)))
+		}
+		sim.feed(sim.allocator, allocator.KeysObserved{Keys: keys})
+	})
+	assert.Assert(t, sim.commits > 0)
+	assert.Assert(t, sim.commits <= maxWrites, "%d writes in %s", sim.commits, period)
+}
--- a/core/allocator/phases.go
+++ b/core/allocator/phases.go
@@ -147,7 +147,7 @@
 	s.expiry = s.ownerExpiry
 	s.ownerExpiry = 0
 	s.nextOrder = now
-	a.markChanged(now)
+	a.markChanged(now, settledCommitDelay)
 	a.progress(now, s)
 }
 
--- a/core/allocator/plan.go
+++ b/core/allocator/plan.go
@@ -10,6 +10,10 @@
 // first request.
 const minLoadPeriod = 400 * time.Millisecond
 
+// hotKeyRest is the time for which a hot key that was moved alone stays with its owner. The load of the key makes the
+// owner look slower than others.
+const hotKeyRest = 5 * time.Second
+
 // minRunTimeSamples is the number of measured requests from which the mean run time of an upstream is used.
 const minRunTimeSamples = 10
 
@@ -38,7 +42,7 @@
 	if len(orphaned) == 0 || len(a.usable()) == 0 {
 		return
 	}
-	plan := a.newPlan()
+	plan := a.newPlan(now)
 	for _, s := range orphaned {
 		for _, part := range plan.Divide(s.From, s.To) {
 			moving := a.split(s, part.From, part.To)
@@ -67,7 +71,7 @@
 
 // rebalance moves ranges from highly utilized upstreams to others.
 func (a *Allocator) rebalance(now time.Duration) {
-	for _, part := range a.newPlan().Rebalance() {
+	for _, part := range a.newPlan(now).Rebalance() {
 		s := a.find(part.From)
 		if s == nil || s.To < part.To || s.orderID != 0 || s.phase != held || s.Owner == part.Owner {
 			continue
@@ -77,7 +81,7 @@
 }
 
 // newPlan returns a rebalancing plan for the current load and owners. Only ranges without a pending change are movable.
-func (a *Allocator) newPlan() *rebalancer.Plan {
+func (a *Allocator) newPlan(now time.Duration) *rebalancer.Plan {
 	plan := rebalancer.New(&a.load, max(minLoadPeriod, a.loadPeriod).Seconds())
 	for id, upstream := range a.upstreams {
 		if !upstream.Usable || a.isStopped(id) {
@@ -93,7 +97,8 @@
 		plan.AddTarget(target)
 	}
 	for _, s := range a.segments {
-		plan.AddRange(s.From, s.To, s.Owner, s.phase == held && s.orderID == 0)
+		resting := s.From == s.To && now < s.movedAt+hotKeyRest
+		plan.AddRange(s.From, s.To, s.Owner, s.phase == held && s.orderID == 0 && !resting)
 	}
 	return plan
 }
@@ -165,6 +170,6 @@
 		// The new process may have received a renewal that was sent to the old one.
 		s.incarnation = a.upstreams[previous].Incarnation
 	}
-	a.markChanged(now)
+	a.markChanged(now, commitDelay)
 	s.commitVersion = a.version
 }
--- a/core/rebalancer/rebalancer.go
+++ b/core/rebalancer/rebalancer.go
@@ -31,6 +31,8 @@
 	// noiseDeviations is the number of standard deviations of the request count by which load must exceed its target,
 	// divided by the ratio of the costs: the more a move gains, the more often it may turn out to be needless.
 	noiseDeviations = 1.5
+	// minCapacityGain is the minimum ratio of the capacities of two upstreams from which a hot key moves to the faster one.
+	minCapacityGain = 1.3
 	// minMoveLimit limits the moves of one call of Rebalance. With more upstreams than that, their number is the limit.
 	minMoveLimit = 32
 	// maxAssignments limits the parts into which Divide splits a range.
@@ -251,7 +253,7 @@
 func (p *Plan) Rebalance() []Assignment {
 	p.setCapacities()
 	p.setTargetLoads()
-	var parts []Assignment
+	parts := p.moveHotKeys()
 	exhausted := map[*target]bool{}
 	for len(parts) < max(minMoveLimit, len(p.targets)) {
 		part, ok := p.nextMove(exhausted)
--- a/core/rebalancer/rebalancer_test.go
+++ b/core/rebalancer/rebalancer_test.go
@@ -295,3 +295,42 @@
 	}
 	assert.Equal(t, len(rebalancer.TargetRates(nil, 5)), 0)
 }
+
+// TestHotKeyMovesToTheFastestUpstream plays a key with more requests than any upstream can process. Its requests are
+// served best by the upstream with the most capacity, without other keys. The key must get there in one move and stay.
+func TestHotKeyMovesToTheFastestUpstream(t *testing.T) {
+	k := newKeyLoads(20)
+	for i := range k.targets {
+		k.targets[i].RunTime = []time.Duration{600, 400, 600, 200}[i%4] * time.Millisecond
+	}
+	const hotKey = 30000
+	fastest := func(id string) bool {
+		for _, target := range k.targets {
+			if target.ID == id {
+				return target.RunTime == 200*time.Millisecond
+			}
+		}
+		return false
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	moves := 0
+	for range 6 {
+		k.load = [1 << 16]float32{}
+		k.add(random, 100, 0, 1<<16)
+		k.add(random, 150, hotKey, 1)
+		before := k.owners[hotKey]
+		k.apply(k.plan().Rebalance())
+		if k.owners[hotKey] != before {
+			moves++
+		}
+		assert.Assert(t, fastest(k.owners[hotKey]), "the owner is %s", k.owners[hotKey])
+	}
+	assert.Equal(t, moves, 1)
+	neighbours := 0
+	for _, owner := range k.owners {
+		if owner == k.owners[hotKey] {
+			neighbours++
+		}
+	}
+	assert.Assert(t, neighbours < 500, "the owner of the hot key still owns %d keys", neighbours)
+}
