Average run times over 10 s; prefer local upstreams; send each load report once

New upstreams were assumed to take 300 ms where others take 1 s, so hosts preferred them. Hosts did not wait long enough for the relay at the first start, and hundreds of them listed the store.

Change: RunTimeAverage decays with time; the noise threshold of a move depends on the run times, not on the costs; a new upstream gets the usual run time of its service; an upstream in the own failure domain is four times as probable; the controller sends each load report once; 1.8 s for the relay at the first start.

Tried and reverted: load reports of busy and slow upstreams only.

Failing before: TestNewUpstreamGetsAUsualShare, TestRunTimeAverageCoversSlowPhases.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -173,7 +173,7 @@
 		a.recordKeys(now, event.Keys)
 		return nil
 	case RunTimesMeasured:
-		a.recordRunTimes(event)
+		a.recordRunTimes(now, event)
 		return nil
 	case OrderCompleted:
 		a.handleOrderCompleted(now, event)
--- a/core/allocator/plan.go
+++ b/core/allocator/plan.go
@@ -17,13 +17,13 @@
 // minRunTimeSamples is the number of measured requests from which the mean run time of an upstream is used.
 const minRunTimeSamples = 10
 
-func (a *Allocator) recordRunTimes(event RunTimesMeasured) {
+func (a *Allocator) recordRunTimes(now time.Duration, event RunTimesMeasured) {
 	runTime := a.runTimes[event.Upstream]
 	if runTime == nil {
 		runTime = &rebalancer.RunTimeAverage{}
 		a.runTimes[event.Upstream] = runTime
 	}
-	runTime.Observe(event.Count, event.Sum)
+	runTime.Observe(now, event.Count, event.Sum)
 }
 
 // replaceUnusableOwners starts a move for every range whose owner can no longer serve it.
--- a/core/profiler/profiler.go
+++ b/core/profiler/profiler.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	p := profiler.New()
-//	p.Observe("u1", 3, 900*time.Millisecond)
+//	p.Observe(now, "u1", 3, 900*time.Millisecond)
 //	for id, mean := range p.TakeChanges() { ... } // to all hosts
 //	for id, mean := range p.All() { ... }         // to a host that has just connected
 //
@@ -38,14 +38,14 @@
 // New returns a Profiler without measurements.
 func New() *Profiler { return &Profiler{profiles: map[string]*profile{}} }
 
-// Observe adds count requests with a total run time of sum.
-func (p *Profiler) Observe(upstream string, count int, sum time.Duration) {
+// Observe adds count requests with a total run time of sum that were measured by now.
+func (p *Profiler) Observe(now time.Duration, upstream string, count int, sum time.Duration) {
 	known := p.profiles[upstream]
 	if known == nil {
 		known = &profile{}
 		p.profiles[upstream] = known
 	}
-	known.average.Observe(count, sum)
+	known.average.Observe(now, count, sum)
 }
 
 // TakeChanges returns the means that have changed noticeably since they were last returned, by upstream.
--- a/core/profiler/profiler_test.go
+++ b/core/profiler/profiler_test.go
@@ -13,15 +13,15 @@
 // again and again although they hardly change.
 func TestTakeChanges(t *testing.T) {
 	p := profiler.New()
-	p.Observe("a", 4, 4*100*time.Millisecond)
+	p.Observe(0, "a", 4, 4*100*time.Millisecond)
 	assert.Equal(t, len(p.TakeChanges()), 0, "too few samples")
-	p.Observe("a", 1, 100*time.Millisecond)
+	p.Observe(0, "a", 1, 100*time.Millisecond)
 	assert.DeepEqual(t, p.TakeChanges(), map[string]time.Duration{"a": 100 * time.Millisecond})
-	p.Observe("a", 10, 10*105*time.Millisecond)
+	p.Observe(0, "a", 10, 10*105*time.Millisecond)
 	assert.Equal(t, len(p.TakeChanges()), 0, "small change")
 	assert.DeepEqual(t, p.All(), map[string]time.Duration{"a": 100 * time.Millisecond})
-	for range 10 {
-		p.Observe("a", 20, 20*400*time.Millisecond)
+	for i := range 20 {
+		p.Observe(time.Duration(i)*time.Second, "a", 20, 20*400*time.Millisecond)
 	}
 	assert.Assert(t, p.TakeChanges()["a"] > 350*time.Millisecond)
 	p.Forget(func(string) bool { return false })
--- a/core/rebalancer/rebalancer.go
+++ b/core/rebalancer/rebalancer.go
@@ -28,8 +28,7 @@
 	minCostRatio = 1.25
 	// imbalanceRatio is the minimum ratio of an upstream's load to its target load from which load is moved away from it.
 	imbalanceRatio = 1.2
-	// noiseDeviations is the number of standard deviations of the request count by which load must exceed its target,
-	// divided by the ratio of the costs: the more a move gains, the more often it may turn out to be needless.
+	// noiseDeviations is the number of standard deviations of the request count by which load must exceed its target.
 	noiseDeviations = 1.5
 	// minCapacityGain is the minimum ratio of the capacities of two upstreams from which a hot key moves to the faster one.
 	minCapacityGain = 1.3
@@ -66,20 +65,30 @@
 
 // RunTimeAverage is a moving average of the run times of requests at an upstream.
 type RunTimeAverage struct {
-	Samples int
+	Samples int // since the start
 	Mean    time.Duration
+	weight  float64 // of the earlier samples, decayed
+	at      time.Duration
 }
 
-// maxAverageWeight limits the weight of earlier samples in the moving average.
-const maxAverageWeight = 60
+const (
+	// averageDecayTime is the time constant with which samples lose their weight. Machines of upstreams are slowed down by
+	// their neighbours for some tenths of a second at a time, and the average has to cover many such phases.
+	averageDecayTime = 10 * time.Second
+	// minAverageWeight is the weight that earlier samples keep, in samples, so that a single one does not replace them.
+	minAverageWeight = 20
+)
 
-// Observe adds count requests with a total run time of sum.
-func (s *RunTimeAverage) Observe(count int, sum time.Duration) {
+// Observe adds count requests with a total run time of sum that were measured by now.
+func (s *RunTimeAverage) Observe(now time.Duration, count int, sum time.Duration) {
 	if count <= 0 {
 		return
 	}
-	weight := min(s.Samples, maxAverageWeight)
-	s.Mean = (s.Mean*time.Duration(weight) + sum) / time.Duration(weight+count)
+	decayed := s.weight * math.Exp(-float64(max(0, now-s.at))/float64(averageDecayTime))
+	weight := max(decayed, min(s.weight, minAverageWeight))
+	s.Mean = time.Duration((weight*float64(s.Mean) + float64(sum)) / (weight + float64(count)))
+	s.weight = weight + float64(count)
+	s.at = now
 	s.Samples += count
 }
 
@@ -278,8 +287,8 @@
 	amount := min(excess, headroom)
 	if low.ranges == 0 && low.MaxRate == 0 {
 		amount = min(headroom, high.load/2)
-	} else if ratio := high.cost(high.load) / low.cost(low.load); ratio < minCostRatio ||
-		high.load < imbalanceRatio*high.targetLoad || excess < noiseDeviations/ratio*math.Sqrt(high.load) {
+	} else if high.cost(high.load) < minCostRatio*low.cost(low.load) || high.load < imbalanceRatio*high.targetLoad ||
+		excess < noise(high, low)*math.Sqrt(high.load) {
 		exhausted[high] = true
 		return Assignment{}, true
 	}
@@ -294,6 +303,12 @@
 	return part, true
 }
 
+// noise returns the number of standard deviations by which the load of high must exceed its target. The faster low is in
+// comparison, the more a move gains, and the more often it may turn out to be needless.
+func noise(high, low *target) float64 {
+	return noiseDeviations / max(1, high.server.RunTime/low.server.RunTime)
+}
+
 // source returns the upstream whose load is the furthest above its target load, relative to its capacity.
 func (p *Plan) source(exhausted map[*target]bool) *target {
 	var best *target
--- a/core/rebalancer/rebalancer_test.go
+++ b/core/rebalancer/rebalancer_test.go
@@ -205,13 +205,15 @@
 // requests.
 func TestRunTimeAverage(t *testing.T) {
 	var average rebalancer.RunTimeAverage
-	average.Observe(10, 2*time.Second)
+	average.Observe(0, 10, 2*time.Second)
 	assert.Equal(t, average.Mean, 200*time.Millisecond)
+	now := time.Duration(0)
 	for range 100 {
-		average.Observe(10, 4*time.Second)
+		now += 500 * time.Millisecond
+		average.Observe(now, 10, 4*time.Second)
 	}
 	assert.Assert(t, average.Mean > 390*time.Millisecond)
-	average.Observe(0, 0)
+	average.Observe(now, 0, 0)
 	assert.Assert(t, average.Mean > 390*time.Millisecond)
 }
 
@@ -334,3 +336,30 @@
 	}
 	assert.Assert(t, neighbours < 500, "the owner of the hot key still owns %d keys", neighbours)
 }
+
+// TestRunTimeAverageCoversSlowPhases guards against keys that move back and forth: a busy upstream whose machine is slowed
+// down for 400 ms at a time must not look slow in one second and fast in the next.
+func TestRunTimeAverageCoversSlowPhases(t *testing.T) {
+	const (
+		phase   = 400 * time.Millisecond
+		perStep = 10 // requests in 200 ms
+		runTime = 60 * time.Millisecond
+	)
+	random := rand.New(rand.NewPCG(1, 1))
+	var average rebalancer.RunTimeAverage
+	lowest, highest := time.Hour, time.Duration(0)
+	slowdown := 1
+	for now := time.Duration(0); now < 2*time.Minute; now += phase / 2 {
+		if now%phase == 0 {
+			slowdown = 1
+			if random.Float64() < 0.2 {
+				slowdown = 3
+			}
+		}
+		average.Observe(now, perStep, perStep*runTime*time.Duration(slowdown))
+		if now > 20*time.Second {
+			lowest, highest = min(lowest, average.Mean), max(highest, average.Mean)
+		}
+	}
+	assert.Assert(t, highest < 2*lowest, "the mean varies between %s and %s", lowest, highest)
+}
--- a/core/selector/fleet_test.go
+++ b/core/selector/fleet_test.go
@@ -77,7 +77,7 @@
 		load := u.load()
 		f.After(200*time.Millisecond, func() {
 			for _, h := range f.hosts {
-				h.RecordLoad(at, u.id, load)
+				h.RecordSharedLoad(at, u.id, load)
 			}
 		})
 	}
@@ -133,7 +133,7 @@
 	host.RecordLoad(now, u.id, u.load())
 	host.RecordRunTime(u.id, taken, u.slowdown)
 	if f.profiler != nil {
-		f.profiler.Observe(u.id, 1, taken)
+		f.profiler.Observe(now, u.id, 1, taken)
 	}
 	if sent < modelWarmup {
 		return
--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -39,9 +39,11 @@
 	// sampleSize is the number of random candidates from which the best one is selected. With more candidates, all hosts
 	// would send their requests to the same upstream.
 	sampleSize = 4
-	// remoteCost is the cost of an upstream in another failure domain as a share of the run time. It accounts for the
-	// network latency and the price of traffic between failure domains.
-	remoteCost = 0.1
+	// remoteCost is the cost of an upstream in another failure domain as a share of the run time, and localPreference the
+	// factor on the probability of one in the own failure domain. They account for the network latency and the price of
+	// traffic between failure domains.
+	remoteCost      = 0.1
+	localPreference = 4
 	// weightInterval is the time between two calculations of the weights of candidates.
 	weightInterval = 500 * time.Millisecond
 	// failureWeight is the weight of one outcome in the failure rate.
@@ -99,6 +101,7 @@
 	runTime          time.Duration // mean run time of a request without slowdown, measured by this host
 	runTimeSamples   int
 	sharedRunTime    time.Duration // mean run time of a request, measured by all hosts; 0: unknown
+	usualRunTime     time.Duration // mean of the other candidates of the service, without slowdown; 0: unknown
 	failureRate      float64       // share of failed requests, without the decay since failedAt
 	failedAt         time.Duration // time of the last failure
 	blockedUntil     time.Duration
@@ -139,9 +142,10 @@
 	}
 }
 
-// RecordLoad records the load that an upstream had at the given time. Reports that are older than the last one are
-// ignored.
-func (sel *Selector) RecordLoad(at time.Duration, id string, load Load) {
+// RecordSharedLoad records the load that an upstream had at the given time, as reported to another host. Reports that are
+// older than the last one are ignored. The means over all upstreams do not change, because hosts do not share the
+// reports of idle owners of keys.
+func (sel *Selector) RecordSharedLoad(at time.Duration, id string, load Load) {
 	s := sel.state(id)
 	if at < s.reportedAt {
 		return
@@ -149,6 +153,11 @@
 	s.reportedAt = at
 	s.load = load
 	s.inFlightAtReport = s.inFlight
+}
+
+// RecordLoad records the load that an upstream reported to this host.
+func (sel *Selector) RecordLoad(at time.Duration, id string, load Load) {
+	sel.RecordSharedLoad(at, id, load)
 	if load.Slots > 0 {
 		sel.meanOccupancy += meanWeight * (float64(load.Running+load.Waiting)/float64(load.Slots) - sel.meanOccupancy)
 	}
@@ -181,6 +190,8 @@
 func (sel *Selector) runTime(s *state) time.Duration {
 	own, shared := s.runTime, time.Duration(float64(s.sharedRunTime)/sel.meanSlowdown)
 	switch {
+	case own == 0 && shared == 0 && s.usualRunTime > 0:
+		return s.usualRunTime
 	case own == 0 && shared == 0:
 		return defaultRunTime
 	case own == 0:
@@ -329,6 +340,9 @@
 		if weight == 0 {
 			weight = 1 // a candidate that is newer than the last calculation
 		}
+		if !c.Remote {
+			weight *= localPreference
+		}
 		rank := sel.random.ExpFloat64() / weight
 		i := count
 		for ; i > 0 && rank < ranks[i-1]; i-- {
@@ -352,6 +366,7 @@
 
 // setWeights sets the weights of candidates to their target rates, relative to the mean.
 func (sel *Selector) setWeights(now time.Duration, candidates []Candidate) {
+	sel.setUsualRunTimes(candidates)
 	servers := make([]rebalancer.Server, len(candidates))
 	rate := 0.0
 	for i, c := range candidates {
@@ -365,6 +380,28 @@
 	}
 }
 
+// setUsualRunTimes sets the mean of the measured run times for candidates without measurements. Otherwise a new upstream
+// of a slow service would look faster than all others, and all hosts would prefer it.
+func (sel *Selector) setUsualRunTimes(candidates []Candidate) {
+	var unknown []*state
+	sum, known := time.Duration(0), 0
+	for _, c := range candidates {
+		s := sel.state(c.ID)
+		if s.runTime == 0 && s.sharedRunTime == 0 {
+			unknown = append(unknown, s)
+			continue
+		}
+		sum += sel.runTime(s)
+		known++
+	}
+	if known == 0 {
+		return
+	}
+	for _, s := range unknown {
+		s.usualRunTime = sum / time.Duration(known)
+	}
+}
+
 // score returns the cost of a request at a candidate, in nanoseconds. The usual run time is not part of it, because it
 // determines the probability of the candidate.
 func (sel *Selector) score(now time.Duration, c Candidate) float64 {
--- a/core/selector/selector_test.go
+++ b/core/selector/selector_test.go
@@ -132,3 +132,22 @@
 	_, ok := selector.New(1).Pick(0, "s", candidates("a"), map[string]bool{"a": true})
 	assert.Assert(t, !ok)
 }
+
+// TestNewUpstreamGetsAUsualShare guards against hosts that prefer a new upstream of a slow service, because its assumed run
+// time is shorter than the measured ones of the others.
+func TestNewUpstreamGetsAUsualShare(t *testing.T) {
+	s := selector.New(1)
+	ids := []string{"a", "b", "c", "d", "e", "f", "g", "new"}
+	for _, id := range ids[:len(ids)-1] {
+		s.RecordRunTime(id, 2*time.Second, 1)
+	}
+	const picks = 2000
+	picked := 0
+	for range picks {
+		if id, _ := s.Pick(time.Second, "s", candidates(ids...), nil); id == "new" {
+			picked++
+		}
+	}
+	assert.Equal(t, s.Estimate(time.Second, "new", 6).Run, 2*time.Second)
+	assert.Assert(t, picked <= 2*picks/len(ids), "the new upstream gets %d of %d requests", picked, picks)
+}
--- a/rhubarbtrackd/internal/coordinator/controller.go
+++ b/rhubarbtrackd/internal/coordinator/controller.go
@@ -267,16 +267,13 @@
 		}
 	}
 	for _, timing := range report.Timings {
-		c.profiler.Observe(timing.Upstream, timing.Count, timing.Sum)
+		c.profiler.Observe(now, timing.Upstream, timing.Count, timing.Sum)
 		for _, svc := range c.services {
 			svc.allocator.Step(now, allocator.RunTimesMeasured{Upstream: timing.Upstream, Count: timing.Count, Sum: timing.Sum})
 		}
 	}
 	for _, load := range report.Loads {
-		at := now - load.Age
-		if known, ok := c.loads[load.Upstream]; !ok || known.at < at {
-			c.loads[load.Upstream] = receivedLoad{load, at}
-		}
+		c.loads.record(now, load)
 		c.confirmer.RecordSuccess(load.Upstream)
 	}
 	for _, id := range report.Reached {
@@ -314,26 +311,6 @@
 	}
 }
 
-// recentLoads returns the load reports to send to hosts and deletes those that are too old. It omits owners of keys
-// that have a free slot and an empty queue, because their load changes no decision.
-func (c *Coordinator) recentLoads(now time.Duration) []connector.LoadReport {
-	var loads []connector.LoadReport
-	for id, load := range c.loads {
-		age := now - load.at
-		if age > 2*connector.ReportInterval {
-			delete(c.loads, id)
-			continue
-		}
-		u := c.snapshot.Upstreams[id]
-		if c.services[u.Service] != nil && load.Load.Waiting == 0 && load.Load.Running < load.Load.Slots {
-			continue
-		}
-		load.Age = age
-		loads = append(loads, load.LoadReport)
-	}
-	return loads
-}
-
 func (c *Coordinator) encodeLoads(loads []connector.LoadReport, runTimes map[string]time.Duration) connector.EncodedLoads {
 	encoded, err := connector.EncodeLoads(loads, runTimes)
 	if err != nil {
@@ -344,7 +321,7 @@
 
 // broadcast sends every host a heartbeat with the load reports and suspects of all hosts, and applies it on this host.
 func (c *Coordinator) broadcast(now time.Duration) {
-	loads := c.recentLoads(now)
+	loads := c.loads.take(now, func(upstream string) bool { return c.services[c.snapshot.Upstreams[upstream].Service] != nil })
 	update := connector.Heartbeat{Loads: c.encodeLoads(loads, c.profiler.TakeChanges()), Suspects: c.confirmer.Suspects(now)}
 	c.sentSuspects = len(update.Suspects)
 	// A host that has just connected gets all run times, the others get the changes.
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -104,7 +104,7 @@
 	deferred         []func()                                              // events that arrived while the lease was expired
 	sentTables       map[*connector.Peer]map[string]allocator.RoutingTable // last table sent to each host, by service
 	addresses        map[string]string                                     // by upstream, including removed ones
-	loads            map[string]receivedLoad
+	loads            *sharedLoads
 	confirmer        *confirmer.Confirmer
 	stoppedUpstreams map[string]int64 // incarnations of upstreams that were confirmed as stopped, by upstream
 	sentSuspects     int              // number of suspects in the last broadcast
@@ -124,11 +124,6 @@
 	needsFullCopy atomic.Bool // the next report requests the controller's full copy of the store
 }
 
-type receivedLoad struct {
-	connector.LoadReport
-	at time.Duration
-}
-
 // New returns a Coordinator that does nothing until Run is called.
 func New(options Options) *Coordinator {
 	c := &Coordinator{
@@ -140,7 +135,7 @@
 		services:         map[string]*serviceState{},
 		sentTables:       map[*connector.Peer]map[string]allocator.RoutingTable{},
 		addresses:        map[string]string{},
-		loads:            map[string]receivedLoad{},
+		loads:            newSharedLoads(),
 		confirmer:        confirmer.New(),
 		stoppedUpstreams: map[string]int64{},
 		fetching:         map[string]bool{},
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -51,9 +51,9 @@
 	// relayTimeout allows for three heartbeats. When the controller has not confirmed its copy for this time, the host
 	// reads the store itself, well within the time that upstreams take to drain.
 	relayTimeout = 650 * time.Millisecond
-	// startupWait is how long a host that has just started waits for the relay: it covers a read of the lease record, a
-	// connection and a heartbeat.
-	startupWait = 900 * time.Millisecond
+	// startupWait is how long a host waits for the relay when all hosts start together. It covers the delay with which
+	// small hosts read the lease record, a connection and a heartbeat.
+	startupWait = 1800 * time.Millisecond
 	// sweepInterval is the interval at which expired entries and an expired relay are detected.
 	sweepInterval = 100 * time.Millisecond
 )
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -122,7 +122,7 @@
 		clear(r.coldBuckets)
 	}
 	for _, s := range loads {
-		r.selector.RecordLoad(now-s.Age, s.Upstream, s.Load)
+		r.selector.RecordSharedLoad(now-s.Age, s.Upstream, s.Load)
 	}
 	for id, mean := range runTimes {
 		r.selector.RecordSharedRunTime(id, mean)
--- /dev/null
+++ b/rhubarbtrackd/internal/starter/stop_test.go
@@ -0,0 +1,128 @@
+package starter_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/platform/simulator"
+	"rhubarbtrack.example/platform/translator"
+)
+
+// stopLoad sends orders to one host until it accepts none, and collects their outcomes.
+type stopLoad struct {
+	address  string
+	end      time.Time
+	mutex    sync.Mutex
+	outcomes []outcome
+}
+
+func (l *stopLoad) record(o outcome) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.outcomes = append(l.outcomes, o)
+}
+
+// runCaller sends one order after the other, each on a new connection or all on a kept one.
+func (l *stopLoad) runCaller(keep bool) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: !keep}}
+	for time.Now().Before(l.end) {
+		o := outcome{attempt: fmt.Sprintf("%016x", rand.Uint64()), order: true}
+		call := simulator.Call{
+			Prefix: simulator.OrderPrefix, Name: "1", Attempt: o.attempt, Key: rand.IntN(1 << 16), TimeLeft: 3 * time.Second,
+		}
+		o.Reply, o.err = call.Send(client, l.address)
+		l.record(o)
+		if o.err != nil {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// runPipeline sends three orders at a time on one connection.
+func (l *stopLoad) runPipeline() {
+	for time.Now().Before(l.end) {
+		conn, err := net.DialTimeout("tcp", l.address, time.Second)
+		if err != nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+		reader := bufio.NewReader(conn)
+		for err == nil && time.Now().Before(l.end) {
+			err = l.sendPipelined(conn, reader, 3)
+		}
+		_ = conn.Close()
+	}
+}
+
+func (l *stopLoad) sendPipelined(conn net.Conn, reader *bufio.Reader, count int) error {
+	var text strings.Builder
+	outcomes := make([]outcome, count)
+	for i := range outcomes {
+		outcomes[i] = outcome{attempt: fmt.Sprintf("%016x", rand.Uint64()), order: true, err: io.EOF}
+		fmt.Fprintf(&text, "POST %s1 HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 3000\r\n%s: %d\r\nContent-Length: 0\r\n\r\n",
+			simulator.OrderPrefix, simulator.Hostname, translator.AttemptHeader, outcomes[i].attempt,
+			translator.TimeLeftHeader, translator.KeyHeader, rand.IntN(1<<16))
+	}
+	_, err := io.WriteString(conn, text.String())
+	closes := false
+	for i := range outcomes {
+		if err == nil && !closes {
+			var response *http.Response
+			if response, err = http.ReadResponse(reader, &http.Request{Method: http.MethodPost}); err == nil {
+				var body []byte
+				body, err = io.ReadAll(response.Body)
+				outcomes[i].Status, outcomes[i].err, closes = response.StatusCode, err, response.Close
+				outcomes[i].Matches = string(body) == simulator.Sign(outcomes[i].attempt, simulator.OrderPrefix+"1")
+			}
+		}
+		l.record(outcomes[i])
+	}
+	if closes {
+		return io.EOF
+	}
+	return err
+}
+
+// TestPlannedStopCutsNoRequest guards against requests that are cut off without a response while a host stops under load:
+// on new, kept and pipelined connections, every order that ran has its complete response, and every rejected one did not
+// run. All hosts stop in turn, so that the stop of the controller is among them.
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	s := newSystem(t)
+	for i := range hostCount - 1 {
+		h := s.hosts[i]
+		l := &stopLoad{address: h.settings.CallerAddress, end: time.Now().Add(6 * time.Second)}
+		var group sync.WaitGroup
+		for range 4 {
+			group.Go(func() { l.runCaller(true) })
+			group.Go(func() { l.runCaller(false) })
+			group.Go(l.runPipeline)
+		}
+		time.AfterFunc(time.Second, h.stop)
+		group.Wait()
+		served := 0
+		s.mutex.Lock()
+		for _, o := range l.outcomes {
+			complete := o.err == nil && o.Status == http.StatusOK && o.Matches
+			if complete {
+				served++
+			}
+			runs := s.runs[o.attempt]
+			assert.Assert(t, runs <= 1, "%s ran %d times", o.attempt, runs)
+			assert.Assert(t, runs == 0 || complete, "host %d: %s ran and ended with status %d, error %v", i, o.attempt, o.Status, o.err)
+		}
+		s.mutex.Unlock()
+		assert.Assert(t, served > 200, "only %d orders were served", served)
+		t.Logf("host %d: %d of %d orders served", i, served, len(l.outcomes))
+	}
+}
