--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -380,6 +380,15 @@
 	}
 }
 
+// Refresh sets the usual run time of upstreams of a service that have no measurements, for services whose requests are not
+// distributed by Pick. It calls candidates only when weightInterval has passed since the last time.
+func (sel *Selector) Refresh(now time.Duration, service string, candidates func() []Candidate) {
+	if at, ok := sel.weightsAt[service]; !ok || now >= at+weightInterval {
+		sel.weightsAt[service] = now
+		sel.setUsualRunTimes(candidates())
+	}
+}
+
 // setUsualRunTimes sets the mean of the measured run times for candidates without measurements. Otherwise a new upstream
 // of a slow service would look faster than all others, and all hosts would prefer it.
 func (sel *Selector) setUsualRunTimes(candidates []Candidate) {
--- a/core/selector/selector_test.go
+++ b/core/selector/selector_test.go
@@ -151,3 +151,17 @@
 	assert.Equal(t, s.Estimate(time.Second, "new", 6).Run, 2*time.Second)
 	assert.Assert(t, picked <= 2*picks/len(ids), "the new upstream gets %d of %d requests", picked, picks)
 }
+
+// TestRefresh guards against needless rejections by a new owner of keys: its assumed run time was 300 ms, which leaves no
+// time in the queue if the objective is 400 ms, although the other owners take 90 ms.
+func TestRefresh(t *testing.T) {
+	s := selector.New(1)
+	s.RecordSharedRunTime("a", 90*time.Millisecond)
+	list := func() []selector.Candidate { return candidates("a", "new") }
+	s.Refresh(time.Second, "s", list)
+	assert.Equal(t, s.Estimate(time.Second, "new", 3).Run, 90*time.Millisecond)
+	s.Refresh(time.Second, "s", func() []selector.Candidate {
+		t.Error("the candidates were listed again at once")
+		return nil
+	})
+}
--- a/rhubarbtrackd/internal/router/choose.go
+++ b/rhubarbtrackd/internal/router/choose.go
@@ -97,6 +97,7 @@
 	if wait, blocked := r.selector.Blocked(now, u.ID); blocked {
 		return choice{reason: "the owner is unreachable", wait: max(wait, retryWait), unreachable: true}
 	}
+	r.selector.Refresh(now, j.service.Name, func() []selector.Candidate { return r.candidates(j.service.Name) })
 	estimate := r.selector.Estimate(now, u.ID, u.Slots)
 	if decision := r.decideAdmission(now, j, u.ID, estimate); !decision.Admit {
 		return choice{reason: "the owner is overloaded", wait: decision.RetryAfter}
@@ -107,6 +108,15 @@
 	return choice{upstream: u}
 }
 
+// candidates returns all upstreams of a service.
+func (r *Router) candidates(service string) []selector.Candidate {
+	var list []selector.Candidate
+	for _, u := range r.options.Follower.Snapshot().ByService[service] {
+		list = append(list, selector.Candidate{ID: u.ID, Slots: u.Slots})
+	}
+	return list
+}
+
 // decideAdmission decides by the expected time at the upstream whether a request is sent. The caller holds the mutex.
 func (r *Router) decideAdmission(now time.Duration, j *job, id string, estimate selector.Estimate) shedder.Decision {
 	request := shedder.Request{
