--- a/rhubarbtrackd/internal/connector/fuzz_test.go
+++ b/rhubarbtrackd/internal/connector/fuzz_test.go
@@ -35,7 +35,7 @@
 // FuzzHeartbeat checks that no message makes a host panic when it decodes it and applies its tables.
 func FuzzHeartbeat(f *testing.F) {
 	f.Add(seedHeartbeat(f), uint16(5))
-	f.Fuzz(func(t *testing.T, data []byte, key uint16) {
+	f.Fuzz(func(_ *testing.T, data []byte, key uint16) {
 		heartbeat, err := decodeHeartbeat(0, data)
 		if err != nil {
 			return
@@ -79,7 +79,7 @@
 func FuzzAnnouncement(f *testing.F) {
 	f.Add([]byte{0x85, 1, 2, 3, 0x61, 'h', 0x61, 'a'})
 	handler := AnnouncementHandler(func(Announcement) {})
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, AnnouncePath, bytes.NewReader(data)))
 	})
 }
--- a/rhubarbtrackd/internal/recoverer/recoverer_test.go
+++ b/rhubarbtrackd/internal/recoverer/recoverer_test.go
@@ -52,7 +52,7 @@
 // TestHandler checks that a handler that panics ends only its own connection.
 func TestHandler(t *testing.T) {
 	var r *recoverer.Recoverer
-	server := httptest.NewServer(r.Handler("serve", http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	server := httptest.NewServer(r.Handler("serve", http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
 		if request.URL.Path == "/panic" {
 			panic("broken")
 		}
