soak: upstreams that send bytes without end, or a late copy of a response

Upstreams of the simulator garble 2% of their responses, except in runs with planned operations only: a head or a body without end, or, once the next request has arrived on the connection, a second copy with the ID or a 404 without one.

--- a/demo/internal/soaker/soaker.go
+++ b/demo/internal/soaker/soaker.go
@@ -49,10 +49,13 @@
 	readyPollInterval = 50 * time.Millisecond
 	serviceTimeMS     = "100" // long enough that requests are in flight at each signal
 	lateGrantShare    = "0.1"
-	settleTime        = 15 * time.Second // wait after the last fault; the platform requires recovery within it
-	finalLoadTime     = 3 * time.Second  // load after settleTime, for the ratio of served requests
-	expireInterval    = 200 * time.Millisecond
-	stopTimeout       = 7 * time.Second
+	// garbleShare is the share of responses that are replaced by bytes without end or followed by a late copy, except in
+	// runs with planned operations only.
+	garbleShare    = "0.02"
+	settleTime     = 15 * time.Second // wait after the last fault; the platform requires recovery within it
+	finalLoadTime  = 3 * time.Second  // load after settleTime, for the ratio of served requests
+	expireInterval = 200 * time.Millisecond
+	stopTimeout    = 7 * time.Second
 	// plannedSeedInterval: seeds that are divisible by it run planned operations only.
 	plannedSeedInterval = 3
 )
@@ -210,6 +213,9 @@
 		"--listen", ip(202) + ":0", "--store", c.address, "--id", u.id, "--service", u.service, "--failure-domain", u.domain,
 		"--advertise", u.link.Address(), "--service-time-ms", serviceTimeMS, "--late-orders", lateGrantShare,
 	}
+	if !c.planned {
+		args = append(args, "--garble", garbleShare)
+	}
 	if u.service == simulator.PlainService {
 		args = append(args, "--no-keys")
 	}
