--- a/core/rebalancer/rebalancer_test.go
+++ b/core/rebalancer/rebalancer_test.go
@@ -205,12 +205,161 @@
 // requests.
 func TestRunTimeAverage(t *testing.T) {
 	var average rebalancer.RunTimeAverage
-	average.Observe(10, 2*time.Second)
+	average.Observe(0, 10, 2*time.Second)
 	assert.Equal(t, average.Mean, 200*time.Millisecond)
+	now := time.Duration(0)
 	for range 100 {
-		average.Observe(10, 4*time.Second)
+		now += 500 * time.Millisecond
+		average.Observe(now, 10, 4*time.Second)
 	}
 	assert.Assert(t, average.Mean > 390*time.Millisecond)
-	average.Observe(0, 0)
+	average.Observe(now, 0, 0)
 	assert.Assert(t, average.Mean > 390*time.Millisecond)
 }
+
+// responseTime returns the mean run time of the requests, weighted by the load of the owners, and the highest utilization.
+func (k *keyLoads) responseTime() (mean time.Duration, highest float64) {
+	byID := map[string]rebalancer.Target{}
+	for _, t := range k.targets {
+		byID[t.ID] = t
+	}
+	total, sum := 0.0, 0.0
+	for key, owner := range k.owners {
+		total += float64(k.load[key])
+		sum += float64(k.load[key]) * byID[owner].RunTime.Seconds()
+	}
+	highest, _ = k.utilization()
+	return time.Duration(sum / total * float64(time.Second)), highest
+}
+
+// TestFastUpstreamsGetMoreLoad plays a calm day of a large fleet: 198 upstreams of three speeds at half of their capacity.
+// With loads in proportion to the capacities, many requests run on slow upstreams while fast ones have free slots. The
+// mean run time must come at least half of the way from there to that of the target rates, no upstream may be overloaded,
+// and the moves must come to rest.
+func TestFastUpstreamsGetMoreLoad(t *testing.T) {
+	k := newKeyLoads(198)
+	capacity, slots := 0.0, 0.0
+	var servers []rebalancer.Server
+	for i := range k.targets {
+		k.targets[i].RunTime = []time.Duration{300, 600, 600, 900}[i%4] * time.Millisecond
+		server := rebalancer.Server{Slots: k.targets[i].Slots, RunTime: k.targets[i].RunTime.Seconds()}
+		servers = append(servers, server)
+		capacity += server.Slots / server.RunTime
+		slots += server.Slots
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	rate := 0.5 * capacity
+	var moves int
+	for range 30 {
+		k.load = [1 << 16]float32{}
+		k.add(random, rate, 0, 1<<16)
+		parts := k.plan().Rebalance()
+		moves = len(parts)
+		k.apply(parts)
+	}
+	mean, highest := k.responseTime()
+	proportional, best := time.Duration(slots/capacity*float64(time.Second)), time.Duration(0)
+	for i, target := range rebalancer.TargetRates(servers, rate) {
+		best += time.Duration(target / rate * servers[i].RunTime * float64(time.Second))
+	}
+	assert.Assert(t, mean <= (proportional+best)/2, "mean run time %s, in proportion to the capacities %s, target %s",
+		mean, proportional, best)
+	assert.Assert(t, highest < 1, "highest utilization %.2f", highest)
+	assert.Assert(t, moves <= len(k.targets)/5, "%d moves in the last round", moves)
+}
+
+// TestTargetRates checks that the rates add up, that equal servers get equal rates, and that a fast server has the higher
+// utilization below saturation.
+func TestTargetRates(t *testing.T) {
+	fast, slow := rebalancer.Server{Slots: 6, RunTime: 0.2}, rebalancer.Server{Slots: 6, RunTime: 0.6}
+	tests := []struct {
+		name    string
+		servers []rebalancer.Server
+		rate    float64
+	}{
+		{"idle", []rebalancer.Server{fast, slow}, 0.1},
+		{"calm", []rebalancer.Server{fast, fast, slow}, 30},
+		{"busy", []rebalancer.Server{fast, slow, slow}, 45},
+		{"overloaded", []rebalancer.Server{fast, slow}, 120},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rates := rebalancer.TargetRates(tt.servers, tt.rate)
+			sum := 0.0
+			for i, rate := range rates {
+				sum += rate
+				if tt.servers[i] == fast {
+					assert.Assert(t, rate*fast.RunTime >= rates[len(rates)-1]*slow.RunTime)
+				}
+			}
+			assert.Assert(t, math.Abs(sum-tt.rate) <= 0.05*tt.rate, "sum %.2f, want %.2f", sum, tt.rate)
+		})
+	}
+	assert.Equal(t, len(rebalancer.TargetRates(nil, 5)), 0)
+}
+
+// TestHotKeyMovesToTheFastestUpstream plays a key with more requests than any upstream can process. Its requests are
+// served best by the upstream with the most capacity, without other keys. The key must get there in one move and stay.
+func TestHotKeyMovesToTheFastestUpstream(t *testing.T) {
+	k := newKeyLoads(20)
+	for i := range k.targets {
+		k.targets[i].RunTime = []time.Duration{600, 400, 600, 200}[i%4] * time.Millisecond
+	}
+	const hotKey = 30000
+	fastest := func(id string) bool {
+		for _, target := range k.targets {
+			if target.ID == id {
+				return target.RunTime == 200*time.Millisecond
+			}
+		}
+		return false
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	moves := 0
+	for range 6 {
+		k.load = [1 << 16]float32{}
+		k.add(random, 100, 0, 1<<16)
+		k.add(random, 150, hotKey, 1)
+		before := k.owners[hotKey]
+		k.apply(k.plan().Rebalance())
+		if k.owners[hotKey] != before {
+			moves++
+		}
+		assert.Assert(t, fastest(k.owners[hotKey]), "the owner is %s", k.owners[hotKey])
+	}
+	assert.Equal(t, moves, 1)
+	neighbours := 0
+	for _, owner := range k.owners {
+		if owner == k.owners[hotKey] {
+			neighbours++
+		}
+	}
+	assert.Assert(t, neighbours < 500, "the owner of the hot key still owns %d keys", neighbours)
+}
+
+// TestRunTimeAverageCoversSlowPhases guards against keys that move back and forth: a busy upstream whose machine is slowed
+// down for 400 ms at a time must not look slow in one second and fast in the next.
+func TestRunTimeAverageCoversSlowPhases(t *testing.T) {
+	const (
+		phase   = 400 * time.Millisecond
+		perStep = 10 // requests in 200 ms
+		runTime = 60 * time.Millisecond
+	)
+	random := rand.New(rand.NewPCG(1, 1))
+	var average rebalancer.RunTimeAverage
+	lowest, highest := time.Hour, time.Duration(0)
+	slowdown := 1
+	for now := time.Duration(0); now < 2*time.Minute; now += phase / 2 {
+		if now%phase == 0 {
+			slowdown = 1
+			if random.Float64() < 0.2 {
+				slowdown = 3
+			}
+		}
+		average.Observe(now, perStep, perStep*runTime*time.Duration(slowdown))
+		if now > 20*time.Second {
+			lowest, highest = min(lowest, average.Mean), max(highest, average.Mean)
+		}
+	}
+	assert.Assert(t, highest < 2*lowest, "the mean varies between %s and %s", lowest, highest)
+}
--- a/rhubarbtrackd/internal/connector/message.go
+++ b/rhubarbtrackd/internal/connector/message.go
@@ -93,24 +93,43 @@
 	Rows    allocator.RoutingTable
 }
 
-// EncodedLoads holds load reports as they are sent, so that they are encoded once for all hosts.
+// EncodedLoads holds load reports and run times as they are sent, so that they are encoded once for all hosts.
 type EncodedLoads []byte
 
-// EncodeLoads encodes load reports. Ages are rounded down to milliseconds.
-func EncodeLoads(loads []LoadReport) (EncodedLoads, error) {
-	return cbor.Marshal(toWireLoads(loads))
+// runTimeAge is the age of an entry that carries a run time instead of a load. Hosts of earlier versions ignore it as
+// outdated.
+const runTimeAge = 24 * time.Hour
+
+// EncodeLoads encodes load reports, and mean run times by upstream. Ages are rounded down to milliseconds.
+func EncodeLoads(loads []LoadReport, runTimes map[string]time.Duration) (EncodedLoads, error) {
+	wire := toWireLoads(loads)
+	for id, mean := range runTimes {
+		wire = append(wire, wireLoad{Upstream: id, Running: int(mean.Milliseconds()), Age: int(runTimeAge.Milliseconds())})
+	}
+	return cbor.Marshal(wire)
 }
 
-// Decode returns the load reports, none for an empty encoding.
-func (e EncodedLoads) Decode() ([]LoadReport, error) {
+// Decode returns the load reports and the run times, none for an empty encoding.
+func (e EncodedLoads) Decode() ([]LoadReport, map[string]time.Duration, error) {
 	if len(e) == 0 {
-		return nil, nil
+		return nil, nil, nil
 	}
 	var wire []wireLoad
 	if err := cbor.Unmarshal(e, &wire); err != nil {
-		return nil, &Error{"decode-load-reports", Unreadable, err}
+		return nil, nil, &Error{"decode-load-reports", Unreadable, err}
 	}
-	return fromWireLoads(wire), nil
+	runTimes := map[string]time.Duration{}
+	loads := wire[:0]
+	for _, w := range wire {
+		if int64(w.Age) < runTimeAge.Milliseconds() {
+			loads = append(loads, w)
+			continue
+		}
+		if mean := time.Duration(w.Running) * time.Millisecond; mean > 0 && mean <= maxTimingSum {
+			runTimes[w.Upstream] = mean
+		}
+	}
+	return fromWireLoads(loads), runTimes, nil
 }
 
 type wireLoad struct {
@@ -130,6 +149,12 @@
 	Sum      int64 // milliseconds
 }
 
+// maxTimingCount and maxTimingSum bound what a host can measure at one upstream between two reports.
+const (
+	maxTimingCount = 1 << 20
+	maxTimingSum   = time.Hour
+)
+
 type wireReport struct {
 	_             struct{} `cbor:",toarray"`
 	Host          string
@@ -262,6 +287,9 @@
 	r := Report{Host: wire.Host, Address: wire.Address, Keys: wire.Keys, Loads: fromWireLoads(wire.Loads),
 		NeedsFullCopy: wire.NeedsFullCopy, Refused: wire.Refused, Unresponsive: wire.Unresponsive, Reached: wire.Reached}
 	for _, t := range wire.Timings {
+		if t.Count <= 0 || t.Count > maxTimingCount || t.Sum < 0 || t.Sum > maxTimingSum.Milliseconds() {
+			continue // no host measures this, and the averages of the controller could overflow
+		}
 		r.Timings = append(r.Timings, Timing{t.Upstream, t.Count, time.Duration(t.Sum) * time.Millisecond})
 	}
 	return r, nil
--- a/rhubarbtrackd/internal/coordinator/controller.go
+++ b/rhubarbtrackd/internal/coordinator/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -70,7 +71,7 @@
 			svc.routingTable = table
 			c.options.Tables.Replace(name, table)
 			// Without an immediate heartbeat, hosts would send requests to former owners until the next one is due.
-			c.sendHeartbeats(c.options.Now(), connector.Heartbeat{})
+			c.sendHeartbeats(c.options.Now(), nil)
 		}
 	}
 }
@@ -87,11 +88,11 @@
 		Term: lease.Term, Revision: lease.Revision, Remaining: lease.Remaining, Host: c.options.Host, Address: c.options.Address,
 	}
 	for _, address := range c.hostList.disconnected(now, c.hub.Peers()) {
-		go func() {
+		c.spawn(ctx, func() {
 			if err := connector.Announce(ctx, address, announcement); err != nil {
 				c.options.Log.Log(eventlog.HostNotNotified, zap.String("address", address), eventlog.Cause(err))
 			}
-		}()
+		})
 	}
 }
 
@@ -112,7 +113,7 @@
 	}
 	svc.loading = true
 	term := c.contender.Term()
-	go func() {
+	c.spawn(ctx, func() {
 		table, revision, err := c.readTable(ctx, svc.service)
 		c.post(func() {
 			svc.loading = false
@@ -127,7 +128,7 @@
 			svc.revision = revision
 			c.step(ctx, svc, allocator.TermStarted{Term: term, Table: table.Ranges})
 		})
-	}()
+	})
 }
 
 // step passes an event to the allocator of a service and starts the resulting actions. Events are deferred while the
@@ -144,11 +145,14 @@
 	for _, action := range svc.allocator.Step(now, event) {
 		switch action := action.(type) {
 		case allocator.Grant:
-			go c.grant(ctx, svc, action, c.addresses[action.Upstream])
+			address := c.addresses[action.Upstream]
+			c.spawn(ctx, func() { c.grant(ctx, svc, action, address) })
 		case allocator.Release:
-			go c.release(ctx, svc, action, c.addresses[action.Upstream])
+			address := c.addresses[action.Upstream]
+			c.spawn(ctx, func() { c.release(ctx, svc, action, address) })
 		case allocator.Commit:
-			go c.commit(ctx, svc, action, c.contender.Term(), svc.revision)
+			term, revision := c.contender.Term(), svc.revision
+			c.spawn(ctx, func() { c.commit(ctx, svc, action, term, revision) })
 		case allocator.Moved:
 			c.options.Log.Log(eventlog.RangeMoved, zap.String("service", svc.service), zap.Uint16("from", action.From),
 				zap.Uint16("to", action.To), zap.String("previous", action.Previous), zap.String("owner", action.Owner),
@@ -263,15 +267,13 @@
 		}
 	}
 	for _, timing := range report.Timings {
+		c.profiler.Observe(now, timing.Upstream, timing.Count, timing.Sum)
 		for _, svc := range c.services {
 			svc.allocator.Step(now, allocator.RunTimesMeasured{Upstream: timing.Upstream, Count: timing.Count, Sum: timing.Sum})
 		}
 	}
 	for _, load := range report.Loads {
-		at := now - load.Age
-		if known, ok := c.loads[load.Upstream]; !ok || known.at < at {
-			c.loads[load.Upstream] = receivedLoad{load, at}
-		}
+		c.loads.record(now, load)
 		c.confirmer.RecordSuccess(load.Upstream)
 	}
 	for _, id := range report.Reached {
@@ -309,24 +311,8 @@
 	}
 }
 
-// recentLoads returns the load reports to send to hosts and deletes those that are too old. It omits owners of keys
-// that have a free slot and an empty queue, because their load changes no decision.
-func (c *Coordinator) recentLoads(now time.Duration) connector.EncodedLoads {
-	var loads []connector.LoadReport
-	for id, load := range c.loads {
-		age := now - load.at
-		if age > 2*connector.ReportInterval {
-			delete(c.loads, id)
-			continue
-		}
-		u := c.snapshot.Upstreams[id]
-		if c.services[u.Service] != nil && load.Load.Waiting == 0 && load.Load.Running < load.Load.Slots {
-			continue
-		}
-		load.Age = age
-		loads = append(loads, load.LoadReport)
-	}
-	encoded, err := connector.EncodeLoads(loads)
+func (c *Coordinator) encodeLoads(loads []connector.LoadReport, runTimes map[string]time.Duration) connector.EncodedLoads {
+	encoded, err := connector.EncodeLoads(loads, runTimes)
 	if err != nil {
 		c.options.Log.Log(eventlog.FrameRefused, eventlog.Cause(err))
 	}
@@ -335,22 +321,33 @@
 
 // broadcast sends every host a heartbeat with the load reports and suspects of all hosts, and applies it on this host.
 func (c *Coordinator) broadcast(now time.Duration) {
-	update := connector.Heartbeat{Loads: c.recentLoads(now), Suspects: c.confirmer.Suspects(now)}
+	loads := c.loads.take(now, func(upstream string) bool { return c.services[c.snapshot.Upstreams[upstream].Service] != nil })
+	update := connector.Heartbeat{Loads: c.encodeLoads(loads, c.profiler.TakeChanges()), Suspects: c.confirmer.Suspects(now)}
 	c.sentSuspects = len(update.Suspects)
-	hosts := c.sendHeartbeats(now, update)
+	// A host that has just connected gets all run times, the others get the changes.
+	firstLoads := sync.OnceValue(func() connector.EncodedLoads { return c.encodeLoads(loads, c.profiler.All()) })
+	hosts := c.sendHeartbeats(now, func(peer *connector.Peer, heartbeat *connector.Heartbeat) {
+		heartbeat.Loads, heartbeat.Suspects = update.Loads, update.Suspects
+		if !c.sentRunTimes[peer] {
+			c.sentRunTimes[peer] = true
+			heartbeat.Loads = firstLoads()
+		}
+	})
 	c.options.OnHeartbeat(connector.Heartbeat{
 		Term: c.contender.Term(), Valid: true, Hosts: hosts, Loads: update.Loads, Suspects: update.Suspects,
 	})
 }
 
-// sendHeartbeats sends every host a heartbeat with the loads and suspects of update, the state of the controller, and
-// the changes to tables and to the copy of the store. It returns the number of hosts, including this one.
-func (c *Coordinator) sendHeartbeats(now time.Duration, update connector.Heartbeat) int {
+// sendHeartbeats sends every host a heartbeat with the state of the controller and the changes to tables and to the copy
+// of the store. complete adds the rest; it may be nil. The result is the number of hosts, including this one.
+func (c *Coordinator) sendHeartbeats(now time.Duration, complete func(*connector.Peer, *connector.Heartbeat)) int {
 	peers := c.hub.Peers()
 	hosts := len(peers) + 1
 	for i, peer := range peers {
 		heartbeat := c.newHeartbeat(now, peer, i+1, hosts)
-		heartbeat.Loads, heartbeat.Suspects = update.Loads, update.Suspects
+		if complete != nil {
+			complete(peer, &heartbeat)
+		}
 		heartbeat.Addresses = c.hostList.update(peer)
 		c.send(peer, heartbeat)
 	}
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -23,12 +23,14 @@
 	"rhubarbtrack.example/core/allocator"
 	"rhubarbtrack.example/core/confirmer"
 	"rhubarbtrack.example/core/contender"
+	"rhubarbtrack.example/core/profiler"
 	"rhubarbtrack.example/core/registrar"
 	"rhubarbtrack.example/platform/orderer"
 	"rhubarbtrack.example/platform/storer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/connector"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
+	"rhubarbtrack.example/rhubarbtrackd/internal/recoverer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/resolver"
 	"rhubarbtrack.example/rhubarbtrackd/internal/serializer"
 )
@@ -50,6 +52,8 @@
 	announceInterval = time.Second
 	// maxEvents bounds the queue of the event loop. Senders block while it is full.
 	maxEvents = 256
+	// panicPause is how long a host that resigned after a panic leaves the role to others.
+	panicPause = 5 * time.Second
 	// maxRemovedAddresses bounds the number of addresses kept of upstreams whose entries were removed.
 	maxRemovedAddresses = 1024
 )
@@ -71,6 +75,8 @@
 	Report func() connector.Report
 	// OnHeartbeat is called with every heartbeat of the controller, also when this host is the controller.
 	OnHeartbeat func(connector.Heartbeat)
+	// Panics contains panics in the handling of an event. This host then resigns as controller.
+	Panics *recoverer.Recoverer
 }
 
 // serviceState is the state of one service while this host is the controller.
@@ -98,7 +104,7 @@
 	deferred         []func()                                              // events that arrived while the lease was expired
 	sentTables       map[*connector.Peer]map[string]allocator.RoutingTable // last table sent to each host, by service
 	addresses        map[string]string                                     // by upstream, including removed ones
-	loads            map[string]receivedLoad
+	loads            *sharedLoads
 	confirmer        *confirmer.Confirmer
 	stoppedUpstreams map[string]int64 // incarnations of upstreams that were confirmed as stopped, by upstream
 	sentSuspects     int              // number of suspects in the last broadcast
@@ -112,15 +118,12 @@
 	ctx              context.Context // of Run
 	// sentSnapshots holds the last snapshot of the store that was sent to each host.
 	sentSnapshots map[*connector.Peer]*follower.Snapshot
+	sentRunTimes  map[*connector.Peer]bool // hosts that have received the run times of all upstreams
+	profiler      *profiler.Profiler
 	hostList      *hostList
 	needsFullCopy atomic.Bool // the next report requests the controller's full copy of the store
 }
 
-type receivedLoad struct {
-	connector.LoadReport
-	at time.Duration
-}
-
 // New returns a Coordinator that does nothing until Run is called.
 func New(options Options) *Coordinator {
 	c := &Coordinator{
@@ -132,13 +135,15 @@
 		services:         map[string]*serviceState{},
 		sentTables:       map[*connector.Peer]map[string]allocator.RoutingTable{},
 		addresses:        map[string]string{},
-		loads:            map[string]receivedLoad{},
+		loads:            newSharedLoads(),
 		confirmer:        confirmer.New(),
 		stoppedUpstreams: map[string]int64{},
 		fetching:         map[string]bool{},
 		started:          options.Now(),
 		stopped:          make(chan struct{}),
 		sentSnapshots:    map[*connector.Peer]*follower.Snapshot{},
+		sentRunTimes:     map[*connector.Peer]bool{},
+		profiler:         profiler.New(),
 		hostList:         newHostList(options.Address),
 	}
 	c.hub = connector.NewHub(
@@ -156,6 +161,7 @@
 			c.post(func() {
 				delete(c.sentTables, peer)
 				delete(c.sentSnapshots, peer)
+				delete(c.sentRunTimes, peer)
 				c.hostList.removePeer(peer)
 			})
 		},
@@ -166,6 +172,7 @@
 			c.post(func() { c.controllerStopped(host) })
 		},
 		Now:         options.Now,
+		Panics:      options.Panics,
 		Report:      c.report,
 		OnHeartbeat: func(heartbeat connector.Heartbeat) { c.post(func() { c.handleHeartbeat(heartbeat) }) },
 		OnConnect: func(address string) {
@@ -235,13 +242,33 @@
 		case <-ctx.Done():
 			return
 		case event := <-c.events:
-			event()
+			c.contain(ctx, event)
 		case <-ticker.C:
-			c.tick(ctx)
+			c.contain(ctx, func() { c.tick(ctx) })
 		}
 	}
 }
 
+// contain calls f on the goroutine of Run. After a panic, the state of the allocators may be inconsistent, so this host
+// discards it and resigns. The successor starts from the stored tables.
+func (c *Coordinator) contain(ctx context.Context, f func()) {
+	if c.options.Panics.Do("coordinate", f) {
+		return
+	}
+	c.services = map[string]*serviceState{}
+	c.deferred = nil
+	c.options.Panics.Do("resign", func() { c.stepElection(ctx, contender.Resign{Pause: panicPause}) })
+}
+
+// spawn calls f on a goroutine of its own. After a panic, no result of f arrives, so this host resigns as controller.
+func (c *Coordinator) spawn(ctx context.Context, f func()) {
+	go func() {
+		if !c.options.Panics.Do("call", f) {
+			c.post(func() { c.stepElection(ctx, contender.Resign{Pause: panicPause}) })
+		}
+	}()
+}
+
 // Resign releases the lease. It returns when the store has confirmed the release, or when ctx is done.
 func (c *Coordinator) Resign(ctx context.Context) {
 	c.post(func() { c.stepElection(ctx, contender.Resign{}) })
@@ -302,6 +329,7 @@
 	for id, u := range snapshot.Upstreams {
 		c.addresses[id] = u.Address
 	}
+	c.profiler.Forget(func(id string) bool { _, ok := snapshot.Upstreams[id]; return ok })
 }
 
 // stepElection passes an event to the election state machine and performs the resulting actions.
@@ -314,9 +342,9 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case contender.Read:
-			go c.readRecord(ctx)
+			c.spawn(ctx, func() { c.readRecord(ctx) })
 		case contender.Write:
-			go c.writeRecord(ctx, action.Record)
+			c.spawn(ctx, func() { c.writeRecord(ctx, action.Record) })
 		case contender.Follow:
 			record := action.Record
 			c.leader.Store(&record)
@@ -420,7 +448,7 @@
 			continue
 		}
 		c.fetching[name] = true
-		go c.fetchTable(ctx, name)
+		c.spawn(ctx, func() { c.fetchTable(ctx, name) })
 	}
 }
 
