coordinator: end moves before a planned resignation

Change: a controller that is to resign starts no more moves by load and waits up to 2 s of its grace time until the moves that have begun have ended. A host that does not hold the lease resigns at once, as before.

Failing before: TestSettledControllerLeavesNoMoves (with a takeover at once, keys are not served 500 ms later), TestSettleEndsMovesByLoad (the event is new).

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -139,6 +139,7 @@
 	loadPeriodEnd  time.Duration // time up to which loadPeriod is counted
 	lastDecay      time.Duration
 	lastRebalance  time.Duration
+	settling       bool // no more moves by load
 	runTimes       map[string]*rebalancer.RunTimeAverage
 	actions        []Action
 }
@@ -187,6 +188,8 @@
 		a.markStopped(now, event.Upstream)
 	case SetLifetime:
 		a.setLifetime(now, event.Long)
+	case Settle:
+		a.settling = true
 	}
 	if a.started {
 		a.advance(now)
@@ -214,6 +217,18 @@
 	return table
 }
 
+// Moving returns the number of ranges whose move has not ended. A successor would have to release each of them from both
+// owners, and to wait for all grants of an owner that has stopped meanwhile.
+func (a *Allocator) Moving() int {
+	moving := 0
+	for _, s := range a.segments {
+		if s.Previous != "" {
+			moving++
+		}
+	}
+	return moving
+}
+
 func (a *Allocator) start(now time.Duration, event TermStarted) {
 	a.started = true
 	a.startTime = now
@@ -277,7 +292,7 @@
 		a.assignAll(now)
 	}
 	a.replaceUnusableOwners(now)
-	if now >= a.lastRebalance+rebalanceInterval {
+	if !a.settling && now >= a.lastRebalance+rebalanceInterval {
 		a.lastRebalance = now
 		a.rebalance(now)
 	}
--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -398,3 +398,41 @@
 	assert.Assert(t, sim.commits > 0)
 	assert.Assert(t, sim.commits <= maxWrites, "%d writes in %s", sim.commits, period)
 }
+
+// TestSettledControllerLeavesNoMoves plays a planned stop of the controller while an upstream drains and then ends. A
+// successor that finds moves from that upstream waits for all its possible grants, up to the longest lifetime. A controller
+// that settles first leaves none.
+func TestSettledControllerLeavesNoMoves(t *testing.T) {
+	sim := newSimulation(7, 6)
+	check := func() { sim.checkSingleOwner(t, 7) }
+	sim.run(4*time.Second, check)
+	owner := sim.listed["u1"]
+	owner.Usable = false
+	sim.listed["u1"] = owner
+	sim.run(2*stepTime, check)
+	assert.Assert(t, sim.allocator.Moving() > 0)
+	sim.feed(sim.allocator, allocator.Settle{})
+	sim.run(2*time.Second, check)
+	assert.Equal(t, sim.allocator.Moving(), 0)
+	sim.takeOver()
+	delete(sim.listed, "u1")
+	sim.upstreams["u1"].downUntil = sim.Now + time.Hour
+	sim.run(500*time.Millisecond, check)
+	assert.Equal(t, sim.served(), 1.0)
+}
+
+// TestSettleEndsMovesByLoad checks that a controller that is to resign starts no further moves of a hot spot.
+func TestSettleEndsMovesByLoad(t *testing.T) {
+	sim := newSimulation(3, 40)
+	sim.run(4*time.Second, func() {})
+	sim.feed(sim.allocator, allocator.Settle{})
+	sim.commits = 0
+	sim.run(3*time.Second, func() {
+		var keys []uint16
+		for range 20 {
+			keys = append(keys, uint16(30000+sim.random.IntN(300)))
+		}
+		sim.feed(sim.allocator, allocator.KeysObserved{Keys: keys})
+	})
+	assert.Equal(t, sim.commits, 0)
+}
--- a/core/allocator/types.go
+++ b/core/allocator/types.go
@@ -117,6 +117,9 @@
 // SetLifetime sets the lifetime of grants from now on: Options.MaxLifetime if Long is set, GrantLifetime otherwise.
 type SetLifetime struct{ Long bool }
 
+// Settle ends moves by load. Moves that have begun, and moves away from upstreams that leave or have stopped, go on.
+type Settle struct{}
+
 func (Tick) event()             {}
 func (TermStarted) event()      {}
 func (UpstreamsListed) event()  {}
@@ -127,6 +130,7 @@
 func (CommitFailed) event()     {}
 func (UpstreamStopped) event()  {}
 func (SetLifetime) event()      {}
+func (Settle) event()           {}
 
 // Action is an output of Step. Its types are the structs below.
 type Action interface{ action() }
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -52,6 +52,9 @@
 	announceInterval = time.Second
 	// maxEvents bounds the queue of the event loop. Senders block while it is full.
 	maxEvents = 256
+	// settleTime is how long a controller that is to resign waits for the end of moves. It leaves most of the grace time of
+	// the host for the write to the store.
+	settleTime = 2 * time.Second
 	// panicPause is how long a host that resigned after a panic leaves the role to others.
 	panicPause = 5 * time.Second
 	// maxRemovedAddresses bounds the number of addresses kept of upstreams whose entries were removed.
@@ -101,6 +104,7 @@
 	leaseEnd         atomic.Int64                     // nanoseconds on the clock of Options.Now; 0 without a valid lease
 	services         map[string]*serviceState         // by name; only filled while this host is the controller
 	leaseExpired     bool
+	resigned         bool                                                  // the host has resigned for good
 	deferred         []func()                                              // events that arrived while the lease was expired
 	sentTables       map[*connector.Peer]map[string]allocator.RoutingTable // last table sent to each host, by service
 	addresses        map[string]string                                     // by upstream, including removed ones
@@ -269,12 +273,16 @@
 	}()
 }
 
-// Resign releases the lease. It returns when the store has confirmed the release, or when ctx is done.
+// Resign releases the lease, after moves that have begun have ended or settleTime has passed. It returns when the store has
+// confirmed the release, or when ctx is done.
 func (c *Coordinator) Resign(ctx context.Context) {
-	c.post(func() { c.stepElection(ctx, contender.Resign{}) })
+	end := c.options.Now() + settleTime
 	for ctx.Err() == nil {
 		done := make(chan bool, 1)
-		c.post(func() { done <- !c.contender.IsHolder() })
+		c.post(func() {
+			c.resignWhenSettled(ctx, end)
+			done <- !c.contender.IsHolder()
+		})
 		select {
 		case <-ctx.Done():
 			return
@@ -289,6 +297,23 @@
 	}
 }
 
+// resignWhenSettled resigns when no range is being moved, at the latest at end.
+func (c *Coordinator) resignWhenSettled(ctx context.Context, end time.Duration) {
+	if c.resigned {
+		return
+	}
+	now, moving := c.options.Now(), 0
+	for _, svc := range c.services {
+		c.step(ctx, svc, allocator.Settle{})
+		moving += svc.allocator.Moving()
+	}
+	if moving > 0 && now < end && c.contender.Valid(now) {
+		return
+	}
+	c.resigned = true
+	c.stepElection(ctx, contender.Resign{})
+}
+
 func (c *Coordinator) tick(ctx context.Context) {
 	now := c.options.Now()
 	c.stepElection(ctx, contender.Tick{})
