coordinator: spread full states over heartbeats; let larger ones pass

A full state of that fleet exceeds the limit of 256 KiB of a message, so hosts close the connection and begin again; and 300 of them at once take a link of 200 Mbit/s for seconds, while a heartbeat is due after 0.9 s.

Change: messages up to 4 MiB; full states of at most 40,000 entries between two broadcasts, the first of them always. Hosts that wait get heartbeats without tables and copy.

Failing before: TestFullStatesAreSpread (300 full states in one heartbeat).

--- a/rhubarbtrackd/internal/connector/connector.go
+++ b/rhubarbtrackd/internal/connector/connector.go
@@ -49,8 +49,8 @@
 	redialDelay      = 200 * time.Millisecond
 	// maxHeadBytes bounds the head of a response of another host.
 	maxHeadBytes = 16 << 10
-	// maxMessage bounds a message in bytes. A table of 4,000 ranges fits.
-	maxMessage = 256 << 10
+	// maxMessage bounds a message in bytes. The full state for 20,000 upstreams fits.
+	maxMessage = 4 << 20
 	// maxQueued bounds the heartbeats queued for one host. When the queue is full, the connection is closed, and the host
 	// receives the full table when it connects again.
 	maxQueued = 16
--- a/rhubarbtrackd/internal/coordinator/controller.go
+++ b/rhubarbtrackd/internal/coordinator/controller.go
@@ -321,6 +321,7 @@
 
 // broadcast sends every host a heartbeat with the load reports and suspects of all hosts, and applies it on this host.
 func (c *Coordinator) broadcast(now time.Duration) {
+	c.fullEntries = 0
 	loads := c.loads.take(now, func(upstream string) bool { return c.services[c.snapshot.Upstreams[upstream].Service] != nil })
 	update := connector.Heartbeat{Loads: c.encodeLoads(loads, c.profiler.TakeChanges()), Suspects: c.confirmer.Suspects(now)}
 	c.sentSuspects = len(update.Suspects)
@@ -354,13 +355,41 @@
 	return hosts
 }
 
+// maxFullEntries bounds the entries of full states that are sent between two broadcasts. The hosts that wait get their full
+// state with a later heartbeat. After the start of 300 hosts with 3,000 upstreams, full states for all of them at once took
+// the link of the controller for seconds, and hosts closed their connections and began again.
+const maxFullEntries = 40_000
+
+// allowFullState reports whether a host may get what its connection has not carried yet, and counts it if it is a full
+// state.
+func (c *Coordinator) allowFullState(peer *connector.Peer, hasCopy bool) bool {
+	entries := 0
+	if hasCopy && c.sentSnapshots[peer] == nil {
+		entries += len(c.snapshot.Upstreams)
+	}
+	for service, svc := range c.services {
+		if c.sentTables[peer][service] == nil {
+			entries += len(svc.routingTable)
+		}
+	}
+	if entries > 0 && c.fullEntries > 0 && c.fullEntries+entries > maxFullEntries {
+		return false
+	}
+	c.fullEntries += entries
+	return true
+}
+
 func (c *Coordinator) newHeartbeat(now time.Duration, peer *connector.Peer, index, hosts int) connector.Heartbeat {
 	lease := c.contender.LeaseStatus(now)
 	heartbeat := connector.Heartbeat{
 		Term: lease.Term, Revision: lease.Revision, Remaining: lease.Remaining, Valid: c.contender.Valid(now),
 		Index: index, Hosts: hosts,
 	}
-	if c.contender.Valid(now) && !c.contender.RenewalOverdue(now) && c.options.Follower.Direct() {
+	hasCopy := c.contender.Valid(now) && !c.contender.RenewalOverdue(now) && c.options.Follower.Direct()
+	if !c.allowFullState(peer, hasCopy) {
+		return heartbeat
+	}
+	if hasCopy {
 		heartbeat.HasCopy = true
 		heartbeat.Copy = changeSince(c.sentSnapshots[peer], c.snapshot)
 		c.sentSnapshots[peer] = c.snapshot
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -122,6 +122,7 @@
 	ctx              context.Context // of Run
 	// sentSnapshots holds the last snapshot of the store that was sent to each host.
 	sentSnapshots map[*connector.Peer]*follower.Snapshot
+	fullEntries   int                      // entries of full states sent since the last broadcast
 	sentRunTimes  map[*connector.Peer]bool // hosts that have received the run times of all upstreams
 	profiler      *profiler.Profiler
 	hostList      *hostList
--- /dev/null
+++ b/rhubarbtrackd/internal/coordinator/fullstate_test.go
@@ -0,0 +1,69 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"rhubarbtrack.example/core/allocator"
+	"rhubarbtrack.example/core/registrar"
+	"rhubarbtrack.example/platform/storer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/connector"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
+)
+
+// TestFullStatesAreSpread guards against a controller whose link is taken by full states after all hosts of a large fleet
+// have started: none arrives in time, and all hosts connect again. Every host must get its full state within a few
+// heartbeats, and hosts that have it must get their changes meanwhile.
+func TestFullStatesAreSpread(t *testing.T) {
+	const (
+		hosts     = 300
+		upstreams = 3000
+	)
+	now := func() time.Duration { return 0 }
+	log := eventlog.New(zap.NewNop())
+	c := New(Options{
+		Host: "h", Now: now, Log: log,
+		Follower: follower.New(follower.Options{Store: storer.New("127.0.0.1:1"), Log: log, Now: now}),
+	})
+	c.snapshot = &follower.Snapshot{Upstreams: map[string]registrar.Upstream{}}
+	table := make(allocator.RoutingTable, upstreams)
+	for i := range upstreams {
+		id := fmt.Sprint(i)
+		c.snapshot.Upstreams[id] = registrar.Upstream{ID: id}
+		table[i] = allocator.Assignment{From: uint16(i), To: uint16(i), Owner: id}
+	}
+	c.services["s"] = &serviceState{service: "s", routingTable: table}
+	var peers []*connector.Peer
+	for range hosts {
+		peers = append(peers, &connector.Peer{})
+	}
+	missing := hosts
+	for heartbeat := 1; missing > 0; heartbeat++ {
+		assert.Assert(t, heartbeat <= 100, "%d hosts still have no table", missing)
+		c.fullEntries = 0
+		full := 0
+		for i, peer := range peers {
+			for _, change := range c.newHeartbeat(0, peer, i+1, hosts+1).Tables {
+				assert.Assert(t, is.Len(change.Rows, upstreams))
+				full++
+			}
+		}
+		assert.Assert(t, full > 0)
+		assert.Assert(t, full*upstreams <= maxFullEntries, "%d full states in one heartbeat", full)
+		missing -= full
+	}
+	// A changed table goes to all hosts at once.
+	changed := append(allocator.RoutingTable{}, table...)
+	changed[0].Owner = "other"
+	c.services["s"].routingTable = changed
+	c.fullEntries = 0
+	for i, peer := range peers {
+		assert.Assert(t, is.Len(c.newHeartbeat(0, peer, i+1, hosts+1).Tables, 1))
+	}
+}
