--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -106,7 +106,7 @@
 	failedAt         time.Duration // time of the last failure
 	blockedUntil     time.Duration
 	backoff          time.Duration
-	weight           float64 // share of the requests that the upstream should get
+	weight           float64 // target rate of requests, relative to the mean of the service; 0: not calculated yet
 }
 
 // Selector holds the load and the outcomes of all upstreams.
