router: log the signature, caller and path of failed attempts

A request that its caller sends again has another ID each time, so the logs could not show whether one request was in flight at every upstream that ended. The signature is the hash that core/detector already defines; it covers method, host, path, caller and body. No decision depends on it yet.

--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -98,12 +98,12 @@
 	}
 }
 
-// Sign returns the signature of a request. Each part is hashed with its length, so that moving text from one part to the
-// next changes the signature.
-func Sign(service, method, path, key, idempotencyKey string) uint64 {
+// Sign returns the signature of a request with the given parts. Each part is hashed with its length, so that moving text
+// from one part to the next changes the signature.
+func Sign(parts ...string) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
-	for _, part := range [...]string{service, method, path, key, idempotencyKey} {
+	for _, part := range parts {
 		length := uint64(len(part))
 		prefix := [8]byte{}
 		for i := range prefix {
--- a/rhubarbtrackd/internal/acceptor/acceptor.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor.go
@@ -60,6 +60,7 @@
 	Target  string // as sent
 	Path    string // Target without query
 	Host    string
+	Caller  string // IP address of the caller
 	Header  http.Header
 	Body    []byte    // nil if Stream is set
 	Stream  io.Reader // set if the body is too long to be kept in memory
--- a/rhubarbtrackd/internal/acceptor/connection.go
+++ b/rhubarbtrackd/internal/acceptor/connection.go
@@ -27,6 +27,7 @@
 type connection struct {
 	server    *Server
 	conn      net.Conn
+	caller    string // IP address of the caller
 	reader    *bufio.Reader
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -40,8 +41,12 @@
 
 func newConnection(s *Server, conn net.Conn) *connection {
 	ctx, cancel := context.WithCancel(context.Background())
+	caller, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		caller = conn.RemoteAddr().String()
+	}
 	return &connection{
-		server: s, conn: conn, reader: bufio.NewReaderSize(conn, 2<<10), ctx: ctx, cancel: cancel,
+		server: s, conn: conn, caller: caller, reader: bufio.NewReaderSize(conn, 2<<10), ctx: ctx, cancel: cancel,
 		queue: make(chan *exchange, pipelineDepth), writeDone: make(chan struct{}),
 	}
 }
@@ -155,7 +160,7 @@
 	last := parsed.Close || c.server.draining.Load()
 	target := parsed.RequestURI
 	request := &Request{
-		Method: parsed.Method, Target: target, Path: parsed.URL.EscapedPath(), Host: parsed.Host,
+		Method: parsed.Method, Target: target, Path: parsed.URL.EscapedPath(), Host: parsed.Host, Caller: c.caller,
 		Header: parsed.Header, Arrived: time.Now(),
 	}
 	reader, length := body(parsed, c.reader)
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -22,8 +22,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"rhubarbtrack.example/core/detector"
 	"rhubarbtrack.example/core/matcher"
 	"rhubarbtrack.example/core/registrar"
 	"rhubarbtrack.example/core/selector"
@@ -201,6 +203,7 @@
 type job struct {
 	request    *acceptor.Request
 	id         string
+	signature  uint64 // equal for requests that the caller sends again, see sign
 	route      *matcher.Route
 	service    matcher.Service
 	header     http.Header
@@ -231,7 +234,10 @@
 	if !ok {
 		return r.finish(&job{request: request}, http.StatusNotFound, "no route matches the request")
 	}
-	j := &job{request: request, route: route, id: request.Header.Get(translator.AttemptHeader), tried: map[string]bool{}}
+	j := &job{
+		request: request, route: route, id: request.Header.Get(translator.AttemptHeader), signature: sign(request),
+		tried: map[string]bool{},
+	}
 	j.service = snapshot.Config.Services[route.Choose(j.id)]
 	j.header = exchanger.Forwardable(request.Header)
 	if !r.setDeadline(j) {
@@ -254,6 +260,13 @@
 	return r.serve(ctx, j, r.chooseOwner)
 }
 
+// sign returns the signature of a request. It is the same when the caller sends the request again, to any host. A body
+// that is too long to be kept in memory counts with its length only.
+func sign(request *acceptor.Request) uint64 {
+	return detector.Sign(request.Method, request.Host, request.Path, request.Caller,
+		strconv.FormatUint(xxhash.Sum64(request.Body), 16), strconv.FormatInt(request.Length, 10))
+}
+
 // locked calls f with the mutex held. A panic in f releases the mutex.
 func (r *Router) locked(f func()) {
 	r.mutex.Lock()
@@ -422,5 +435,11 @@
 // logAttempt logs a failed attempt.
 func (r *Router) logAttempt(j *job, u registrar.Upstream, outcome string, err error) {
 	r.options.Log.Log(eventlog.RequestAttempted, zap.String("request", j.id), zap.String("upstream", u.ID),
-		zap.Int("try", j.attempts), zap.String("outcome", outcome), eventlog.Cause(err))
+		zap.Int("try", j.attempts), zap.String("outcome", outcome), signatureField(j), zap.String("caller", j.request.Caller),
+		zap.String("path", eventlog.Shorten(j.request.Path)), eventlog.Cause(err))
+}
+
+// signatureField identifies in the log a request that a caller sends again, under another ID each time.
+func signatureField(j *job) zap.Field {
+	return zap.String("signature", strconv.FormatUint(j.signature, 16))
 }
