--- /dev/null
+++ b/rhubarbtrackd/internal/starter/crash_test.go
@@ -0,0 +1,119 @@
+package starter_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/platform/simulator"
+)
+
+const (
+	// crashesAllowed is the number of upstreams that a request may crash, and of attempts that may reach upstreams later
+	// than blockWithin after the last of these crashes.
+	crashesAllowed = 3
+	blockWithin    = 3 * time.Second
+)
+
+// crashLoad sends a request that crashes upstreams to random hosts, again and again from the same caller.
+type crashLoad struct {
+	prefix   string
+	attempts []string
+}
+
+func (l *crashLoad) run(hosts []*testHost, duration time.Duration) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var group sync.WaitGroup
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(60 * time.Millisecond) {
+		call := simulator.Call{
+			Prefix: l.prefix, Name: simulator.CrashName, Attempt: fmt.Sprintf("crash-%d", len(l.attempts)), Key: 7, TimeLeft: 3 * time.Second,
+		}
+		l.attempts = append(l.attempts, call.Attempt)
+		host := hosts[rand.IntN(len(hosts))]
+		group.Go(func() { _, _ = call.Send(client, host.settings.CallerAddress) })
+	}
+	group.Wait()
+}
+
+// runTimes returns when upstreams began to run the request, in order.
+func (l *crashLoad) runTimes(s *system) []time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var times []time.Time
+	for _, attempt := range l.attempts {
+		times = append(times, s.begins[attempt]...)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// checkBlocked checks that the request no longer reaches upstreams after it has crashed crashesAllowed of them.
+func (l *crashLoad) checkBlocked(t *testing.T, s *system) {
+	t.Helper()
+	times := l.runTimes(s)
+	assert.Assert(t, len(times) >= crashesAllowed, "the request ran %d times, too few to be blocked", len(times))
+	late := 0
+	for _, at := range times {
+		if at.After(times[crashesAllowed-1].Add(blockWithin)) {
+			late++
+		}
+	}
+	t.Logf("%s: %d runs, %d of them late", l.prefix, len(times), late)
+	assert.Assert(t, late <= crashesAllowed, "%d upstreams ended, %d of them later than %v after the third", len(times), late, blockWithin)
+}
+
+func TestRequestThatCrashesUpstreamsIsBlockedOnAllHosts(t *testing.T) {
+	for _, prefix := range []string{simulator.PlainPrefix, simulator.ReadPrefix, simulator.OrderPrefix} {
+		t.Run(prefix, func(t *testing.T) {
+			s := newSystemWith(t, 8, 8)
+			crash := &crashLoad{prefix: prefix}
+			crash.run(s.hosts, 10*time.Second)
+			crash.checkBlocked(t, s)
+		})
+	}
+}
+
+// callers sends distinct requests to a route until stop is set, and returns the share that was served.
+func callers(s *system, prefix string, stop *atomic.Bool) float64 {
+	var served, sent atomic.Int64
+	var group sync.WaitGroup
+	for worker := range 6 {
+		group.Go(func() {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			for n := worker; !stop.Load(); n += 6 {
+				call := simulator.Call{
+					Prefix: prefix, Name: strconv.Itoa(n), Attempt: fmt.Sprintf("%016x", rand.Uint64()), Key: rand.IntN(1 << 16), TimeLeft: 3 * time.Second,
+				}
+				reply, err := call.Send(client, s.hosts[rand.IntN(len(s.hosts))].settings.CallerAddress)
+				sent.Add(1)
+				if err == nil && reply.Status == http.StatusOK && reply.Matches {
+					served.Add(1)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	return float64(served.Load()) / float64(sent.Load())
+}
+
+func TestOtherRequestsAreServedBesideOneThatCrashesUpstreams(t *testing.T) {
+	s := newSystemWith(t, 4, 8)
+	crash := &crashLoad{prefix: simulator.PlainPrefix}
+	var stop atomic.Bool
+	go func() {
+		defer stop.Store(true)
+		crash.run(s.hosts, 8*time.Second)
+	}()
+	served := callers(s, simulator.PlainPrefix, &stop)
+	t.Logf("served %.3f", served)
+	assert.Assert(t, served >= 0.9, "served %.3f", served)
+}
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -31,6 +31,8 @@
 	hostCount   = 3
 	readyWithin = 20 * time.Second
 	workTime    = 20 * time.Millisecond
+	// restartDelay is the time from the crash of an upstream until it starts again.
+	restartDelay = 1500 * time.Millisecond
 )
 
 type testHost struct {
@@ -53,6 +55,7 @@
 	hosts     []*testHost
 	mutex     sync.Mutex
 	runs      map[string]int
+	begins    map[string][]time.Time // of the runs of each attempt
 }
 
 func freePort(t *testing.T, ip string) string {
@@ -65,14 +68,20 @@
 	return port
 }
 
+// newSystem starts hosts with four upstreams of the keyed service and two of the other one.
 func newSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{store: simulator.NewStore(), runs: map[string]int{}}
+	return newSystemWith(t, 4, 2)
+}
+
+func newSystemWith(t *testing.T, keyed, plain int) *system {
+	t.Helper()
+	s := &system{store: simulator.NewStore(), runs: map[string]int{}, begins: map[string][]time.Time{}}
 	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, simulator.Configuration(3), nil))
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	for i := range 6 {
-		s.addUpstream(t, ctx, i)
+	for i := range keyed + plain {
+		s.addUpstream(t, ctx, i, i < keyed)
 	}
 	for i := range hostCount {
 		s.startHost(t, i)
@@ -83,28 +92,63 @@
 	return s
 }
 
-func (s *system) addUpstream(t *testing.T, ctx context.Context, i int) {
+// addUpstream starts an upstream. When a request crashes it, it starts again under another ID.
+func (s *system) addUpstream(t *testing.T, ctx context.Context, i int, keyed bool) {
 	t.Helper()
+	started := make(chan *simulator.Upstream)
+	go func() {
+		for start := 0; ctx.Err() == nil; start++ {
+			id := fmt.Sprintf("u%d", i)
+			if start > 0 {
+				id = fmt.Sprintf("u%d-%d", i, start)
+			}
+			s.runUpstream(ctx, id, i, keyed, started)
+			select {
+			case <-ctx.Done():
+			case <-time.After(restartDelay):
+			}
+		}
+	}()
+	select {
+	case u := <-started:
+		s.upstreams = append(s.upstreams, u)
+	case <-time.After(readyWithin):
+		t.Fatal("the upstream did not start")
+	}
+}
+
+// runUpstream runs an upstream until it crashes or ctx is done. It sends the first one to started.
+func (s *system) runUpstream(ctx context.Context, id string, i int, keyed bool, started chan<- *simulator.Upstream) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	if err != nil {
+		return // the next start tries again
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	options := simulator.UpstreamOptions{
-		ID: fmt.Sprintf("u%d", i), Service: simulator.KeyedService, Address: listener.Addr().String(), Domain: fmt.Sprintf("domain-%d", i%2),
-		Keyed: true, Slots: 6, Queue: 24, WorkTime: workTime, LateGrantShare: 0.1,
+		ID: id, Service: simulator.PlainService, Address: listener.Addr().String(), Domain: fmt.Sprintf("domain-%d", i%2),
+		Keyed: keyed, Slots: 6, Queue: 24, WorkTime: workTime, LateGrantShare: 0.1, Exit: cancel,
 		OnRun: func(run simulator.Run) {
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
 			s.runs[run.Attempt]++
+			s.begins[run.Attempt] = append(s.begins[run.Attempt], run.Begin)
 		},
 	}
-	if i >= 4 {
-		options.Service, options.Keyed = simulator.PlainService, false
+	if keyed {
+		options.Service = simulator.KeyedService
 	}
 	u := simulator.NewUpstream(options)
-	s.upstreams = append(s.upstreams, u)
 	server := &http.Server{Handler: u}
 	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
 	go func() { _ = u.Register(ctx, s.store) }()
+	select {
+	case started <- u:
+	case <-ctx.Done():
+	case <-time.After(time.Second): // not the first start
+	}
+	<-ctx.Done()
+	_ = server.Close()
 }
 
 func (s *system) startHost(t *testing.T, i int) {
