detector: do not block popular requests when upstreams crash for another reason

Now a request that an upstream has run lately is trusted for 10 s, and interruptions count only 50 ms apart.

Suspicions are now reported at once instead of every 200 ms, and a block is sent with the next step of the controller.

--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -36,6 +36,15 @@
 	DefaultMaxCrashes = 3
 )
 
+const (
+	// minCrashInterval is the minimum time between two interruptions that count. The connections of upstreams that fail
+	// together do not end at exactly the same time, and a request that is sent again meanwhile reaches the next of them.
+	minCrashInterval = 50 * time.Millisecond
+	// trustTime is how long the interruptions of a request do not count after an upstream has run it. A request that many
+	// callers send is thus not blocked while upstreams crash for another reason.
+	trustTime = 10 * time.Second
+)
+
 // blockVersionStep is the version increment when a signature is blocked and when that is retracted. It is large, so that
 // both take precedence over any number of concurrent changes between Suspect and Clear on other hosts.
 const blockVersionStep = 1 << 32
@@ -69,8 +78,8 @@
 
 // Interrupted reports that the connection to an upstream ended before the response to a request was complete. The upstream
 // may have crashed, and any request that was in flight there may be the cause. The interruption counts if the request was
-// sent after the last one that counts, to another upstream. All upstreams that fail at the same moment thus count once,
-// also under a request that many callers send.
+// sent after the last one that counts, to another upstream, and if no upstream has run such a request lately. All upstreams
+// that fail at the same moment thus count once.
 type Interrupted struct {
 	Signature uint64
 	Upstream  string // one incarnation of it
@@ -78,7 +87,7 @@
 	EndedAt   time.Duration
 }
 
-// Completed reports that an upstream ran a suspect and did not crash.
+// Completed reports that an upstream ran a request and did not crash.
 type Completed struct{ Signature uint64 }
 
 // Retracted cancels a Crash: the upstream had not crashed.
@@ -99,6 +108,8 @@
 	entries   map[uint64]*list.Element
 	unblocked *list.List // suspect and cleared signatures, in the order of their updates
 	blocked   *list.List
+	trusted   map[uint64]time.Duration // time of the last completion
+	recent    []uint64                 // signatures in the order in which they were added to trusted
 }
 
 type entry struct {
@@ -122,6 +133,7 @@
 		entries:   map[uint64]*list.Element{},
 		unblocked: list.New(),
 		blocked:   list.New(),
+		trusted:   map[uint64]time.Duration{},
 	}
 }
 
@@ -154,6 +166,25 @@
 	return known.Status
 }
 
+// Trusted reports whether interruptions of requests with the signature do not count, because an upstream has run one
+// lately.
+func (d *Detector) Trusted(now time.Duration, signature uint64) bool {
+	at, ok := d.trusted[signature]
+	return ok && now < at+trustTime
+}
+
+// trust records a completion. The oldest signatures are forgotten when there are more than Bound.
+func (d *Detector) trust(now time.Duration, signature uint64) {
+	if _, ok := d.trusted[signature]; !ok {
+		if len(d.recent) >= d.options.Bound {
+			delete(d.trusted, d.recent[0])
+			d.recent = d.recent[1:]
+		}
+		d.recent = append(d.recent, signature)
+	}
+	d.trusted[signature] = now
+}
+
 // Len returns the number of stored signatures. Expired ones count until they are removed.
 func (d *Detector) Len() int { return len(d.entries) }
 
@@ -169,6 +200,7 @@
 	case Interrupted:
 		changed = d.countCrash(now, event, changed)
 	case Completed:
+		d.trust(now, event.Signature)
 		changed = d.clearSuspect(now, event.Signature, changed)
 	case Retracted:
 		for _, signature := range event.Signatures {
@@ -213,6 +245,9 @@
 
 // countCrash makes the signature a suspect, and blocks it at the last of MaxCrashes interruptions in sequence.
 func (d *Detector) countCrash(now time.Duration, event Interrupted, changed []Report) []Report {
+	if d.Trusted(event.EndedAt, event.Signature) {
+		return changed
+	}
 	known, ok := d.get(now, event.Signature)
 	next := Report{
 		Signature: event.Signature, Status: Suspect, Version: known.Version + 1, Age: now - event.EndedAt, Crashes: 1,
@@ -222,7 +257,8 @@
 		return changed
 	}
 	if ok && known.Status == Suspect {
-		if event.SentAt < known.expiry-d.options.Retention || event.Upstream == known.Upstream {
+		last := known.expiry - d.options.Retention
+		if event.SentAt < last || event.EndedAt < last+minCrashInterval || event.Upstream == known.Upstream {
 			return changed
 		}
 		next.Crashes = known.Crashes + 1
--- a/rhubarbtrackd/internal/connector/connector.go
+++ b/rhubarbtrackd/internal/connector/connector.go
@@ -44,9 +44,12 @@
 	ReportInterval = 200 * time.Millisecond
 	// heartbeatTimeout is how long either side waits for a message before it closes the connection.
 	heartbeatTimeout = 900 * time.Millisecond
-	writeTimeout     = 500 * time.Millisecond
-	dialTimeout      = 700 * time.Millisecond
-	redialDelay      = 200 * time.Millisecond
+	// soonDelay is the delay of a report that must not wait for ReportInterval. The observations of the other requests that
+	// were in flight at the same upstream arrive meanwhile.
+	soonDelay    = 20 * time.Millisecond
+	writeTimeout = 500 * time.Millisecond
+	dialTimeout  = 700 * time.Millisecond
+	redialDelay  = 200 * time.Millisecond
 	// maxHeadBytes bounds the head of a response of another host.
 	maxHeadBytes = 16 << 10
 	// maxMessage bounds a message in bytes. The full state for 20,000 upstreams fits.
@@ -198,6 +201,8 @@
 	OnAddressReused func(host string)
 	// Report returns the observations since the last report.
 	Report func() Report
+	// ReportSoon delivers a value when a report must not wait for ReportInterval. It may be nil.
+	ReportSoon <-chan struct{}
 	// OnHeartbeat is called with each heartbeat, in order of arrival.
 	OnHeartbeat func(heartbeat Heartbeat)
 	// OnDisconnect is called with the cause when a connection ends or cannot be made.
@@ -294,6 +299,8 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-c.options.ReportSoon:
+			time.Sleep(soonDelay)
 		}
 	}
 }
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -132,7 +132,8 @@
 	profiler       *profiler.Profiler
 	hostList       *hostList
 	signatures     signatureQueue
-	needsFullCopy  atomic.Bool // the next report requests the controller's full copy of the store
+	reportSoon     chan struct{} // has a value when the next report must not wait
+	needsFullCopy  atomic.Bool   // the next report requests the controller's full copy of the store
 }
 
 // New returns a Coordinator that does nothing until Run is called.
@@ -155,6 +156,7 @@
 		sentSnapshots:    map[*connector.Peer]*follower.Snapshot{},
 		sentRunTimes:     map[*connector.Peer]bool{},
 		sentSignatures:   map[*connector.Peer]bool{},
+		reportSoon:       make(chan struct{}, 1),
 		profiler:         profiler.New(),
 		hostList:         newHostList(options.Address),
 	}
@@ -187,6 +189,7 @@
 		Now:         options.Now,
 		Panics:      options.Panics,
 		Report:      c.report,
+		ReportSoon:  c.reportSoon,
 		OnHeartbeat: func(heartbeat connector.Heartbeat) { c.post(func() { c.handleHeartbeat(heartbeat) }) },
 		OnConnect: func(address string) {
 			options.Log.Log(eventlog.LeaderFollowed, zap.String("address", address))
@@ -342,7 +345,7 @@
 		c.signatures.takeChanged() // the controller sends them
 		c.fetchTables(ctx, now)
 	}
-	if now >= c.lastReport+connector.ReportInterval {
+	if now >= c.lastReport+connector.ReportInterval || (c.contender.IsHolder() && c.signatures.hasBlocked()) {
 		c.lastReport = now
 		if c.contender.IsHolder() {
 			c.handleReport(ctx, c.options.Report())
--- a/rhubarbtrackd/internal/coordinator/signatures.go
+++ b/rhubarbtrackd/internal/coordinator/signatures.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,13 @@
 	}
 }
 
+// hasBlocked reports whether a newly blocked signature waits to be sent.
+func (q *signatureQueue) hasBlocked() bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return slices.ContainsFunc(q.changed, func(r detector.Report) bool { return r.Status == detector.Blocked })
+}
+
 func (q *signatureQueue) takeChanged() []detector.Report {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -78,6 +86,12 @@
 // ShareSignature queues a status that this host has changed for the other hosts and, if it is blocked, for the store. It
 // does not block and may be called from any goroutine.
 func (c *Coordinator) ShareSignature(report detector.Report) {
+	if report.Status != detector.Clear {
+		select {
+		case c.reportSoon <- struct{}{}:
+		default:
+		}
+	}
 	if isShared(report) {
 		c.signatures.add(report, report.Status == detector.Blocked)
 	}
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -436,13 +436,15 @@
 func (r *Router) observeCrash(began time.Duration, j *job, u registrar.Upstream, resp *exchanger.Response, err error) {
 	now := r.options.Now()
 	switch {
-	case err != nil && kindOf(err) == exchanger.Interrupted:
+	case err != nil && kindOf(err) == exchanger.Interrupted && !r.options.Suspector.Trusted(now, j.signature):
 		incarnation := u.ID + "/" + strconv.FormatInt(u.Incarnation, 10)
 		event := detector.Interrupted{Signature: j.signature, Upstream: incarnation, SentAt: began, EndedAt: now}
 		r.locked(func() { r.observed.recordInterruption(event) })
 		r.options.Suspector.Record(now, event)
-	case err == nil && !isRejection(resp) && resp.Status < 500 && r.options.Suspector.Status(now, j.signature) == detector.Suspect:
-		r.locked(func() { r.observed.recordCompletion(j.signature) })
+	case err == nil && !isRejection(resp) && resp.Status < 500:
+		if r.options.Suspector.Status(now, j.signature) == detector.Suspect {
+			r.locked(func() { r.observed.recordCompletion(j.signature) })
+		}
 		r.options.Suspector.Record(now, detector.Completed{Signature: j.signature})
 	}
 }
--- a/rhubarbtrackd/internal/suspector/suspector.go
+++ b/rhubarbtrackd/internal/suspector/suspector.go
@@ -48,6 +48,13 @@
 	return s.detector.Status(now, signature)
 }
 
+// Trusted reports whether interruptions of requests with a signature do not count.
+func (s *Suspector) Trusted(now time.Duration, signature uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.detector.Trusted(now, signature)
+}
+
 // Observe passes an action of an admitter to the detector and publishes the resulting reports. It ignores actions other
 // than detected crashes, retracted crashes and requests that ran alone.
 func (s *Suspector) Observe(now time.Duration, action admitter.Action) {
