follower: count a drain found in a list from before the outage that hid it

Cause: a host may send to a draining upstream for 2 s from the time at which it first observes the drain, because it learns of a change within the reserve of 1 s. That does not hold for a change that it finds in a list: the store was back at 18.85 s after 15.5 s, the host listed the upstreams after that, and the request was sent 2.0 s later, while the upstream drained from 17.907 s on. The line that was missing: only events of a watch were logged, not the state in a list. Not the cause: a host that starts to follow a controller before that is up to date; the relay was followed at 20.45 s only.

Change: the state in a list or in a full copy counts from the time at which the copy was last known to be current. The same for failure domains that are taken out, which have the same allowance. upstream-draining logs the age that a host assumes.

--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -145,6 +145,7 @@
 	HostLost             = register(726, "host-lost", zap.WarnLevel, "A host no longer reports to the controller, or its report could not be decoded.")
 	HostNotNotified      = register(727, "host-not-told", zap.InfoLevel, "The new controller could not announce itself to a host that has not connected; it retries.")
 	BlockedWriteFailed   = register(728, "blocked-write-failed", zap.WarnLevel, "A request that crashes upstreams could not be written to the store, or an expired one could not be removed; a failed write is retried.")
+	UpstreamDraining     = register(729, "upstream-draining", zap.InfoLevel, "This host found that an upstream drains; the field age contains the longest time for which it may have been draining.")
 	RequestEnded         = register(730, "request-ended", zap.InfoLevel, "The response of an upstream was returned to the caller.")
 	RequestAttempted     = register(731, "request-attempted", zap.InfoLevel, "An attempt at an upstream failed.")
 	RequestRejected      = register(732, "request-rejected", zap.InfoLevel, "The host itself responded to a request, or abandoned it; the field reason contains the cause.")
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -65,10 +65,13 @@
 	Config    *matcher.Config // nil until one was read
 	Upstreams map[string]registrar.Upstream
 	ByService map[string][]registrar.Upstream
-	TakenOut  map[string]time.Duration // failure domain to the time at which its take-out was first observed
-	Draining  map[string]time.Duration // upstream to the time at which it was first observed to drain
-	Listed    bool                     // the upstreams have been read at least once
-	Revision  int64                    // newest revision of all upstream entries read so far
+	// TakenOut holds, for each failure domain that is taken out, the earliest time at which that may have begun. Draining
+	// holds the same for each draining upstream. It is the time of the event from a watch or the relay. For a state found in
+	// a list, it is when the copy was last known to be current, because any outage may have hidden the event.
+	TakenOut map[string]time.Duration
+	Draining map[string]time.Duration
+	Listed   bool  // the upstreams have been read at least once
+	Revision int64 // newest revision of all upstream entries read so far
 }
 
 // Options configures a Follower.
@@ -104,6 +107,8 @@
 	// connected is set when the store or the controller sends data. It is cleared when the relay times out, and when a
 	// call to the store fails while the copy is not updated from the relay.
 	connected        bool
+	current          map[string]time.Duration // by kind, when the copy was last known to be current
+	stateSince       time.Duration            // earliest time at which the state that is being applied may have begun
 	cancels          map[string]context.CancelFunc
 	relayDeadline    time.Duration    // until then, this host waits for the relay and reads only the configuration
 	announcedVersion int64            // newest version of the configuration that a controller has read
@@ -115,7 +120,7 @@
 	f := &Follower{
 		options: options, list: registrar.New(), takenOut: map[string]time.Duration{},
 		draining: map[string]time.Duration{}, failing: map[string]time.Duration{}, rejected: map[string]int64{},
-		cancels: map[string]context.CancelFunc{},
+		cancels: map[string]context.CancelFunc{}, current: map[string]time.Duration{},
 	}
 	if options.FirstStart {
 		f.relayDeadline = options.Now() + startupWait
@@ -246,11 +251,16 @@
 func (f *Follower) relist(ctx context.Context, kind kindWatcher, skip func([]byte, error)) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	sentAt := f.options.Now()
 	list, err := f.options.Store.List(ctx, kind.kind, skip)
 	if err != nil {
 		return 0, err
 	}
-	f.apply(ctx, kind, func(now time.Duration) { kind.replace(now, list.Objects) })
+	f.apply(ctx, kind, func(now time.Duration) {
+		f.stateSince = f.current[kind.kind]
+		kind.replace(now, list.Objects)
+		f.current[kind.kind] = sentAt
+	})
 	return list.Revision, nil
 }
 
@@ -266,6 +276,7 @@
 		return 0, err
 	}
 	f.apply(ctx, kind, func(now time.Duration) {
+		f.stateSince, f.current[kind.kind] = now, now
 		for _, event := range events {
 			kind.put(now, event)
 		}
@@ -321,14 +332,15 @@
 		TakenOut: map[string]time.Duration{}, Draining: map[string]time.Duration{}, Listed: f.listed,
 		Revision: f.revision,
 	}
-	now := f.options.Now()
 	for id, u := range s.Upstreams {
 		s.ByService[u.Service] = append(s.ByService[u.Service], u)
 		if !u.Draining {
 			continue
 		}
 		if _, known := f.draining[id]; !known {
-			f.draining[id] = now
+			f.draining[id] = f.stateSince
+			f.options.Log.Log(eventlog.UpstreamDraining, zap.String("upstream", id), zap.Duration("age", f.options.Now()-f.stateSince),
+				zap.Bool("relayed", f.relayed), zap.Int64("revision", f.revision))
 		}
 		s.Draining[id] = f.draining[id]
 	}
@@ -413,6 +425,11 @@
 	if !change.Full && !f.relayed {
 		return false
 	}
+	f.stateSince = now
+	if change.Full {
+		f.stateSince = min(f.current[translator.UpstreamKind], f.current[translator.TakeOutKind])
+	}
+	f.current[translator.UpstreamKind], f.current[translator.TakeOutKind] = now, now
 	f.lastRelay = now
 	f.connected = true
 	if !f.relayed {
@@ -431,7 +448,7 @@
 	present := map[string]bool{}
 	for _, domain := range change.TakenOut {
 		present[domain] = true
-		f.takeOut(now, domain)
+		f.takeOut(domain)
 	}
 	for domain := range f.takenOut {
 		if !present[domain] {
@@ -524,11 +541,11 @@
 	f.config = config
 }
 
-func (f *Follower) replaceTakeOuts(now time.Duration, objects []storer.Object) {
+func (f *Follower) replaceTakeOuts(_ time.Duration, objects []storer.Object) {
 	present := map[string]bool{}
 	for _, object := range objects {
 		present[object.Name] = true
-		f.takeOut(now, object.Name)
+		f.takeOut(object.Name)
 	}
 	for domain := range f.takenOut {
 		if !present[domain] {
@@ -537,20 +554,20 @@
 	}
 }
 
-func (f *Follower) putTakeOut(now time.Duration, event storer.Event) {
+func (f *Follower) putTakeOut(_ time.Duration, event storer.Event) {
 	if event.Removed {
 		f.clearTakeOut(event.Object.Name)
 		return
 	}
-	f.takeOut(now, event.Object.Name)
+	f.takeOut(event.Object.Name)
 }
 
-func (f *Follower) takeOut(now time.Duration, domain string) {
+func (f *Follower) takeOut(domain string) {
 	if _, known := f.takenOut[domain]; known {
 		return
 	}
-	f.takenOut[domain] = now
-	f.options.Log.Log(eventlog.DomainTakenOut, zap.String("failure-domain", domain))
+	f.takenOut[domain] = f.stateSince
+	f.options.Log.Log(eventlog.DomainTakenOut, zap.String("failure-domain", domain), zap.Duration("age", f.options.Now()-f.stateSince))
 }
 
 func (f *Follower) clearTakeOut(domain string) {
--- /dev/null
+++ b/rhubarbtrackd/internal/follower/outage_test.go
@@ -0,0 +1,68 @@
+package follower_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/registrar"
+	"rhubarbtrack.example/platform/simulator"
+	"rhubarbtrack.example/platform/translator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
+	"rhubarbtrack.example/rhubarbtrackd/internal/timer"
+)
+
+func drainUpstream(t *testing.T, store *simulator.Store, id string) {
+	t.Helper()
+	u := simulator.NewUpstream(simulator.UpstreamOptions{ID: id, Service: "s", Address: "127.0.0.1:1", Domain: "d", Slots: 6})
+	u.Drain()
+	specification, status := u.Entry()
+	assert.NilError(t, store.Put(translator.UpstreamKind, id, specification, status))
+}
+
+func TestDrainHiddenByAnOutageCountsFromBeforeTheOutage(t *testing.T) {
+	const outage = 1500 * time.Millisecond
+	store, f := newFollower(t)
+	putConfiguration(t, store, 3)
+	putUpstream(t, store, "a")
+	eventually(t, "the initial state was not read", func() bool { return len(f.Snapshot().Upstreams) == 1 })
+	store.SetFault(simulator.Fault{Kind: simulator.Busy})
+	drainUpstream(t, store, "a")
+	assert.NilError(t, store.Put(translator.TakeOutKind, "d", map[string]any{}, nil))
+	hidden := timer.Now()
+	store.Compact() // ends the watches in progress
+	time.Sleep(outage)
+	store.SetFault(simulator.Fault{})
+	eventually(t, "the changes were not read", func() bool { s := f.Snapshot(); return len(s.Draining) == 1 && len(s.TakenOut) == 1 })
+	assert.Assert(t, f.Snapshot().Draining["a"] <= hidden, "counted %v late", f.Snapshot().Draining["a"]-hidden)
+	assert.Assert(t, f.Snapshot().TakenOut["d"] <= hidden, "counted %v late", f.Snapshot().TakenOut["d"]-hidden)
+}
+
+func TestDrainInAFullCopyCountsFromTheLastConfirmation(t *testing.T) {
+	store, f := newFollower(t)
+	putConfiguration(t, store, 3)
+	putUpstream(t, store, "a")
+	eventually(t, "the initial state was not read", func() bool { return len(f.Snapshot().Upstreams) == 1 })
+	store.SetFault(simulator.Fault{Kind: simulator.Busy})
+	store.Compact()
+	hidden := timer.Now()
+	time.Sleep(500 * time.Millisecond)
+	u := f.Snapshot().Upstreams["a"]
+	u.Draining = true
+	change := follower.Change{Full: true, Revision: 1 << 40, Puts: []registrar.Upstream{u}, TakenOut: []string{"d"}, Configuration: 3}
+	assert.Assert(t, f.ApplyChange(change))
+	assert.Assert(t, f.Snapshot().Draining["a"] <= hidden, "counted %v late", f.Snapshot().Draining["a"]-hidden)
+	assert.Assert(t, f.Snapshot().TakenOut["d"] <= hidden, "counted %v late", f.Snapshot().TakenOut["d"]-hidden)
+}
+
+func TestDrainInAChangeCountsFromItsArrival(t *testing.T) {
+	store, f := newFollower(t)
+	putConfiguration(t, store, 3)
+	putUpstream(t, store, "a")
+	eventually(t, "the initial state was not read", func() bool { return len(f.Snapshot().Upstreams) == 1 })
+	before := timer.Now()
+	drainUpstream(t, store, "a")
+	eventually(t, "the change was not read", func() bool { return len(f.Snapshot().Draining) == 1 })
+	assert.Assert(t, f.Snapshot().Draining["a"] >= before)
+}
