soak: a request that crashes upstreams, sent again and again

The soak sends six copies of it to random hosts as one of its faults, beside kills, pauses, cuts and outages, and checks that it no longer reaches upstreams 3 s after it has crashed the third.

--- a/demo/internal/soaker/caller.go
+++ b/demo/internal/soaker/caller.go
@@ -19,6 +19,8 @@
 	// keyCount is the number of different keys. It is small, so that several callers request the same key at the same
 	// time.
 	keyCount = 96
+	// crashKey is the key of the requests that crash upstreams. No other request has it.
+	crashKey = 1
 	timeLeft = 3 * time.Second
 	// callerTimeout ends requests to paused hosts, which do not enforce timeLeft.
 	callerTimeout = 3500 * time.Millisecond
--- a/demo/internal/soaker/check.go
+++ b/demo/internal/soaker/check.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"rhubarbtrack.example/platform/simulator"
@@ -63,9 +65,41 @@
 		report.addViolation("recovery: %.3f of %d requests were served after all faults had ended", report.Recovered, settledCount)
 	}
 	checkOwners(&report, lines, killTimes)
+	checkCrashes(&report, lines)
 	return report
 }
 
+const (
+	// maxCrashes is the number of upstreams that a request may crash before it has to be blocked, and of attempts that may
+	// run later than blockTime after the last of these crashes.
+	maxCrashes = 3
+	blockTime  = 3 * time.Second
+)
+
+// checkCrashes finds requests that reach upstreams although they have crashed enough of them.
+func checkCrashes(report *Report, lines []simulator.Line) {
+	runs := map[string][]int64{} // times by prefix of the path
+	for _, line := range lines {
+		if rest, ok := strings.CutPrefix(line.Attempt, crashAttempt); ok {
+			prefix := rest[:strings.LastIndex(rest, "/")+1]
+			runs[prefix] = append(runs[prefix], line.At)
+		}
+	}
+	for prefix, times := range runs {
+		slices.Sort(times)
+		late := 0
+		for _, at := range times {
+			if len(times) >= maxCrashes && at > times[maxCrashes-1]+blockTime.Nanoseconds() {
+				late++
+			}
+		}
+		if late > maxCrashes {
+			report.addViolation("crashes: %d runs of %s%s, %d of them later than %v after the third", len(times), prefix,
+				simulator.CrashName, late, blockTime)
+		}
+	}
+}
+
 func checkOutcome(report *Report, o outcome, runs int, planned bool) {
 	if o.Matches {
 		report.Served++
--- a/demo/internal/soaker/fault.go
+++ b/demo/internal/soaker/fault.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -108,7 +110,7 @@
 func (c *cluster) injectFault(ctx context.Context) {
 	h := c.hosts[c.random.IntN(len(c.hosts))]
 	u := c.upstreams[c.random.IntN(len(c.upstreams))]
-	switch c.random.IntN(12) {
+	switch c.random.IntN(14) {
 	case 0:
 		c.logf("kill %s", h.settings.Name)
 		h.process.Kill()
@@ -128,6 +130,8 @@
 		}
 	case 3:
 		c.pause(ctx, u.id, u.process.Signal)
+	case 9, 10:
+		c.sendCrashes(ctx, simulator.Prefixes[c.random.IntN(len(simulator.Prefixes))])
 	case 4:
 		c.faultLink(ctx, "link to "+u.id, u.link)
 	case 5:
@@ -174,3 +178,37 @@
 		}
 	}
 }
+
+const (
+	// crashCopies is the number of times that a request which crashes upstreams is sent in one fault.
+	crashCopies   = 6
+	crashInterval = 100 * time.Millisecond
+	crashAttempt  = "crash-" // prefix of the attempts of such requests
+)
+
+// sendCrashes sends a request that crashes upstreams to random hosts, and starts the upstreams that have exited. The request
+// is the same in all faults with the same prefix.
+func (c *cluster) sendCrashes(ctx context.Context, prefix string) {
+	c.logf("requests that crash upstreams: %s", prefix)
+	client := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	var group sync.WaitGroup
+	for range crashCopies {
+		c.crashes++
+		call := simulator.Call{
+			Prefix: prefix, Name: simulator.CrashName, Attempt: fmt.Sprintf("%s%s%d", crashAttempt, prefix, c.crashes), Key: crashKey, TimeLeft: timeLeft,
+		}
+		address := c.hosts[c.random.IntN(len(c.hosts))].settings.Callers
+		group.Go(func() { _, _ = call.Send(client, address) }) // the response does not matter
+		sleep(ctx, crashInterval)
+	}
+	group.Wait()
+	for _, u := range c.upstreams {
+		if !u.process.HasExited() {
+			continue
+		}
+		c.killTimes[u.id] = time.Now()
+		if err := c.startUpstream(ctx, u); err != nil {
+			c.logf("start: %v", err)
+		}
+	}
+}
--- a/demo/internal/soaker/soaker.go
+++ b/demo/internal/soaker/soaker.go
@@ -8,7 +8,8 @@
 //
 // The checks: no request that must not be repeated runs twice; a rejected one has not run, and its response has a
 // Retry-After field; a response with status 200 is complete and belongs to its request; no two upstreams run requests
-// of the same key while both hold it; and nearly all requests are served once the faults have ended.
+// of the same key while both hold it; a request that crashes upstreams no longer reaches them soon after it has crashed
+// the third; and nearly all requests are served once the faults have ended.
 //
 // # Usage
 //
@@ -99,6 +100,7 @@
 	upstreams []*upstream
 	killTimes map[string]time.Time // upstream ID, which is unique to the process, to the time of its kill
 	version   int
+	crashes   int // requests that crash upstreams sent so far
 	planned   bool
 }
 
