--- a/demo/internal/soaker/fault.go
+++ b/demo/internal/soaker/fault.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
-	"sync"
 	"syscall"
 	"time"
 
@@ -32,6 +32,7 @@
 			c.runPlannedOperation(ctx)
 		} else {
 			c.injectFault(ctx)
+			c.startExited(ctx)
 		}
 		sleep(ctx, minGap+time.Duration(c.random.Int64N(int64(gapRange))))
 	}
@@ -110,7 +111,7 @@
 func (c *cluster) injectFault(ctx context.Context) {
 	h := c.hosts[c.random.IntN(len(c.hosts))]
 	u := c.upstreams[c.random.IntN(len(c.upstreams))]
-	switch c.random.IntN(14) {
+	switch c.random.IntN(12) {
 	case 0:
 		c.logf("kill %s", h.settings.Name)
 		h.process.Kill()
@@ -130,8 +131,6 @@
 		}
 	case 3:
 		c.pause(ctx, u.id, u.process.Signal)
-	case 9, 10:
-		c.sendCrashes(ctx, simulator.Prefixes[c.random.IntN(len(simulator.Prefixes))])
 	case 4:
 		c.faultLink(ctx, "link to "+u.id, u.link)
 	case 5:
@@ -180,35 +179,44 @@
 }
 
 const (
-	// crashCopies is the number of times that a request which crashes upstreams is sent in one fault.
-	crashCopies   = 6
-	crashInterval = 100 * time.Millisecond
-	crashAttempt  = "crash-" // prefix of the attempts of such requests
+	crashInterval = 150 * time.Millisecond
+	crashAttempt  = "crash-" // prefix of the attempts of requests that crash upstreams
 )
 
-// sendCrashes sends a request that crashes upstreams to random hosts, and starts the upstreams that have exited. The request
-// is the same in all faults with the same prefix.
-func (c *cluster) sendCrashes(ctx context.Context, prefix string) {
+// sendCrashes sends a request that crashes upstreams to random hosts, again and again until ctx is done.
+func (c *cluster) sendCrashes(ctx context.Context) {
+	prefix := simulator.Prefixes[c.options.Seed/plannedSeedInterval%uint64(len(simulator.Prefixes))]
 	c.logf("requests that crash upstreams: %s", prefix)
+	random := rand.New(rand.NewPCG(c.options.Seed, 2))
 	client := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	var group sync.WaitGroup
-	for range crashCopies {
-		c.crashes++
+	addresses := c.callerAddresses()
+	for n := 0; ctx.Err() == nil; n++ {
 		call := simulator.Call{
-			Prefix: prefix, Name: simulator.CrashName, Attempt: fmt.Sprintf("%s%s%d", crashAttempt, prefix, c.crashes), Key: crashKey, TimeLeft: timeLeft,
+			Prefix: prefix, Name: simulator.CrashName, Attempt: fmt.Sprintf("%s%s%d", crashAttempt, prefix, n), Key: crashKey, TimeLeft: timeLeft,
 		}
-		address := c.hosts[c.random.IntN(len(c.hosts))].settings.Callers
-		group.Go(func() { _, _ = call.Send(client, address) }) // the response does not matter
+		address := addresses[random.IntN(len(addresses))]
+		go func() { _, _ = call.Send(client, address) }() // the response does not matter
 		sleep(ctx, crashInterval)
 	}
-	group.Wait()
+}
+
+// startExited starts the upstreams that a request has crashed.
+func (c *cluster) startExited(ctx context.Context) {
 	for _, u := range c.upstreams {
 		if !u.process.HasExited() {
 			continue
 		}
+		c.logf("crashed %s", u.id)
 		c.killTimes[u.id] = time.Now()
 		if err := c.startUpstream(ctx, u); err != nil {
 			c.logf("start: %v", err)
 		}
 	}
 }
+
+// settle waits for settleTime.
+func (c *cluster) settle(ctx context.Context) {
+	for end := time.Now().Add(settleTime); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, readyPollInterval) {
+		c.startExited(ctx)
+	}
+}
--- a/demo/internal/soaker/soaker.go
+++ b/demo/internal/soaker/soaker.go
@@ -100,7 +100,6 @@
 	upstreams []*upstream
 	killTimes map[string]time.Time // upstream ID, which is unique to the process, to the time of its kill
 	version   int
-	crashes   int // requests that crash upstreams sent so far
 	planned   bool
 }
 
@@ -118,9 +117,12 @@
 	}
 	callers := newCallers(c.callerAddresses())
 	callers.start(ctx)
+	if !c.planned {
+		go c.sendCrashes(ctx)
+	}
 	c.injectFaults(ctx)
 	c.clearFaults(ctx)
-	sleep(ctx, settleTime)
+	c.settle(ctx)
 	settled := time.Now()
 	sleep(ctx, finalLoadTime)
 	outcomes := callers.stop()
