--- /dev/null
+++ b/rhubarbtrackd/internal/starter/budget_test.go
@@ -0,0 +1,31 @@
+package starter_test
+
+import (
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/platform/simulator"
+)
+
+func TestRetriesStayWithinTheBudgetWhenAllUpstreamsFail(t *testing.T) {
+	t.Parallel()
+	s := newSystemWith(t, 2, 6, func(options *simulator.UpstreamOptions) { options.GarbleShare = 1 })
+	var stop atomic.Bool
+	time.AfterFunc(6*time.Second, func() { stop.Store(true) }) // less than the window of the budget
+	runCallers(s, simulator.PlainPrefix, strconv.Itoa, &stop)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	first, repeated := 0, 0
+	for _, runs := range s.runs {
+		first++
+		repeated += runs - 1
+	}
+	bounds := s.hosts[0].settings.Bounds
+	allowed := bounds.RetryRatio*float64(first) + bounds.RetrySlack
+	t.Logf("%d requests, %d repeated attempts, %.0f allowed", first, repeated, allowed)
+	assert.Assert(t, first > 100 && float64(repeated) <= allowed)
+}
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -57,6 +57,7 @@
 	runs      map[string]int
 	begins    map[string][]time.Time     // of the runs of each attempt
 	exits     map[int]context.CancelFunc // each ends the process of an upstream
+	change    []func(*simulator.UpstreamOptions)
 }
 
 func freePort(t *testing.T, ip string) string {
@@ -75,9 +76,10 @@
 	return newSystemWith(t, 4, 2)
 }
 
-func newSystemWith(t *testing.T, keyed, plain int) *system {
+// newSystemWith starts hosts with upstreams whose options are changed by change, if given.
+func newSystemWith(t *testing.T, keyed, plain int, change ...func(*simulator.UpstreamOptions)) *system {
 	t.Helper()
-	s := &system{store: simulator.NewStore(), runs: map[string]int{}, begins: map[string][]time.Time{}, exits: map[int]context.CancelFunc{}}
+	s := &system{change: change, store: simulator.NewStore(), runs: map[string]int{}, begins: map[string][]time.Time{}, exits: map[int]context.CancelFunc{}}
 	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, simulator.Configuration(3), nil))
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -139,6 +141,9 @@
 	if keyed {
 		options.Service = simulator.KeyedService
 	}
+	for _, change := range s.change {
+		change(&options)
+	}
 	s.mutex.Lock()
 	s.exits[i] = cancel
 	s.mutex.Unlock()
