Split files that have grown: extensions of messages, signatures of requests, kinds of the store

coordinator: writes of blocked requests in progress are bounded, and keep the time at which their age was measured.

--- /dev/null
+++ b/rhubarbtrackd/internal/connector/extension.go
@@ -0,0 +1,100 @@
+package connector
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"rhubarbtrack.example/core/detector"
+)
+
+// subprotocol is negotiated by hosts that read an extension after a message. An extension is a second CBOR item, a map, so
+// that later versions can add fields. A message without an extension is the same in all versions.
+const subprotocol = "rhubarbtrack-extensions"
+
+// maxExtensionEntries bounds the entries of a list in an extension that are used.
+const maxExtensionEntries = detector.DefaultBound
+
+type wireInterruption struct {
+	_         struct{} `cbor:",toarray"`
+	Signature uint64
+	Upstream  string
+	SentAge   int64 // milliseconds
+	EndedAge  int64 // milliseconds
+}
+
+type wireReportExtension struct {
+	Interruptions []wireInterruption `cbor:"interruptions,omitempty"`
+	Completed     []uint64           `cbor:"completed,omitempty"`
+}
+
+type wireSignature struct {
+	_         struct{} `cbor:",toarray"`
+	Signature uint64
+	Status    int
+	Version   uint64
+	Age       int64 // milliseconds
+	Crashes   int
+	Upstream  string
+}
+
+type wireHeartbeatExtension struct {
+	Signatures []wireSignature `cbor:"signatures,omitempty"`
+}
+
+// withExtension appends an extension to an encoded message.
+func withExtension(message []byte, extension any) ([]byte, error) {
+	encoded, err := cbor.Marshal(extension)
+	if err != nil {
+		return nil, err
+	}
+	return append(message, encoded...), nil
+}
+
+// decodeExtended decodes a message, and the extension if there is one.
+func decodeExtended(data []byte, message, extension any) error {
+	rest, err := cbor.UnmarshalFirst(data, message)
+	if err != nil || len(rest) == 0 {
+		return err
+	}
+	return cbor.Unmarshal(rest, extension)
+}
+
+func fromWireReportExtension(r *Report, wire wireReportExtension) {
+	for _, w := range wire.Interruptions[:min(len(wire.Interruptions), maxExtensionEntries)] {
+		if w.EndedAge < 0 || w.SentAge < w.EndedAge || w.SentAge > detector.DefaultRetention.Milliseconds() {
+			continue // not possible, or too old to count
+		}
+		r.Interruptions = append(r.Interruptions, Interruption{
+			Signature: w.Signature, Upstream: w.Upstream, SentAge: time.Duration(w.SentAge) * time.Millisecond,
+			EndedAge: time.Duration(w.EndedAge) * time.Millisecond,
+		})
+	}
+	r.Completed = wire.Completed[:min(len(wire.Completed), maxExtensionEntries)]
+}
+
+func toWireSignatures(reports []detector.Report) []wireSignature {
+	wire := make([]wireSignature, 0, len(reports))
+	for _, r := range reports {
+		wire = append(wire, wireSignature{
+			Signature: r.Signature, Status: int(r.Status), Version: r.Version, Age: r.Age.Milliseconds(), Crashes: r.Crashes,
+			Upstream: r.Upstream,
+		})
+	}
+	return wire
+}
+
+func fromWireSignatures(wire []wireSignature) []detector.Report {
+	var reports []detector.Report
+	for _, w := range wire[:min(len(wire), maxExtensionEntries)] {
+		status := detector.Status(w.Status)
+		if status < detector.Clear || status > detector.Blocked || w.Age < 0 || w.Age > detector.DefaultRetention.Milliseconds() || w.Crashes < 0 {
+			continue // not possible, or too old to count
+		}
+		reports = append(reports, detector.Report{
+			Signature: w.Signature, Status: status, Version: w.Version, Age: time.Duration(w.Age) * time.Millisecond, Crashes: w.Crashes,
+			Upstream: w.Upstream,
+		})
+	}
+	return reports
+}
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -132,6 +132,7 @@
 	profiler       *profiler.Profiler
 	hostList       *hostList
 	signatures     signatureQueue
+	blockedWrites  int           // writes of blocked requests in progress
 	reportSoon     chan struct{} // has a value when the next report must not wait
 	needsFullCopy  atomic.Bool   // the next report requests the controller's full copy of the store
 }
@@ -338,7 +339,7 @@
 		c.snapshot = snapshot
 		c.updateAddresses(snapshot)
 	}
-	c.storeBlocked(ctx, now)
+	c.storeBlocked(ctx)
 	if c.contender.IsHolder() {
 		c.runController(ctx, now)
 	} else {
--- a/rhubarbtrackd/internal/coordinator/signatures.go
+++ b/rhubarbtrackd/internal/coordinator/signatures.go
@@ -20,8 +20,8 @@
 	minSharedCrashes = 2
 	// maxQueuedSignatures bounds each list of a signatureQueue. The store holds blocked signatures that do not fit.
 	maxQueuedSignatures = detector.DefaultBound
-	// maxBlockedWrites bounds the blocked requests that wait to be written to the store.
-	maxBlockedWrites = 64
+	// maxBlockedWrites bounds the blocked requests that are written to the store at the same time.
+	maxBlockedWrites = 16
 	// blockedWriteInterval is the time between two attempts to write a blocked request to the store.
 	blockedWriteInterval = time.Second
 )
@@ -31,17 +31,30 @@
 type signatureQueue struct {
 	mutex   sync.Mutex
 	changed []detector.Report
-	unsaved []detector.Report // newly blocked
+	unsaved []unsavedBlock
 }
 
-func (q *signatureQueue) add(report detector.Report, save bool) {
+// unsavedBlock is a newly blocked signature, with the time at which the age of its report was measured.
+type unsavedBlock struct {
+	report detector.Report
+	at     time.Duration
+}
+
+// addChanged queues a status for the other hosts.
+func (q *signatureQueue) addChanged(report detector.Report) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if len(q.changed) < maxQueuedSignatures {
 		q.changed = append(q.changed, report)
 	}
-	if save && len(q.unsaved) < maxBlockedWrites {
-		q.unsaved = append(q.unsaved, report)
+}
+
+// addUnsaved queues a blocked signature for the store.
+func (q *signatureQueue) addUnsaved(now time.Duration, report detector.Report) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if len(q.unsaved) < maxQueuedSignatures {
+		q.unsaved = append(q.unsaved, unsavedBlock{report, now})
 	}
 }
 
@@ -60,11 +73,13 @@
 	return taken
 }
 
-func (q *signatureQueue) takeUnsaved() []detector.Report {
+// takeUnsaved returns up to count blocked signatures that have to be written to the store.
+func (q *signatureQueue) takeUnsaved(count int) []unsavedBlock {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	taken := q.unsaved
-	q.unsaved = nil
+	count = min(count, len(q.unsaved))
+	taken := q.unsaved[:count]
+	q.unsaved = q.unsaved[count:]
 	return taken
 }
 
@@ -93,14 +108,17 @@
 		}
 	}
 	if isShared(report) {
-		c.signatures.add(report, report.Status == detector.Blocked)
+		c.signatures.addChanged(report)
+	}
+	if report.Status == detector.Blocked {
+		c.signatures.addUnsaved(c.options.Now(), report)
 	}
 }
 
 // ShareStored queues blocked requests that this host has read from the store for the other hosts.
 func (c *Coordinator) ShareStored(reports []detector.Report) {
 	for _, report := range reports {
-		c.signatures.add(report, false)
+		c.signatures.addChanged(report)
 	}
 }
 
@@ -118,11 +136,13 @@
 
 // storeBlocked writes newly blocked requests to the store, so that hosts that start or cannot reach the controller read
 // them there.
-func (c *Coordinator) storeBlocked(ctx context.Context, now time.Duration) {
+func (c *Coordinator) storeBlocked(ctx context.Context) {
 	isHolder := c.contender.IsHolder()
-	for _, report := range c.signatures.takeUnsaved() {
+	for _, block := range c.signatures.takeUnsaved(maxBlockedWrites - c.blockedWrites) {
+		c.blockedWrites++
 		c.spawn(ctx, func() {
-			c.writeBlocked(ctx, now, report)
+			defer c.post(func() { c.blockedWrites-- })
+			c.writeBlocked(ctx, block)
 			if isHolder {
 				c.deleteExpired(ctx)
 			}
@@ -130,12 +150,12 @@
 	}
 }
 
-// writeBlocked writes a blocked request to the store. It retries until the block expires. queuedAt is when the age of
-// report was measured.
-func (c *Coordinator) writeBlocked(ctx context.Context, queuedAt time.Duration, report detector.Report) {
-	name, measured := serializer.BlockedName(report.Signature), report.Age
+// writeBlocked writes a blocked request to the store. It retries until the block expires.
+func (c *Coordinator) writeBlocked(ctx context.Context, block unsavedBlock) {
+	report := block.report
+	name := serializer.BlockedName(report.Signature)
 	for ctx.Err() == nil {
-		report.Age = measured + c.options.Now() - queuedAt
+		report.Age = block.report.Age + c.options.Now() - block.at
 		if report.Age >= detector.DefaultRetention {
 			return
 		}
--- /dev/null
+++ b/rhubarbtrackd/internal/follower/kinds.go
@@ -0,0 +1,150 @@
+package follower
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbtrack.example/core/detector"
+	"rhubarbtrack.example/core/registrar"
+	"rhubarbtrack.example/platform/storer"
+	"rhubarbtrack.example/platform/translator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/serializer"
+)
+
+func (f *Follower) decode(now time.Duration, object storer.Object) (registrar.Upstream, bool) {
+	f.revision = max(f.revision, object.Revision)
+	u, err := translator.Upstream(now, object)
+	if err == nil {
+		return u, true
+	}
+	if f.rejected[object.Name] != object.Revision {
+		const maxRejected = 1024 // bounds the memory used by invalid entries that other programs write
+		if len(f.rejected) >= maxRejected {
+			clear(f.rejected)
+		}
+		f.rejected[object.Name] = object.Revision
+		f.options.Log.Log(eventlog.EntryRefused, zap.String("name", object.Name),
+			zap.Int64("revision", object.Revision), eventlog.Cause(err))
+	}
+	return registrar.Upstream{}, false
+}
+
+func (f *Follower) replaceUpstreams(now time.Duration, objects []storer.Object) {
+	var upstreams []registrar.Upstream
+	for _, object := range objects {
+		if u, ok := f.decode(now, object); ok {
+			upstreams = append(upstreams, u)
+		}
+	}
+	f.list.Replace(now, upstreams)
+	f.listed = true
+}
+
+func (f *Follower) putUpstream(now time.Duration, event storer.Event) {
+	if event.Removed {
+		f.options.Log.Log(eventlog.UpstreamRemoved, zap.String("upstream", event.Object.Name),
+			zap.Int64("revision", event.Object.Revision))
+		f.revision = max(f.revision, event.Object.Revision)
+		f.list.Remove(now, event.Object.Name)
+		return
+	}
+	u, ok := f.decode(now, event.Object)
+	if !ok {
+		f.list.Remove(now, event.Object.Name)
+		return
+	}
+	if old, known := f.list.Get(u.ID); !known || old.Incarnation != u.Incarnation || old.Draining != u.Draining {
+		f.options.Log.Log(eventlog.UpstreamListed, zap.String("upstream", u.ID), zap.String("service", u.Service),
+			zap.String("address", u.Address), zap.Bool("draining", u.Draining), zap.Int64("revision", event.Object.Revision))
+	}
+	f.list.Put(u)
+}
+
+func (f *Follower) replaceConfiguration(now time.Duration, objects []storer.Object) {
+	for _, object := range objects {
+		f.putConfiguration(now, storer.Event{Object: object})
+	}
+}
+
+func (f *Follower) putConfiguration(_ time.Duration, event storer.Event) {
+	if event.Removed || event.Object.Name != translator.ConfigurationName {
+		return
+	}
+	config, err := translator.Configuration(event.Object.Specification)
+	if err != nil {
+		f.options.Log.Log(eventlog.ObjectRefused, zap.String("name", event.Object.Name), eventlog.Cause(err))
+		return
+	}
+	if f.config != nil && config.Version <= f.config.Version {
+		return
+	}
+	f.options.Log.Log(eventlog.ConfigurationChanged, zap.Int64("version", config.Version),
+		zap.Int64("revision", event.Object.Revision))
+	f.config = config
+}
+
+func (f *Follower) replaceTakeOuts(_ time.Duration, objects []storer.Object) {
+	present := map[string]bool{}
+	for _, object := range objects {
+		present[object.Name] = true
+		f.takeOut(object.Name)
+	}
+	for domain := range f.takenOut {
+		if !present[domain] {
+			f.clearTakeOut(domain)
+		}
+	}
+}
+
+func (f *Follower) putTakeOut(_ time.Duration, event storer.Event) {
+	if event.Removed {
+		f.clearTakeOut(event.Object.Name)
+		return
+	}
+	f.takeOut(event.Object.Name)
+}
+
+func (f *Follower) takeOut(domain string) {
+	if _, known := f.takenOut[domain]; known {
+		return
+	}
+	f.takenOut[domain] = f.stateSince
+	f.options.Log.Log(eventlog.DomainTakenOut, zap.String("failure-domain", domain), zap.Duration("age", f.options.Now()-f.stateSince))
+}
+
+func (f *Follower) clearTakeOut(domain string) {
+	if _, known := f.takenOut[domain]; !known {
+		return
+	}
+	delete(f.takenOut, domain)
+	f.options.Log.Log(eventlog.DomainReturned, zap.String("failure-domain", domain))
+}
+
+// replaceBlocked passes on the stored blocked requests. One that is missing stays blocked, because the write of its object
+// may still be on its way.
+func (f *Follower) replaceBlocked(_ time.Duration, objects []storer.Object) {
+	var reports []detector.Report
+	for _, object := range objects {
+		report, err := serializer.DecodeBlocked(time.Now(), object.Name, object.Specification)
+		if err != nil {
+			f.options.Log.Log(eventlog.ObjectRefused, zap.String("name", eventlog.Shorten(object.Name)), eventlog.Cause(err))
+			continue
+		}
+		reports = append(reports, report)
+	}
+	if len(reports) > 0 && f.options.OnBlocked != nil {
+		f.options.OnBlocked(reports)
+	}
+}
+
+func (f *Follower) putBlocked(now time.Duration, event storer.Event) {
+	if !event.Removed {
+		f.replaceBlocked(now, []storer.Object{event.Object})
+		return
+	}
+	if signature, err := serializer.DecodeSignature(event.Object.Name); err == nil && f.options.OnUnblocked != nil {
+		f.options.OnUnblocked(signature)
+	}
+}
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -22,7 +22,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/detector"
@@ -263,14 +262,6 @@
 	return r.serve(ctx, j, r.chooseOwner)
 }
 
-// sign returns the signature of a request. It is the same when the caller sends the request again, to any host. The address
-// of the caller is no part of it, because one caller may use several: another one in each failure domain, for example. A
-// body that is too long to be kept in memory counts with its length only.
-func sign(request *acceptor.Request) uint64 {
-	return detector.Sign(request.Method, request.Host, request.Path, request.Header.Get("Authorization"),
-		strconv.FormatUint(xxhash.Sum64(request.Body), 16), strconv.FormatInt(request.Length, 10))
-}
-
 // locked calls f with the mutex held. A panic in f releases the mutex.
 func (r *Router) locked(f func()) {
 	r.mutex.Lock()
@@ -432,23 +423,6 @@
 	}
 }
 
-// observeCrash records whether an attempt may have crashed the upstream, on this host and for the next report.
-func (r *Router) observeCrash(began time.Duration, j *job, u registrar.Upstream, resp *exchanger.Response, err error) {
-	now := r.options.Now()
-	switch {
-	case err != nil && kindOf(err) == exchanger.Interrupted && !r.options.Suspector.Trusted(now, j.signature):
-		incarnation := u.ID + "/" + strconv.FormatInt(u.Incarnation, 10)
-		event := detector.Interrupted{Signature: j.signature, Upstream: incarnation, SentAt: began, EndedAt: now}
-		r.locked(func() { r.observed.recordInterruption(event) })
-		r.options.Suspector.Record(now, event)
-	case err == nil && !isRejection(resp) && resp.Status < 500:
-		if r.options.Suspector.Status(now, j.signature) == detector.Suspect {
-			r.locked(func() { r.observed.recordCompletion(j.signature) })
-		}
-		r.options.Suspector.Record(now, detector.Completed{Signature: j.signature})
-	}
-}
-
 // minRunShare is the smallest share of a request's total time that counts as its run time. The run time is the total
 // minus the expected wait, and would be too short, or negative, when that estimate is too long.
 const minRunShare = 0.25
@@ -463,8 +437,3 @@
 		zap.Int("try", j.attempts), zap.String("outcome", outcome), signatureField(j), zap.String("caller", j.request.Caller),
 		zap.String("path", eventlog.Shorten(j.request.Path)), eventlog.Cause(err))
 }
-
-// signatureField identifies in the log a request that a caller sends again, under another ID each time.
-func signatureField(j *job) zap.Field {
-	return zap.String("signature", suspector.Name(j.signature))
-}
