detector: a completion lifts a block; hosts disprove suspicions of popular requests

Now a completion lifts a block that rests on interruptions and removes its object from the store, a host takes its own recent completion for stronger than reports of others, it reports that when it receives a suspicion, and completions of requests that are sent often are reported every 5 s.

TestHostsConverge compares statuses after the time of trust: until then a host that has run a request differs on purpose. It compares the same state that is sent between hosts.

--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -8,7 +8,8 @@
 //   - Where several hosts share an upstream, no request can run alone. A suspect is then blocked when several upstreams
 //     have failed under it one after the other (Interrupted).
 //
-// In both cases, a suspect that ends without a crash is cleared (Completed). The reports that Observe returns are sent to
+// In both cases, a suspect that ends without a crash is cleared (Completed). In the second case, that also lifts a block,
+// because other requests can be in flight at all upstreams that a request crashes. The reports that Observe returns are sent to
 // all hosts, so that the statuses converge.
 //
 // # Usage
@@ -108,8 +109,13 @@
 	entries   map[uint64]*list.Element
 	unblocked *list.List // suspect and cleared signatures, in the order of their updates
 	blocked   *list.List
-	trusted   map[uint64]time.Duration // time of the last completion
-	recent    []uint64                 // signatures in the order in which they were added to trusted
+	trusted   map[uint64]completion
+	recent    []uint64 // signatures in the order in which they were added to trusted
+}
+
+type completion struct {
+	at       time.Duration // of the last one
+	sharedAt time.Duration // when ShareCompletion last returned true
 }
 
 type entry struct {
@@ -133,7 +139,7 @@
 		entries:   map[uint64]*list.Element{},
 		unblocked: list.New(),
 		blocked:   list.New(),
-		trusted:   map[uint64]time.Duration{},
+		trusted:   map[uint64]completion{},
 	}
 }
 
@@ -160,29 +166,48 @@
 		return Clear
 	}
 	known, ok := d.get(now, signature)
-	if !ok {
+	if !ok || (known.Crashes > 0 && d.Trusted(now, signature)) {
 		return Clear
 	}
 	return known.Status
 }
 
 // Trusted reports whether interruptions of requests with the signature do not count, because an upstream has run one
-// lately.
+// lately. Such requests are neither suspect nor blocked on this host, whatever interruptions other hosts have reported.
 func (d *Detector) Trusted(now time.Duration, signature uint64) bool {
-	at, ok := d.trusted[signature]
-	return ok && now < at+trustTime
+	last, ok := d.trusted[signature]
+	return ok && now < last.at+trustTime
+}
+
+// ShareCompletion reports whether the host that collects all observations has to know that an upstream has run a request
+// with the signature: if it is a suspect, and repeatedly if such requests are sent often.
+func (d *Detector) ShareCompletion(now time.Duration, signature uint64) bool {
+	known, ok := d.get(now, signature)
+	last := d.trusted[signature]
+	if ok && known.Status != Clear {
+		return true
+	}
+	if !d.Trusted(now, signature) || now < last.sharedAt+trustTime/2 {
+		return false
+	}
+	last.sharedAt = now
+	d.trusted[signature] = last
+	return true
 }
 
 // trust records a completion. The oldest signatures are forgotten when there are more than Bound.
 func (d *Detector) trust(now time.Duration, signature uint64) {
-	if _, ok := d.trusted[signature]; !ok {
+	last, ok := d.trusted[signature]
+	if !ok {
+		last.sharedAt = -trustTime
 		if len(d.recent) >= d.options.Bound {
 			delete(d.trusted, d.recent[0])
 			d.recent = d.recent[1:]
 		}
 		d.recent = append(d.recent, signature)
 	}
-	d.trusted[signature] = now
+	last.at = now
+	d.trusted[signature] = last
 }
 
 // Len returns the number of stored signatures. Expired ones count until they are removed.
@@ -269,14 +294,19 @@
 	return append(changed, d.put(now, next))
 }
 
+// clearSuspect clears a suspect, and a signature that was blocked after interruptions.
 func (d *Detector) clearSuspect(now time.Duration, signature uint64, changed []Report) []Report {
 	known, ok := d.get(now, signature)
-	if !ok || known.Status != Suspect {
+	next := Report{
+		Signature: signature, Status: Clear, Version: known.Version + 1, Crashes: known.Crashes, Upstream: known.Upstream,
+	}
+	switch {
+	case ok && known.Status == Blocked && known.Crashes > 0:
+		next.Version = known.Version + blockVersionStep
+	case !ok || known.Status != Suspect:
 		return changed
 	}
-	return append(changed, d.put(now, Report{
-		Signature: signature, Status: Clear, Version: known.Version + 1, Crashes: known.Crashes, Upstream: known.Upstream,
-	}))
+	return append(changed, d.put(now, next))
 }
 
 // retract undoes one crash. A blocked signature becomes a suspect again, because an earlier crash had made it one.
--- a/core/detector/detector_test.go
+++ b/core/detector/detector_test.go
@@ -83,6 +83,10 @@
 			at(12*second, 13*second, "c")}, Clear},
 		{"three long after a completion", []Event{Completed{1}, at(30*second, 31*second, "a"), at(31*second, 32*second, "b"),
 			at(32*second, 33*second, "c")}, Blocked},
+		{"completed after the block", []Event{at(10*second, 11*second, "a"), at(11*second, 12*second, "b"), at(12*second, 13*second, "c"),
+			Completed{1}}, Clear},
+		{"blocked by another host and trusted here", []Event{Completed{1},
+			Reported{[]Report{{Signature: 1, Status: Blocked, Version: 9, Crashes: 3, Upstream: "b"}}}}, Clear},
 		{"reported by the same and another host", []Event{at(0, 1*second, "a"), at(0, 1*second, "a"), at(1*second, 2*second, "b"),
 			at(1*second, 2*second, "b")}, Suspect},
 		{"the third on another host", []Event{
@@ -140,7 +144,8 @@
 	assert.Equal(t, d.Len(), 0)
 }
 
-// Guards against hosts that have different statuses after they have exchanged all reports, in any order.
+// Guards against hosts that have different statuses after they have exchanged all reports, in any order, and trust no
+// request any longer because of what they have observed themselves.
 func TestHostsConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := []*Detector{New(Options{}), New(Options{}), New(Options{})}
@@ -167,9 +172,9 @@
 			host.Observe(0, Reported{rapid.Permutation(flooded).Draw(t, "order")})
 		}
 		for signature := uint64(1); signature <= 3; signature++ {
-			want := hosts[0].Status(0, signature)
+			want := hosts[0].Status(trustTime, signature)
 			for _, host := range hosts[1:] {
-				if got := host.Status(0, signature); got != want {
+				if got := host.Status(trustTime, signature); got != want {
 					t.Fatalf("signature %d: statuses %d and %d on two hosts", signature, want, got)
 				}
 			}
--- /dev/null
+++ b/core/detector/fleet_test.go
@@ -0,0 +1,252 @@
+package detector
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// fleet simulates hosts that share upstreams, a controller that collects their observations and sends its reports to all of
+// them, and callers. Its clock advances from event to event.
+type fleet struct {
+	random     *rand.Rand
+	now        time.Duration
+	events     []fleetEvent
+	hosts      []*Detector
+	controller *Detector
+	upstreams  []*fleetUpstream
+	crashes    []time.Duration // by the harmful request
+	arrivals   []time.Duration // of the harmful request at upstreams
+	refused    map[bool]int    // requests that were refused as blocked, by whether the request is harmful
+	sent       int             // other requests
+}
+
+type fleetEvent struct {
+	at time.Duration
+	do func()
+}
+
+type fleetUpstream struct {
+	start    int
+	upAgain  time.Duration
+	inFlight map[*fleetAttempt]bool
+}
+
+type fleetAttempt struct {
+	signature uint64
+	host, try int
+	caller    int // attempts that the caller has made before
+	sentAt    time.Duration
+	upstream  *fleetUpstream
+	id        string
+}
+
+const (
+	harmful = 1
+	popular = 2
+	// deadTime is how long a crashed upstream is down.
+	deadTime    = 3 * time.Second
+	reportDelay = 220 * time.Millisecond // at most, from a host to the controller, and from the controller to a host
+)
+
+func (f *fleet) after(d time.Duration, do func()) {
+	at := f.now + d
+	i := sort.Search(len(f.events), func(i int) bool { return f.events[i].at > at })
+	f.events = append(f.events, fleetEvent{})
+	copy(f.events[i+1:], f.events[i:])
+	f.events[i] = fleetEvent{at, do}
+}
+
+func (f *fleet) run(until time.Duration) {
+	for len(f.events) > 0 && f.events[0].at <= until {
+		next := f.events[0]
+		f.events = f.events[1:]
+		f.now = next.at
+		next.do()
+	}
+}
+
+func (f *fleet) delay() time.Duration { return time.Duration(f.random.Int64N(int64(reportDelay))) }
+
+// observe records an event on a host and, later, on the controller.
+func (f *fleet) observe(host int, event Event) {
+	f.hosts[host].Observe(f.now, event)
+	f.after(f.delay(), func() { f.collect(event) })
+}
+
+// collect records an event on the controller, whose reports later reach all hosts. A host that trusts a request of a report
+// tells the controller so.
+func (f *fleet) collect(event Event) {
+	reports := f.controller.Observe(f.now, event)
+	reportedAt := f.now
+	for _, d := range f.hosts {
+		if len(reports) > 0 {
+			f.after(f.delay(), func() {
+				aged := make([]Report, len(reports))
+				for i, r := range reports {
+					r.Age += f.now - reportedAt
+					aged[i] = r
+				}
+				d.Observe(f.now, Reported{aged})
+				for _, r := range aged {
+					if r.Status != Clear && d.Trusted(f.now, r.Signature) {
+						f.after(f.delay(), func() { f.collect(Completed{r.Signature}) })
+					}
+				}
+			})
+		}
+	}
+}
+
+// send sends an attempt to the upstream with the fewest requests, as all hosts do.
+func (f *fleet) send(a *fleetAttempt) {
+	if f.hosts[a.host].Status(f.now, a.signature) == Blocked {
+		f.refused[a.signature == harmful]++
+		return
+	}
+	a.upstream = nil
+	for _, i := range f.random.Perm(len(f.upstreams)) {
+		if u := f.upstreams[i]; f.now >= u.upAgain && (a.upstream == nil || len(u.inFlight) < len(a.upstream.inFlight)) {
+			a.upstream, a.id = u, fmt.Sprintf("u%d/%d", i, u.start)
+		}
+	}
+	if a.upstream == nil {
+		return // the caller is told so, and the request has not run
+	}
+	a.sentAt = f.now
+	a.upstream.inFlight[a] = true
+	if a.signature == harmful {
+		f.arrivals = append(f.arrivals, f.now)
+		f.after(60*time.Millisecond, func() { f.crash(a) })
+		return
+	}
+	f.after(time.Duration(100+f.random.IntN(500))*time.Millisecond, func() {
+		if a.upstream != nil && a.upstream.inFlight[a] {
+			delete(a.upstream.inFlight, a)
+			if host := f.hosts[a.host]; host.ShareCompletion(f.now, a.signature) {
+				f.observe(a.host, Completed{a.signature})
+			} else {
+				host.Observe(f.now, Completed{a.signature})
+			}
+		}
+	})
+}
+
+// crash ends the upstream of the attempt, and with it all requests in flight there.
+func (f *fleet) crash(a *fleetAttempt) {
+	u := a.upstream
+	if !u.inFlight[a] {
+		return
+	}
+	f.crashes = append(f.crashes, f.now)
+	f.end(u)
+}
+
+func (f *fleet) end(u *fleetUpstream) {
+	interrupted := u.inFlight
+	u.inFlight, u.start, u.upAgain = map[*fleetAttempt]bool{}, u.start+1, f.now+deadTime
+	for b := range interrupted {
+		f.after(time.Duration(f.random.IntN(5))*time.Millisecond, func() { f.interrupted(b) })
+	}
+}
+
+// interrupted reports an attempt to the detectors and sends it once more, and then once more by its caller.
+func (f *fleet) interrupted(a *fleetAttempt) {
+	if !f.hosts[a.host].Trusted(f.now, a.signature) {
+		f.observe(a.host, Interrupted{Signature: a.signature, Upstream: a.id, SentAt: a.sentAt, EndedAt: f.now})
+	}
+	next := &fleetAttempt{signature: a.signature, host: a.host, try: a.try + 1, caller: a.caller}
+	if next.try > 1 {
+		next.host, next.try, next.caller = f.random.IntN(len(f.hosts)), 0, a.caller+1
+		if next.caller > 1 {
+			return
+		}
+		f.after(100*time.Millisecond, func() { f.send(next) })
+		return
+	}
+	f.send(next)
+}
+
+func newFleet(seed uint64, hosts, upstreams int) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), controller: New(Options{}), refused: map[bool]int{}}
+	for range hosts {
+		f.hosts = append(f.hosts, New(Options{}))
+	}
+	for range upstreams {
+		f.upstreams = append(f.upstreams, &fleetUpstream{inFlight: map[*fleetAttempt]bool{}})
+	}
+	return f
+}
+
+// load sends other requests until end, each tenth of them the popular one, at the given interval.
+func (f *fleet) load(interval, end time.Duration) {
+	for at := time.Duration(0); at < end; at += interval {
+		signature := uint64(100 + f.sent)
+		if f.sent%10 == 0 {
+			signature = popular
+		}
+		f.sent++
+		f.after(at, func() { f.send(&fleetAttempt{signature: signature, host: f.random.IntN(len(f.hosts))}) })
+	}
+}
+
+func TestFleetBlocksTheHarmfulRequestAndNoOther(t *testing.T) {
+	const length = 20 * time.Second
+	for _, tt := range []struct {
+		hosts, upstreams int
+		interval         time.Duration // between other requests
+		harmfulInterval  time.Duration
+	}{
+		{10, 12, 15 * time.Millisecond, 200 * time.Millisecond},
+		{10, 12, 15 * time.Millisecond, 50 * time.Millisecond},
+		{95, 132, 2500 * time.Microsecond, 200 * time.Millisecond},
+		{300, 1000, 1500 * time.Microsecond, 50 * time.Millisecond},
+	} {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%d hosts every %v seed %d", tt.hosts, tt.harmfulInterval, seed), func(t *testing.T) {
+				f := newFleet(seed, tt.hosts, tt.upstreams)
+				f.load(tt.interval, length)
+				for at := 2 * time.Second; at < length; at += tt.harmfulInterval {
+					f.after(at, func() { f.send(&fleetAttempt{signature: harmful, host: f.random.IntN(len(f.hosts))}) })
+				}
+				f.run(length + time.Minute)
+				late := 0
+				for _, at := range f.arrivals {
+					if at > f.crashes[2]+3*time.Second {
+						late++
+					}
+				}
+				t.Logf("%d crashes, %d late arrivals, %d of %d other requests refused as blocked", len(f.crashes), late, f.refused[false], f.sent)
+				assert.Equal(t, late, 0)
+				assert.Assert(t, f.refused[true] > 0)
+				assert.Assert(t, f.refused[false] <= f.sent/1000)
+				for _, d := range f.hosts {
+					assert.Assert(t, d.Status(f.now, popular) != Blocked)
+				}
+			})
+		}
+	}
+}
+
+func TestFleetBlocksNothingWhenUpstreamsFailByThemselves(t *testing.T) {
+	const length = 20 * time.Second
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := newFleet(seed, 95, 132)
+			f.load(2500*time.Microsecond, length)
+			for at := 2 * time.Second; at < length; at += 4 * time.Second { // a failure domain of a third, within 100 ms
+				for i := range 44 {
+					u := f.upstreams[(int(at/time.Second)*11+i)%132]
+					f.after(at+time.Duration(f.random.IntN(100))*time.Millisecond, func() { f.end(u) })
+				}
+			}
+			f.run(length + time.Minute)
+			t.Logf("%d of %d requests refused as blocked", f.refused[false], f.sent)
+			assert.Equal(t, f.refused[false], 0)
+		})
+	}
+}
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -81,6 +81,9 @@
 	OnHeartbeat func(connector.Heartbeat)
 	// Suspector holds the requests that crash upstreams. Its reports are passed to ShareSignature.
 	Suspector *suspector.Suspector
+	// OnDisproved is called with signatures that the controller suspects or blocks, and that this host trusts. They belong
+	// into the next report.
+	OnDisproved func(signatures ...uint64)
 	// Panics contains panics in the handling of an event. This host then resigns as controller.
 	Panics *recoverer.Recoverer
 }
@@ -474,7 +477,10 @@
 	if heartbeat.HasCopy && !c.options.Follower.ApplyChange(heartbeat.Copy) {
 		c.needsFullCopy.Store(true)
 	}
-	c.options.Suspector.Merge(now, heartbeat.Signatures)
+	if disproved := c.options.Suspector.Merge(now, heartbeat.Signatures); len(disproved) > 0 {
+		c.options.OnDisproved(disproved...)
+		c.requestReport()
+	}
 	c.hostList.replace(now, heartbeat.Addresses)
 	c.options.OnHeartbeat(heartbeat)
 }
--- a/rhubarbtrackd/internal/coordinator/signatures.go
+++ b/rhubarbtrackd/internal/coordinator/signatures.go
@@ -34,7 +34,8 @@
 	unsaved []unsavedBlock
 }
 
-// unsavedBlock is a newly blocked signature, with the time at which the age of its report was measured.
+// unsavedBlock is a signature that was blocked or whose block was lifted, with the time at which the age of its report was
+// measured.
 type unsavedBlock struct {
 	report detector.Report
 	at     time.Duration
@@ -49,7 +50,7 @@
 	}
 }
 
-// addUnsaved queues a blocked signature for the store.
+// addUnsaved queues a signature whose object in the store has to be written or removed.
 func (q *signatureQueue) addUnsaved(now time.Duration, report detector.Report) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -73,7 +74,7 @@
 	return taken
 }
 
-// takeUnsaved returns up to count blocked signatures that have to be written to the store.
+// takeUnsaved returns up to count signatures whose objects in the store have to be written or removed.
 func (q *signatureQueue) takeUnsaved(count int) []unsavedBlock {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -102,19 +103,29 @@
 // does not block and may be called from any goroutine.
 func (c *Coordinator) ShareSignature(report detector.Report) {
 	if report.Status != detector.Clear {
-		select {
-		case c.reportSoon <- struct{}{}:
-		default:
-		}
+		c.requestReport()
 	}
 	if isShared(report) {
 		c.signatures.addChanged(report)
 	}
-	if report.Status == detector.Blocked {
+	if report.Status == detector.Blocked || isLifted(report) {
 		c.signatures.addUnsaved(c.options.Now(), report)
 	}
 }
 
+// isLifted reports whether a status is that of a signature that was blocked before.
+func isLifted(report detector.Report) bool {
+	return report.Status == detector.Clear && report.Crashes >= detector.DefaultMaxCrashes
+}
+
+// requestReport makes the next report of this host not wait for its time.
+func (c *Coordinator) requestReport() {
+	select {
+	case c.reportSoon <- struct{}{}:
+	default:
+	}
+}
+
 // ShareStored queues blocked requests that this host has read from the store for the other hosts.
 func (c *Coordinator) ShareStored(reports []detector.Report) {
 	for _, report := range reports {
@@ -135,7 +146,7 @@
 }
 
 // storeBlocked writes newly blocked requests to the store, so that hosts that start or cannot reach the controller read
-// them there.
+// them there. It removes those whose block was lifted.
 func (c *Coordinator) storeBlocked(ctx context.Context) {
 	isHolder := c.contender.IsHolder()
 	for _, block := range c.signatures.takeUnsaved(maxBlockedWrites - c.blockedWrites) {
@@ -150,7 +161,7 @@
 	}
 }
 
-// writeBlocked writes a blocked request to the store. It retries until the block expires.
+// writeBlocked writes a blocked request to the store, or removes it. It retries until the block expires.
 func (c *Coordinator) writeBlocked(ctx context.Context, block unsavedBlock) {
 	report := block.report
 	name := serializer.BlockedName(report.Signature)
@@ -159,7 +170,7 @@
 		if report.Age >= detector.DefaultRetention {
 			return
 		}
-		err := c.createBlocked(ctx, name, report)
+		err := c.saveBlock(ctx, name, report)
 		if err == nil {
 			return
 		}
@@ -171,11 +182,19 @@
 	}
 }
 
+// saveBlock writes a blocked request to the store, or removes it if its block was lifted.
+func (c *Coordinator) saveBlock(ctx context.Context, name string, report detector.Report) error {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	if isLifted(report) {
+		return c.options.Store.Delete(ctx, serializer.BlockedKind, name)
+	}
+	return c.createBlocked(ctx, name, report)
+}
+
 // createBlocked writes a blocked request to the store. An object that another host has written for the same block counts
 // as success; one of an earlier block is replaced.
 func (c *Coordinator) createBlocked(ctx context.Context, name string, report detector.Report) error {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
 	data, err := serializer.EncodeBlocked(time.Now(), report)
 	if err != nil {
 		return err
--- a/rhubarbtrackd/internal/router/signature.go
+++ b/rhubarbtrackd/internal/router/signature.go
@@ -37,9 +37,17 @@
 		r.locked(func() { r.observed.recordInterruption(event) })
 		r.options.Suspector.Record(now, event)
 	case err == nil && !isRejection(resp) && resp.Status < 500:
-		if r.options.Suspector.Status(now, j.signature) == detector.Suspect {
-			r.locked(func() { r.observed.recordCompletion(j.signature) })
+		if r.options.Suspector.Complete(now, j.signature) {
+			r.ReportCompleted(j.signature)
 		}
-		r.options.Suspector.Record(now, detector.Completed{Signature: j.signature})
+	}
+}
+
+// ReportCompleted adds to the next report that upstreams have run requests with the signatures.
+func (r *Router) ReportCompleted(signatures ...uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, signature := range signatures {
+		r.observed.recordCompletion(signature)
 	}
 }
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -173,7 +173,7 @@
 	d.follower = follower.New(follower.Options{
 		Store: store, Log: d.log, Now: timer.Now, FirstStart: s.FirstStart, Panics: d.panics,
 		OnBlocked: func(reports []detector.Report) {
-			d.suspector.Merge(timer.Now(), reports)
+			d.router.ReportCompleted(d.suspector.Merge(timer.Now(), reports)...)
 			d.coordinator.ShareStored(reports)
 		},
 		OnUnblocked: func(signature uint64) {
@@ -202,6 +202,7 @@
 		},
 		OnHeartbeat: d.router.OnHeartbeat,
 		Suspector:   d.suspector,
+		OnDisproved: d.router.ReportCompleted,
 		Panics:      d.panics,
 	})
 	d.server = acceptor.New(acceptor.Options{
--- a/rhubarbtrackd/internal/suspector/suspector.go
+++ b/rhubarbtrackd/internal/suspector/suspector.go
@@ -86,11 +86,28 @@
 	}
 }
 
-// Merge passes reports of other hosts to the detector.
-func (s *Suspector) Merge(now time.Duration, reports []detector.Report) {
+// Complete records that an upstream has run a request and did not crash. It returns whether the host that collects all
+// observations has to know.
+func (s *Suspector) Complete(now time.Duration, signature uint64) bool {
+	s.mu.Lock()
+	share := s.detector.ShareCompletion(now, signature)
+	s.mu.Unlock()
+	s.Record(now, detector.Completed{Signature: signature})
+	return share
+}
+
+// Merge passes reports of other hosts to the detector. It returns the signatures that they suspect or block and that this
+// host trusts.
+func (s *Suspector) Merge(now time.Duration, reports []detector.Report) (disproved []uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.detector.Observe(now, detector.Reported{Reports: reports})
+	for _, report := range reports {
+		if report.Status != detector.Clear && s.detector.Trusted(now, report.Signature) {
+			disproved = append(disproved, report.Signature)
+		}
+	}
+	return disproved
 }
 
 // Reports returns the state of all signatures.
@@ -109,7 +126,7 @@
 	if !ok {
 		return
 	}
-	s.Merge(now, []detector.Report{report})
+	_ = s.Merge(now, []detector.Report{report}) // trust rests on interruptions, which this assembly does not report
 }
 
 // Encode converts a report to a relay item. The version of the report becomes the term of the item's version and the
