--- a/core/detector/fleet_test.go
+++ b/core/detector/fleet_test.go
@@ -79,7 +79,7 @@
 }
 
 // collect records an event on the controller, whose reports later reach all hosts. A host that trusts a request of a report
-// tells the controller so.
+// reports its completion to the controller.
 func (f *fleet) collect(event Event) {
 	reports := f.controller.Observe(f.now, event)
 	reportedAt := f.now
@@ -115,7 +115,7 @@
 		}
 	}
 	if a.upstream == nil {
-		return // the caller is told so, and the request has not run
+		return // rejected as not run
 	}
 	a.sentAt = f.now
 	a.upstream.inFlight[a] = true
