follower: failed reads of blocked requests are no outage of the store

Found when reading the diff: a failed call for any kind marks the store as unavailable and restarts the calls for the others, and the controller confirms its copy to hosts only while no kind fails. The new kind would have added to that, although the copy is current without it. The test failed before: the copy never became current while only that kind was rejected.

--- a/rhubarbtrackd/internal/follower/blocked_test.go
+++ b/rhubarbtrackd/internal/follower/blocked_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -67,3 +68,26 @@
 	eventually(t, "the removal was not read", contains(&unblocked, 17))
 	assert.Assert(t, !contains(&blocked, 18)())
 }
+
+func TestFailedReadsOfBlockedRequestsDoNotCountAsAnOutage(t *testing.T) {
+	store := simulator.NewStore()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.URL.Path, serializer.BlockedKind) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.CloseClientConnections)
+	f := follower.New(follower.Options{
+		Store: storer.New(strings.TrimPrefix(server.URL, "http://")), Log: eventlog.New(zap.NewNop()), Now: timer.Now,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	putConfiguration(t, store, 3)
+	go f.Run(ctx)
+	eventually(t, "the copy is not current", f.Direct)
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, f.Direct() && f.Connected())
+	}
+}
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -136,10 +136,10 @@
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	for _, kind := range []kindWatcher{
-		{translator.UpstreamKind, f.replaceUpstreams, f.putUpstream, true, watchTimeout},
-		{translator.ConfigurationKind, f.replaceConfiguration, f.putConfiguration, false, configWatchTimeout},
-		{translator.TakeOutKind, f.replaceTakeOuts, f.putTakeOut, false, watchTimeout},
-		{serializer.BlockedKind, f.replaceBlocked, f.putBlocked, false, watchTimeout},
+		{kind: translator.UpstreamKind, replace: f.replaceUpstreams, put: f.putUpstream, controlsExpiry: true, wait: watchTimeout},
+		{kind: translator.ConfigurationKind, replace: f.replaceConfiguration, put: f.putConfiguration, wait: configWatchTimeout},
+		{kind: translator.TakeOutKind, replace: f.replaceTakeOuts, put: f.putTakeOut, wait: watchTimeout},
+		{kind: serializer.BlockedKind, replace: f.replaceBlocked, put: f.putBlocked, auxiliary: true, wait: watchTimeout},
 	} {
 		group.Go(func() { f.follow(ctx, kind) })
 	}
@@ -161,7 +161,9 @@
 	replace        func(now time.Duration, objects []storer.Object)
 	put            func(now time.Duration, event storer.Event)
 	controlsExpiry bool // successful calls for this kind let entries of upstreams expire again
-	wait           time.Duration
+	// auxiliary is set if the copy counts as current without this kind. Its failures do not end the calls for other kinds.
+	auxiliary bool
+	wait      time.Duration
 }
 
 func (f *Follower) follow(ctx context.Context, kind kindWatcher) {
@@ -287,8 +289,15 @@
 	return next, nil
 }
 
-// recordResult handles the result of a call. It logs only the first failure in a row and the first success after it.
+// recordResult handles the result of a call. It logs only the first failure in a row and the first success after it, except
+// for auxiliary kinds, which are not called while the store is unavailable.
 func (f *Follower) recordResult(kind kindWatcher, err error) {
+	if kind.auxiliary {
+		if err != nil {
+			f.options.Log.Log(eventlog.StoreUnavailable, zap.String("kind", kind.kind), eventlog.Cause(err))
+		}
+		return
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := f.options.Now()
@@ -317,7 +326,7 @@
 		return
 	}
 	now := f.options.Now()
-	f.connected = true
+	f.connected = f.connected || !kind.auxiliary
 	if kind.controlsExpiry {
 		f.list.MarkReachable(now)
 	}
