--- a/demo/internal/soaker/check.go
+++ b/demo/internal/soaker/check.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -76,56 +77,36 @@
 	blockTime  = 3 * time.Second
 )
 
-// checkCrashes finds requests that reach upstreams although they have crashed enough of them.
+// checkCrashes finds requests that reach upstreams although they have crashed enough of them. Several copies can run at the
+// upstream that one of them crashes.
 func checkCrashes(report *Report, lines []simulator.Line) {
-	runs := map[string][]int64{} // times by prefix of the path
+	runs := map[string][]simulator.Line{} // by prefix of the path
 	for _, line := range lines {
 		if rest, ok := strings.CutPrefix(line.Attempt, crashAttempt); ok {
 			prefix := rest[:strings.LastIndex(rest, "/")+1]
-			runs[prefix] = append(runs[prefix], line.At)
+			runs[prefix] = append(runs[prefix], line)
 		}
 	}
-	for prefix, times := range runs {
-		slices.Sort(times)
-		late := 0
-		for _, at := range times {
-			if len(times) >= maxCrashes && at > times[maxCrashes-1]+blockTime.Nanoseconds() {
+	for prefix, copies := range runs {
+		slices.SortFunc(copies, func(a, b simulator.Line) int { return cmp.Compare(a.At, b.At) })
+		crashed, late := map[string]bool{}, 0
+		var last int64 // when the last of maxCrashes upstreams began to run it
+		for _, line := range copies {
+			if len(crashed) < maxCrashes {
+				crashed[line.Upstream] = true
+				last = line.At
+			}
+			if len(crashed) == maxCrashes && line.At > last+blockTime.Nanoseconds() {
 				late++
 			}
 		}
 		if late > maxCrashes {
-			report.addViolation("crashes: %d runs of %s%s, %d of them later than %v after the third", len(times), prefix,
+			report.addViolation("crashes: %d runs of %s%s, %d of them later than %v after the third crash", len(copies), prefix,
 				simulator.CrashName, late, blockTime)
 		}
 	}
 }
 
-func checkOutcome(report *Report, o outcome, runs int, planned bool) {
-	if o.Matches {
-		report.Served++
-	}
-	if o.err == nil && o.Status == http.StatusOK && !o.Matches {
-		report.addViolation("mixed: %s received the response to another request or an incomplete one", o.attempt)
-	}
-	if o.neverRepeat && runs > 1 {
-		report.addViolation("twice: %s ran %d times", o.attempt, runs)
-	}
-	rejected := o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests
-	if o.neverRepeat && rejected && runs > 0 {
-		report.addViolation("refused: %s was rejected with status %d but ran", o.attempt, o.Status)
-	}
-	if rejected && !o.HasRetryAfter {
-		report.addViolation("refused: %s was rejected without a Retry-After field", o.attempt)
-	}
-	if o.Status == http.StatusNotFound || o.Status == http.StatusBadRequest {
-		report.addViolation("denied: %s received status %d", o.attempt, o.Status)
-	}
-	if planned && runs > 0 && (o.err != nil || o.Status >= http.StatusInternalServerError) {
-		report.addViolation("lost: %s at %s ran but its response failed: status %d, error %v", o.attempt, o.host, o.Status,
-			o.err)
-	}
-}
-
 // checkOwners finds pairs of running upstreams that held the same key at the same time and both started requests with
 // this key during that time.
 func checkOwners(report *Report, lines []simulator.Line, killTimes map[string]time.Time) {
