--- a/demo/internal/soaker/check.go
+++ b/demo/internal/soaker/check.go
@@ -107,6 +107,32 @@
 	}
 }
 
+func checkOutcome(report *Report, o outcome, runs int, planned bool) {
+	if o.Matches {
+		report.Served++
+	}
+	if o.err == nil && o.Status == http.StatusOK && !o.Matches {
+		report.addViolation("mixed: %s received the response to another request or an incomplete one", o.attempt)
+	}
+	if o.neverRepeat && runs > 1 {
+		report.addViolation("twice: %s ran %d times", o.attempt, runs)
+	}
+	rejected := o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests
+	if o.neverRepeat && rejected && runs > 0 {
+		report.addViolation("refused: %s was rejected with status %d but ran", o.attempt, o.Status)
+	}
+	if rejected && !o.HasRetryAfter {
+		report.addViolation("refused: %s was rejected without a Retry-After field", o.attempt)
+	}
+	if o.Status == http.StatusNotFound || o.Status == http.StatusBadRequest {
+		report.addViolation("denied: %s received status %d", o.attempt, o.Status)
+	}
+	if planned && runs > 0 && (o.err != nil || o.Status >= http.StatusInternalServerError) {
+		report.addViolation("lost: %s at %s ran but its response failed: status %d, error %v", o.attempt, o.host, o.Status,
+			o.err)
+	}
+}
+
 // checkOwners finds pairs of running upstreams that held the same key at the same time and both started requests with
 // this key during that time.
 func checkOwners(report *Report, lines []simulator.Line, killTimes map[string]time.Time) {
