detector: count interruptions in the order in which they ended

Cause: hosts report interruptions with different delays, and one that arrived after a later one was ignored. Change: the last 16 interruptions of a suspect are kept in their order, and the sequence is counted over them.

--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -24,7 +24,9 @@
 package detector
 
 import (
+	"cmp"
 	"container/list"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,6 +46,8 @@
 	// trustTime is how long the interruptions of a request do not count after an upstream has run it. A request that many
 	// callers send is thus not blocked while upstreams crash for another reason.
 	trustTime = 10 * time.Second
+	// maxReordered bounds the interruptions of a signature that are kept to put later ones in their order.
+	maxReordered = 16
 )
 
 // blockVersionStep is the version increment when a signature is blocked and when that is retracted. It is large, so that
@@ -80,7 +84,8 @@
 // Interrupted reports that the connection to an upstream ended before the response to a request was complete. The upstream
 // may have crashed, and any request that was in flight there may be the cause. The interruption counts if the request was
 // sent after the last one that counts, to another upstream, and if no upstream has run such a request lately. All upstreams
-// that fail at the same moment thus count once.
+// that fail at the same moment thus count once. Hosts report interruptions with different delays: they are counted in the
+// order in which they ended, not in that of their arrival.
 type Interrupted struct {
 	Signature uint64
 	Upstream  string // one incarnation of it
@@ -121,6 +126,43 @@
 type entry struct {
 	Report
 	expiry time.Duration
+	before crashes       // interruptions in sequence that ended before those of latest
+	latest []Interrupted // in the order of compareEnds
+}
+
+// crashes counts interruptions in sequence.
+type crashes struct {
+	count    int
+	endedAt  time.Duration // of the last one
+	upstream string        // of the last one
+}
+
+// add counts an interruption that ended after all others, if it continues the sequence.
+func (c crashes) add(next Interrupted) crashes {
+	if c.count > 0 && (next.SentAt < c.endedAt || next.EndedAt < c.endedAt+minCrashInterval || next.Upstream == c.upstream) {
+		return c
+	}
+	return crashes{c.count + 1, next.EndedAt, next.Upstream}
+}
+
+// compareEnds orders interruptions independently of their arrival.
+func compareEnds(a, b Interrupted) int {
+	return cmp.Or(cmp.Compare(a.EndedAt, b.EndedAt), cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.SentAt, b.SentAt))
+}
+
+// addInterruption inserts an interruption in its order and returns the crashes in sequence.
+func (e *entry) addInterruption(event Interrupted) crashes {
+	i, _ := slices.BinarySearchFunc(e.latest, event, compareEnds)
+	e.latest = slices.Insert(slices.Clone(e.latest), i, event)
+	if len(e.latest) > maxReordered {
+		e.before = e.before.add(e.latest[0])
+		e.latest = e.latest[1:]
+	}
+	total := e.before
+	for _, known := range e.latest {
+		total = total.add(known)
+	}
+	return total
 }
 
 // New returns a detector without suspects.
@@ -274,24 +316,33 @@
 		return changed
 	}
 	known, ok := d.get(now, event.Signature)
-	next := Report{
-		Signature: event.Signature, Status: Suspect, Version: known.Version + 1, Age: now - event.EndedAt, Crashes: 1,
-		Upstream: event.Upstream,
-	}
 	if ok && known.Status == Blocked {
 		return changed
 	}
-	if ok && known.Status == Suspect {
-		last := known.expiry - d.options.Retention
-		if event.SentAt < last || event.EndedAt < last+minCrashInterval || event.Upstream == known.Upstream {
-			return changed
-		}
-		next.Crashes = known.Crashes + 1
+	if !ok || known.Status != Suspect {
+		known.Signature, known.before, known.latest = event.Signature, crashes{}, nil
+	}
+	total := known.addInterruption(event)
+	if ok && known.Status == Suspect && total.count == known.Crashes && total.upstream == known.Upstream {
+		d.keepOrder(known)
+		return changed
+	}
+	next := Report{
+		Signature: event.Signature, Status: Suspect, Version: known.Version + 1, Age: now - total.endedAt, Crashes: total.count,
+		Upstream: total.upstream,
 	}
 	if next.Crashes >= d.options.MaxCrashes {
 		next.Status, next.Version = Blocked, known.Version+blockVersionStep
 	}
-	return append(changed, d.put(now, next))
+	changed = append(changed, d.put(now, next))
+	d.keepOrder(known)
+	return changed
+}
+
+// keepOrder stores the interruptions of a signature, which put drops.
+func (d *Detector) keepOrder(known entry) {
+	stored := d.entries[known.Signature].Value.(*entry)
+	stored.before, stored.latest = known.before, known.latest
 }
 
 // clearSuspect clears a suspect, and a signature that was blocked after interruptions.
@@ -357,7 +408,9 @@
 		target = d.blocked
 	}
 	expiry := now - report.Age + d.options.Retention
-	d.entries[report.Signature] = target.PushBack(&entry{Report: report, expiry: expiry})
+	known := &entry{Report: report, expiry: expiry}
+	known.before = crashes{report.Crashes, now - report.Age, report.Upstream}
+	d.entries[report.Signature] = target.PushBack(known)
 	return report
 }
 
--- a/core/detector/detector_test.go
+++ b/core/detector/detector_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -182,6 +183,31 @@
 	})
 }
 
+// Guards against a harmful request that is blocked later because hosts report its interruptions with different delays.
+func TestOrderOfArrivalDoesNotDelayABlock(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		events := make([]Interrupted, rapid.IntRange(3, maxReordered).Draw(t, "events"))
+		for i := range events {
+			sentAt := time.Duration(rapid.IntRange(0, 1000).Draw(t, "sent")) * time.Millisecond
+			events[i] = Interrupted{
+				Signature: 1, Upstream: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "upstream"), SentAt: sentAt,
+				EndedAt: sentAt + time.Duration(rapid.IntRange(0, 300).Draw(t, "duration"))*time.Millisecond,
+			}
+		}
+		slices.SortFunc(events, compareEnds)
+		ordered, reordered := New(Options{}), New(Options{})
+		for _, event := range events {
+			ordered.Observe(2*time.Second, event)
+		}
+		for _, event := range rapid.Permutation(events).Draw(t, "arrival") {
+			reordered.Observe(2*time.Second, event)
+		}
+		if ordered.Status(2*time.Second, 1) == Blocked {
+			assert.Equal(t, reordered.Status(2*time.Second, 1), Blocked)
+		}
+	})
+}
+
 // Guards against different requests with the same signature, because text of one part can belong to the next.
 func TestSign(t *testing.T) {
 	assert.Assert(t, Sign("a", "bc", "", "", "") != Sign("ab", "c", "", "", ""))
