coordinator: report blocks to the controller, which lifts those of popular requests

Cause: a host that has not run a popular request lately can block it after three interruptions of its own. Only the store carried that block to the hosts that could disprove it; while the store is unavailable, the host refused the request until the block expired. Change: a host reports its blocked signatures after it has blocked one and after it has connected. The controller passes a block on, or lifts it if it trusts the request.

--- a/rhubarbtrackd/internal/connector/extension.go
+++ b/rhubarbtrackd/internal/connector/extension.go
@@ -26,6 +26,7 @@
 type wireReportExtension struct {
 	Interruptions []wireInterruption `cbor:"interruptions,omitempty"`
 	Completed     []uint64           `cbor:"completed,omitempty"`
+	Blocked       []wireSignature    `cbor:"blocked,omitempty"`
 }
 
 type wireSignature struct {
@@ -71,6 +72,7 @@
 		})
 	}
 	r.Completed = wire.Completed[:min(len(wire.Completed), maxExtensionEntries)]
+	r.Blocked = fromWireSignatures(wire.Blocked)
 }
 
 func toWireSignatures(reports []detector.Report) []wireSignature {
--- a/rhubarbtrackd/internal/connector/extension_test.go
+++ b/rhubarbtrackd/internal/connector/extension_test.go
@@ -19,6 +19,7 @@
 		Host:          "h",
 		Interruptions: []Interruption{{Signature: 1 << 63, Upstream: "u/1", SentAge: 300 * time.Millisecond, EndedAge: 100 * time.Millisecond}},
 		Completed:     []uint64{7},
+		Blocked:       []detector.Report{{Signature: 9, Status: detector.Blocked, Version: 1<<32 + 1, Age: time.Second, Crashes: 3}},
 	}
 	data, err := encodeReport(sent, true)
 	assert.NilError(t, err)
@@ -26,6 +27,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, report.Interruptions, sent.Interruptions)
 	assert.DeepEqual(t, report.Completed, sent.Completed)
+	assert.DeepEqual(t, report.Blocked, sent.Blocked)
 
 	signatures := []detector.Report{
 		{Signature: 1 << 63, Status: detector.Blocked, Version: 1<<32 + 2, Age: time.Second, Crashes: 3, Upstream: "u/1"},
--- a/rhubarbtrackd/internal/connector/message.go
+++ b/rhubarbtrackd/internal/connector/message.go
@@ -52,9 +52,11 @@
 	Unresponsive []string
 	Reached      []string
 	// Interruptions lists requests whose connection to an upstream ended, and Completed the signatures of suspects that an
-	// upstream ran without a crash. Hosts of earlier versions neither send nor receive them.
+	// upstream ran without a crash. Blocked lists the blocked signatures after one was blocked on the host, and
+	// after it has connected. Hosts of earlier versions neither send nor receive them.
 	Interruptions []Interruption
 	Completed     []uint64
+	Blocked       []detector.Report
 }
 
 // Interruption is the end of a connection to an upstream before the response to a request was complete. The ages are the
@@ -295,10 +297,10 @@
 		wire.Timings = append(wire.Timings, wireTiming{Upstream: t.Upstream, Count: t.Count, Sum: t.Sum.Milliseconds()})
 	}
 	data, err := cbor.Marshal(wire)
-	if err != nil || !extended || len(r.Interruptions)+len(r.Completed) == 0 {
+	if err != nil || !extended || len(r.Interruptions)+len(r.Completed)+len(r.Blocked) == 0 {
 		return data, err
 	}
-	extension := wireReportExtension{Completed: r.Completed}
+	extension := wireReportExtension{Completed: r.Completed, Blocked: toWireSignatures(r.Blocked)}
 	for _, i := range r.Interruptions {
 		extension.Interruptions = append(extension.Interruptions, wireInterruption{
 			Signature: i.Signature, Upstream: i.Upstream, SentAge: i.SentAge.Milliseconds(), EndedAge: i.EndedAge.Milliseconds(),
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -138,6 +138,7 @@
 	blockedWrites  int           // writes of blocked requests in progress
 	reportSoon     chan struct{} // has a value when the next report must not wait
 	needsFullCopy  atomic.Bool   // the next report requests the controller's full copy of the store
+	reportBlocked  atomic.Bool   // the next report lists the blocked signatures
 }
 
 // New returns a Coordinator that does nothing until Run is called.
@@ -196,6 +197,7 @@
 		ReportSoon:  c.reportSoon,
 		OnHeartbeat: func(heartbeat connector.Heartbeat) { c.post(func() { c.handleHeartbeat(heartbeat) }) },
 		OnConnect: func(address string) {
+			c.reportBlocked.Store(true)
 			options.Log.Log(eventlog.LeaderFollowed, zap.String("address", address))
 		},
 		OnDisconnect: func(address string, err error) {
@@ -218,9 +220,12 @@
 // Hub returns the handler that accepts connections of other hosts.
 func (c *Coordinator) Hub() *connector.Hub { return c.hub }
 
-// report returns the next report to the controller. It clears needsFullCopy.
+// report returns the next report to the controller. It clears needsFullCopy and reportBlocked.
 func (c *Coordinator) report() connector.Report {
 	report := c.options.Report()
+	if c.reportBlocked.Swap(false) {
+		report.Blocked = c.options.Suspector.Blocked(c.options.Now())
+	}
 	report.NeedsFullCopy = c.needsFullCopy.Swap(false)
 	report.Address = c.options.Address
 	return report
--- a/rhubarbtrackd/internal/coordinator/signatures.go
+++ b/rhubarbtrackd/internal/coordinator/signatures.go
@@ -102,6 +102,9 @@
 // ShareSignature queues a status that this host has changed for the other hosts and, if it is blocked, for the store. It
 // does not block and may be called from any goroutine.
 func (c *Coordinator) ShareSignature(report detector.Report) {
+	if report.Status == detector.Blocked {
+		c.reportBlocked.Store(true)
+	}
 	if report.Status != detector.Clear {
 		c.requestReport()
 	}
@@ -143,6 +146,22 @@
 	for _, signature := range report.Completed {
 		c.options.Suspector.Record(now, detector.Completed{Signature: signature})
 	}
+	c.mergeBlocked(now, report.Blocked)
+}
+
+// mergeBlocked passes blocks of a host on to the other hosts, and lifts those of requests that this host trusts. The host may
+// not have seen that an upstream has run such a request, and the store, from which all hosts read blocks, may be unavailable.
+func (c *Coordinator) mergeBlocked(now time.Duration, reports []detector.Report) {
+	for _, report := range reports {
+		if c.options.Suspector.Status(now, report.Signature) == detector.Blocked {
+			continue
+		}
+		if disproved := c.options.Suspector.Merge(now, []detector.Report{report}); len(disproved) > 0 {
+			c.options.Suspector.Record(now, detector.Completed{Signature: report.Signature})
+			continue
+		}
+		c.signatures.addChanged(report)
+	}
 }
 
 // storeBlocked writes newly blocked requests to the store, so that hosts that start or cannot reach the controller read
--- a/rhubarbtrackd/internal/starter/crash_test.go
+++ b/rhubarbtrackd/internal/starter/crash_test.go
@@ -165,6 +165,89 @@
 	}
 }
 
+// popularCall returns a call that callers send often, under another ID each time.
+func popularCall() simulator.Call {
+	return simulator.Call{
+		Prefix: simulator.PlainPrefix, Name: "popular", Attempt: fmt.Sprintf("%016x", rand.Uint64()), TimeLeft: 3 * time.Second,
+	}
+}
+
+// crashUnder sends a popular request to a host and crashes each upstream that begins to run it.
+func crashUnder(s *system, h *testHost, began <-chan startedRun) {
+	call := popularCall()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = call.Send(clientFrom(1), h.settings.CallerAddress)
+	}()
+	for {
+		select {
+		case run := <-began:
+			if run.attempt == call.Attempt {
+				time.Sleep(80 * time.Millisecond)
+				s.crashUpstreams(run.upstream)
+			}
+		case <-ended:
+			return
+		}
+	}
+}
+
+// startedRun is the begin of an attempt at an upstream.
+type startedRun struct {
+	attempt  string
+	upstream int
+}
+
+func TestBlockOfAPopularRequestIsLiftedWhileTheStoreIsUnavailable(t *testing.T) {
+	t.Parallel()
+	began := make(chan startedRun, 10000)
+	s := newSystemWith(t, 4, 8, func(o *simulator.UpstreamOptions) {
+		var i int
+		_, _ = fmt.Sscanf(o.ID, "u%d", &i)
+		o.WorkTime = 300 * time.Millisecond
+		record := o.OnRun
+		o.OnRun = func(run simulator.Run) {
+			record(run)
+			began <- startedRun{run.Attempt, i}
+		}
+	})
+	var target *testHost
+	var others []*testHost
+	for _, h := range s.hosts {
+		if target == nil && h.logged(eventlog.LeadershipGained) == 0 {
+			target = h
+			continue
+		}
+		others = append(others, h)
+	}
+	var stop atomic.Bool
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer stop.Store(true)
+	for i, h := range others {
+		group.Go(func() {
+			for ; !stop.Load(); time.Sleep(50 * time.Millisecond) {
+				call := popularCall()
+				_, _ = call.Send(clientFrom(i), h.settings.CallerAddress)
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	for _, h := range s.hosts {
+		h.storeUnavailable.Store(true)
+	}
+	for deadline := time.Now().Add(10 * time.Second); target.logged(eventlog.RequestBlocked) == 0 && time.Now().Before(deadline); {
+		crashUnder(s, target, began)
+	}
+	assert.Assert(t, target.logged(eventlog.RequestBlocked) > 0, "the host has not blocked the request")
+	time.Sleep(time.Second)
+	call := popularCall()
+	reply, err := call.Send(clientFrom(1), target.settings.CallerAddress)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Status, http.StatusOK)
+}
+
 func TestBlockedRequestStaysBlocked(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
--- a/rhubarbtrackd/internal/suspector/suspector.go
+++ b/rhubarbtrackd/internal/suspector/suspector.go
@@ -14,6 +14,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -117,6 +118,11 @@
 	return s.detector.Reports(now)
 }
 
+// Blocked returns the blocked signatures.
+func (s *Suspector) Blocked(now time.Duration) []detector.Report {
+	return slices.DeleteFunc(s.Reports(now), func(r detector.Report) bool { return r.Status != detector.Blocked })
+}
+
 // Name returns a signature as it is written in logs.
 func Name(signature uint64) string { return strconv.FormatUint(signature, 16) }
 
