follower: count a drain from the age that the controller sends

Cause: a controller whose watch hangs confirms its copy until the watch fails. When it finds a drain or a take-out in the next list, hosts counted from the arrival of its change, or from its last confirmation if they read the store themselves, although the state may have begun before. Change: with its copy, the controller sends since when the store last responded and how long each upstream may have been draining and each failure domain been taken out. What decides the begin is a type of its own (recency).

--- a/rhubarbtrackd/internal/connector/extension.go
+++ b/rhubarbtrackd/internal/connector/extension.go
@@ -12,6 +12,9 @@
 // that later versions can add fields. A message without an extension is the same in all versions.
 const subprotocol = "rhubarbtrack-extensions"
 
+// maxAge bounds the ages of an extension that are used. All longer ones have the same effect.
+const maxAge = time.Hour
+
 // maxExtensionEntries bounds the entries of a list in an extension that are used.
 const maxExtensionEntries = detector.DefaultBound
 
@@ -40,7 +43,42 @@
 }
 
 type wireHeartbeatExtension struct {
-	Signatures []wireSignature `cbor:"signatures,omitempty"`
+	Signatures  []wireSignature  `cbor:"signatures,omitempty"`
+	Age         int64            `cbor:"copy-age,omitempty"`      // milliseconds, as all ages
+	DrainAges   map[string]int64 `cbor:"drain-ages,omitempty"`    // by upstream
+	TakeOutAges map[string]int64 `cbor:"take-out-ages,omitempty"` // by failure domain
+}
+
+func toWireHeartbeatExtension(h Heartbeat) wireHeartbeatExtension {
+	wire := wireHeartbeatExtension{Signatures: toWireSignatures(h.Signatures)}
+	if h.HasCopy {
+		wire.Age, wire.DrainAges, wire.TakeOutAges = h.Copy.Age.Milliseconds(), toWireAges(h.Copy.DrainAges), toWireAges(h.Copy.TakeOutAges)
+	}
+	return wire
+}
+
+func fromWireHeartbeatExtension(h *Heartbeat, wire wireHeartbeatExtension) {
+	h.Signatures = fromWireSignatures(wire.Signatures)
+	h.Copy.Age = time.Duration(min(max(0, wire.Age), maxAge.Milliseconds())) * time.Millisecond
+	h.Copy.DrainAges, h.Copy.TakeOutAges = fromWireAges(wire.DrainAges), fromWireAges(wire.TakeOutAges)
+}
+
+func toWireAges(ages map[string]time.Duration) map[string]int64 {
+	wire := map[string]int64{}
+	for name, age := range ages {
+		wire[name] = age.Milliseconds()
+	}
+	return wire
+}
+
+func fromWireAges(wire map[string]int64) map[string]time.Duration {
+	ages := map[string]time.Duration{}
+	for name, age := range wire {
+		if age >= 0 {
+			ages[name] = time.Duration(min(age, maxAge.Milliseconds())) * time.Millisecond
+		}
+	}
+	return ages
 }
 
 // withExtension appends an extension to an encoded message.
--- a/rhubarbtrackd/internal/connector/extension_test.go
+++ b/rhubarbtrackd/internal/connector/extension_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbtrack.example/core/detector"
+	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
 )
 
 func TestExtensionsCarrySignatures(t *testing.T) {
@@ -39,6 +40,30 @@
 	assert.DeepEqual(t, heartbeat.Signatures, signatures)
 }
 
+func TestExtensionsCarryTheAgesOfACopy(t *testing.T) {
+	sent := follower.Change{
+		Age: 70 * time.Millisecond, DrainAges: map[string]time.Duration{"u": time.Second},
+		TakeOutAges: map[string]time.Duration{"d": 2 * time.Second},
+	}
+	for _, extended := range []bool{true, false} {
+		data, err := encodeHeartbeat(0, Heartbeat{Term: 3, HasCopy: true, Copy: sent}, extended)
+		assert.NilError(t, err)
+		heartbeat, err := decodeHeartbeat(0, data)
+		assert.NilError(t, err)
+		assert.Assert(t, heartbeat.HasCopy)
+		got := follower.Change{Age: heartbeat.Copy.Age, DrainAges: heartbeat.Copy.DrainAges, TakeOutAges: heartbeat.Copy.TakeOutAges}
+		if extended {
+			assert.DeepEqual(t, got, sent)
+			continue
+		}
+		assert.Equal(t, got.Age, time.Duration(0))
+		assert.Equal(t, len(got.DrainAges)+len(got.TakeOutAges), 0)
+	}
+	var heartbeat Heartbeat
+	fromWireHeartbeatExtension(&heartbeat, wireHeartbeatExtension{Age: -1, DrainAges: map[string]int64{"u": -1, "v": 1 << 62}})
+	assert.DeepEqual(t, heartbeat.Copy, follower.Change{DrainAges: map[string]time.Duration{"v": maxAge}, TakeOutAges: map[string]time.Duration{}})
+}
+
 func TestImpossibleSignaturesAreDropped(t *testing.T) {
 	message, err := encodeReport(Report{Host: "h"}, false)
 	assert.NilError(t, err)
--- a/rhubarbtrackd/internal/connector/message.go
+++ b/rhubarbtrackd/internal/connector/message.go
@@ -101,7 +101,7 @@
 	// Addresses lists the addresses at which hosts accept other hosts. It is empty when the list has not changed.
 	Addresses []string
 	// Signatures holds the changed statuses of requests that may crash upstreams, or all of them on a new connection. Hosts
-	// of earlier versions do not receive them.
+	// of earlier versions receive neither them nor the ages in Copy.
 	Signatures []detector.Report
 }
 
@@ -344,10 +344,10 @@
 		wire.Tables = append(wire.Tables, table)
 	}
 	data, err := cbor.Marshal(wire)
-	if err != nil || !extended || len(h.Signatures) == 0 {
+	if err != nil || !extended || (len(h.Signatures) == 0 && !h.HasCopy) {
 		return data, err
 	}
-	return withExtension(data, wireHeartbeatExtension{toWireSignatures(h.Signatures)})
+	return withExtension(data, toWireHeartbeatExtension(h))
 }
 
 func decodeHeartbeat(now time.Duration, data []byte) (Heartbeat, error) {
@@ -359,8 +359,9 @@
 	h := Heartbeat{
 		Term: wire.Term, Valid: wire.Valid, Revision: wire.Revision, Remaining: time.Duration(wire.Remaining) * time.Millisecond,
 		Index: wire.Index, Hosts: wire.Hosts, Loads: wire.Loads, HasCopy: wire.HasCopy, Copy: fromWireCopy(now, wire.Copy),
-		Suspects: wire.Suspects, Addresses: wire.Addresses, Signatures: fromWireSignatures(extension.Signatures),
+		Suspects: wire.Suspects, Addresses: wire.Addresses,
 	}
+	fromWireHeartbeatExtension(&h, extension)
 	for _, t := range wire.Tables {
 		change := TableChange{Service: t.Service, Full: t.Full}
 		for _, row := range t.Rows {
--- /dev/null
+++ b/rhubarbtrackd/internal/coordinator/change_test.go
@@ -0,0 +1,25 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/registrar"
+	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
+)
+
+func TestChangesCarryAges(t *testing.T) {
+	snapshot := &follower.Snapshot{
+		Upstreams: map[string]registrar.Upstream{"a": {ID: "a", Draining: true}, "b": {ID: "b"}},
+		Draining:  map[string]time.Duration{"a": time.Second}, TakenOut: map[string]time.Duration{"d": 2 * time.Second},
+	}
+	running := &follower.Snapshot{Upstreams: map[string]registrar.Upstream{"a": {ID: "a"}, "b": {ID: "b"}}}
+	for _, old := range []*follower.Snapshot{nil, running} {
+		change := changeSince(5*time.Second, old, snapshot)
+		assert.DeepEqual(t, change.DrainAges, map[string]time.Duration{"a": 4 * time.Second})
+		assert.DeepEqual(t, change.TakeOutAges, map[string]time.Duration{"d": 3 * time.Second})
+	}
+	assert.Equal(t, len(changeSince(5*time.Second, snapshot, snapshot).DrainAges), 0)
+}
--- a/rhubarbtrackd/internal/coordinator/controller.go
+++ b/rhubarbtrackd/internal/coordinator/controller.go
@@ -398,7 +398,8 @@
 	}
 	if hasCopy {
 		heartbeat.HasCopy = true
-		heartbeat.Copy = changeSince(c.sentSnapshots[peer], c.snapshot)
+		heartbeat.Copy = changeSince(now, c.sentSnapshots[peer], c.snapshot)
+		heartbeat.Copy.Age = c.options.Follower.ConfirmedAge(now)
 		c.sentSnapshots[peer] = c.snapshot
 	}
 	known := c.sentTables[peer]
@@ -430,13 +431,16 @@
 }
 
 // changeSince returns the change from old to snapshot, or the full copy if old is nil.
-func changeSince(old, snapshot *follower.Snapshot) follower.Change {
-	change := follower.Change{Full: old == nil, Revision: snapshot.Revision}
+func changeSince(now time.Duration, old, snapshot *follower.Snapshot) follower.Change {
+	change := follower.Change{
+		Full: old == nil, Revision: snapshot.Revision, DrainAges: map[string]time.Duration{}, TakeOutAges: map[string]time.Duration{},
+	}
 	if snapshot.Config != nil {
 		change.Configuration = snapshot.Config.Version
 	}
-	for domain := range snapshot.TakenOut {
+	for domain, since := range snapshot.TakenOut {
 		change.TakenOut = append(change.TakenOut, domain)
+		change.TakeOutAges[domain] = now - since
 	}
 	if old == snapshot {
 		return change
@@ -444,6 +448,9 @@
 	for id, u := range snapshot.Upstreams {
 		if old == nil || old.Upstreams[id] != u {
 			change.Puts = append(change.Puts, u)
+			if since, ok := snapshot.Draining[id]; ok {
+				change.DrainAges[id] = now - since
+			}
 		}
 	}
 	if old == nil {
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -66,8 +66,8 @@
 	Upstreams map[string]registrar.Upstream
 	ByService map[string][]registrar.Upstream
 	// TakenOut holds, for each failure domain that is taken out, the earliest time at which that may have begun. Draining
-	// holds the same for each draining upstream. It is the time of the event from a watch or the relay. For a state found in
-	// a list, it is when the copy was last known to be current, because any outage may have hidden the event.
+	// holds the same for each draining upstream, see recency. It is the time of the event from a watch, or what the controller
+	// has sent. For a state found in a list, it is when the copy was last known to be current.
 	TakenOut map[string]time.Duration
 	Draining map[string]time.Duration
 	Listed   bool  // the upstreams have been read at least once
@@ -107,8 +107,8 @@
 	// connected is set when the store or the controller sends data. It is cleared when the relay times out, and when a
 	// call to the store fails while the copy is not updated from the relay.
 	connected        bool
-	current          map[string]time.Duration // by kind, when the copy was last known to be current
-	stateSince       time.Duration            // earliest time at which the state that is being applied may have begun
+	recency          recency
+	confirmed        time.Duration // when the store last responded to a call for the configuration
 	cancels          map[string]context.CancelFunc
 	relayDeadline    time.Duration    // until then, this host waits for the relay and reads only the configuration
 	announcedVersion int64            // newest version of the configuration that a controller has read
@@ -120,7 +120,7 @@
 	f := &Follower{
 		options: options, list: registrar.New(), takenOut: map[string]time.Duration{},
 		draining: map[string]time.Duration{}, failing: map[string]time.Duration{}, rejected: map[string]int64{},
-		cancels: map[string]context.CancelFunc{}, current: map[string]time.Duration{},
+		cancels: map[string]context.CancelFunc{}, recency: newRecency(),
 	}
 	if options.FirstStart {
 		f.relayDeadline = options.Now() + startupWait
@@ -259,9 +259,8 @@
 		return 0, err
 	}
 	f.apply(ctx, kind, func(now time.Duration) {
-		f.stateSince = f.current[kind.kind]
+		f.recency.list(kind.kind, sentAt)
 		kind.replace(now, list.Objects)
-		f.current[kind.kind] = sentAt
 	})
 	return list.Revision, nil
 }
@@ -278,7 +277,7 @@
 		return 0, err
 	}
 	f.apply(ctx, kind, func(now time.Duration) {
-		f.stateSince, f.current[kind.kind] = now, now
+		f.recency.events(kind.kind, now)
 		for _, event := range events {
 			kind.put(now, event)
 		}
@@ -302,6 +301,9 @@
 	defer f.mutex.Unlock()
 	now := f.options.Now()
 	since, failing := f.failing[kind.kind]
+	if err == nil && kind.kind == translator.ConfigurationKind {
+		f.confirmed = now
+	}
 	switch {
 	case err != nil && !failing:
 		f.failing[kind.kind] = now
@@ -347,8 +349,8 @@
 			continue
 		}
 		if _, known := f.draining[id]; !known {
-			f.draining[id] = f.stateSince
-			f.options.Log.Log(eventlog.UpstreamDraining, zap.String("upstream", id), zap.Duration("age", f.options.Now()-f.stateSince),
+			f.draining[id] = f.recency.begin(translator.UpstreamKind, id)
+			f.options.Log.Log(eventlog.UpstreamDraining, zap.String("upstream", id), zap.Duration("age", f.options.Now()-f.draining[id]),
 				zap.Bool("relayed", f.relayed), zap.Int64("revision", f.revision))
 		}
 		s.Draining[id] = f.draining[id]
@@ -418,6 +420,19 @@
 	// Configuration is the newest version of the configuration that the controller has read. Hosts read the
 	// configuration itself from the store, because it may be long.
 	Configuration int64
+	// Age is the time since the store last responded to the controller. A controller that waits for a store that hangs still
+	// confirms its copy. DrainAges and TakeOutAges are the longest times for which upstreams of Puts may have been
+	// draining and failure domains of TakenOut have been taken out. Controllers of earlier versions send none of these.
+	Age         time.Duration
+	DrainAges   map[string]time.Duration
+	TakeOutAges map[string]time.Duration
+}
+
+// ConfirmedAge returns the time since the store last responded.
+func (f *Follower) ConfirmedAge(now time.Duration) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return now - f.confirmed
 }
 
 // ApplyChange applies a change to the controller's copy. It returns false when the host needs the full copy.
@@ -434,11 +449,7 @@
 	if !change.Full && !f.relayed {
 		return false
 	}
-	f.stateSince = now
-	if change.Full {
-		f.stateSince = min(f.current[translator.UpstreamKind], f.current[translator.TakeOutKind])
-	}
-	f.current[translator.UpstreamKind], f.current[translator.TakeOutKind] = now, now
+	f.recency.relay(now, change)
 	f.lastRelay = now
 	f.connected = true
 	if !f.relayed {
--- a/rhubarbtrackd/internal/follower/kinds.go
+++ b/rhubarbtrackd/internal/follower/kinds.go
@@ -110,8 +110,9 @@
 	if _, known := f.takenOut[domain]; known {
 		return
 	}
-	f.takenOut[domain] = f.stateSince
-	f.options.Log.Log(eventlog.DomainTakenOut, zap.String("failure-domain", domain), zap.Duration("age", f.options.Now()-f.stateSince))
+	f.takenOut[domain] = f.recency.begin(translator.TakeOutKind, domain)
+	f.options.Log.Log(eventlog.DomainTakenOut, zap.String("failure-domain", domain),
+		zap.Duration("age", f.options.Now()-f.takenOut[domain]))
 }
 
 func (f *Follower) clearTakeOut(domain string) {
--- a/rhubarbtrackd/internal/follower/outage_test.go
+++ b/rhubarbtrackd/internal/follower/outage_test.go
@@ -56,6 +56,24 @@
 	assert.Assert(t, f.Snapshot().TakenOut["d"] <= hidden, "counted %v late", f.Snapshot().TakenOut["d"]-hidden)
 }
 
+func TestDrainCountsFromTheAgeThatTheControllerSends(t *testing.T) {
+	_, f := newFollower(t)
+	upstream := registrar.Upstream{ID: "a", Service: "s", Address: "127.0.0.1:1", Domain: "d", Slots: 6}
+	full := follower.Change{Full: true, Revision: 1 << 40, Puts: []registrar.Upstream{upstream}}
+	eventually(t, "the copy was not applied", func() bool { return f.ApplyChange(full) })
+	upstream.Draining = true
+	before := timer.Now()
+	assert.Assert(t, f.ApplyChange(follower.Change{
+		Revision: full.Revision + 1, Puts: []registrar.Upstream{upstream}, TakenOut: []string{"d"},
+		DrainAges:   map[string]time.Duration{"a": 1500 * time.Millisecond},
+		TakeOutAges: map[string]time.Duration{"d": 700 * time.Millisecond},
+	}))
+	now := timer.Now()
+	draining, takenOut := f.Snapshot().Draining["a"], f.Snapshot().TakenOut["d"]
+	assert.Assert(t, draining >= before-1500*time.Millisecond && draining <= now-1500*time.Millisecond)
+	assert.Assert(t, takenOut >= before-700*time.Millisecond && takenOut <= now-700*time.Millisecond)
+}
+
 func TestDrainInAChangeCountsFromItsArrival(t *testing.T) {
 	store, f := newFollower(t)
 	putConfiguration(t, store, 3)
--- /dev/null
+++ b/rhubarbtrackd/internal/follower/recency_test.go
@@ -0,0 +1,108 @@
+package follower
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rhubarbtrack.example/platform/translator"
+)
+
+const ms = time.Millisecond
+
+func TestBegin(t *testing.T) {
+	const kind, id = translator.UpstreamKind, "u"
+	for _, tt := range []struct {
+		name  string
+		steps func(r *recency)
+		want  time.Duration
+	}{
+		{"event", func(r *recency) { r.list(kind, 100*ms); r.events(kind, 900*ms) }, 900 * ms},
+		{"list after a list", func(r *recency) { r.list(kind, 100*ms); r.list(kind, 900*ms) }, 100 * ms},
+		{"list after an event", func(r *recency) { r.events(kind, 300*ms); r.list(kind, 900*ms) }, 300 * ms},
+		{"list after a copy that was confirmed with an age", func(r *recency) {
+			r.relay(500*ms, Change{Full: true, Age: 400 * ms})
+			r.list(kind, 900*ms)
+		}, 100 * ms},
+		{"change with an age", func(r *recency) {
+			r.relay(500*ms, Change{})
+			r.relay(900*ms, Change{DrainAges: map[string]time.Duration{id: 700 * ms}})
+		}, 200 * ms},
+		{"full copy with an age", func(r *recency) {
+			r.relay(900*ms, Change{Full: true, DrainAges: map[string]time.Duration{id: 300 * ms}})
+		}, 600 * ms},
+		{"change without an age", func(r *recency) { r.relay(500*ms, Change{}); r.relay(900*ms, Change{}) }, 900 * ms},
+		{"full copy without an age", func(r *recency) { r.relay(500*ms, Change{}); r.relay(900*ms, Change{Full: true}) }, 500 * ms},
+		{"age of another upstream", func(r *recency) {
+			r.relay(500*ms, Change{DrainAges: map[string]time.Duration{"v": 300 * ms}})
+		}, 500 * ms},
+		{"age of an earlier change", func(r *recency) {
+			r.relay(500*ms, Change{DrainAges: map[string]time.Duration{id: 300 * ms}})
+			r.events(kind, 900*ms)
+		}, 900 * ms},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRecency()
+			tt.steps(&r)
+			assert.Equal(t, r.begin(kind, id), tt.want)
+		})
+	}
+}
+
+// hiddenDrain simulates a controller, its hosts and a store that hangs from hangAt to backAt. An upstream begins to drain at
+// drainAt. The controller notices at failAt that the store hangs, and confirms its copy until then.
+type hiddenDrain struct {
+	hangAt, drainAt, failAt, backAt time.Duration
+	controller                      recency
+	confirmed                       time.Duration
+}
+
+// run returns when the hosts count the drain from: hosts that follow the relay, are new to it, and read the store themselves.
+func (d *hiddenDrain) run(delays [3]time.Duration) (begins [3]time.Duration) {
+	const kind, id, interval = translator.UpstreamKind, "u", 200 * ms
+	var hosts [3]recency
+	for i := range hosts {
+		hosts[i] = newRecency()
+	}
+	d.controller.list(kind, 0)
+	for now := time.Duration(0); now < d.failAt; now += interval {
+		if now < d.hangAt {
+			d.confirmed = now
+			d.controller.events(kind, now)
+		}
+		for i := range hosts {
+			hosts[i].relay(now+delays[i], Change{Age: now - d.confirmed})
+		}
+	}
+	d.controller.list(kind, d.backAt)
+	sentAt := d.backAt + interval
+	ages := map[string]time.Duration{id: sentAt - d.controller.begin(kind, id)}
+	hosts[0].relay(sentAt+delays[0], Change{DrainAges: ages})
+	hosts[1].relay(sentAt+delays[1], Change{Full: true, DrainAges: ages})
+	hosts[2].list(kind, d.backAt+delays[2])
+	for i := range hosts {
+		begins[i] = hosts[i].begin(kind, id)
+	}
+	return begins
+}
+
+// Guards against a host that counts a drain from a time after it began because its copy was confirmed by a controller that did
+// not know either.
+func TestDrainHiddenFromTheControllerIsNotCountedLate(t *testing.T) {
+	draw := func(t *rapid.T, name string, most int) time.Duration {
+		return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * ms
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		d := hiddenDrain{controller: newRecency()}
+		d.hangAt = time.Second + draw(t, "hang", 3000)
+		d.drainAt = d.hangAt + draw(t, "drain", 4000)
+		d.failAt = d.hangAt + draw(t, "fail", 3000)
+		d.backAt = max(d.drainAt, d.failAt) + draw(t, "back", 15000)
+		delays := [3]time.Duration{draw(t, "delay", 300), draw(t, "delay", 300), draw(t, "delay", 300)}
+		for i, begin := range d.run(delays) {
+			assert.Assert(t, begin <= d.drainAt+delays[i], "host %d counts %v late", i, begin-d.drainAt)
+		}
+	})
+}
