--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -94,6 +94,7 @@
 	probing      map[string]bool          // upstreams with a probe in progress
 	lastProbe    map[string]time.Duration // time of the last probe
 	limits       atomic.Pointer[Limits]
+	unconfirmed  map[string][]detector.Interrupted // by incarnation of an upstream that may have crashed
 }
 
 // New returns a router that divides its limits by defaultHosts until the first heartbeat.
@@ -103,6 +104,7 @@
 		coldBuckets:  map[string]*throttler.Bucket{},
 		retryBuckets: map[string]*throttler.Bucket{}, index: int(options.Seed % defaultHosts), hosts: defaultHosts,
 		observed: newObservations(), probing: map[string]bool{}, lastProbe: map[string]time.Duration{},
+		unconfirmed: map[string][]detector.Interrupted{},
 	}
 	r.SetLimits(options.Limits)
 	return r
--- a/rhubarbtrackd/internal/starter/crash_test.go
+++ b/rhubarbtrackd/internal/starter/crash_test.go
@@ -248,6 +248,29 @@
 	assert.Equal(t, reply.Status, http.StatusOK)
 }
 
+func TestRequestIsNotBlockedBecauseUpstreamsResetConnections(t *testing.T) {
+	t.Parallel()
+	s := newSystemWith(t, 4, 8)
+	call := simulator.Call{Prefix: simulator.PlainPrefix, Name: "repeated", TimeLeft: time.Second}
+	send := func(n int) (simulator.Reply, error) {
+		call.Attempt = fmt.Sprintf("%016x", rand.Uint64())
+		return call.Send(clientFrom(n), s.hosts[n%len(s.hosts)].settings.CallerAddress)
+	}
+	s.resetting.Store(true)
+	for n := range 12 {
+		_, _ = send(n)
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.resetting.Store(false)
+	time.Sleep(time.Second)
+	assert.Equal(t, s.blocked(), 0)
+	for n := range s.hosts {
+		reply, err := send(n)
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Status, http.StatusOK)
+	}
+}
+
 func TestBlockedRequestStaysBlocked(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -58,6 +58,7 @@
 	begins    map[string][]time.Time     // of the runs of each attempt
 	exits     map[int]context.CancelFunc // each ends the process of an upstream
 	change    []func(*simulator.UpstreamOptions)
+	resetting atomic.Bool // all upstreams reset the connections of requests, and go on
 }
 
 func freePort(t *testing.T, ip string) string {
@@ -148,7 +149,7 @@
 	s.exits[i] = cancel
 	s.mutex.Unlock()
 	u := simulator.NewUpstream(options)
-	server := &http.Server{Handler: u}
+	server := &http.Server{Handler: s.resettable(u)}
 	go func() { _ = server.Serve(listener) }()
 	go func() { _ = u.Register(ctx, s.store) }()
 	select {
@@ -160,6 +161,22 @@
 	_ = server.Close()
 }
 
+// resettable returns a handler that resets connections while s.resetting is set, as an upstream does that has too many.
+func (s *system) resettable(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.resetting.Load() {
+			next.ServeHTTP(w, r)
+			return
+		}
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+}
+
 // crashUpstreams ends the processes of the given upstreams at the same moment.
 func (s *system) crashUpstreams(upstreams ...int) {
 	s.mutex.Lock()
