router: decide the next attempt with the result of the probe

Cause: a host sent the second attempt of an interrupted request before its probe had shown that the upstream had ended. Change: the attempt waits up to 20 ms for the probe, reports that must not wait are sent after 10 instead of 20 ms, the controller sends a new block at once, and while a host cannot reach more than half of the upstreams of a service without keys, it rejects requests that may have crashed one.

--- a/rhubarbtrackd/internal/connector/connector.go
+++ b/rhubarbtrackd/internal/connector/connector.go
@@ -46,7 +46,7 @@
 	heartbeatTimeout = 900 * time.Millisecond
 	// soonDelay is the delay of a report that must not wait for ReportInterval. The observations of the other requests that
 	// were in flight at the same upstream arrive meanwhile.
-	soonDelay    = 20 * time.Millisecond
+	soonDelay    = 10 * time.Millisecond
 	writeTimeout = 500 * time.Millisecond
 	dialTimeout  = 700 * time.Millisecond
 	redialDelay  = 200 * time.Millisecond
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -173,6 +173,9 @@
 					delete(c.sentSnapshots, peer)
 				}
 				c.handleReport(c.ctx, report)
+				if c.contender.IsHolder() && c.signatures.hasBlocked() {
+					c.broadcast(c.options.Now())
+				}
 			})
 		},
 		func(peer *connector.Peer, err error) {
--- a/rhubarbtrackd/internal/router/choose.go
+++ b/rhubarbtrackd/internal/router/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"rhubarbtrack.example/core/detector"
@@ -151,6 +152,9 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.options.Suspector.Status(now, j.signature) == detector.Suspect && r.areMostUnreachable(now, warm, cold) {
+		return choice{reason: "most upstreams are down, and the request may have crashed one", wait: retryWait}
+	}
 	if id, ok := r.selector.Pick(now, j.service.Name, warm, j.tried); ok {
 		u := snapshot.Upstreams[id]
 		estimate := r.selector.Estimate(now, id, u.Slots)
@@ -175,6 +179,19 @@
 	return choice{reason: "no upstream is reachable", wait: retryWait, unreachable: true}
 }
 
+// areMostUnreachable reports whether this host cannot reach more than half of the upstreams of a service. The others are
+// then kept from requests that may have crashed these, until it is known which one has. The caller holds the mutex.
+func (r *Router) areMostUnreachable(now time.Duration, candidates ...[]selector.Candidate) bool {
+	total, unreachable := 0, 0
+	for _, candidate := range slices.Concat(candidates...) {
+		total++
+		if _, blocked := r.selector.Blocked(now, candidate.ID); blocked {
+			unreachable++
+		}
+	}
+	return 2*unreachable > total
+}
+
 func removeCandidate(candidates []selector.Candidate, id string) []selector.Candidate {
 	kept := candidates[:0]
 	for _, candidate := range candidates {
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -94,7 +94,7 @@
 	probing      map[string]bool          // upstreams with a probe in progress
 	lastProbe    map[string]time.Duration // time of the last probe
 	limits       atomic.Pointer[Limits]
-	unconfirmed  map[string][]detector.Interrupted // by incarnation of an upstream that may have crashed
+	crashProbes  map[string]*crashProbe // in progress, by incarnation of the upstream
 }
 
 // New returns a router that divides its limits by defaultHosts until the first heartbeat.
@@ -104,7 +104,7 @@
 		coldBuckets:  map[string]*throttler.Bucket{},
 		retryBuckets: map[string]*throttler.Bucket{}, index: int(options.Seed % defaultHosts), hosts: defaultHosts,
 		observed: newObservations(), probing: map[string]bool{}, lastProbe: map[string]time.Duration{},
-		unconfirmed: map[string][]detector.Interrupted{},
+		crashProbes: map[string]*crashProbe{},
 	}
 	r.SetLimits(options.Limits)
 	return r
--- a/rhubarbtrackd/internal/router/signature.go
+++ b/rhubarbtrackd/internal/router/signature.go
@@ -29,7 +29,10 @@
 
 // crashProbeDelay is the time from an interrupted attempt to the probe of the upstream. A process that ends closes its
 // connections and its listener one after the other.
-const crashProbeDelay = 20 * time.Millisecond
+const crashProbeDelay = 5 * time.Millisecond
+
+// maxCrashProbeWait bounds the wait for that probe. A refused connection takes one round trip.
+const maxCrashProbeWait = 20 * time.Millisecond
 
 // observeCrash records whether an attempt has crashed the upstream. An interrupted one is recorded after a probe has shown that
 // the upstream has ended.
@@ -46,35 +49,49 @@
 	}
 }
 
-// confirmCrash starts a probe of an upstream after an interruption, unless one is in progress.
+// crashProbe is a probe of an upstream after interruptions.
+type crashProbe struct {
+	interruptions []detector.Interrupted
+	ended         chan struct{}
+}
+
+// confirmCrash probes an upstream after an interruption, unless a probe is in progress. It waits up to maxCrashProbeWait for the
+// result, so that the next attempt of the request is decided with it.
 func (r *Router) confirmCrash(u registrar.Upstream, event detector.Interrupted) {
 	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	unconfirmed := r.unconfirmed[event.Upstream]
-	r.unconfirmed[event.Upstream] = append(unconfirmed, event)
-	if len(unconfirmed) == 0 {
-		go func() {
-			if !r.options.Panics.Do("confirm-crash", func() { r.probeInterrupted(u, event.Upstream) }) {
-				r.locked(func() { delete(r.unconfirmed, event.Upstream) })
-			}
-		}()
+	probe := r.crashProbes[event.Upstream]
+	if probe == nil {
+		probe = &crashProbe{ended: make(chan struct{})}
+		r.crashProbes[event.Upstream] = probe
+		go r.options.Panics.Do("confirm-crash", func() { r.probeInterrupted(u, event.Upstream, probe) })
+	}
+	probe.interruptions = append(probe.interruptions, event)
+	r.mutex.Unlock()
+	select {
+	case <-probe.ended:
+	case <-time.After(maxCrashProbeWait):
 	}
 }
 
 // probeInterrupted records the interruptions of an upstream, on this host and for the next report, unless the upstream accepts
 // a connection. Upstreams also reset connections when they have too many of them.
-func (r *Router) probeInterrupted(u registrar.Upstream, incarnation string) {
+func (r *Router) probeInterrupted(u registrar.Upstream, incarnation string, probe *crashProbe) {
+	defer close(probe.ended)
+	defer func() { r.locked(func() { delete(r.crashProbes, incarnation) }) }()
 	time.Sleep(crashProbeDelay)
 	err := r.options.Pool.Probe(exchanger.Target{ID: u.ID, Address: u.Address})
+	if err == nil {
+		return
+	}
 	var confirmed []detector.Interrupted
 	r.locked(func() {
-		if err != nil {
-			confirmed = r.unconfirmed[incarnation]
-		}
-		delete(r.unconfirmed, incarnation)
+		confirmed = probe.interruptions
+		delete(r.crashProbes, incarnation)
 		for _, event := range confirmed {
 			r.observed.recordInterruption(event)
 		}
+		r.observed.recordConnectFailure(u.ID, err, r.selector.InFlight(u.ID))
+		r.selector.Block(r.options.Now(), u.ID)
 	})
 	for _, event := range confirmed {
 		r.options.Suspector.Record(r.options.Now(), event)
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -58,7 +58,8 @@
 	begins    map[string][]time.Time     // of the runs of each attempt
 	exits     map[int]context.CancelFunc // each ends the process of an upstream
 	change    []func(*simulator.UpstreamOptions)
-	resetting atomic.Bool // all upstreams reset the connections of requests, and go on
+	lastRun   atomic.Int64 // number of the upstream that has last begun to run a request
+	resetting atomic.Bool  // all upstreams reset the connections of requests, and go on
 }
 
 func freePort(t *testing.T, ip string) string {
@@ -137,6 +138,7 @@
 			defer s.mutex.Unlock()
 			s.runs[run.Attempt]++
 			s.begins[run.Attempt] = append(s.begins[run.Attempt], run.Begin)
+			s.lastRun.Store(int64(i))
 		},
 	}
 	if keyed {
