--- a/rhubarbtrackd/internal/follower/recency_test.go
+++ b/rhubarbtrackd/internal/follower/recency_test.go
@@ -59,12 +59,13 @@
 	confirmed                       time.Duration
 }
 
-// run returns when the hosts count the drain from: hosts that follow the relay, are new to it, and read the store themselves.
-func (d *hiddenDrain) run(delays [3]time.Duration) (begins [3]time.Duration) {
+// run returns when each host counts the drain from. The delays are those of the links from the controller to the hosts. In
+// turn, hosts follow the relay, are new to it, and read the store themselves.
+func (d *hiddenDrain) run(delays []time.Duration) (begins []time.Duration) {
 	const kind, id, interval = translator.UpstreamKind, "u", 200 * ms
-	var hosts [3]recency
-	for i := range hosts {
-		hosts[i] = newRecency()
+	var hosts []recency
+	for range delays {
+		hosts = append(hosts, newRecency())
 	}
 	d.controller.list(kind, 0)
 	for now := time.Duration(0); now < d.failAt; now += interval {
@@ -79,11 +80,16 @@
 	d.controller.list(kind, d.backAt)
 	sentAt := d.backAt + interval
 	ages := map[string]time.Duration{id: sentAt - d.controller.begin(kind, id)}
-	hosts[0].relay(sentAt+delays[0], Change{DrainAges: ages})
-	hosts[1].relay(sentAt+delays[1], Change{Full: true, DrainAges: ages})
-	hosts[2].list(kind, d.backAt+delays[2])
-	for i := range hosts {
-		begins[i] = hosts[i].begin(kind, id)
+	for i, host := range hosts {
+		switch i % 3 {
+		case 0:
+			host.relay(sentAt+delays[i], Change{DrainAges: ages})
+		case 1:
+			host.relay(sentAt+delays[i], Change{Full: true, DrainAges: ages})
+		case 2:
+			host.list(kind, d.backAt+delays[i])
+		}
+		begins = append(begins, host.begin(kind, id))
 	}
 	return begins
 }
@@ -100,7 +106,10 @@
 		d.drainAt = d.hangAt + draw(t, "drain", 4000)
 		d.failAt = d.hangAt + draw(t, "fail", 3000)
 		d.backAt = max(d.drainAt, d.failAt) + draw(t, "back", 15000)
-		delays := [3]time.Duration{draw(t, "delay", 300), draw(t, "delay", 300), draw(t, "delay", 300)}
+		var delays []time.Duration
+		for range 95 {
+			delays = append(delays, draw(t, "delay", 300))
+		}
 		for i, begin := range d.run(delays) {
 			assert.Assert(t, begin <= d.drainAt+delays[i], "host %d counts %v late", i, begin-d.drainAt)
 		}
