router: a probe must stay open

Cause: the soak's upstreams are behind proxies, which accept connections while the upstream is down. Change: the connection of the probe must stay open for 5 ms. TestProbeOpen; 15 runs each of TestOtherRequestsAreServedBesideOneThatCrashesUpstreams (5 or 6 of 8 upstreams end) and TestRequestIsNotBlockedBecauseUpstreamsResetConnections pass.

--- a/rhubarbtrackd/internal/exchanger/exchanger.go
+++ b/rhubarbtrackd/internal/exchanger/exchanger.go
@@ -311,6 +311,22 @@
 	return response, nil
 }
 
+// ProbeOpen opens a connection to the target and keeps it for later requests. It returns an error if that fails, or if the
+// other side closes the connection within wait, as a proxy does whose upstream is down.
+func (p *Pool) ProbeOpen(target Target, wait time.Duration) error {
+	c, err := p.dial(context.Background(), target, time.Now().Add(dialTimeout))
+	if err != nil {
+		return err
+	}
+	time.Sleep(wait)
+	if !isReusable(c.Conn) {
+		_ = c.Close()
+		return &Error{"probe " + target.ID, Interrupted, errors.New("the connection was closed")}
+	}
+	p.put(target, c)
+	return nil
+}
+
 // Probe opens a connection to the target and keeps it for later requests. It returns an error if that fails.
 func (p *Pool) Probe(target Target) error {
 	c, err := p.dial(context.Background(), target, time.Now().Add(dialTimeout))
--- a/rhubarbtrackd/internal/router/signature.go
+++ b/rhubarbtrackd/internal/router/signature.go
@@ -31,7 +31,10 @@
 // connections and its listener one after the other.
 const crashProbeDelay = 5 * time.Millisecond
 
-// maxCrashProbeWait bounds the wait for that probe. A refused connection takes one round trip.
+// crashProbeTime is how long the connection of the probe must stay open.
+const crashProbeTime = 5 * time.Millisecond
+
+// maxCrashProbeWait bounds the wait of an attempt for that probe.
 const maxCrashProbeWait = 20 * time.Millisecond
 
 // observeCrash records whether an attempt has crashed the upstream. An interrupted one is recorded after a probe has shown that
@@ -74,12 +77,12 @@
 }
 
 // probeInterrupted records the interruptions of an upstream, on this host and for the next report, unless the upstream accepts
-// a connection. Upstreams also reset connections when they have too many of them.
+// a connection and keeps it open. Upstreams also reset connections on which they fail to respond.
 func (r *Router) probeInterrupted(u registrar.Upstream, incarnation string, probe *crashProbe) {
 	defer close(probe.ended)
 	defer func() { r.locked(func() { delete(r.crashProbes, incarnation) }) }()
 	time.Sleep(crashProbeDelay)
-	err := r.options.Pool.Probe(exchanger.Target{ID: u.ID, Address: u.Address})
+	err := r.options.Pool.ProbeOpen(exchanger.Target{ID: u.ID, Address: u.Address}, crashProbeTime)
 	if err == nil {
 		return
 	}
