--- a/review/lab/record.go
+++ b/review/lab/record.go
@@ -51,5 +51,5 @@
 	_, _ = fmt.Fprintf(r.file, "%9.4f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// Seconds returns the time since the start of the case.
-func (r *Record) Seconds() float64 { return time.Since(r.began).Seconds() }
+// At returns the seconds from the start of the case to a time.
+func (r *Record) At(t time.Time) float64 { return t.Sub(r.began).Seconds() }
--- a/review/lab/upstream.go
+++ b/review/lab/upstream.go
@@ -23,6 +23,7 @@
 	Zone    string
 	Keyed   bool
 	Slots   int
+	Quiet   bool // the record does not list the runs
 	// Work returns how long a request runs.
 	Work func(r *http.Request) time.Duration
 	// Respond replaces the response to a request that was run. It returns false to end the connection. It may be nil.
@@ -41,6 +42,15 @@
 	Begin    time.Time
 }
 
+// Grant is a change of the keys that an upstream holds. Until is zero if the keys were released.
+type Grant struct {
+	Upstream string
+	From, To int
+	Fence    uint64
+	At       time.Time
+	Until    time.Time
+}
+
 type hold struct {
 	fence uint64
 	until time.Time
@@ -57,15 +67,23 @@
 	holds    [1 << 16]hold
 	busy     [1 << 16]int16
 	runs     []Run
+	grants   []Grant
 	gone     bool
+	goneAt   time.Time
+	replaced bool // by another life with the same ID
 	draining bool
 	stop     chan struct{}
 	conns    map[net.Conn]bool
 }
 
-// StartUpstream starts an upstream and registers it in the store.
+// StartUpstream starts an upstream at a new address and registers it in the store.
 func (l *Lab) StartUpstream(options UpstreamOptions) (*Upstream, error) {
-	listener, err := net.Listen("tcp", l.NextIP()+":0")
+	return l.StartUpstreamAt(l.NextIP()+":0", options)
+}
+
+// StartUpstreamAt is like StartUpstream, at the given address.
+func (l *Lab) StartUpstreamAt(address string, options UpstreamOptions) (*Upstream, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -90,7 +108,7 @@
 	if u.gone {
 		return
 	}
-	u.gone = true
+	u.gone, u.goneAt = true, time.Now()
 	close(u.stop)
 	_ = u.listener.Close()
 	for c := range u.conns {
@@ -102,9 +120,34 @@
 func (u *Upstream) Crash() {
 	u.lab.Printf("upstream %s: crashes", u.Options.ID)
 	u.Stop()
-	time.AfterFunc(3*heartbeat, func() { u.lab.Store.Delete("servers", u.Options.ID) })
+	time.AfterFunc(3*heartbeat, func() {
+		u.mutex.Lock()
+		replaced := u.replaced
+		u.mutex.Unlock()
+		if !replaced {
+			u.lab.Store.Delete("servers", u.Options.ID)
+		}
+	})
+}
+
+// Restart starts the next life of an upstream that has crashed, with the same ID and address.
+func (u *Upstream) Restart() (*Upstream, error) {
+	u.mutex.Lock()
+	u.replaced = true
+	u.mutex.Unlock()
+	return u.lab.StartUpstreamAt(u.Address, u.Options)
 }
 
+// Grants returns all changes of the keys that the upstream has held.
+func (u *Upstream) Grants() []Grant {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return append([]Grant(nil), u.grants...)
+}
+
+// Name returns the ID of the upstream and the start of this life.
+func (u *Upstream) Name() string { return fmt.Sprintf("%s/%d", u.Options.ID, u.born) }
+
 // Holds reports whether the upstream holds a key now.
 func (u *Upstream) Holds(key int) bool {
 	u.mutex.Lock()
@@ -191,6 +234,15 @@
 	return err == nil
 }
 
+// ReplyUnframed writes a response that has no length and ends with its connection, which the caller closes.
+func ReplyUnframed(conn net.Conn, status int, header [][2]string, body []byte) {
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	for _, h := range header {
+		text += h[0] + ": " + h[1] + "\r\n"
+	}
+	_, _ = conn.Write(append([]byte(text+"\r\n"), body...)) // fails only if the other side has closed the connection
+}
+
 func (u *Upstream) handle(conn net.Conn, r *http.Request, body []byte) bool {
 	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != u.Options.ID {
 		return Reply(conn, http.StatusMisdirectedRequest, nil, nil)
@@ -240,7 +292,9 @@
 	}
 	u.runs = append(u.runs, Run{u.Options.ID, attempt, r.Method, r.RequestURI, key, len(body), Digest(body), time.Now()})
 	u.mutex.Unlock()
-	u.lab.Printf("upstream %s: runs %s %s %s, key %d, %d bytes", u.Options.ID, attempt, r.Method, r.RequestURI, key, len(body))
+	if !u.Options.Quiet {
+		u.lab.Printf("upstream %s: runs %s %s %s, key %d, %d bytes", u.Options.ID, attempt, r.Method, r.RequestURI, key, len(body))
+	}
 	if u.Options.Work != nil {
 		time.Sleep(u.Options.Work(r))
 	}
@@ -293,6 +347,7 @@
 	for key := o.From; key <= o.Target; key++ {
 		u.holds[key] = hold{o.Fence, until}
 	}
+	u.grants = append(u.grants, Grant{u.Options.ID, o.From, o.Target, o.Fence, time.Now(), until})
 	return true
 }
 
@@ -301,6 +356,7 @@
 	for key := o.From; key <= o.Target; key++ {
 		u.holds[key].until = time.Time{}
 	}
+	u.grants = append(u.grants, Grant{u.Options.ID, o.From, o.Target, o.Fence, time.Now(), time.Time{}})
 	u.mutex.Unlock()
 	for {
 		running := false
