--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -17,6 +17,9 @@
 // The processes of a case get a signal when the thread that has started them ends.
 func init() { runtime.LockOSThread() }
 
+// keepVariable names the environment variable with which the temporary folder of a case is kept.
+const keepVariable = "REVIEW_KEEP"
+
 // Lab holds the processes and listeners of one case.
 type Lab struct {
 	*Record
@@ -51,6 +54,10 @@
 	for i := len(l.closers) - 1; i >= 0; i-- {
 		l.closers[i]()
 	}
+	if os.Getenv(keepVariable) != "" {
+		fmt.Fprintln(os.Stderr, "the settings and logs of the hosts are in", l.dir)
+		return
+	}
 	_ = os.RemoveAll(l.dir)
 }
 
