--- a/review/lab/upstream.go
+++ b/review/lab/upstream.go
@@ -72,7 +72,6 @@
 	gone     bool
 	goneAt   time.Time
 	replaced bool // by another life with the same ID
-	draining bool
 	stop     chan struct{}
 	conns    map[net.Conn]bool
 }
@@ -167,16 +166,10 @@
 	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
 	for {
-		u.mutex.Lock()
-		state := "ready"
-		if u.draining {
-			state = "draining"
-		}
-		u.mutex.Unlock()
 		entry := map[string]any{
 			"address": u.Address, "born": u.born,
 			"information": map[string]any{"service": u.Options.Service, "version": "v1", "zone": u.Options.Zone, "slots": u.Options.Slots},
-			"status":      map[string]any{"state": state, "sequence": 0, "warmup_left_s": 0},
+			"status":      map[string]any{"state": "ready", "sequence": 0, "warmup_left_s": 0},
 		}
 		u.lab.Store.Put("servers", u.Options.ID, entry, entry["status"])
 		select {
