--- a/review/cases/unframed/main.go
+++ b/review/cases/unframed/main.go
@@ -34,6 +34,10 @@
 	closeTime  = 10 * time.Millisecond
 	timeLeft   = 1500 * time.Millisecond
 	readyLimit = 20 * time.Second
+	// leadTime is how long after the hosts the traffic starts. A host that has started within stable_window_s (3 s) is not in touch.
+	leadTime = 8 * time.Second
+	// garbleTime is how long the backends send answers without a length.
+	garbleTime = 5 * time.Second
 	// maxCut is how often a connection may be closed without an answer.
 	maxCut = 3
 )
@@ -51,14 +55,14 @@
 	return signature, bytes.Repeat(append(text, '\n'), answerBytes/len(text))[:answerBytes]
 }
 
-// responder returns the function with which one backend answers.
-func responder(l *lab.Lab, id string, garbles bool) func(net.Conn, *http.Request, []byte) (handled, keep bool) {
+// responder returns the function with which one backend answers. end is when it stops to garble.
+func responder(l *lab.Lab, id string, garbles bool, end *atomic.Int64) func(net.Conn, *http.Request, []byte) (handled, keep bool) {
 	var answers atomic.Int64
 	return func(conn net.Conn, r *http.Request, _ []byte) (handled, keep bool) {
 		attempt := r.Header.Get("Attempt-Id")
 		signature, body := document(attempt, r.RequestURI)
 		header := [][2]string{{"Attempt-Id", attempt}, {"Response-Signature", signature}}
-		if n := answers.Add(1); !garbles || n%garbleEvery != 0 {
+		if n := answers.Add(1); !garbles || n%garbleEvery != 0 || time.Now().UnixNano() >= end.Load() {
 			return true, lab.Reply(conn, http.StatusOK, header, body)
 		}
 		l.Printf("upstream %s: answers %s without a length, and ends the connection after the last byte", id, attempt)
@@ -137,10 +141,11 @@
 		return fail(err)
 	}
 	var ups []*lab.Upstream
+	var garbleEnd atomic.Int64 // in Unix nanoseconds
 	for i := range upstreams {
 		id := fmt.Sprintf("i-%d", i+1)
 		u, err := l.StartUpstream(lab.UpstreamOptions{
-			ID: id, Service: "wuno96b", Zone: "zone-a", Respond: responder(l, id, trouble && i < garbling), Quiet: true,
+			ID: id, Service: "wuno96b", Zone: "zone-a", Respond: responder(l, id, trouble && i < garbling, &garbleEnd), Quiet: true,
 			Work: func(*http.Request) time.Duration { return 5 * time.Millisecond },
 		})
 		if err != nil {
@@ -161,6 +166,9 @@
 			return fail(err)
 		}
 	}
+	time.Sleep(leadTime)
+	l.Printf("traffic starts")
+	garbleEnd.Store(time.Now().Add(garbleTime).UnixNano())
 	j := &judge{Lab: l, cut: map[string]bool{}}
 	var group sync.WaitGroup
 	for i := range callers {
