allocator, failuredetector: failures to connect void no grant

Cause: the controller voided the grants of an upstream that 8 in 10 of the hosts in contact with it could not reach. A partition takes the hosts that still reach the upstream out of that count.

Change: such an upstream is only suspected. Its keys get no requests and no other owner until its grants have expired, it gets no keys, callers are rejected with the time left, and the controller probes it. Only another process that responds at its address voids grants. Package confirmer becomes failuredetector; a load report counts from its own time, so that it ends no later suspicion.

The event UpstreamStopped of the allocator is gone, as nothing may send it.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -9,6 +9,8 @@
 //   - Fences grow with the term and within a term. Before a release, the former owner gets a grant with a newer fence,
 //     so that it rejects an older grant that arrives late.
 //   - A grant without a response counts as accepted until its lifetime has passed, measured from the end of the call.
+//   - Refused connections and time-outs void no grant, because a partition of the network causes them as well. Only a
+//     response of another process at the address of an upstream shows that the upstream has stopped.
 //   - After a takeover during a move, both owners may have grants. Both owners are asked to release the range, and the
 //     former owner gets a newer fence by a grant that expires immediately.
 //
@@ -103,8 +105,9 @@
 }
 
 type failureStreak struct {
-	count int
-	since time.Duration // time of the first failure of the streak
+	count    int
+	since    time.Duration // time of the first failure of the streak
+	reported bool          // by UpstreamUnreachable
 }
 
 type pendingOrder struct {
@@ -184,8 +187,6 @@
 	case CommitFailed:
 		a.writingVersion = 0
 		a.retryAt = now + retryDelay
-	case UpstreamStopped:
-		a.markStopped(now, event.Upstream)
 	case SetLifetime:
 		a.setLifetime(now, event.Long)
 	case Settle:
@@ -328,7 +329,7 @@
 func (a *Allocator) usable() []string {
 	var ids []string
 	for id, upstream := range a.upstreams {
-		if upstream.Usable && !a.isStopped(id) {
+		if a.mayOwn(upstream) {
 			ids = append(ids, id)
 		}
 	}
@@ -336,6 +337,11 @@
 	return ids
 }
 
+// mayOwn reports whether an upstream may get ranges.
+func (a *Allocator) mayOwn(upstream Upstream) bool {
+	return upstream.Usable && !upstream.Suspect && !a.isStopped(upstream.ID)
+}
+
 // markChanged gives the table a new version and schedules its write after delay at the latest.
 func (a *Allocator) markChanged(now, delay time.Duration) {
 	if a.version <= max(a.storedVersion, a.writingVersion) {
--- a/core/allocator/phases.go
+++ b/core/allocator/phases.go
@@ -105,6 +105,7 @@
 	}
 	if upstream, ok := a.upstreams[id]; ok {
 		a.stopped[id] = upstream.Incarnation
+		a.actions = append(a.actions, UpstreamStopped{id, upstream.Incarnation})
 	}
 	for _, s := range a.segments {
 		if s.Previous == id || (s.Previous == "" && s.Owner == id) {
@@ -237,6 +238,11 @@
 	}
 	streak.count++
 	a.failureStreaks[upstream] = streak
+	if !streak.reported && a.unreachable(now, upstream) {
+		streak.reported = true
+		a.failureStreaks[upstream] = streak
+		a.actions = append(a.actions, UpstreamUnreachable{upstream})
+	}
 }
 
 func (a *Allocator) handleReleaseResult(now time.Duration, s *segment, event OrderCompleted) {
--- a/core/allocator/plan.go
+++ b/core/allocator/plan.go
@@ -84,7 +84,7 @@
 func (a *Allocator) newPlan(now time.Duration) *rebalancer.Plan {
 	plan := rebalancer.New(&a.load, max(minLoadPeriod, a.loadPeriod).Seconds())
 	for id, upstream := range a.upstreams {
-		if !upstream.Usable || a.isStopped(id) {
+		if !a.mayOwn(upstream) {
 			continue
 		}
 		target := rebalancer.Target{ID: id, Slots: float64(upstream.Slots)}
--- a/core/allocator/routingtable.go
+++ b/core/allocator/routingtable.go
@@ -29,7 +29,10 @@
 	table := make(RoutingTable, 0, len(a.segments))
 	for _, s := range a.segments {
 		row := Assignment{From: s.From, To: s.To, Owner: s.routedTo}
-		if s.routedTo == "" {
+		if a.upstreams[s.routedTo].Suspect {
+			row.Owner = ""
+		}
+		if row.Owner == "" {
 			row.Wait = max(0, s.expiry-now)
 			if s.phase == releasing || s.phase == granting {
 				row.Wait = 0
--- a/core/allocator/types.go
+++ b/core/allocator/types.go
@@ -50,8 +50,11 @@
 	Domain      string
 	// Usable upstreams may get ranges. A draining upstream, or one in a failure domain that is taken out, is not usable.
 	Usable bool
-	Cold   bool
-	Slots  int
+	// Suspect upstreams could not be reached. They get no ranges and no requests, and keep their grants: a partition of the
+	// network looks the same as a stopped process.
+	Suspect bool
+	Cold    bool
+	Slots   int
 }
 
 // Event is an input of Step. Its types are the structs below.
@@ -93,7 +96,7 @@
 	Unanswered
 	// NotSent means that the upstream cannot have received the order.
 	NotSent
-	// Replaced means that another process uses the address, so the upstream's process has stopped.
+	// Replaced means that another process responded at the address, so the upstream's process has stopped.
 	Replaced
 )
 
@@ -110,10 +113,6 @@
 // CommitFailed reports that the table of the given version was not written. The write is retried.
 type CommitFailed struct{ Version uint64 }
 
-// UpstreamStopped reports that the process of an upstream has stopped, so that its grants are void. It must not be sent
-// on suspicion: a process that still runs would share its ranges with new owners.
-type UpstreamStopped struct{ Upstream string }
-
 // SetLifetime sets the lifetime of grants from now on: Options.MaxLifetime if Long is set, GrantLifetime otherwise.
 type SetLifetime struct{ Long bool }
 
@@ -128,7 +127,6 @@
 func (OrderCompleted) event()   {}
 func (Committed) event()        {}
 func (CommitFailed) event()     {}
-func (UpstreamStopped) event()  {}
 func (SetLifetime) event()      {}
 func (Settle) event()           {}
 
@@ -169,7 +167,19 @@
 	Reason   string
 }
 
-func (Grant) action()   {}
-func (Release) action() {}
-func (Commit) action()  {}
-func (Moved) action()   {}
+// UpstreamUnreachable reports that an upstream has failed all orders for so long that its ranges get other owners, once
+// its grants have expired.
+type UpstreamUnreachable struct{ Upstream string }
+
+// UpstreamStopped reports that the process of an upstream has stopped, so that its grants are void. It is for the log only.
+type UpstreamStopped struct {
+	Upstream    string
+	Incarnation int64
+}
+
+func (Grant) action()               {}
+func (Release) action()             {}
+func (Commit) action()              {}
+func (Moved) action()               {}
+func (UpstreamUnreachable) action() {}
+func (UpstreamStopped) action()     {}
--- a/rhubarbtrackd/internal/coordinator/controller.go
+++ b/rhubarbtrackd/internal/coordinator/controller.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/allocator"
+	"rhubarbtrack.example/core/registrar"
 	"rhubarbtrack.example/platform/orderer"
 	"rhubarbtrack.example/platform/storer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/connector"
@@ -100,7 +101,7 @@
 	for _, u := range c.snapshot.ByService[service] {
 		owners[u.ID] = allocator.Upstream{
 			ID: u.ID, Incarnation: u.Incarnation, Domain: u.Domain, Slots: u.Slots, Cold: now < u.ColdEnd,
-			Usable: usable(c.snapshot, u) && !c.leaves(now, u),
+			Usable: usable(c.snapshot, u) && !c.leaves(now, u), Suspect: c.suspects(u),
 		}
 	}
 	return owners
@@ -132,6 +133,12 @@
 			c.options.Log.Log(eventlog.RangeMoved, zap.String("service", svc.service), zap.Uint16("from", action.From),
 				zap.Uint16("to", action.To), zap.String("previous", action.Previous), zap.String("owner", action.Owner),
 				zap.String("reason", action.Reason), zap.Uint64("term", c.contender.Term()))
+		case allocator.UpstreamUnreachable:
+			c.failures.Suspect(now, action.Upstream)
+			c.logSuspect(action.Upstream, "orders failed")
+		case allocator.UpstreamStopped:
+			c.options.Log.Log(eventlog.UpstreamStopped, zap.String("upstream", action.Upstream), zap.String("service", svc.service),
+				zap.Int64("life", action.Incarnation))
 		}
 	}
 }
@@ -148,7 +155,10 @@
 		cancel()
 	}
 	c.logOrder("grant", target, a.Renewal, err)
-	c.post(func() { c.step(ctx, svc, allocator.OrderCompleted{OrderID: a.OrderID, Result: result}) })
+	c.post(func() {
+		c.observeOrder(a.Upstream, result)
+		c.step(ctx, svc, allocator.OrderCompleted{OrderID: a.OrderID, Result: result})
+	})
 }
 
 func (c *Coordinator) release(ctx context.Context, svc *serviceState, a allocator.Release, address string) {
@@ -161,10 +171,18 @@
 	}
 	c.logOrder("release", target, false, err)
 	c.post(func() {
+		c.observeOrder(a.Upstream, result)
 		c.step(ctx, svc, allocator.OrderCompleted{OrderID: a.OrderID, Result: result, Handover: handover})
 	})
 }
 
+// observeOrder ends the suspicion of an upstream that has responded to an order.
+func (c *Coordinator) observeOrder(upstream string, result allocator.Result) {
+	if result == allocator.Accepted || result == allocator.Stale {
+		c.failures.RecordSuccess(c.options.Now(), upstream)
+	}
+}
+
 // logOrder logs an order. It omits successful renewals, because there are too many of them.
 func (c *Coordinator) logOrder(verb string, target orderer.Range, renewal bool, err error) {
 	if err == nil && renewal {
@@ -178,8 +196,8 @@
 		zap.Uint16("to", target.To), zap.Uint64("fence", target.Fence), eventlog.Cause(err))
 }
 
-// handleReport passes the observations of a host to the allocators and the confirmer.
-func (c *Coordinator) handleReport(ctx context.Context, report connector.Report) {
+// handleReport passes the observations of a host to the allocators and the failure detector.
+func (c *Coordinator) handleReport(report connector.Report) {
 	now := c.options.Now()
 	for service, keys := range report.Keys {
 		if svc := c.services[service]; svc != nil {
@@ -194,10 +212,10 @@
 	}
 	for _, load := range report.Loads {
 		c.loads.record(now, load)
-		c.confirmer.RecordSuccess(load.Upstream)
+		c.failures.RecordSuccess(now-load.Age, load.Upstream)
 	}
 	for _, id := range report.Reached {
-		c.confirmer.RecordSuccess(id)
+		c.failures.RecordSuccess(now, id)
 	}
 	for _, l := range report.Leaving {
 		if u, ok := c.snapshot.Upstreams[l.Upstream]; ok && u.Incarnation == l.Incarnation {
@@ -205,38 +223,50 @@
 		}
 	}
 	for _, id := range report.Refused {
-		c.confirmer.RecordRefusal(now, report.Host, id)
+		c.failures.RecordRefusal(now, report.Host, id)
 	}
 	for _, id := range report.Unresponsive {
-		c.confirmer.RecordTimeout(now, report.Host, id)
+		c.failures.RecordTimeout(now, report.Host, id)
 	}
 	c.recordCrashes(now, report)
 	if len(report.Refused)+len(report.Unresponsive) > 0 && c.contender.Valid(now) {
-		c.confirmSuspects(ctx, now)
+		c.detectSuspects(now)
 	}
 }
 
-// confirmSuspects handles upstreams that are confirmed as stopped, and asks all hosts to probe new suspects.
-func (c *Coordinator) confirmSuspects(ctx context.Context, now time.Duration) {
-	for _, id := range c.confirmer.Stopped(now, len(c.hub.Peers())+1) {
-		u, ok := c.snapshot.Upstreams[id]
-		if !ok || u.Draining || c.stoppedUpstreams[id] == u.Incarnation {
-			// A draining upstream refuses connections while it finishes its work.
-			continue
-		}
-		c.stoppedUpstreams[id] = u.Incarnation
-		c.options.Log.Log(eventlog.UpstreamStopped, zap.String("upstream", id), zap.String("service", u.Service),
-			zap.Int64("life", u.Incarnation))
-		if svc := c.services[u.Service]; svc != nil && svc.loaded {
-			c.step(ctx, svc, allocator.UpstreamStopped{Upstream: id})
-		}
-		c.confirmer.RecordSuccess(id)
+// detectSuspects stops the routing to upstreams that nearly all hosts fail to reach, and asks all hosts to probe those that
+// some hosts fail to reach.
+func (c *Coordinator) detectSuspects(now time.Duration) {
+	for _, id := range c.failures.DetectSuspects(now, len(c.hub.Peers())+1) {
+		c.logSuspect(id, "connections refused")
 	}
-	if suspects := len(c.confirmer.Suspects(now)); suspects > c.sentSuspects {
+	if doubted := len(c.failures.Doubted(now)); doubted > c.sentDoubted {
 		c.broadcast(now)
 	}
 }
 
+func (c *Coordinator) logSuspect(id, reason string) {
+	u := c.snapshot.Upstreams[id]
+	c.options.Log.Log(eventlog.UpstreamSuspected, zap.String("upstream", id), zap.String("service", u.Service),
+		zap.Int64("life", u.Incarnation), zap.Int("hosts", len(c.hub.Peers())+1), zap.String("reason", reason))
+}
+
+// suspects reports whether an upstream is suspected. A draining upstream refuses connections while it finishes its work.
+func (c *Coordinator) suspects(u registrar.Upstream) bool {
+	return !u.Draining && c.failures.Suspected(u.ID)
+}
+
+// keyedSuspects returns the suspected upstreams that may own keys. This host probes them, because they get no requests.
+func (c *Coordinator) keyedSuspects() []string {
+	var ids []string
+	for _, id := range c.failures.Suspects() {
+		if c.services[c.snapshot.Upstreams[id].Service] != nil {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (c *Coordinator) encodeLoads(loads []connector.LoadReport, runTimes map[string]time.Duration) connector.EncodedLoads {
 	encoded, err := connector.EncodeLoads(loads, runTimes)
 	if err != nil {
@@ -249,8 +279,8 @@
 func (c *Coordinator) broadcast(now time.Duration) {
 	c.fullEntries = 0
 	loads := c.loads.take(now, func(upstream string) bool { return c.services[c.snapshot.Upstreams[upstream].Service] != nil })
-	update := connector.Heartbeat{Loads: c.encodeLoads(loads, c.profiler.TakeChanges()), Suspects: c.confirmer.Suspects(now)}
-	c.sentSuspects = len(update.Suspects)
+	update := connector.Heartbeat{Loads: c.encodeLoads(loads, c.profiler.TakeChanges()), Suspects: c.failures.Doubted(now)}
+	c.sentDoubted = len(update.Suspects)
 	// A host that has just connected gets all run times, the others get the changes.
 	firstLoads := sync.OnceValue(func() connector.EncodedLoads { return c.encodeLoads(loads, c.profiler.All()) })
 	signatures := c.signatures.takeChanged()
@@ -267,7 +297,7 @@
 		}
 	})
 	c.options.OnHeartbeat(connector.Heartbeat{
-		Term: c.contender.Term(), Valid: true, Hosts: hosts, Loads: update.Loads, Suspects: update.Suspects,
+		Term: c.contender.Term(), Valid: true, Hosts: hosts, Loads: update.Loads, Suspects: append(update.Suspects, c.keyedSuspects()...),
 	})
 }
 
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -22,8 +22,8 @@
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/allocator"
-	"rhubarbtrack.example/core/confirmer"
 	"rhubarbtrack.example/core/contender"
+	"rhubarbtrack.example/core/failuredetector"
 	"rhubarbtrack.example/core/profiler"
 	"rhubarbtrack.example/core/registrar"
 	"rhubarbtrack.example/platform/orderer"
@@ -128,10 +128,9 @@
 	sentTables       map[*connector.Peer]map[string]allocator.RoutingTable // last table sent to each host, by service
 	addresses        map[string]string                                     // by upstream, including removed ones
 	loads            *sharedLoads
-	confirmer        *confirmer.Confirmer
-	stoppedUpstreams map[string]int64         // incarnations of upstreams that were confirmed as stopped, by upstream
+	failures         *failuredetector.Detector
 	leaving          map[string]leavingNotice // leaving notices to all hosts, by upstream
-	sentSuspects     int                      // number of suspects in the last broadcast
+	sentDoubted      int                      // number of doubted upstreams in the last broadcast
 	lastReport       time.Duration
 	lastAnnouncement time.Duration // 0 before the first one of this term
 	lastHeartbeat    time.Duration
@@ -163,24 +162,23 @@
 		contender: contender.New(options.Now(), contender.Options{
 			Name: options.Host, Address: options.Address, Delay: options.TakeoverDelay,
 		}),
-		events:           make(chan func(), maxEvents),
-		services:         map[string]*serviceState{},
-		sentTables:       map[*connector.Peer]map[string]allocator.RoutingTable{},
-		addresses:        map[string]string{},
-		loads:            newSharedLoads(),
-		confirmer:        confirmer.New(),
-		stoppedUpstreams: map[string]int64{},
-		leaving:          map[string]leavingNotice{},
-		fetching:         map[string]bool{},
-		nextFetch:        map[string]time.Duration{},
-		started:          options.Now(),
-		stopped:          make(chan struct{}),
-		sentSnapshots:    map[*connector.Peer]*follower.Snapshot{},
-		sentRunTimes:     map[*connector.Peer]bool{},
-		sentSignatures:   map[*connector.Peer]bool{},
-		reportSoon:       make(chan struct{}, 1),
-		profiler:         profiler.New(),
-		hostList:         newHostList(options.Address),
+		events:         make(chan func(), maxEvents),
+		services:       map[string]*serviceState{},
+		sentTables:     map[*connector.Peer]map[string]allocator.RoutingTable{},
+		addresses:      map[string]string{},
+		loads:          newSharedLoads(),
+		failures:       failuredetector.New(),
+		leaving:        map[string]leavingNotice{},
+		fetching:       map[string]bool{},
+		nextFetch:      map[string]time.Duration{},
+		started:        options.Now(),
+		stopped:        make(chan struct{}),
+		sentSnapshots:  map[*connector.Peer]*follower.Snapshot{},
+		sentRunTimes:   map[*connector.Peer]bool{},
+		sentSignatures: map[*connector.Peer]bool{},
+		reportSoon:     make(chan struct{}, 1),
+		profiler:       profiler.New(),
+		hostList:       newHostList(options.Address),
 	}
 	c.hub = connector.NewHub(
 		options.Host,
@@ -189,7 +187,7 @@
 				if report.NeedsFullCopy {
 					delete(c.sentSnapshots, peer)
 				}
-				c.handleReport(c.ctx, report)
+				c.handleReport(report)
 				if c.contender.IsHolder() && c.signatures.hasBlocked() {
 					c.broadcast(c.options.Now())
 				}
@@ -386,7 +384,7 @@
 	if now >= c.lastReport+connector.ReportInterval || (c.contender.IsHolder() && c.signatures.hasBlocked()) {
 		c.lastReport = now
 		if c.contender.IsHolder() {
-			c.handleReport(ctx, c.options.Report())
+			c.handleReport(c.options.Report())
 			c.broadcast(now)
 		}
 	}
@@ -398,11 +396,7 @@
 	if len(c.addresses) > maxRemovedAddresses+len(snapshot.Upstreams) {
 		clear(c.addresses)
 	}
-	for id, incarnation := range c.stoppedUpstreams {
-		if u, ok := snapshot.Upstreams[id]; !ok || u.Incarnation != incarnation {
-			delete(c.stoppedUpstreams, id)
-		}
-	}
+	c.failures.Forget(func(id string) bool { _, ok := snapshot.Upstreams[id]; return ok })
 	for id := range c.leaving {
 		if _, ok := snapshot.Upstreams[id]; !ok {
 			delete(c.leaving, id)
--- a/rhubarbtrackd/internal/coordinator/election.go
+++ b/rhubarbtrackd/internal/coordinator/election.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/contender"
+	"rhubarbtrack.example/core/failuredetector"
 	"rhubarbtrack.example/platform/storer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/serializer"
@@ -38,7 +39,7 @@
 			c.lastAnnouncement = 0
 			c.hostList.resetAges(c.options.Now())
 			c.services = map[string]*serviceState{}
-			clear(c.stoppedUpstreams)
+			c.failures = failuredetector.New()
 			c.deferred = nil
 			c.leaseExpired = false
 		case contender.StepDown:
