acceptor: end a connection whose last body was not read to its end

Cause: a body above 128 KiB is read by the handler. When the handler returned without reading it to its end, the connection was parsed on from there.

Change: the framing of a body records its end, and one function decides after each handler whether the connection may go on. The response carries Connection: close, the rest of the body is discarded for up to 2 s so that the caller reads the response, and nothing is parsed.

--- a/rhubarbtrackd/internal/acceptor/acceptor.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor.go
@@ -42,7 +42,9 @@
 	// lingerTimeout is how long data from the caller is read and discarded after the last response. Closing a socket with
 	// unread data sends a reset, by which the caller could lose the response.
 	lingerTimeout = 300 * time.Millisecond
-	// maxLingerBytes bounds that data. It covers the rest of a body of the usual size limit.
+	// bodyLingerTimeout is the same while the caller has not sent the whole body of its last request.
+	bodyLingerTimeout = 2 * time.Second
+	// maxLingerBytes bounds that data. The rest of a body is bounded by the limit for bodies, if that is higher.
 	maxLingerBytes = 1 << 20
 )
 
@@ -66,6 +68,7 @@
 	Stream  io.Reader // set if the body is too long to be kept in memory
 	Length  int64     // of Stream in bytes; -1 if unknown
 	Arrived time.Time // when the head was complete
+	body    *messageBody
 }
 
 // Response is the response to a caller. The server closes Stream.
--- a/rhubarbtrackd/internal/acceptor/connection.go
+++ b/rhubarbtrackd/internal/acceptor/connection.go
@@ -21,9 +21,17 @@
 type exchange struct {
 	response chan *Response
 	method   string
-	last     bool // the connection is closed after the response
+	last     bool         // the connection is closed after the response
+	body     *messageBody // which the handler reads from the connection; nil if it was read before
+	// unreadable is set if the request was rejected before its end.
+	unreadable bool
 }
 
+// endsMessage reports whether the next bytes of the connection belong to the next request. It must not be called before the
+// handler has returned. A handler that responds without reading the body to its end leaves bytes that the caller meant as a
+// body: parsed as requests, they would run, and their responses would go to the caller's next requests.
+func (e *exchange) endsMessage() bool { return !e.unreadable && (e.body == nil || e.body.atEnd()) }
+
 type connection struct {
 	server    *Server
 	conn      net.Conn
@@ -80,7 +88,7 @@
 			c.reject(err)
 			return
 		}
-		done := c.dispatch(request, last)
+		e, done := c.dispatch(request, last)
 		if last {
 			return
 		}
@@ -91,6 +99,9 @@
 			case <-c.ctx.Done():
 				return
 			}
+			if !e.endsMessage() {
+				return
+			}
 		}
 	}
 }
@@ -196,13 +207,14 @@
 	}
 	request.Stream = io.MultiReader(bytes.NewReader(data), io.LimitReader(reader, limits.BodyBytes-int64(len(data))))
 	request.Length = length
+	request.body = reader
 	return request, last, nil
 }
 
 // dispatch starts the handler for a request. If the handler reads the body from the connection, dispatch returns a
 // channel that is closed when the handler returns, otherwise nil.
-func (c *connection) dispatch(request *Request, last bool) <-chan struct{} {
-	e := &exchange{response: make(chan *Response, 1), method: request.Method, last: last}
+func (c *connection) dispatch(request *Request, last bool) (*exchange, <-chan struct{}) {
+	e := &exchange{response: make(chan *Response, 1), method: request.Method, last: last, body: request.body}
 	done := make(chan struct{})
 	c.mutex.Lock()
 	closing := c.closing
@@ -213,13 +225,13 @@
 	if closing {
 		// The previous response announced the end of the connection, so the caller may safely send this request again.
 		c.cancel()
-		return nil
+		return e, nil
 	}
 	select {
 	case c.queue <- e:
 	case <-c.ctx.Done():
 		c.requestFinished()
-		return nil
+		return e, nil
 	}
 	go func() {
 		defer close(done)
@@ -233,9 +245,9 @@
 		go c.run("watch-caller", c.watchDisconnect)
 	}
 	if request.Stream != nil {
-		return done
+		return e, done
 	}
-	return nil
+	return e, nil
 }
 
 func (c *connection) requestStarted() {
@@ -268,7 +280,7 @@
 		return
 	}
 	c.server.options.Refused(typed.Status, c.conn.RemoteAddr().String(), err.Error())
-	e := &exchange{response: make(chan *Response, 1), last: true}
+	e := &exchange{response: make(chan *Response, 1), last: true, unreadable: true}
 	e.response <- &Response{Status: typed.Status, Header: http.Header{}}
 	c.requestStarted()
 	select {
@@ -283,7 +295,7 @@
 	defer c.close()
 	for e := range c.queue {
 		response := <-e.response
-		e.last = e.last || c.announceClose()
+		e.last = e.last || !e.endsMessage() || c.announceClose()
 		ok := c.send(e, response)
 		c.requestFinished()
 		if !ok {
@@ -295,7 +307,7 @@
 			return
 		}
 		if e.last {
-			c.linger()
+			c.linger(e)
 			for range c.queue {
 				c.requestFinished()
 			}
@@ -327,8 +339,9 @@
 	c.server.remove(c)
 }
 
-// linger closes the sending side and reads until the caller has closed the other one, for up to lingerTimeout.
-func (c *connection) linger() {
+// linger closes the sending side and reads until the caller has closed the other one, for up to lingerTimeout. A caller that
+// still sends a body gets more time, because most callers read the response only after that.
+func (c *connection) linger(e *exchange) {
 	tcp, ok := c.conn.(*net.TCPConn)
 	if !ok {
 		return
@@ -336,8 +349,12 @@
 	if err := tcp.CloseWrite(); err != nil {
 		return
 	}
-	_ = tcp.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.CopyN(io.Discard, tcp, maxLingerBytes)
+	timeout, bytes := lingerTimeout, int64(maxLingerBytes)
+	if !e.endsMessage() {
+		timeout, bytes = bodyLingerTimeout, max(bytes, c.server.options.Limits().BodyBytes)
+	}
+	_ = tcp.SetReadDeadline(time.Now().Add(timeout))
+	_, _ = io.CopyN(io.Discard, tcp, bytes)
 }
 
 // reset closes the connection with a TCP reset, so that the caller cannot mistake a truncated response for a complete
--- a/rhubarbtrackd/internal/acceptor/parser.go
+++ b/rhubarbtrackd/internal/acceptor/parser.go
@@ -122,66 +122,71 @@
 }
 
 // body returns the body that follows the header, or nil, and its length in bytes, or -1 if unknown.
-func body(parsed *http.Request, reader *bufio.Reader) (io.Reader, int64) {
+func body(parsed *http.Request, reader *bufio.Reader) (*messageBody, int64) {
 	if len(parsed.TransferEncoding) > 0 {
-		return &chunked{source: reader, chunks: httputil.NewChunkedReader(reader)}, -1
+		return &messageBody{source: reader, chunks: httputil.NewChunkedReader(reader)}, -1
 	}
 	if parsed.ContentLength > 0 {
-		return &fixedLength{source: reader, remaining: parsed.ContentLength}, parsed.ContentLength
+		return &messageBody{source: reader, remaining: parsed.ContentLength}, parsed.ContentLength
 	}
 	return nil, 0
 }
 
-// fixedLength reads a body of known length. It returns io.ErrUnexpectedEOF if the connection ends before.
-type fixedLength struct {
+// messageBody reads the body of a request from a connection. It returns io.ErrUnexpectedEOF if the connection ends before.
+type messageBody struct {
 	source    *bufio.Reader
-	remaining int64
+	remaining int64     // bytes of a body with a length
+	chunks    io.Reader // decodes a chunked body; nil for a body with a length
+	lastChunk bool      // the last chunk and the trailer have been read
 }
 
-func (e *fixedLength) Read(p []byte) (int, error) {
-	if e.remaining == 0 {
+// atEnd reports whether the next bytes of the connection belong to the next request.
+func (b *messageBody) atEnd() bool {
+	if b.chunks != nil {
+		return b.lastChunk
+	}
+	return b.remaining == 0
+}
+
+// Read implements io.Reader.
+func (b *messageBody) Read(p []byte) (int, error) {
+	if b.atEnd() {
 		return 0, io.EOF
 	}
-	if int64(len(p)) > e.remaining {
-		p = p[:e.remaining]
+	if b.chunks != nil {
+		return b.readChunk(p)
+	}
+	if int64(len(p)) > b.remaining {
+		p = p[:b.remaining]
 	}
-	n, err := e.source.Read(p)
-	e.remaining -= int64(n)
+	n, err := b.source.Read(p)
+	b.remaining -= int64(n)
 	if err == io.EOF {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
 }
 
-// chunked reads a chunked body, and discards the trailer after it.
-type chunked struct {
-	source *bufio.Reader
-	chunks io.Reader
-	done   bool
-}
-
-func (c *chunked) Read(p []byte) (int, error) {
-	if c.done {
-		return 0, io.EOF
-	}
-	n, err := c.chunks.Read(p)
+// readChunk reads from a chunked body, and discards the trailer after it.
+func (b *messageBody) readChunk(p []byte) (int, error) {
+	n, err := b.chunks.Read(p)
 	if err != io.EOF {
 		return n, err
 	}
-	c.done = true
-	if err := c.skipTrailer(); err != nil {
+	if err := b.skipTrailer(); err != nil {
 		return n, err
 	}
+	b.lastChunk = true
 	return n, io.EOF
 }
 
 // maxTrailerBytes bounds the trailer of a chunked body.
 const maxTrailerBytes = 4 << 10
 
-func (c *chunked) skipTrailer() error {
+func (b *messageBody) skipTrailer() error {
 	lineStart := true
 	for size := 0; ; {
-		part, err := c.source.ReadSlice('\n')
+		part, err := b.source.ReadSlice('\n')
 		if err != nil && err != bufio.ErrBufferFull {
 			return io.ErrUnexpectedEOF
 		}
