allocator: no full grant to the former owner while the new one may hold the range

Cause: a controller is replaced during a move. Its successor has both owners release the range, but the new owner accepts a late grant of the predecessor after that, which counts from its arrival. If the former owner does not respond for a while and then does, it got its newer fence by a grant of full length, as in a usual move, where only the former owner can hold the range.

Change: as long as a grant of a predecessor to the new owner may be valid, the newer fence comes with a grant that expires at once.

--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -369,8 +369,10 @@
 // upstreams have a valid grant for the same key at any time.
 //
 // Seed 967 found that a successor voided the grants of an incarnation whose follower had received some of its predecessor.
+// Seed 1241 found that a former owner that responds again after a takeover got a grant of full length while the new owner
+// accepted a late one.
 func TestKeysHaveOneOwner(t *testing.T) {
-	seeds := []uint64{967}
+	seeds := []uint64{967, 1241}
 	for seed := range uint64(60) {
 		seeds = append(seeds, seed)
 	}
--- a/core/allocator/phases.go
+++ b/core/allocator/phases.go
@@ -177,7 +177,8 @@
 		s.fence = a.nextFence()
 	}
 	lifetime := a.lifetime
-	if s.phase == fencingPrevious {
+	if s.phase == fencingPrevious || (s.phase == raisingFence && now < s.ownerExpiry) {
+		// The owner may have a grant of a former controller, or accept one that arrives late.
 		lifetime = fenceOnlyLifetime
 	}
 	handover := ""
