router: a request is sent again only with its whole body

Cause: a body above 128 KiB is read from the caller while it is sent. After a status of 500 or more, an idempotent request was sent again without asking whether its body is still there; the second attempt read the stream at its end.

Change: one function decides for all paths that send again, by whether the body is kept or its reading has not begun. A stream that is read after its end fails, and a body is only sent complete if it has the announced length.

--- a/rhubarbtrackd/internal/acceptor/acceptor.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor.go
@@ -65,12 +65,21 @@
 	Caller  string // IP address of the caller
 	Header  http.Header
 	Body    []byte    // nil if Stream is set
-	Stream  io.Reader // set if the body is too long to be kept in memory
+	Stream  io.Reader // set if the body is too long to be kept in memory; it can be read once
 	Length  int64     // of Stream in bytes; -1 if unknown
 	Arrived time.Time // when the head was complete
 	body    *messageBody
 }
 
+// Repeatable reports whether the request can be sent, or sent again, with its whole body.
+func (r *Request) Repeatable() bool {
+	if r.Stream == nil {
+		return true
+	}
+	body, ok := r.Stream.(*onceReader)
+	return ok && !body.begun
+}
+
 // Response is the response to a caller. The server closes Stream.
 type Response struct {
 	Status int
--- a/rhubarbtrackd/internal/acceptor/connection.go
+++ b/rhubarbtrackd/internal/acceptor/connection.go
@@ -205,7 +205,9 @@
 		request.Body = data
 		return request, last, nil
 	}
-	request.Stream = io.MultiReader(bytes.NewReader(data), io.LimitReader(reader, limits.BodyBytes-int64(len(data))))
+	request.Stream = &onceReader{
+		source: io.MultiReader(bytes.NewReader(data), io.LimitReader(reader, limits.BodyBytes-int64(len(data)))),
+	}
 	request.Length = length
 	request.body = reader
 	return request, last, nil
--- a/rhubarbtrackd/internal/acceptor/framing_test.go
+++ b/rhubarbtrackd/internal/acceptor/framing_test.go
@@ -164,3 +164,32 @@
 	_, err := reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against a request that is sent again with an empty body, because the first attempt has read it.
+func TestBodyThatIsNotKeptIsReadOnce(t *testing.T) {
+	for _, tt := range []struct {
+		length int
+		kept   bool
+	}{{1, true}, {131_072, true}, {131_073, false}, {1 << 20, false}} {
+		for _, chunkSize := range []int{0, 1000} {
+			f := newFixture(t)
+			f.handle = func(_ context.Context, r *acceptor.Request) *acceptor.Response {
+				if r.Stream == nil {
+					return textResponse(fmt.Sprint(r.Repeatable()))
+				}
+				before := r.Repeatable()
+				n, err := io.Copy(io.Discard, r.Stream)
+				_, again := io.Copy(io.Discard, r.Stream)
+				return textResponse(fmt.Sprint(before, n, err, r.Repeatable(), again != nil))
+			}
+			conn, reader := f.dial(t)
+			send(t, conn, upload("/", quotingBody(tt.length), chunkSize))
+			_, text, _ := receive(t, reader)
+			want := "true"
+			if !tt.kept {
+				want = fmt.Sprint(true, tt.length, nil, false, true)
+			}
+			assert.Equal(t, text, want, "%d bytes in chunks of %d", tt.length, chunkSize)
+		}
+	}
+}
--- a/rhubarbtrackd/internal/acceptor/parser.go
+++ b/rhubarbtrackd/internal/acceptor/parser.go
@@ -167,6 +167,26 @@
 	return n, err
 }
 
+// onceReader fails when it is read again after its end. A request that is sent a second time with such a body would otherwise have
+// an empty one, and be complete.
+type onceReader struct {
+	source       io.Reader
+	begun, ended bool
+}
+
+var errReadBefore = errors.New("the body was read before and is not kept in memory")
+
+// Read implements io.Reader.
+func (o *onceReader) Read(p []byte) (int, error) {
+	if o.ended {
+		return 0, errReadBefore
+	}
+	o.begun = true
+	n, err := o.source.Read(p)
+	o.ended = err != nil
+	return n, err
+}
+
 // readChunk reads from a chunked body, and discards the trailer after it.
 func (b *messageBody) readChunk(p []byte) (int, error) {
 	n, err := b.chunks.Read(p)
--- a/rhubarbtrackd/internal/copier/copier.go
+++ b/rhubarbtrackd/internal/copier/copier.go
@@ -23,7 +23,7 @@
 type Kind int
 
 const (
-	// Incomplete means that reading the body failed before its end.
+	// Incomplete means that reading the body failed before its end, or that it has another length.
 	Incomplete Kind = iota + 1
 	// Unwritable means that a write to the receiver failed.
 	Unwritable
@@ -52,11 +52,16 @@
 }
 
 // Copy reads body to its end and passes it to write in blocks. If length is -1, each block is written as one chunk,
-// followed by the last chunk at the end; otherwise length is not checked. Errors are of type *Error.
+// followed by the last chunk at the end. Otherwise the body must have that length, and no byte beyond it is written. Errors are of
+// type *Error.
 func Copy(write func([]byte) error, body io.Reader, length int64) error {
 	block := make([]byte, blockSize)
+	copied := int64(0)
 	for {
 		n, err := body.Read(block)
+		if copied += int64(n); length >= 0 && (copied > length || (err == io.EOF && copied < length)) {
+			return &Error{"read-body", Incomplete, errors.Newf("the body has another length than %d bytes", length)}
+		}
 		if n > 0 {
 			data := block[:n]
 			if length < 0 {
--- a/rhubarbtrackd/internal/copier/copier_test.go
+++ b/rhubarbtrackd/internal/copier/copier_test.go
@@ -29,6 +29,9 @@
 		{"unknown length, empty", strings.NewReader(""), -1, nil, "0\r\n\r\n", 0},
 		{"last bytes returned together with EOF", iotest.DataErrReader(strings.NewReader("abc")), -1, nil, "3\r\nabc\r\n0\r\n\r\n", 0},
 		{"body fails before its end", io.MultiReader(strings.NewReader("ab"), iotest.ErrReader(io.ErrUnexpectedEOF)), -1, nil, "2\r\nab\r\n", copier.Incomplete},
+		{"shorter than its length", strings.NewReader("ab"), 3, nil, "ab", copier.Incomplete},
+		{"read before", strings.NewReader(""), 3, nil, "", copier.Incomplete},
+		{"longer than its length", strings.NewReader("abcd"), 3, nil, "", copier.Incomplete},
 		{"receiver disconnected", strings.NewReader("abc"), 3, broken, "", copier.Unwritable},
 		{"receiver disconnected before the last chunk", strings.NewReader(""), -1, broken, "", copier.Unwritable},
 	}
--- a/rhubarbtrackd/internal/router/conclude.go
+++ b/rhubarbtrackd/internal/router/conclude.go
@@ -18,6 +18,10 @@
 // maxAttempts bounds the attempts of one request, including those that an upstream rejected.
 const maxAttempts = 3
 
+// maySendAgain reports whether another attempt of the request can be made. Whatever the reason for it, an attempt must have the
+// whole body.
+func (j *job) maySendAgain() bool { return j.attempts < maxAttempts && j.request.Repeatable() }
+
 func kindOf(err error) exchanger.Kind {
 	var typed *exchanger.Error
 	if errors.As(err, &typed) {
@@ -32,7 +36,7 @@
 		return r.handleFailure(j, u, err)
 	}
 	if !isRejection(resp) {
-		if resp.Status >= 500 && j.route.Idempotent && j.attempts < maxAttempts && !j.service.Keyed {
+		if resp.Status >= 500 && j.route.Idempotent && !j.service.Keyed && j.maySendAgain() {
 			j.mayHaveRun = true
 			r.logAttempt(j, u, "failed", errors.Newf("upstream responded with status %d", resp.Status))
 			if len(j.tried) < j.route.MaxAttempts {
@@ -43,7 +47,7 @@
 	}
 	closeStream(resp)
 	r.logAttempt(j, u, "refused", errors.Newf("upstream rejected the request with status %d", resp.Status))
-	if j.attempts >= maxAttempts || j.request.Stream != nil {
+	if !j.maySendAgain() {
 		return r.fail(j, "the upstream rejected the request", max(retryWait, r.pauseLeft(j, u)))
 	}
 	if !j.service.Keyed || resp.Status == http.StatusMisdirectedRequest {
@@ -86,7 +90,7 @@
 		return r.abandon(j)
 	case exchanger.NotSent:
 		r.logAttempt(j, u, "not-sent", err)
-		if j.service.Keyed || j.attempts >= maxAttempts || j.request.Stream != nil {
+		if j.service.Keyed || !j.maySendAgain() {
 			return r.fail(j, "the upstream is unreachable", retryWait)
 		}
 		return nil
@@ -97,7 +101,7 @@
 	}
 	r.logAttempt(j, u, "broken", err)
 	j.mayHaveRun = true
-	if !j.route.Idempotent || j.attempts >= maxAttempts || j.request.Stream != nil || len(j.tried) >= j.route.MaxAttempts {
+	if !j.route.Idempotent || !j.maySendAgain() || len(j.tried) >= j.route.MaxAttempts {
 		return r.fail(j, "the upstream sent no valid response", retryWait)
 	}
 	if j.service.Keyed {
