allocator: grants to an upstream that fails orders do not delay the next owner

Callers saw: keys of an upstream that drops all packets had no owner for up to 6.4 s.

Cause: a grant without a response counts as accepted for its whole lifetime, and each retry began that anew until the upstream counted as unreachable (1.8 s). In addition, ranges were moved to other upstreams behind the same cut, and a suspect whose connections are accepted by the kernel of a frozen process was trusted again at once.

Change: while an upstream fails orders, a grant lasts only as long as the earlier ones, 0.5 s at least; a full one follows its first response. Unreachable upstreams get no ranges until they have been reached.

Tests: allocator TestAvailability "drops all packets" within 4.5 s and starter TestUpstreamBehindAPartitionKeepsItsKeys reset and silent within 4.7 s failed before. The partition of the starter tests now loses what is sent during a silent cut.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -8,7 +8,8 @@
 //     former owner has released the range or all its possible grants have expired.
 //   - Fences grow with the term and within a term. Before a release, the former owner gets a grant with a newer fence,
 //     so that it rejects an older grant that arrives late.
-//   - A grant without a response counts as accepted until its lifetime has passed, measured from the end of the call.
+//   - A grant without a response counts as accepted until its lifetime has passed, measured from the end of the call. While an
+//     upstream fails orders, it gets only grants that end with its earlier ones, so that they do not delay the next owner.
 //   - Refused connections and time-outs void no grant, because a partition of the network causes them as well. Only a
 //     response of another process at the address of an upstream shows that the upstream has stopped.
 //   - An upstream that starts again under its ID is another owner. Ranges and orders name the incarnation, so the result of
@@ -45,6 +46,11 @@
 	// fenceOnlyLifetime is the lifetime of a grant that only raises the fence: long enough to be accepted, and far
 	// shorter than the time for which two owners are tolerated.
 	fenceOnlyLifetime = 10 * time.Millisecond
+	// minRetryLifetime is the shortest lifetime of a grant that is sent after a failed order: long enough for the next one to
+	// arrive.
+	minRetryLifetime = 500 * time.Millisecond
+	// maxCallTime is the time that a call of an order may take.
+	maxCallTime = 400 * time.Millisecond
 	// retryDelay is the time before a failed order or write is retried.
 	retryDelay = 150 * time.Millisecond
 	// unreachableAfter is how long an upstream may fail all orders before its ranges get another owner: two renewals.
@@ -118,6 +124,7 @@
 type failureStreak struct {
 	count    int
 	since    time.Duration // time of the first failure of the streak
+	last     time.Duration // time of the last failure
 	reported bool          // by UpstreamUnreachable
 }
 
@@ -178,6 +185,7 @@
 		a.start(now, event)
 	case UpstreamsListed:
 		a.upstreams = event.Upstreams
+		a.endStreaks(now)
 		a.forgetFormer()
 	case KeysObserved:
 		a.recordKeys(now, event.Keys)
@@ -319,7 +327,7 @@
 	if now < a.startTime+registrationTime {
 		return
 	}
-	ids := a.usable()
+	ids := a.usable(now)
 	if len(ids) == 0 {
 		return
 	}
@@ -336,10 +344,10 @@
 	}
 }
 
-func (a *Allocator) usable() []string {
+func (a *Allocator) usable(now time.Duration) []string {
 	var ids []string
 	for id, upstream := range a.upstreams {
-		if a.mayOwn(upstream) {
+		if a.mayOwn(now, upstream) {
 			ids = append(ids, id)
 		}
 	}
@@ -348,8 +356,8 @@
 }
 
 // mayOwn reports whether an upstream may get ranges.
-func (a *Allocator) mayOwn(upstream Upstream) bool {
-	return upstream.Usable && !upstream.Suspect && !a.stopped[upstream.Incarnation]
+func (a *Allocator) mayOwn(now time.Duration, upstream Upstream) bool {
+	return upstream.Usable && !upstream.Suspect && !a.stopped[upstream.Incarnation] && !a.unreachable(now, upstream.Incarnation)
 }
 
 // latest returns the listed incarnation with the ID of i, or i itself if none is listed.
@@ -360,6 +368,18 @@
 	return i
 }
 
+// streakRest is the time after the last failed order from which an upstream that is listed and no suspect is reachable again.
+// It covers the time until a reported upstream is listed as a suspect.
+const streakRest = time.Second
+
+// endStreaks discards the streaks of upstreams that were reported as unreachable and have been reached since, or listed again.
+func (a *Allocator) endStreaks(now time.Duration) {
+	maps.DeleteFunc(a.failureStreaks, func(i identifier.Incarnation, streak failureStreak) bool {
+		upstream := a.upstreams[i.ID]
+		return streak.reported && upstream.Incarnation == i && !upstream.Suspect && now >= streak.last+streakRest
+	})
+}
+
 // maxFormer is the number of incarnations beyond the listed ones whose records are kept.
 const maxFormer = 1024
 
--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -31,6 +31,7 @@
 	identifier.Incarnation
 	address   int
 	downUntil time.Duration            // no response before this time
+	silent    bool                     // orders arrive and get no response
 	fence     map[uint16]uint64        // newest fence by key
 	expiry    map[uint16]time.Duration // of the grant by key
 }
@@ -170,6 +171,9 @@
 			sim.sendRelease(a, action)
 		case allocator.Commit:
 			sim.commit(a, action)
+		case allocator.UpstreamUnreachable:
+			sim.suspect(action.Upstream.ID)
+			sim.probe(action.Upstream)
 		}
 	}
 }
@@ -180,6 +184,8 @@
 	switch {
 	case u == nil || sim.Now < u.downUntil:
 		respond(250*time.Millisecond, allocator.NotSent)
+	case u.silent:
+		respond(350*time.Millisecond, allocator.Unanswered)
 	case u.ID != target.ID:
 		respond(time.Duration(sim.random.IntN(300))*time.Millisecond, allocator.Replaced)
 	default:
@@ -311,9 +317,27 @@
 	return float64(served) / float64(total)
 }
 
+// probe ends the suspicion of an upstream when it responds.
+func (sim *simulation) probe(target identifier.Incarnation) {
+	sim.After(400*time.Millisecond, func() {
+		owner, ok := sim.listed[target.ID]
+		switch u := sim.running[sim.addresses[target]]; {
+		case !ok || owner.Incarnation != target:
+		case u != nil && u.Incarnation == target && !u.silent && sim.Now >= u.downUntil:
+			owner.Suspect = false
+			sim.listed[target.ID] = owner
+		default:
+			sim.probe(target)
+		}
+	})
+}
+
 // suspect lists an upstream as suspected.
 func (sim *simulation) suspect(id string) {
-	owner := sim.listed[id]
+	owner, ok := sim.listed[id]
+	if !ok {
+		return
+	}
 	owner.Suspect = true
 	sim.listed[id] = owner
 }
@@ -322,7 +346,7 @@
 func (sim *simulation) injectFault() {
 	id := fmt.Sprintf("u%d", sim.random.IntN(len(sim.upstreams)))
 	owner, listed := sim.listed[id]
-	switch sim.random.IntN(11) {
+	switch sim.random.IntN(12) {
 	case 0: // the upstream starts to drain
 		if listed && len(sim.listed) > 3 {
 			owner.Usable = false
@@ -348,6 +372,10 @@
 	case 9: // the upstream crashes, and another process uses its address until it starts again
 		sim.replace(id)
 		sim.After(time.Duration(sim.random.IntN(1000))*time.Millisecond, func() { sim.start(id, 1000+len(sim.addresses)) })
+	case 11: // the upstream drops orders for a while
+		u := sim.upstreams[id]
+		u.silent = true
+		sim.After(time.Duration(sim.random.IntN(4000))*time.Millisecond, func() { u.silent = false })
 	case 10: // hosts fail to reach the upstream, or reach it again
 		if listed {
 			owner.Suspect = !owner.Suspect
@@ -435,6 +463,28 @@
 	assert.Equal(t, sim.served(), 1.0)
 }
 
+// TestUpstreamIsUsedAgainAfterItsEntryWasMissing guards against an upstream that gets no keys for good: it could be reached by
+// neither the controller nor the store for a while, so its entry was missing when it responded again.
+func TestUpstreamIsUsedAgainAfterItsEntryWasMissing(t *testing.T) {
+	sim := newSimulation(7, 6)
+	sim.run(4*time.Second, func() {})
+	listed := sim.listed["u1"]
+	sim.upstreams["u1"].silent = true
+	sim.run(2500*time.Millisecond, func() {})
+	delete(sim.listed, "u1")
+	sim.run(3*time.Second, func() {})
+	sim.upstreams["u1"].silent = false
+	sim.listed["u1"] = listed
+	sim.run(2*time.Second, func() {})
+	for _, id := range []string{"u0", "u2"} {
+		owner := sim.listed[id]
+		owner.Usable = false
+		sim.listed[id] = owner
+	}
+	sim.run(2*time.Second, func() {})
+	assert.Assert(t, len(sim.keysHeldBy("u1")) > 0)
+}
+
 // TestRoutingReturnsAfterASuspicion guards against keys without requests after a suspicion that has ended.
 func TestRoutingReturnsAfterASuspicion(t *testing.T) {
 	sim := newSimulation(7, 6)
@@ -513,6 +563,11 @@
 			sim.upstreams["u1"].downUntil = sim.Now + time.Hour
 			delete(sim.listed, "u1")
 		}, 4500 * time.Millisecond},
+		{"upstream is cut off and drops all packets", func(sim *simulation) { sim.upstreams["u1"].silent = true }, 4500 * time.Millisecond},
+		{"upstream is cut off for a second", func(sim *simulation) {
+			sim.upstreams["u1"].silent = true
+			sim.After(time.Second, func() { sim.upstreams["u1"].silent = false })
+		}, 1500 * time.Millisecond},
 		{"upstream crashes and is suspected", func(sim *simulation) {
 			sim.upstreams["u1"].downUntil = sim.Now + time.Hour
 			sim.suspect("u1")
--- a/core/allocator/phases.go
+++ b/core/allocator/phases.go
@@ -176,7 +176,15 @@
 	if s.fence == 0 || s.phase == raisingFence || s.phase == fencingPrevious {
 		s.fence = a.nextFence()
 	}
+	upstream := holder
+	if s.phase != granting && s.phase != held {
+		upstream = a.latest(holder)
+		s.grantedToLater = s.grantedToLater || upstream != holder
+	}
 	lifetime := a.lifetime
+	if a.failureStreaks[upstream].count > 0 {
+		lifetime = min(lifetime, max(minRetryLifetime, lifetimeLeft(now, s.expiry)))
+	}
 	if s.phase == fencingPrevious || (s.phase == raisingFence && now < s.ownerExpiry) {
 		// The owner may have a grant of a former controller, or accept one that arrives late.
 		lifetime = fenceOnlyLifetime
@@ -185,11 +193,6 @@
 	if s.phase == granting {
 		handover = s.handover
 	}
-	upstream := holder
-	if s.phase != granting && s.phase != held {
-		upstream = a.latest(holder)
-		s.grantedToLater = s.grantedToLater || upstream != holder
-	}
 	id := a.newOrder(s, upstream, lifetime)
 	a.actions = append(a.actions, Grant{
 		id, upstream, s.From, s.To, s.fence, lifetime, handover, s.phase == held || s.phase == committing,
@@ -197,6 +200,11 @@
 	s.nextOrder = now + RenewInterval
 }
 
+// lifetimeLeft returns the longest lifetime of a grant that is sent now and expires by the given time in any case.
+func lifetimeLeft(now, expiry time.Duration) time.Duration {
+	return time.Duration(float64(expiry-now-maxCallTime-expiryMargin) / (1 + clockDrift))
+}
+
 // release orders the given holder of the range, or a later incarnation of it, to release the range.
 func (a *Allocator) release(now time.Duration, s *segment, holder identifier.Incarnation) {
 	if len(a.pending) >= maxPendingOrders {
@@ -244,6 +252,7 @@
 		streak.since = now
 	}
 	streak.count++
+	streak.last = now
 	a.failureStreaks[upstream] = streak
 	if !streak.reported && a.unreachable(now, upstream) {
 		streak.reported = true
@@ -302,11 +311,12 @@
 		// An older grant may have been applied since the first release. The upstream rejects all of them from now on.
 		s.phase = releasing
 		s.nextOrder = now
-	case granting:
+	case granting, held:
 		s.phase = held
 		s.handover = ""
 		s.routedTo = s.Owner
-	case held:
-		s.routedTo = s.Owner
+		if order.lifetime < a.lifetime {
+			s.nextOrder = now // the upstream responds again
+		}
 	}
 }
--- a/core/allocator/plan.go
+++ b/core/allocator/plan.go
@@ -40,7 +40,7 @@
 			reasons[s] = reason
 		}
 	}
-	if len(orphaned) == 0 || len(a.usable()) == 0 {
+	if len(orphaned) == 0 || len(a.usable(now)) == 0 {
 		return
 	}
 	plan := a.newPlan(now)
@@ -85,7 +85,7 @@
 func (a *Allocator) newPlan(now time.Duration) *rebalancer.Plan {
 	plan := rebalancer.New(&a.load, max(minLoadPeriod, a.loadPeriod).Seconds())
 	for id, upstream := range a.upstreams {
-		if !a.mayOwn(upstream) {
+		if !a.mayOwn(now, upstream) {
 			continue
 		}
 		target := rebalancer.Target{ID: id, Slots: float64(upstream.Slots)}
--- a/core/allocator/types.go
+++ b/core/allocator/types.go
@@ -170,8 +170,8 @@
 	Reason   string
 }
 
-// UpstreamUnreachable reports that an upstream has failed all orders for so long that its ranges get other owners, once
-// its grants have expired.
+// UpstreamUnreachable reports that an upstream has failed all orders for so long that its ranges get other owners, once its
+// grants have expired. It gets no ranges until the caller has listed it as a suspect and then, when it was reached, no longer.
 type UpstreamUnreachable struct{ Upstream identifier.Incarnation }
 
 // UpstreamStopped reports that the process of an upstream has stopped, so that its grants are void. It is for the log only.
--- a/rhubarbtrackd/internal/connector/message.go
+++ b/rhubarbtrackd/internal/connector/message.go
@@ -106,6 +106,9 @@
 	Copy    follower.Change
 	// Doubted lists upstreams that other hosts could not reach. Every host probes them and reports the result.
 	Doubted []identifier.Tag
+	// Suspects lists upstreams that get no requests because nothing reaches them. The host that is the controller sends them
+	// health checks. It is not sent to other hosts.
+	Suspects []identifier.Tag
 	// Addresses lists the addresses at which hosts accept other hosts. It is empty when the list has not changed.
 	Addresses []string
 	// Signatures holds the changed statuses of requests that may crash upstreams, or all of them on a new connection. Hosts
--- a/rhubarbtrackd/internal/coordinator/controller.go
+++ b/rhubarbtrackd/internal/coordinator/controller.go
@@ -283,7 +283,7 @@
 	return !u.Draining && c.failures.Suspected(u.Incarnation)
 }
 
-// keyedSuspects returns the suspected upstreams that may own keys. This host probes them, because they get no requests.
+// keyedSuspects returns the suspected upstreams that may own keys. They get no requests, whose responses would end the suspicion.
 func (c *Coordinator) keyedSuspects() []identifier.Incarnation {
 	var keyed []identifier.Incarnation
 	for _, suspect := range c.failures.Suspects() {
@@ -327,7 +327,8 @@
 		}
 	})
 	c.options.OnHeartbeat(connector.Heartbeat{
-		Term: c.contender.Term(), Valid: true, Hosts: hosts, Loads: update.Loads, Doubted: append(update.Doubted, tags(c.keyedSuspects())...),
+		Term: c.contender.Term(), Valid: true, Hosts: hosts, Loads: update.Loads, Doubted: update.Doubted,
+		Suspects: tags(c.keyedSuspects()),
 	})
 }
 
--- a/rhubarbtrackd/internal/starter/partition_test.go
+++ b/rhubarbtrackd/internal/starter/partition_test.go
@@ -48,13 +48,18 @@
 		assert.NilError(t, p.listener.Close())
 		p.listener = nil
 	}
+	if a != silent {
+		p.abortAll()
+	}
+	p.notify()
+}
+
+// abortAll closes all connections with a reset.
+func (p *partition) abortAll() {
 	for _, conn := range p.conns {
-		if a != silent {
-			abort(conn)
-		}
+		abort(conn)
 	}
 	p.conns = nil
-	p.notify()
 }
 
 func (p *partition) heal(t *testing.T) {
@@ -66,6 +71,10 @@
 		assert.NilError(t, err)
 		p.listener = listener
 	}
+	if p.answer == silent {
+		// What arrived during the cut was lost.
+		p.abortAll()
+	}
 	p.answer = 0
 	p.notify()
 }
@@ -75,8 +84,41 @@
 	p.changed = make(chan struct{})
 }
 
+// partitionedConn is a connection through a partition. What is sent through it during a silent cut is lost.
+type partitionedConn struct {
+	net.Conn
+	partition *partition
+}
+
+func (c *partitionedConn) isSilent() bool {
+	c.partition.mutex.Lock()
+	defer c.partition.mutex.Unlock()
+	return c.partition.answer == silent
+}
+
+// Read implements net.Conn.
+func (c *partitionedConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.isSilent() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *partitionedConn) Write(p []byte) (int, error) {
+	if c.isSilent() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
 // abort closes a connection with a reset.
 func abort(conn net.Conn) {
+	if through, ok := conn.(*partitionedConn); ok {
+		conn = through.Conn
+	}
 	_ = conn.(*net.TCPConn).SetLinger(0)
 	_ = conn.Close()
 }
@@ -85,12 +127,12 @@
 func (p *partition) Accept() (net.Conn, error) {
 	for {
 		p.mutex.Lock()
-		listener, current, changed, closed := p.listener, p.answer, p.changed, p.closed
+		listener, changed, closed := p.listener, p.changed, p.closed
 		p.mutex.Unlock()
 		if closed {
 			return nil, net.ErrClosed
 		}
-		if listener == nil || current == silent {
+		if listener == nil {
 			<-changed
 			continue
 		}
@@ -99,15 +141,18 @@
 			continue
 		}
 		p.mutex.Lock()
-		current = p.answer
-		if current == 0 {
+		current := p.answer
+		if current == 0 || current == silent {
 			p.conns = append(p.conns, conn)
 		}
 		p.mutex.Unlock()
-		if current == 0 {
-			return conn, nil
+		switch current {
+		case 0:
+			return &partitionedConn{conn, p}, nil
+		case silent: // nobody reads it
+		default:
+			abort(conn)
 		}
-		abort(conn)
 	}
 }
 
@@ -198,6 +243,8 @@
 		within time.Duration
 	}{
 		{"refused", refused, nil, unownedTime},
+		{"reset", reset, nil, unownedTime},
+		{"silent", silent, nil, unownedTime},
 		{"refused, after the loss of a host", refused, func(_ *testing.T, s *system) { s.stopFollower() }, unownedTime},
 		{"refused, after the loss of the controller", refused, func(t *testing.T, s *system) { s.stopController(t) }, 12 * time.Second},
 	}
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -195,8 +195,7 @@
 			_ = conn.Close()
 			return
 		}
-		_ = conn.(*net.TCPConn).SetLinger(0)
-		_ = conn.Close()
+		abort(conn)
 	})
 }
 
