allocator: a grant with a newer fence ends longer grants of a former controller

Callers saw: keys of an upstream that crashes within 10 s after a change of the controller had no owner for up to 10.3 s.

Cause: a successor does not know how long the grants of its predecessor last, and counted the longest even after the upstream had accepted its own.

Change: the first acceptance of a newer fence sets the expiry of the range. The models of the allocator's tests and of the simulator now do the same; with the same fence, the longest counts as before. Only the first grants of an owner count, not those that raise the fence of a former one.

A stop now voids only grants whose calls had ended before, and a grant without a response counts as accepted even if the upstream has stopped.

Tests: allocator TestAvailability "upstream crashes after the controller was replaced" failed before.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -10,6 +10,8 @@
 //     so that it rejects an older grant that arrives late.
 //   - A grant without a response counts as accepted until its lifetime has passed, measured from the end of the call. While an
 //     upstream fails orders, it gets only grants that end with its earlier ones, so that they do not delay the next owner.
+//   - A grant with a newer fence replaces earlier ones of the same upstream, also longer ones. After a takeover, the lifetime of
+//     the grants of the former controller is unknown until then.
 //   - Refused connections and time-outs void no grant, because a partition of the network causes them as well. Only a
 //     response of another process at the address of an upstream shows that the upstream has stopped.
 //   - An upstream that starts again under its ID is another owner. Ranges and orders name the incarnation, so the result of
@@ -104,8 +106,11 @@
 	contacted identifier.Incarnation
 	// grantedToLater is set once a later incarnation of the holder got a grant.
 	grantedToLater bool
-	fence          uint64 // of the last order to the holder; 0: the next order needs a new fence
-	handover       string // from the former owner to the new one
+	acceptedFence  uint64 // of the last grant that the owner has accepted
+	// grantEnded is the end of the call of the last grant that the holder may have received.
+	grantEnded time.Duration
+	fence      uint64 // of the last order to the holder; 0: the next order needs a new fence
+	handover   string // from the former owner to the new one
 	// expiry is when all possible grants of the holder have expired.
 	expiry time.Duration
 	// ownerExpiry is the same for Owner while Previous is set: a former controller may have granted the range to both.
@@ -131,7 +136,9 @@
 type pendingOrder struct {
 	segment  *segment
 	upstream identifier.Incarnation
+	fence    uint64
 	lifetime time.Duration // of the grant; 0: the order is a release
+	sentAt   time.Duration
 }
 
 // Allocator is the state of one controller for one service. It is not safe for concurrent use.
--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -57,10 +57,14 @@
 		}
 	}
 	for _, key := range keysOf(g.From, g.To) {
+		isNewer := g.Fence > u.fence[key]
 		u.fence[key] = g.Fence
 		if g.Lifetime <= fenceOnly {
 			continue
 		}
+		if isNewer {
+			u.expiry[key] = 0 // the former grant is replaced
+		}
 		u.expiry[key] = max(u.expiry[key], arrival+time.Duration(float64(g.Lifetime)*slowClock))
 	}
 	return allocator.Accepted
@@ -581,6 +585,11 @@
 			sim.upstreams["u1"].downUntil = sim.Now + 3*time.Second
 		}, 5 * time.Second},
 		{"upstream restarts", func(sim *simulation) { sim.start("u1", 1) }, 1500 * time.Millisecond},
+		{"upstream crashes after the controller was replaced", func(sim *simulation) {
+			sim.takeOver()
+			sim.run(500*time.Millisecond, func() {})
+			sim.upstreams["u1"].downUntil = sim.Now + time.Hour
+		}, 4500 * time.Millisecond},
 		{"controller is replaced", func(sim *simulation) { sim.takeOver() }, 500 * time.Millisecond},
 	}
 	for _, tt := range tests {
--- a/core/allocator/phases.go
+++ b/core/allocator/phases.go
@@ -100,14 +100,19 @@
 }
 
 // markStopped records that an incarnation has stopped, which voids its grants. Another one with the same ID keeps its grants.
-func (a *Allocator) markStopped(now time.Duration, upstream identifier.Incarnation) {
-	if a.stopped[upstream] || upstream.Start == 0 {
+// sentAt is the time of the order that arrived at another process: grants after it may have arrived at yet another one, with the
+// same ID, that uses the address again.
+func (a *Allocator) markStopped(now, sentAt time.Duration, upstream identifier.Incarnation) {
+	if upstream.Start == 0 {
 		return
 	}
-	a.stopped[upstream] = true
-	a.actions = append(a.actions, UpstreamStopped{upstream})
+	if !a.stopped[upstream] {
+		a.stopped[upstream] = true
+		a.actions = append(a.actions, UpstreamStopped{upstream})
+	}
 	for _, s := range a.segments {
-		if s.holder() == upstream && !s.grantedToLater {
+		isPending := s.orderID != 0 && a.pending[s.orderID].lifetime > 0
+		if s.holder() == upstream && !s.grantedToLater && !isPending && s.grantEnded <= sentAt {
 			s.expiry = min(s.expiry, max(now, s.inheritedExpiry))
 		}
 		if s.routedTo == upstream {
@@ -157,10 +162,10 @@
 	return a.lastFence
 }
 
-func (a *Allocator) newOrder(s *segment, upstream identifier.Incarnation, lifetime time.Duration) uint64 {
+func (a *Allocator) newOrder(now time.Duration, s *segment, upstream identifier.Incarnation, lifetime time.Duration) uint64 {
 	a.lastOrderID++
 	s.orderID = a.lastOrderID
-	a.pending[a.lastOrderID] = pendingOrder{segment: s, upstream: upstream, lifetime: lifetime}
+	a.pending[a.lastOrderID] = pendingOrder{segment: s, upstream: upstream, fence: s.fence, lifetime: lifetime, sentAt: now}
 	if upstream.ID == s.holder().ID {
 		s.contacted = upstream
 	}
@@ -193,7 +198,7 @@
 	if s.phase == granting {
 		handover = s.handover
 	}
-	id := a.newOrder(s, upstream, lifetime)
+	id := a.newOrder(now, s, upstream, lifetime)
 	a.actions = append(a.actions, Grant{
 		id, upstream, s.From, s.To, s.fence, lifetime, handover, s.phase == held || s.phase == committing,
 	})
@@ -217,7 +222,7 @@
 		s.fence = a.nextFence()
 	}
 	upstream := a.latest(holder)
-	id := a.newOrder(s, upstream, 0)
+	id := a.newOrder(now, s, upstream, 0)
 	a.actions = append(a.actions, Release{id, upstream, s.From, s.To, s.fence})
 	s.nextOrder = now + retryDelay
 }
@@ -231,7 +236,7 @@
 	s := order.segment
 	s.orderID = 0
 	if event.Result == Replaced {
-		a.markStopped(now, order.upstream)
+		a.markStopped(now, order.sentAt, order.upstream)
 		event.Result = NotSent
 	}
 	a.recordResult(now, order.upstream, event.Result)
@@ -291,11 +296,17 @@
 }
 
 func (a *Allocator) handleGrantResult(now time.Duration, s *segment, order pendingOrder, result Result) {
-	if result == Unanswered && a.stopped[order.upstream] {
-		result = NotSent
-	}
 	if result == Accepted || result == Unanswered {
-		s.expiry = max(s.expiry, GrantExpiry(now, order.lifetime))
+		s.grantEnded = now
+	}
+	expiry := GrantExpiry(now, order.lifetime)
+	switch {
+	case result == Accepted && (s.phase == granting || s.phase == held) && order.fence != s.acceptedFence:
+		// The first acceptance of a fence ends all earlier grants, and the upstream rejects those that arrive late.
+		s.acceptedFence = order.fence
+		s.expiry, s.inheritedExpiry = expiry, 0
+	case result == Accepted || result == Unanswered:
+		s.expiry = max(s.expiry, expiry)
 	}
 	if result != Accepted {
 		// The retry needs a newer fence, so that the upstream rejects this grant if it arrives late.
