router: while a host shuts down, reject requests that cannot end in time

Report of another operator: requests that came late in the grace time of a planned stop were taken and passed on, and cut at its end. Shown by starter TestPlannedStopTakesNoRequestThatCannotEnd (orders of 2.6 s, grace of 5 s), which failed before.

Change: from SIGTERM on, a request goes to an upstream only if one and a half times its expected run fits into the time that is left. Others are rejected with 503 and a short Retry-After, and run at another host.

--- a/rhubarbtrackd/internal/router/choose.go
+++ b/rhubarbtrackd/internal/router/choose.go
@@ -28,6 +28,8 @@
 	maxOwnerWait = 600 * time.Millisecond
 	// maxOwnerWaitShare bounds the same wait as a share of the latency objective of the route.
 	maxOwnerWaitShare = 0.5
+	// shutdownRunFactor is the multiple of the expected run time that must be left before this host shuts down.
+	shutdownRunFactor = 1.5
 	// propagationReserve is the part of DrainDelay and TakeOutDelay that is reserved for the time until this host
 	// receives the change (batched watch events, the heartbeat interval, a slow controller) and for requests in transit
 	// to the upstream.
@@ -117,6 +119,9 @@
 	}
 	r.selector.Refresh(now, j.service.Name, func() []selector.Candidate { return r.candidates(j.service.Name) })
 	estimate := r.selector.Estimate(now, u.Incarnation, u.Slots)
+	if r.endsBefore(now, estimate) {
+		return choice{reason: shutdownReason, wait: retryWait}
+	}
 	if decision := r.decideAdmission(now, j, u.Incarnation, estimate); !decision.Admit {
 		return choice{reason: "the owner is overloaded", wait: decision.RetryAfter}
 	}
@@ -146,6 +151,14 @@
 	return r.shedder.Decide(now, request, j.isRetry, estimate)
 }
 
+const shutdownReason = "the host shuts down before a response is expected"
+
+// endsBefore reports whether this host shuts down before the response to a request that is sent now is expected.
+func (r *Router) endsBefore(now time.Duration, estimate selector.Estimate) bool {
+	end := time.Duration(r.end.Load())
+	return end > 0 && now+estimate.Wait+time.Duration(shutdownRunFactor*float64(estimate.Run)) > end
+}
+
 // candidateGroups holds the upstreams of a service without keys that may get a request, in the order of preference.
 type candidateGroups struct {
 	warm, cold, leaving []selector.Candidate
@@ -197,6 +210,9 @@
 	if picked, ok := r.selector.Pick(now, j.service.Name, g.warm, j.tried); ok {
 		u := snapshot.Upstreams[picked.ID]
 		estimate := r.selector.Estimate(now, picked, u.Slots)
+		if r.endsBefore(now, estimate) {
+			return choice{reason: shutdownReason, wait: retryWait}
+		}
 		if decision := r.decideAdmission(now, j, picked, estimate); !decision.Admit {
 			return choice{reason: "all upstreams are overloaded", wait: decision.RetryAfter}
 		}
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -100,6 +100,7 @@
 	probing      map[identifier.Incarnation]bool          // upstreams with a probe in progress
 	lastProbe    map[identifier.Incarnation]time.Duration // time of the last probe
 	limits       atomic.Pointer[Limits]
+	end          atomic.Int64                           // see SetEnd; 0: none
 	crashProbes  map[identifier.Incarnation]*crashProbe // in progress
 	inhibitor    *inhibitor.Inhibitor
 }
@@ -120,6 +121,10 @@
 // SetLimits replaces the limits. They apply to the next attempts; buckets of cold upstreams keep their rate.
 func (r *Router) SetLimits(limits Limits) { r.limits.Store(&limits) }
 
+// SetEnd sets the time at which requests are cancelled because the process shuts down. Those that are not expected to have a
+// response by then are rejected at once, so that another host serves them.
+func (r *Router) SetEnd(end time.Duration) { r.end.Store(int64(end)) }
+
 // TakeSendCounts returns the number of requests to which an upstream responded and the number that could not be sent
 // because the upstream was unreachable, both since the last call.
 func (r *Router) TakeSendCounts() (sent, unsent int) {
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -401,6 +401,7 @@
 	began := time.Now()
 	end := began.Add(d.settings.Bounds.Grace - exitReserve - responseReserve)
 	d.stopping.Store(true)
+	d.router.SetEnd(timer.Now() + time.Until(end))
 	d.log.Log(eventlog.DaemonStopping, zap.Int("connections", d.server.Connections()), zap.Int("requests", d.server.Active()))
 	resign, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/rhubarbtrackd/internal/starter/stop_test.go
+++ b/rhubarbtrackd/internal/starter/stop_test.go
@@ -126,3 +126,53 @@
 		t.Logf("host %d: %d of %d orders served", i, served, len(l.outcomes))
 	}
 }
+
+// Guards against requests that are taken in the grace time of a planned stop, although they cannot end within it, and are cut off
+// at its end. Requests run for 2.6 s here, and are taken for 2.2 s of a grace time of 5 s.
+func TestPlannedStopTakesNoRequestThatCannotEnd(t *testing.T) {
+	const (
+		workTime = 2600 * time.Millisecond
+		timeout  = 9 * time.Second
+	)
+	s := newSystemWith(t, 4, 4, func(o *simulator.UpstreamOptions) { o.WorkTime, o.IsSteady, o.LateGrantShare = workTime, true, 0 })
+	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, simulator.ConfigurationWithTimeout(9, timeout), nil))
+	time.Sleep(2 * time.Second) // until the configuration is in force
+	var mutex sync.Mutex
+	var outcomes []outcome
+	var group sync.WaitGroup
+	order := func(h *testHost, n int) {
+		prefix := []string{simulator.OrderPrefix, simulator.PlainPrefix}[n%2]
+		o := outcome{attempt: fmt.Sprintf("%016x", rand.Uint64()), host: h, sent: time.Now()}
+		call := simulator.Call{Prefix: prefix, Name: "1", Attempt: o.attempt, Key: rand.IntN(1 << 16), TimeLeft: timeout}
+		o.Reply, o.err = call.Send(clientFrom(n), h.settings.CallerAddress)
+		mutex.Lock()
+		defer mutex.Unlock()
+		outcomes = append(outcomes, o)
+	}
+	for n := range 40 { // until the hosts know the run times
+		group.Go(func() { order(s.hosts[0], n) })
+	}
+	group.Wait()
+	outcomes = nil
+	s.hosts[0].stop()
+	for n := range 26 {
+		group.Go(func() { order(s.hosts[0], n) })
+		time.Sleep(100 * time.Millisecond)
+	}
+	group.Wait()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	served, rejected := 0, 0
+	for _, o := range outcomes {
+		complete := o.err == nil && o.Status == http.StatusOK && o.Matches
+		assert.Assert(t, s.runs[o.attempt] == 0 || complete, "%s ran and ended with status %d, error %v", o.attempt, o.Status, o.err)
+		if complete {
+			served++
+		}
+		if o.Status == http.StatusServiceUnavailable {
+			rejected++
+		}
+	}
+	t.Logf("%d served, %d rejected, of %d", served, rejected, len(outcomes))
+	assert.Assert(t, served > 0 && rejected > 0)
+}
