--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -10,6 +10,7 @@
 package matcher
 
 import (
+	"crypto/sha256"
 	"net"
 	"sort"
 	"strings"
@@ -24,8 +25,29 @@
 	Services map[string]Service
 	Hosts    map[string][]Route // by lower-case host name; sorted by Sort, the longest prefix first
 	Limits   Limits
+	// HasAccounts is set if requests need the key of a client account, except those of public routes. Accounts may be empty
+	// nevertheless: then no key is valid.
+	HasAccounts bool
+	Accounts    []Account
 }
 
+// Account is a client account. Its callers authenticate with any of its keys.
+type Account struct {
+	Name string
+	Keys []KeyDigest
+	// Priority replaces that of the route if HasPriority is set; 0 is the highest.
+	Priority    int
+	HasPriority bool
+	Rate        float64 // requests per second over all hosts; 0: no limit
+	Burst       float64 // requests beyond that
+}
+
+// KeyDigest is the SHA-256 digest of a key. Keys themselves are not kept.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of a key.
+func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
 // Service is a group of upstreams that serve the same requests.
 type Service struct {
 	Name           string
@@ -46,6 +68,7 @@
 	Priority    int           // 0 is the highest
 	MaxAttempts int           // maximum number of upstreams to which one request is sent
 	Split       []Share       // at least one
+	Public      bool          // needs no key of a client account
 	// Urgent is set by Sort if the route has a higher priority than another route of one of its services.
 	Urgent bool
 }
