authenticator, router: keys of client accounts

Requests ran whatever key they carried, the key went on to upstreams, and these got no account name. The authenticator decides by the key and the age of the configuration, the router asks it on arrival and before each attempt, and sets the account's name. Hosts pass the configuration on with digests in place of keys.

--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -161,6 +161,8 @@
 	UpstreamDropped          = register(739, "upstream-dropped", zap.InfoLevel, "This host no longer uses an upstream, because its entry is missing from the store, or from the controller's copy.")
 	HostIsolated             = register(740, "host-isolated", zap.WarnLevel, "This host receives nothing from the controller or the store and cannot reach most upstreams; it reports itself not ready.")
 	HostReconnected          = register(741, "host-reconnected", zap.InfoLevel, "This host is no longer isolated.")
+	KeysSuspended            = register(742, "keys-suspended", zap.WarnLevel, "This host cannot confirm its configuration any more and accepts no keys of client accounts; the field age contains the time since the last confirmation.")
+	KeysAccepted             = register(743, "keys-accepted", zap.InfoLevel, "This host accepts keys of client accounts again.")
 )
 
 // maxText bounds texts that may quote bytes from outside, in bytes.
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -29,6 +29,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"rhubarbtrack.example/core/authenticator"
 	"rhubarbtrack.example/core/detector"
 	"rhubarbtrack.example/core/identifier"
 	"rhubarbtrack.example/core/matcher"
@@ -80,9 +81,11 @@
 
 // Snapshot is an immutable state of the copy. Times are on the clock of Options.Now.
 type Snapshot struct {
-	Config    *matcher.Config // nil until one was read
-	Upstreams map[string]registrar.Upstream
-	ByService map[string][]registrar.Upstream
+	Config *matcher.Config // nil until one was read
+	// Authenticator holds the client accounts of Config. It is nil if there are none.
+	Authenticator *authenticator.Authenticator
+	Upstreams     map[string]registrar.Upstream
+	ByService     map[string][]registrar.Upstream
 	// Incarnations resolves the tags of Upstreams.
 	Incarnations identifier.Index
 	// TakenOut holds, for each failure domain that is taken out, the earliest time at which that may have begun. Draining
@@ -121,15 +124,19 @@
 	mutex     sync.Mutex
 	list      *registrar.List
 	config    *matcher.Config
-	rawConfig []byte // config as the store holds it
-	takenOut  map[string]time.Duration
-	draining  map[identifier.Incarnation]time.Duration
-	listed    bool
-	failing   map[string]time.Duration // kind to the time of the first failure in a row
-	revision  int64                    // newest revision of all upstream entries read so far
-	lastRelay time.Duration            // when the controller made its last confirmation, at the earliest
-	relayed   bool                     // the copy is updated from the relay
-	late      bool                     // the last change arrived late
+	rawConfig []byte // config without keys
+	// authenticator belongs to config.
+	authenticator *authenticator.Authenticator
+	confirmedAt   atomic.Int64 // see ConfirmedAt
+	superseded    atomic.Bool  // see LacksConfiguration
+	takenOut      map[string]time.Duration
+	draining      map[identifier.Incarnation]time.Duration
+	listed        bool
+	failing       map[string]time.Duration // kind to the time of the first failure in a row
+	revision      int64                    // newest revision of all upstream entries read so far
+	lastRelay     time.Duration            // when the controller made its last confirmation, at the earliest
+	relayed       bool                     // the copy is updated from the relay
+	late          bool                     // the last change arrived late
 	// connected is set when the store or the controller sends data. It is cleared when the relay times out, and when a
 	// call to the store fails while the copy is not updated from the relay.
 	connected        bool
@@ -382,12 +389,13 @@
 	}
 	change(now)
 	f.publish()
+	f.publishConfirmation()
 }
 
 // publish replaces the snapshot. The caller holds the mutex.
 func (f *Follower) publish() {
 	s := &Snapshot{
-		Config: f.config, Upstreams: f.list.All(), ByService: map[string][]registrar.Upstream{},
+		Config: f.config, Authenticator: f.authenticator, Upstreams: f.list.All(), ByService: map[string][]registrar.Upstream{},
 		TakenOut: map[string]time.Duration{}, Draining: map[identifier.Incarnation]time.Duration{}, Listed: f.listed,
 		Revision: f.revision, Incarnations: identifier.Index{}, Kept: map[string]bool{},
 	}
--- a/rhubarbtrackd/internal/follower/relay.go
+++ b/rhubarbtrackd/internal/follower/relay.go
@@ -68,6 +68,7 @@
 func (f *Follower) ApplyChange(change Change) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	defer f.publishConfirmation()
 	now := f.options.Now()
 	madeAt := now
 	if change.MadeAt > 0 {
--- a/rhubarbtrackd/internal/meter/meter.go
+++ b/rhubarbtrackd/internal/meter/meter.go
@@ -70,6 +70,11 @@
 	m.scope.Tagged(map[string]string{"ring": queue}).Counter("ring_overflows_total").Inc(1)
 }
 
+// Authentication counts the decision about the key of a request: allowed, not-needed, unknown, outdated or undecided.
+func (m *Meter) Authentication(decision string) {
+	m.scope.Tagged(map[string]string{"decision": decision}).Counter("authentications_total").Inc(1)
+}
+
 // UpstreamNotice counts a first notice of an upstream of a service: leaving or paused.
 func (m *Meter) UpstreamNotice(service, kind string) {
 	m.scope.Tagged(map[string]string{"service": service, "kind": kind}).Counter("upstream_notices_total").Inc(1)
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -25,6 +25,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbtrack.example/core/authenticator"
 	"rhubarbtrack.example/core/detector"
 	"rhubarbtrack.example/core/identifier"
 	"rhubarbtrack.example/core/inhibitor"
@@ -49,6 +50,7 @@
 type Limits struct {
 	DrainDelay     time.Duration // after which a draining upstream gets no request
 	TakeOutDelay   time.Duration // after which a failure domain that is taken out gets no request
+	Revocation     time.Duration // after which a key that was taken away does not work any more; 0: no such limit
 	RetryRatio     float64       // retries per request
 	RetrySlack     float64       // retries in each window beyond RetryRatio
 	ColdRateFactor float64       // factor on the cold-start rate of a service
@@ -104,6 +106,7 @@
 	attempts     map[identifier.Incarnation]*attempts   // of the listed upstreams
 	crashProbes  map[identifier.Incarnation]*crashProbe // in progress
 	inhibitor    *inhibitor.Inhibitor
+	outdated     atomic.Bool // no key was accepted at the last request that needs one
 }
 
 // New returns a router that divides its limits by defaultHosts until the first heartbeat.
@@ -181,13 +184,18 @@
 	service    matcher.Service
 	header     http.Header
 	key        uint16
-	arrived    time.Duration                   // on the clock of Options.Now
-	deadline   time.Time                       // of the response to the caller
-	timeLeft   time.Duration                   // from the request's header, or the timeout of the route
-	tried      map[identifier.Incarnation]bool // upstreams that are not chosen again
-	received   []identifier.Incarnation        // upstreams to which an attempt was sent
-	attempts   int
-	mayHaveRun bool // an upstream may have run the request
+	arrived    time.Duration // on the clock of Options.Now
+	deadline   time.Time     // of the response to the caller
+	timeLeft   time.Duration // from the request's header, or the timeout of the route
+	// hasAccounts is set if the configuration has client accounts. credentials are then those of the caller, and account is that of
+	// its key, or nil on a public route.
+	hasAccounts bool
+	credentials authenticator.Credentials
+	account     *matcher.Account
+	tried       map[identifier.Incarnation]bool // upstreams that are not chosen again
+	received    []identifier.Incarnation        // upstreams to which an attempt was sent
+	attempts    int
+	mayHaveRun  bool // an upstream may have run the request
 	// isRetry is set when the caller has probably sent the request before and received a rejection.
 	isRetry  bool
 	estimate selector.Estimate // for the last chosen upstream
@@ -231,10 +239,14 @@
 		return r.finish(&job{request: request}, http.StatusNotFound, "no route matches the request")
 	}
 	j := &job{
-		request: request, route: route, id: request.Header.Get(translator.AttemptHeader), signatures: sign(request),
+		request: request, route: route, id: request.Header.Get(translator.AttemptHeader),
 		tried: map[identifier.Incarnation]bool{}, arrived: r.options.Now() - time.Since(request.Arrived),
 	}
 	j.service = snapshot.Config.Services[route.Choose(j.id)]
+	if response := r.authenticate(j); response != nil {
+		return response
+	}
+	j.signatures = j.sign()
 	j.header = exchanger.Forwardable(request.Header)
 	if !r.setDeadline(j) {
 		return r.finish(j, http.StatusBadRequest, "the header with the time left is invalid")
@@ -312,6 +324,9 @@
 		if j.attempts > 0 && !r.takeRetryToken(j) {
 			return r.fail(j, "the retry budget is exhausted", retryWait)
 		}
+		if response := r.authenticateAgain(j); response != nil {
+			return response
+		}
 		resp, err := r.attempt(ctx, j, chosen.upstream)
 		if err == nil || kindOf(err) == exchanger.NotSent {
 			r.countSend(err == nil)
@@ -364,6 +379,7 @@
 	j.attempts++
 	j.tried[u.Incarnation] = true
 	left := time.Until(j.deadline)
+	j.removeCredentials()
 	call := &exchanger.Request{
 		Method: j.request.Method, URI: j.request.Target, Host: j.request.Host, Header: j.header,
 		Extra: [][2]string{
@@ -374,6 +390,9 @@
 		ID: j.id, Repeatable: j.route.Idempotent, Repeated: slices.Contains(j.received, u.Incarnation), Deadline: j.deadline,
 		StreamDeadline: j.streamDeadline(),
 	}
+	if j.account != nil {
+		call.Extra = append(call.Extra, [2]string{translator.AccountHeader, j.account.Name})
+	}
 	j.received = append(j.received, u.Incarnation)
 	resp, err = r.options.Pool.Do(ctx, target(u), call)
 	streams := err == nil && resp.Stream != nil
--- a/rhubarbtrackd/internal/router/signature.go
+++ b/rhubarbtrackd/internal/router/signature.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/detector"
+	"rhubarbtrack.example/core/matcher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/acceptor"
 	"rhubarbtrack.example/rhubarbtrackd/internal/suspector"
 )
@@ -22,12 +23,31 @@
 	withoutQuery uint64
 }
 
+// credentialsHeader is the header field with the credentials of a caller.
+const credentialsHeader = "Authorization"
+
+// sign returns the signatures of the request. Where the credentials are the key of a client account, a digest takes their place:
+// signatures are logged, stored and sent to other hosts, and do not hide what they are made of. Hosts of earlier versions, which
+// sign the text, do not check keys and are not used where accounts exist. Elsewhere the signatures of all versions are equal.
+func (j *job) sign() signatures {
+	credentials := j.request.Header.Get(credentialsHeader)
+	if j.hasAccounts && credentials != "" {
+		digest := matcher.DigestKey(credentials)
+		credentials = string(digest[:])
+	}
+	return signAs(j.request, credentials)
+}
+
 // sign returns the signatures of a request. The address of the caller is no part of them, because one caller may use several:
 // another one in each failure domain, for example. A body that is too long to be kept in memory counts with its length only.
 // Hosts of earlier versions know withoutQuery only, so its parts do not change.
 func sign(request *acceptor.Request) signatures {
+	return signAs(request, request.Header.Get(credentialsHeader))
+}
+
+func signAs(request *acceptor.Request, credentials string) signatures {
 	parts := []string{
-		request.Method, request.Host, request.Path, request.Header.Get("Authorization"),
+		request.Method, request.Host, request.Path, credentials,
 		strconv.FormatUint(xxhash.Sum64(request.Body), 16), strconv.FormatInt(request.Length, 10),
 	}
 	_, query, _ := strings.Cut(request.Target, "?")
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -233,6 +233,7 @@
 func limits(b reader.Bounds) router.Limits {
 	return router.Limits{
 		DrainDelay: b.DrainDelay, TakeOutDelay: b.TakeOutDelay, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
+		Revocation:     b.RevocationTime,
 		ColdRateFactor: b.ColdRateFactor, ColdSlack: b.ColdSlack,
 	}
 }
