qualifier: hosts with a fast link and processor become controller first

The takeover delay considered processor time only, from 0.3 cores on fully. A host with 0.4 cores and a link of 10 Mbit/s became the first controller of 91 hosts, and its lease lapsed as the link was full of heartbeats. The delay now follows from the shares of processor, link and memory that a controller needs, multiplied. Its bound, 1.2 s, is as before, and so are the delays of hosts whose link is 50 Mbit/s or more or unknown (TestDelayOfHostsWithSufficientLink).

Without the factor of the link, TestDelay and TestSuitableHostsGoFirst fail.

--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -31,6 +31,7 @@
 
 	"rhubarbtrack.example/core/detector"
 	"rhubarbtrack.example/core/partitiondetector"
+	"rhubarbtrack.example/core/qualifier"
 	"rhubarbtrack.example/platform/orderer"
 	"rhubarbtrack.example/platform/reader"
 	"rhubarbtrack.example/platform/storer"
@@ -79,13 +80,6 @@
 	defaultBodyBytes     = 1 << 20
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
-	// maxTakeoverDelay is the time by which hosts with the least CPU time delay their candidacy for controller.
-	// takeoverSpread bounds a delay added to that, which depends on the name of the process, so that hosts with equal CPU
-	// time do not compete at the same moment.
-	maxTakeoverDelay = 1200 * time.Millisecond
-	takeoverSpread   = 150 * time.Millisecond
-	// fullControllerShare is the share of a core from which a host becomes a candidate without maxTakeoverDelay.
-	fullControllerShare = 0.3
 )
 
 // Kind classifies errors of this package.
@@ -191,13 +185,14 @@
 	d.pool = exchanger.New(exchanger.Options{IDHeader: translator.AttemptHeader})
 	name := incarnation(s.Host)
 	seed := xxhash.Sum64String(name)
+	fitness := qualifier.Fitness(qualifier.Host{Cores: s.CPUShare, LinkRate: s.LinkRate, MemoryBytes: s.MemoryBytes})
 	d.router = router.New(router.Options{
 		FailureDomain: s.FailureDomain, Limits: limits(s.Bounds), Follower: d.follower, Tables: d.tables, Pool: d.pool,
 		Log: d.log, Meter: d.meter, Now: timer.Now, Seed: seed, Shutdown: d.shutdown, Panics: d.panics,
 		Suspector: d.suspector,
 	})
 	d.coordinator = coordinator.New(coordinator.Options{
-		Host: name, Address: s.PeerAddress, TakeoverDelay: takeoverDelay(s.CPUShare, seed), MaxLifetime: s.Bounds.MaxGrantLifetime,
+		Host: name, Address: s.PeerAddress, TakeoverDelay: qualifier.Delay(fitness, seed), MaxLifetime: s.Bounds.MaxGrantLifetime,
 		FirstStart: s.FirstStart,
 		Store:      store, Orders: orderer.New(d.router.RecordLeaving), Follower: d.follower, Tables: d.tables, Log: d.log, Now: timer.Now,
 		Report: func() connector.Report {
@@ -222,14 +217,6 @@
 	return d
 }
 
-// takeoverDelay returns the time by which a host delays its candidacy for controller. It is shorter for hosts with more
-// CPU time. share is in cores.
-func takeoverDelay(share float64, seed uint64) time.Duration {
-	shortfall := 1 - min(1, max(0, share/fullControllerShare))
-	spread := float64(seed%256) / 256
-	return time.Duration(shortfall*float64(maxTakeoverDelay) + spread*float64(takeoverSpread))
-}
-
 func limits(b reader.Bounds) router.Limits {
 	return router.Limits{
 		DrainDelay: b.DrainDelay, TakeOutDelay: b.TakeOutDelay, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
