coordinator: controller messages fit its link and processor

A controller sent 91 hosts all load reports five times a second, and a heartbeat to each host for each change of a table, whatever its link. On a link of 10 Mbit/s, its renewals timed out behind them.

- pacer bounds what a controller sends to 0.4 of its link.
What does not fit is shed: load reports (each upstream gets fewer), run times, full states and changes of tables, these for at most a second.
A late processor counts as a slower link.
- Load reports are packed for hosts that decode this: upstreams are numbered once for a connection.
Others get what they got.
- Changes of tables share a heartbeat for 80 ms.
- A controller that sheds for 3 s hands over to a connected host that is fitter by 0.25, after moves have ended, and takes no part in the election for 8 s.
Hosts report their fitness.
A host that resigns says so to all hosts, which take over without a read.
- Metrics control_sent_bytes_total and control_shed_total; events 750 to 752.

--- a/core/contender/contender.go
+++ b/core/contender/contender.go
@@ -88,6 +88,9 @@
 // HolderStopped reports that the holder of Term has resigned or that its process has stopped.
 type HolderStopped struct{ Term uint64 }
 
+// HolderResigned reports that the holder has given up the lease. The revision is the one that the record has since then.
+type HolderResigned struct{ Lease LeaseStatus }
+
 // ReadResult carries the result of Read.
 type ReadResult struct {
 	Record Record
@@ -110,6 +113,7 @@
 func (HeartbeatReceived) event()    {}
 func (AnnouncementReceived) event() {}
 func (HolderStopped) event()        {}
+func (HolderResigned) event()       {}
 func (ReadResult) event()           {}
 func (WriteResult) event()          {}
 func (Resign) event()               {}
@@ -189,6 +193,11 @@
 // IsHolder reports whether this host holds the record, as far as it knows, even if the lease has expired.
 func (c *Contender) IsHolder() bool { return c.holder }
 
+// HasResigned reports whether this host was the last holder and has given up the lease.
+func (c *Contender) HasResigned() bool {
+	return c.record.Resigned && c.record.Holder == c.options.Name
+}
+
 // Term returns the last known term.
 func (c *Contender) Term() uint64 { return c.record.Term }
 
@@ -208,11 +217,11 @@
 		c.applyLeaseStatus(now, event.Lease)
 		return actions
 	case HolderStopped:
-		if event.Term >= c.record.Term {
-			c.stoppedTerm = event.Term
-			c.heartbeatAt = 0
-			c.nextCall = now
-		}
+		c.recordStopped(now, event.Term)
+	case HolderResigned:
+		// With the revision, the first attempt to take over succeeds.
+		c.applyLeaseStatus(now, event.Lease)
+		c.recordStopped(now, event.Lease.Term)
 	case Resign:
 		c.resigned = true
 		c.returnAt = 0
@@ -232,6 +241,14 @@
 	return c.act(now)
 }
 
+func (c *Contender) recordStopped(now time.Duration, term uint64) {
+	if term >= c.record.Term {
+		c.stoppedTerm = term
+		c.heartbeatAt = 0
+		c.nextCall = now
+	}
+}
+
 // applyLeaseStatus applies a status from the holder. As long as the record stays at the revision of the status, the
 // lease ends after the remaining time of the status, because a newer renewal would have changed the revision.
 func (c *Contender) applyLeaseStatus(now time.Duration, lease LeaseStatus) {
--- a/rhubarbtrackd/internal/connector/connector.go
+++ b/rhubarbtrackd/internal/connector/connector.go
@@ -24,6 +24,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +68,8 @@
 	queue   chan []byte
 	mutex   sync.Mutex
 	echo    echo
+	unpacks bool // the host decodes packed loads
+	names   namesSent
 }
 
 // echo is the time at which a host sent its last report, on its clock, and the time of the receipt.
@@ -79,6 +82,16 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.echo = echo{report.SentAt, time.Now()}
+	p.unpacks = report.PackedLoads
+}
+
+// pack replaces the loads of a heartbeat by packed ones if the host decodes these.
+func (p *Peer) pack(heartbeat *Heartbeat) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.unpacks && heartbeat.Packed != nil {
+		heartbeat.Loads, heartbeat.packed = nil, p.names.take(heartbeat.Packed)
+	}
 }
 
 // addEcho sets Echo and EchoAge of a heartbeat that is sent now.
@@ -97,6 +110,7 @@
 	onDisconnect func(peer *Peer, err error)
 	mutex        sync.Mutex
 	peers        map[*Peer]bool
+	sent         atomic.Int64 // bytes of heartbeats since the last call of TakeSent
 }
 
 // NewHub returns a hub without hosts. A host becomes a peer with its first report, so no heartbeat precedes that
@@ -117,16 +131,21 @@
 	return peers
 }
 
+// frameOverhead is the size of the heads around a message: WebSocket, TCP, IP and the link.
+const frameOverhead = 70
+
 // Send queues a heartbeat for a host. It does not block. If the queue is full, it closes the connection and returns an
 // error.
 func (h *Hub) Send(now time.Duration, peer *Peer, heartbeat Heartbeat) error {
 	peer.addEcho(&heartbeat)
+	peer.pack(&heartbeat)
 	data, err := encodeHeartbeat(now, heartbeat, peer.conn.Subprotocol() == subprotocol)
 	if err != nil {
 		return err
 	}
 	select {
 	case peer.queue <- data:
+		h.sent.Add(int64(len(data) + frameOverhead))
 		return nil
 	default:
 		_ = peer.conn.CloseNow()
@@ -134,6 +153,9 @@
 	}
 }
 
+// TakeSent returns the bytes that heartbeats since its last call take on the link.
+func (h *Hub) TakeSent() int { return int(h.sent.Swap(0)) }
+
 // ServeHTTP accepts the connection of a host.
 func (h *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HostHeader, h.host)
@@ -286,6 +308,7 @@
 			cancel(errors.New("the report could not be made"))
 		}
 	}()
+	var packed unpacker
 	for {
 		data, err := receive(ctx, conn)
 		if cause := context.Cause(ctx); cause != nil {
@@ -299,11 +322,27 @@
 		if err != nil {
 			return err
 		}
+		if err := heartbeat.unpack(&packed); err != nil {
+			return err
+		}
 		heartbeat.Copy.MadeAt = heartbeat.madeAt(now)
 		c.options.OnHeartbeat(heartbeat)
 	}
 }
 
+// unpack decodes the packed loads of a heartbeat.
+func (h *Heartbeat) unpack(packed *unpacker) error {
+	if len(h.packed) == 0 {
+		return nil
+	}
+	loads, runTimes, err := packed.unpack(h.packed)
+	if err != nil {
+		return &Error{"unpack-loads", Unreadable, err}
+	}
+	h.unpacked = &unpackedLoads{loads, runTimes}
+	return nil
+}
+
 // madeAt returns the earliest time at which the heartbeat may have been made, on the clock of the host that received it at now.
 // A heartbeat that waits in a queue or in transit is older than its receipt.
 func (h *Heartbeat) madeAt(now time.Duration) time.Duration {
@@ -323,7 +362,7 @@
 			return
 		}
 		report := c.options.Report()
-		report.SentAt = c.options.Now()
+		report.SentAt, report.PackedLoads = c.options.Now(), true
 		data, err := encodeReport(report, conn.Subprotocol() == subprotocol)
 		if err != nil {
 			cancel(err)
--- a/rhubarbtrackd/internal/connector/extension.go
+++ b/rhubarbtrackd/internal/connector/extension.go
@@ -43,6 +43,8 @@
 	Refused      []identifier.Tag `cbor:"refused,omitempty"`
 	Unresponsive []identifier.Tag `cbor:"unresponsive,omitempty"`
 	Reached      []identifier.Tag `cbor:"reached,omitempty"`
+	Fitness      int              `cbor:"fitness,omitempty"` // in thousandths, at least 1
+	PackedLoads  bool             `cbor:"packed-loads,omitempty"`
 }
 
 type wireLeaving struct {
@@ -72,12 +74,14 @@
 	Loads       []byte           `cbor:"loads,omitempty"`
 	Doubted     []identifier.Tag `cbor:"doubted,omitempty"`
 	OwnerStarts [][]int64        `cbor:"owner-starts,omitempty"` // by table and row of wireHeartbeat
+	PackedLoads []byte           `cbor:"packed-loads,omitempty"` // instead of Loads, see Packer
+	Resigned    bool             `cbor:"resigned,omitempty"`
 }
 
 func toWireHeartbeatExtension(h Heartbeat) wireHeartbeatExtension {
 	wire := wireHeartbeatExtension{
 		Signatures: toWireSignatures(h.Signatures), Echo: h.Echo.Milliseconds(), EchoAge: h.EchoAge.Milliseconds(),
-		Loads: h.Loads, Doubted: h.Doubted,
+		Loads: h.Loads, Doubted: h.Doubted, PackedLoads: h.packed, Resigned: h.Resigned,
 	}
 	for _, t := range h.Tables {
 		starts := make([]int64, 0, len(t.Rows))
@@ -96,6 +100,7 @@
 func fromWireHeartbeatExtension(h *Heartbeat, wire wireHeartbeatExtension) {
 	h.Signatures = fromWireSignatures(wire.Signatures)
 	h.Loads, h.Doubted = wire.Loads, wire.Doubted
+	h.packed, h.Resigned = wire.PackedLoads, wire.Resigned
 	h.Copy.Age = fromWireAge(wire.Age)
 	h.EchoAge = fromWireAge(wire.EchoAge)
 	if wire.Echo > 0 && wire.Echo <= maxEcho.Milliseconds() {
@@ -178,6 +183,7 @@
 	}
 	r.Loads = fromWireLoads(wire.Loads)
 	r.Refused, r.Unresponsive, r.Reached = wire.Refused, wire.Unresponsive, wire.Reached
+	r.Fitness, r.PackedLoads = float64(min(max(0, wire.Fitness), 1000))/1000, wire.PackedLoads
 	if wire.SentAt > 0 && wire.SentAt <= maxEcho.Milliseconds() {
 		r.SentAt = time.Duration(wire.SentAt) * time.Millisecond
 	}
--- a/rhubarbtrackd/internal/connector/message.go
+++ b/rhubarbtrackd/internal/connector/message.go
@@ -65,6 +65,10 @@
 	// SentAt is the time on the host's clock at which the report was sent. The controller returns it with its heartbeats. It is
 	// 0 in reports of earlier versions.
 	SentAt time.Duration
+	// Fitness is how well the host suits the role of the controller, see package qualifier. 0: unknown, of an earlier version.
+	Fitness float64
+	// PackedLoads is set by hosts that decode packed loads.
+	PackedLoads bool
 }
 
 // Interruption is the end of a connection to an upstream before the response to a request was complete. The ages are the
@@ -102,6 +106,10 @@
 	Hosts     int
 	Tables    []TableChange
 	Loads     EncodedLoads
+	// Packed replaces Loads for hosts that decode packed loads. It may be nil.
+	Packed *PackedLoads
+	// Resigned is set after the controller has given up its lease.
+	Resigned bool
 	// HasCopy is set when Copy is valid. It also confirms that the controller's copy of the store is up to date.
 	HasCopy bool
 	Copy    follower.Change
@@ -120,6 +128,22 @@
 	// heartbeats of earlier versions.
 	Echo    time.Duration
 	EchoAge time.Duration
+
+	packed   []byte // packed loads as they are sent
+	unpacked *unpackedLoads
+}
+
+type unpackedLoads struct {
+	loads    []LoadReport
+	runTimes map[identifier.Tag]time.Duration
+}
+
+// SharedLoads returns the load reports and run times of a heartbeat.
+func (h *Heartbeat) SharedLoads() ([]LoadReport, map[identifier.Tag]time.Duration, error) {
+	if h.unpacked != nil {
+		return h.unpacked.loads, h.unpacked.runTimes, nil
+	}
+	return h.Loads.Decode()
 }
 
 // TableChange is a change to the routing table of a service, or the full table.
@@ -329,6 +353,10 @@
 	extension := wireReportExtension{
 		Completed: r.Completed, Blocked: toWireSignatures(r.Blocked), SentAt: r.SentAt.Milliseconds(),
 		Loads: toWireLoads(r.Loads), Refused: r.Refused, Unresponsive: r.Unresponsive, Reached: r.Reached,
+		PackedLoads: r.PackedLoads,
+	}
+	if r.Fitness > 0 {
+		extension.Fitness = max(1, int(r.Fitness*1000))
 	}
 	for _, t := range r.Timings {
 		extension.Timings = append(extension.Timings, wireTiming{Upstream: t.Upstream, Count: t.Count, Sum: t.Sum.Milliseconds()})
--- a/rhubarbtrackd/internal/coordinator/controller.go
+++ b/rhubarbtrackd/internal/coordinator/controller.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,7 +14,6 @@
 	"rhubarbtrack.example/platform/storer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/connector"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
-	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
 )
 
 // conflictObject returns the stored object that caused a conflict, or nil for other errors.
@@ -32,7 +28,7 @@
 // runController steps the allocators of all keyed services. It sends no orders while the lease is expired.
 func (c *Coordinator) runController(ctx context.Context, now time.Duration) {
 	if !c.contender.Valid(now) {
-		if !c.leaseExpired {
+		if !c.leaseExpired && c.contender.Remaining(now) <= 0 { // otherwise, this host has resigned
 			c.leaseExpired = true
 			c.options.Log.Log(eventlog.LeadershipLapsed, zap.Uint64("term", c.contender.Term()))
 		}
@@ -74,10 +70,11 @@
 		if len(table.Diff(svc.routingTable)) > 0 || len(table) != len(svc.routingTable) {
 			svc.routingTable = table
 			c.options.Tables.Replace(name, table)
-			// Without an immediate heartbeat, hosts would send requests to former owners until the next one is due.
-			c.sendHeartbeats(c.options.Now(), nil)
+			c.pacing.tablesChanged = true
 		}
 	}
+	c.sendTables(now)
+	c.checkHandover(ctx, now)
 }
 
 // announce sends announcements to hosts that have not connected. Such hosts may be unable to read the lease record,
@@ -307,153 +304,3 @@
 	}
 	return encoded
 }
-
-// broadcast sends every host a heartbeat with the load reports and suspects of all hosts, and applies it on this host.
-func (c *Coordinator) broadcast(now time.Duration) {
-	c.fullEntries = 0
-	loads := c.loads.take(now, func(upstream identifier.Tag) bool {
-		u, ok := c.snapshot.Resolve(upstream)
-		return ok && c.services[u.Service] != nil
-	})
-	update := connector.Heartbeat{Loads: c.encodeLoads(loads, c.profiler.TakeChanges()), Doubted: tags(c.failures.Doubted(now))}
-	c.sentDoubted = len(update.Doubted)
-	// A host that has just connected gets all run times, the others get the changes.
-	firstLoads := sync.OnceValue(func() connector.EncodedLoads { return c.encodeLoads(loads, c.profiler.All()) })
-	signatures := c.signatures.takeChanged()
-	hosts := c.sendHeartbeats(now, func(peer *connector.Peer, heartbeat *connector.Heartbeat) {
-		heartbeat.Signatures = signatures
-		if !c.sentSignatures[peer] {
-			c.sentSignatures[peer] = true
-			heartbeat.Signatures = sharedSignatures(c.options.Suspector.Reports(now))
-		}
-		heartbeat.Loads, heartbeat.Doubted = update.Loads, update.Doubted
-		if !c.sentRunTimes[peer] {
-			c.sentRunTimes[peer] = true
-			heartbeat.Loads = firstLoads()
-		}
-	})
-	c.options.OnHeartbeat(connector.Heartbeat{
-		Term: c.contender.Term(), Valid: true, Hosts: hosts, Loads: update.Loads, Doubted: update.Doubted,
-		Suspects: tags(c.keyedSuspects()),
-	})
-}
-
-// sendHeartbeats sends every host a heartbeat with the state of the controller and the changes to tables and to the copy
-// of the store. complete adds the rest; it may be nil. The result is the number of hosts, including this one.
-func (c *Coordinator) sendHeartbeats(now time.Duration, complete func(*connector.Peer, *connector.Heartbeat)) int {
-	peers := c.hub.Peers()
-	hosts := len(peers) + 1
-	for i, peer := range peers {
-		heartbeat := c.newHeartbeat(now, peer, i+1, hosts)
-		if complete != nil {
-			complete(peer, &heartbeat)
-		}
-		heartbeat.Addresses = c.hostList.update(peer)
-		c.send(peer, heartbeat)
-	}
-	return hosts
-}
-
-// maxFullEntries bounds the entries of full states that are sent between two broadcasts. The hosts that wait get their full
-// state with a later heartbeat. After the start of 300 hosts with 3,000 upstreams, full states for all of them at once took
-// the link of the controller for seconds, and hosts closed their connections and began again.
-const maxFullEntries = 40_000
-
-// allowFullState reports whether a host may get what its connection has not carried yet, and counts it if it is a full
-// state.
-func (c *Coordinator) allowFullState(peer *connector.Peer, hasCopy bool) bool {
-	entries := 0
-	if hasCopy && c.sentSnapshots[peer] == nil {
-		entries += len(c.snapshot.Upstreams)
-	}
-	for service, svc := range c.services {
-		if c.sentTables[peer][service] == nil {
-			entries += len(svc.routingTable)
-		}
-	}
-	if entries > 0 && c.fullEntries > 0 && c.fullEntries+entries > maxFullEntries {
-		return false
-	}
-	c.fullEntries += entries
-	return true
-}
-
-func (c *Coordinator) newHeartbeat(now time.Duration, peer *connector.Peer, index, hosts int) connector.Heartbeat {
-	lease := c.contender.LeaseStatus(now)
-	heartbeat := connector.Heartbeat{
-		Term: lease.Term, Revision: lease.Revision, Remaining: lease.Remaining, Valid: c.contender.Valid(now),
-		Index: index, Hosts: hosts,
-	}
-	hasCopy := c.contender.Valid(now) && !c.contender.RenewalOverdue(now) && c.options.Follower.Direct()
-	if !c.allowFullState(peer, hasCopy) {
-		return heartbeat
-	}
-	if hasCopy {
-		heartbeat.HasCopy = true
-		heartbeat.Copy = changeSince(now, c.sentSnapshots[peer], c.snapshot)
-		heartbeat.Copy.Age = c.options.Follower.ConfigurationAge(now)
-		c.sentSnapshots[peer] = c.snapshot
-	}
-	known := c.sentTables[peer]
-	if known == nil {
-		known = map[string]allocator.RoutingTable{}
-		c.sentTables[peer] = known
-	}
-	for service, svc := range c.services {
-		if len(svc.routingTable) == 0 {
-			continue
-		}
-		old, full := known[service], known[service] == nil
-		change := connector.TableChange{Service: service, Full: full, Rows: svc.routingTable}
-		if !full {
-			change.Rows = svc.routingTable.Diff(old)
-		}
-		if len(change.Rows) > 0 {
-			heartbeat.Tables = append(heartbeat.Tables, change)
-			known[service] = svc.routingTable
-		}
-	}
-	return heartbeat
-}
-
-func (c *Coordinator) send(peer *connector.Peer, heartbeat connector.Heartbeat) {
-	if err := c.hub.Send(c.options.Now(), peer, heartbeat); err != nil {
-		c.options.Log.Log(eventlog.QueueOverflow, zap.String("ring", "beats"), zap.String("host", peer.Host), eventlog.Cause(err))
-	}
-}
-
-// changeSince returns the change from old to snapshot, or the full copy if old is nil.
-func changeSince(now time.Duration, old, snapshot *follower.Snapshot) follower.Change {
-	change := follower.Change{
-		Full: old == nil, Revision: snapshot.Revision, DrainAges: map[string]time.Duration{}, TakeOutAges: map[string]time.Duration{},
-	}
-	if snapshot.Config != nil {
-		change.Configuration = snapshot.Config.Version
-	}
-	for domain, since := range snapshot.TakenOut {
-		change.TakenOut = append(change.TakenOut, domain)
-		change.TakeOutAges[domain] = now - since
-	}
-	if old == snapshot {
-		return change
-	}
-	change.Kept = slices.Sorted(maps.Keys(snapshot.Kept))
-	for id, u := range snapshot.Upstreams {
-		// Hosts may have left out an upstream while it was kept.
-		if old == nil || old.Upstreams[id] != u || old.Kept[id] && !snapshot.Kept[id] {
-			change.Puts = append(change.Puts, u)
-			if since, ok := snapshot.Draining[u.Incarnation]; ok {
-				change.DrainAges[id] = now - since
-			}
-		}
-	}
-	if old == nil {
-		return change
-	}
-	for id := range old.Upstreams {
-		if _, ok := snapshot.Upstreams[id]; !ok {
-			change.Removed = append(change.Removed, id)
-		}
-	}
-	return change
-}
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -71,6 +71,8 @@
 	Host          string        // unique for each incarnation of the process
 	Address       string        // at which other hosts connect
 	TakeoverDelay time.Duration // added before a takeover; shorter on hosts that suit the role better
+	Fitness       float64       // for the role of the controller, see package qualifier
+	LinkRate      float64       // bytes per second of the host's network link; 0: unknown
 	MaxLifetime   time.Duration // of a grant
 	FirstStart    bool          // no tables are stored yet
 	Store         *storer.Client
@@ -90,6 +92,10 @@
 	OnDisproved func(signatures ...uint64)
 	// Panics contains panics in the handling of an event. This host then resigns as controller.
 	Panics *recoverer.Recoverer
+	// OnSent is called with the bytes that this host has sent to others as controller, and OnShed with the number of entries
+	// of a part of its messages that did not fit. Both may be nil.
+	OnSent func(bytes int)
+	OnShed func(part string, entries int)
 }
 
 // leavingTimeout is how long a leaving notice counts after the last report that contains it. Hosts repeat it with each report.
@@ -149,10 +155,17 @@
 	reportSoon     chan struct{} // has a value when the next report must not wait
 	needsFullCopy  atomic.Bool   // the next report requests the controller's full copy of the store
 	reportBlocked  atomic.Bool   // the next report lists the blocked signatures
+	pacing         pacing
 }
 
 // New returns a Coordinator that does nothing until Run is called.
 func New(options Options) *Coordinator {
+	if options.OnSent == nil {
+		options.OnSent = func(int) {}
+	}
+	if options.OnShed == nil {
+		options.OnShed = func(string, int) {}
+	}
 	c := &Coordinator{
 		options: options,
 		contender: contender.New(options.Now(), contender.Options{
@@ -175,6 +188,7 @@
 		reportSoon:     make(chan struct{}, 1),
 		profiler:       profiler.New(),
 		hostList:       newHostList(options.Address),
+		pacing:         newPacing(options.Now(), options),
 	}
 	c.hub = connector.NewHub(
 		options.Host,
@@ -183,6 +197,7 @@
 				if report.NeedsFullCopy {
 					delete(c.sentSnapshots, peer)
 				}
+				c.pacing.fitness[peer] = report.Fitness
 				c.handleReport(report)
 				if c.contender.IsHolder() && c.signatures.hasBlocked() {
 					c.broadcast(c.options.Now())
@@ -196,6 +211,7 @@
 				delete(c.sentSnapshots, peer)
 				delete(c.sentRunTimes, peer)
 				delete(c.sentSignatures, peer)
+				delete(c.pacing.fitness, peer)
 				c.hostList.removePeer(peer)
 			})
 		},
@@ -250,7 +266,7 @@
 		report.Blocked = c.options.Suspector.Blocked(c.options.Now())
 	}
 	report.NeedsFullCopy = c.needsFullCopy.Swap(false)
-	report.Address = c.options.Address
+	report.Address, report.Fitness = c.options.Address, c.options.Fitness
 	return report
 }
 
@@ -317,49 +333,9 @@
 	}()
 }
 
-// Resign releases the lease, after moves that have begun have ended or settleTime has passed. It returns when the store has
-// confirmed the release, or when ctx is done.
-func (c *Coordinator) Resign(ctx context.Context) {
-	end := c.options.Now() + settleTime
-	for ctx.Err() == nil {
-		done := make(chan bool, 1)
-		c.post(func() {
-			c.resignWhenSettled(ctx, end)
-			done <- !c.contender.IsHolder()
-		})
-		select {
-		case <-ctx.Done():
-			return
-		case <-c.stopped:
-			return
-		case free := <-done:
-			if free {
-				return
-			}
-		}
-		time.Sleep(tickInterval)
-	}
-}
-
-// resignWhenSettled resigns when no range is being moved, at the latest at end.
-func (c *Coordinator) resignWhenSettled(ctx context.Context, end time.Duration) {
-	if c.resigned {
-		return
-	}
-	now, moving := c.options.Now(), 0
-	for _, svc := range c.services {
-		c.step(ctx, svc, allocator.Settle{})
-		moving += svc.allocator.Moving()
-	}
-	if moving > 0 && now < end && c.contender.Valid(now) {
-		return
-	}
-	c.resigned = true
-	c.stepElection(ctx, contender.Resign{})
-}
-
 func (c *Coordinator) tick(ctx context.Context) {
 	now := c.options.Now()
+	c.pacing.observeTick(now)
 	c.stepElection(ctx, contender.Tick{})
 	c.leaseEnd.Store(0)
 	if c.contender.Valid(now) {
@@ -413,6 +389,10 @@
 			Term: heartbeat.Term, Revision: heartbeat.Revision, Remaining: heartbeat.Remaining,
 		}})
 	}
+	if heartbeat.Resigned {
+		c.stepElection(c.ctx, contender.HolderResigned{Lease: contender.LeaseStatus{Term: heartbeat.Term, Revision: heartbeat.Revision}})
+		return
+	}
 	for _, change := range heartbeat.Tables {
 		if change.Full {
 			c.options.Tables.Replace(change.Service, change.Rows)
--- a/rhubarbtrackd/internal/coordinator/election.go
+++ b/rhubarbtrackd/internal/coordinator/election.go
@@ -42,8 +42,12 @@
 			c.failures = failuredetector.New()
 			c.deferred = nil
 			c.leaseExpired = false
+			c.pacing.beginTerm(c.options.Now(), c.options)
 		case contender.StepDown:
 			c.options.Log.Log(eventlog.LeadershipLost, zap.Uint64("term", c.contender.Term()))
+			if c.contender.HasResigned() {
+				c.sendResignation()
+			}
 			c.services = map[string]*serviceState{}
 			c.leader.Store(nil)
 		}
--- /dev/null
+++ b/rhubarbtrackd/internal/coordinator/heartbeat.go
@@ -0,0 +1,187 @@
+package coordinator
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rhubarbtrack.example/core/allocator"
+	"rhubarbtrack.example/core/pacer"
+	"rhubarbtrack.example/rhubarbtrackd/internal/connector"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
+)
+
+// broadcast sends every host a heartbeat with the load reports and suspects of all hosts, and applies it on this host.
+func (c *Coordinator) broadcast(now time.Duration) {
+	c.fullEntries = 0
+	loads := c.takeLoads(now)
+	runTimes := c.takeRunTimes(now)
+	update := connector.Heartbeat{
+		Loads: c.encodeLoads(loads, runTimes), Packed: c.pacing.packer.Pack(loads, runTimes), Doubted: tags(c.failures.Doubted(now)),
+	}
+	c.sentDoubted = len(update.Doubted)
+	// A host that has just connected gets all run times, the others get the changes.
+	first := sync.OnceValue(func() connector.Heartbeat {
+		all := c.profiler.All()
+		return connector.Heartbeat{Loads: c.encodeLoads(loads, all), Packed: c.pacing.packer.Pack(loads, all)}
+	})
+	c.beginTables(now)
+	signatures := c.signatures.takeChanged()
+	hosts := c.sendHeartbeats(now, func(peer *connector.Peer, heartbeat *connector.Heartbeat) {
+		heartbeat.Signatures = signatures
+		if !c.sentSignatures[peer] {
+			c.sentSignatures[peer] = true
+			heartbeat.Signatures = sharedSignatures(c.options.Suspector.Reports(now))
+		}
+		heartbeat.Loads, heartbeat.Packed, heartbeat.Doubted = update.Loads, update.Packed, update.Doubted
+		if !c.sentRunTimes[peer] {
+			c.sentRunTimes[peer] = true
+			heartbeat.Loads, heartbeat.Packed = first().Loads, first().Packed
+		}
+	})
+	c.options.OnHeartbeat(connector.Heartbeat{
+		Term: c.contender.Term(), Valid: true, Hosts: hosts, Loads: update.Loads, Doubted: update.Doubted,
+		Suspects: tags(c.keyedSuspects()),
+	})
+}
+
+// sendHeartbeats sends every host a heartbeat with the state of the controller and the changes to tables and to the copy
+// of the store. complete adds the rest; it may be nil. The result is the number of hosts, including this one.
+func (c *Coordinator) sendHeartbeats(now time.Duration, complete func(*connector.Peer, *connector.Heartbeat)) int {
+	peers := c.hub.Peers()
+	hosts := len(peers) + 1
+	for i, peer := range peers {
+		heartbeat := c.newHeartbeat(now, peer, i+1, hosts)
+		if complete != nil {
+			complete(peer, &heartbeat)
+		}
+		heartbeat.Addresses = c.hostList.update(peer)
+		c.send(peer, heartbeat)
+	}
+	return hosts
+}
+
+// maxFullEntries bounds the entries of full states that are sent between two broadcasts. The hosts that wait get their full
+// state with a later heartbeat. After the start of 300 hosts with 3,000 upstreams, full states for all of them at once took
+// the link of the controller for seconds, and hosts closed their connections and began again.
+const maxFullEntries = 40_000
+
+// allowEntries reports whether a host may get the given number of entries of a full state, and counts them.
+func (c *Coordinator) allowEntries(now time.Duration, entries int) bool {
+	if entries == 0 {
+		return true
+	}
+	if c.fullEntries > 0 && c.fullEntries+entries > maxFullEntries || c.pacing.pacer.Budget(now, pacer.FullStates) == 0 {
+		c.shed(now, pacer.FullStates, entries)
+		return false
+	}
+	c.fullEntries += entries
+	return true
+}
+
+// missingTableEntries returns the number of rows of the tables that the connection of a host has not carried.
+func (c *Coordinator) missingTableEntries(peer *connector.Peer) int {
+	entries := 0
+	for service, svc := range c.services {
+		if c.sentTables[peer][service] == nil {
+			entries += len(svc.routingTable)
+		}
+	}
+	return entries
+}
+
+// missingCopyEntries returns the number of upstreams if the connection of a host has not carried the copy of the store.
+func (c *Coordinator) missingCopyEntries(peer *connector.Peer) int {
+	if c.sentSnapshots[peer] == nil {
+		return len(c.snapshot.Upstreams)
+	}
+	return 0
+}
+
+func (c *Coordinator) newHeartbeat(now time.Duration, peer *connector.Peer, index, hosts int) connector.Heartbeat {
+	lease := c.contender.LeaseStatus(now)
+	heartbeat := connector.Heartbeat{
+		Term: lease.Term, Revision: lease.Revision, Remaining: lease.Remaining, Valid: c.contender.Valid(now),
+		Index: index, Hosts: hosts,
+	}
+	hasCopy := c.contender.Valid(now) && !c.contender.RenewalOverdue(now) && c.options.Follower.Direct()
+	if hasCopy && c.allowEntries(now, c.missingCopyEntries(peer)) {
+		heartbeat.HasCopy = true
+		heartbeat.Copy = changeSince(now, c.sentSnapshots[peer], c.snapshot)
+		heartbeat.Copy.Age = c.options.Follower.ConfigurationAge(now)
+		c.sentSnapshots[peer] = c.snapshot
+	}
+	if c.pacing.tablesHeld || !c.allowEntries(now, c.missingTableEntries(peer)) {
+		return heartbeat
+	}
+	known := c.sentTables[peer]
+	if known == nil {
+		known = map[string]allocator.RoutingTable{}
+		c.sentTables[peer] = known
+	}
+	for service, svc := range c.services {
+		if len(svc.routingTable) == 0 {
+			continue
+		}
+		old, full := known[service], known[service] == nil
+		change := connector.TableChange{Service: service, Full: full, Rows: svc.routingTable}
+		if !full {
+			change.Rows = svc.routingTable.Diff(old)
+		}
+		if len(change.Rows) > 0 {
+			heartbeat.Tables = append(heartbeat.Tables, change)
+			known[service] = svc.routingTable
+		}
+	}
+	return heartbeat
+}
+
+func (c *Coordinator) send(peer *connector.Peer, heartbeat connector.Heartbeat) {
+	now := c.options.Now()
+	if err := c.hub.Send(now, peer, heartbeat); err != nil {
+		c.options.Log.Log(eventlog.QueueOverflow, zap.String("ring", "beats"), zap.String("host", peer.Host), eventlog.Cause(err))
+	}
+	sent := c.hub.TakeSent()
+	c.pacing.pacer.Spend(now, sent)
+	c.options.OnSent(sent)
+}
+
+// changeSince returns the change from old to snapshot, or the full copy if old is nil.
+func changeSince(now time.Duration, old, snapshot *follower.Snapshot) follower.Change {
+	change := follower.Change{
+		Full: old == nil, Revision: snapshot.Revision, DrainAges: map[string]time.Duration{}, TakeOutAges: map[string]time.Duration{},
+	}
+	if snapshot.Config != nil {
+		change.Configuration = snapshot.Config.Version
+	}
+	for domain, since := range snapshot.TakenOut {
+		change.TakenOut = append(change.TakenOut, domain)
+		change.TakeOutAges[domain] = now - since
+	}
+	if old == snapshot {
+		return change
+	}
+	change.Kept = slices.Sorted(maps.Keys(snapshot.Kept))
+	for id, u := range snapshot.Upstreams {
+		// Hosts may have left out an upstream while it was kept.
+		if old == nil || old.Upstreams[id] != u || old.Kept[id] && !snapshot.Kept[id] {
+			change.Puts = append(change.Puts, u)
+			if since, ok := snapshot.Draining[u.Incarnation]; ok {
+				change.DrainAges[id] = now - since
+			}
+		}
+	}
+	if old == nil {
+		return change
+	}
+	for id := range old.Upstreams {
+		if _, ok := snapshot.Upstreams[id]; !ok {
+			change.Removed = append(change.Removed, id)
+		}
+	}
+	return change
+}
--- a/rhubarbtrackd/internal/coordinator/loads.go
+++ b/rhubarbtrackd/internal/coordinator/loads.go
@@ -1,6 +1,9 @@
 package coordinator
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"rhubarbtrack.example/core/identifier"
@@ -10,7 +13,9 @@
 
 // sharedLoads holds the load reports that the controller sends to hosts, each report once.
 type sharedLoads struct {
-	latest map[identifier.Tag]receivedLoad
+	latest   map[identifier.Tag]receivedLoad
+	sentAt   map[identifier.Tag]time.Duration // time at which a report of each upstream was last sent
+	withheld int                              // reports that the last call of take has left out
 }
 
 type receivedLoad struct {
@@ -19,7 +24,9 @@
 	sent bool
 }
 
-func newSharedLoads() *sharedLoads { return &sharedLoads{latest: map[identifier.Tag]receivedLoad{}} }
+func newSharedLoads() *sharedLoads {
+	return &sharedLoads{latest: map[identifier.Tag]receivedLoad{}, sentAt: map[identifier.Tag]time.Duration{}}
+}
 
 // record stores a report that a host sent at now, if it is the newest one of its upstream.
 func (l *sharedLoads) record(now time.Duration, report connector.LoadReport) {
@@ -29,8 +36,9 @@
 	}
 }
 
-// take returns the reports to send and deletes those that are too old.
-func (l *sharedLoads) take(now time.Duration, ownsKeys func(upstream identifier.Tag) bool) []connector.LoadReport {
+// take returns the reports to send, at most limit, and deletes those that are too old. Of more reports, it returns those of the
+// upstreams whose last one was sent the longest ago, so that hosts get fewer reports of each upstream instead of none of some.
+func (l *sharedLoads) take(now time.Duration, ownsKeys func(upstream identifier.Tag) bool, limit int) []connector.LoadReport {
 	var loads []connector.LoadReport
 	for tag, load := range l.latest {
 		load.Age = now - load.at
@@ -41,10 +49,25 @@
 		if load.sent || !changesDecision(load.Load, ownsKeys(tag)) {
 			continue
 		}
-		load.sent = true
-		l.latest[tag] = load
 		loads = append(loads, load.LoadReport)
 	}
+	l.withheld = 0
+	if len(loads) > limit {
+		slices.SortFunc(loads, func(a, b connector.LoadReport) int {
+			return cmp.Or(cmp.Compare(l.sentAt[a.Upstream], l.sentAt[b.Upstream]), cmp.Compare(a.Upstream, b.Upstream))
+		})
+		l.withheld = len(loads) - limit
+		loads = loads[:limit]
+	}
+	if len(l.sentAt) > 2*len(l.latest)+len(loads) {
+		maps.DeleteFunc(l.sentAt, func(tag identifier.Tag, _ time.Duration) bool { _, ok := l.latest[tag]; return !ok })
+	}
+	for _, report := range loads {
+		load := l.latest[report.Upstream]
+		load.sent = true
+		l.latest[report.Upstream] = load
+		l.sentAt[report.Upstream] = now
+	}
 	return loads
 }
 
--- a/rhubarbtrackd/internal/coordinator/loads_test.go
+++ b/rhubarbtrackd/internal/coordinator/loads_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -31,12 +32,35 @@
 			l := newSharedLoads()
 			ownsKeys := func(identifier.Tag) bool { return tt.ownsKeys }
 			l.record(time.Second, connector.LoadReport{Upstream: 1, Load: tt.load, Age: 10 * time.Millisecond})
-			assert.Assert(t, is.Len(l.take(time.Second, ownsKeys), tt.want))
-			assert.Assert(t, is.Len(l.take(time.Second+connector.ReportInterval, ownsKeys), 0), "sent again")
+			assert.Assert(t, is.Len(l.take(time.Second, ownsKeys, math.MaxInt), tt.want))
+			assert.Assert(t, is.Len(l.take(time.Second+connector.ReportInterval, ownsKeys, math.MaxInt), 0), "sent again")
 			l.record(time.Second+connector.ReportInterval, connector.LoadReport{Upstream: 1, Load: tt.load})
-			assert.Assert(t, is.Len(l.take(time.Second+connector.ReportInterval, ownsKeys), tt.want))
-			assert.Assert(t, is.Len(l.take(time.Minute, ownsKeys), 0))
+			assert.Assert(t, is.Len(l.take(time.Second+connector.ReportInterval, ownsKeys, math.MaxInt), tt.want))
+			assert.Assert(t, is.Len(l.take(time.Minute, ownsKeys, math.MaxInt), 0))
 			assert.Assert(t, is.Len(l.latest, 0))
 		})
 	}
 }
+
+// Guards against upstreams whose load hosts never learn of while not all reports fit on the controller's link.
+func TestSharedLoadsTakeTurns(t *testing.T) {
+	const upstreams, limit = 100, 30
+	l := newSharedLoads()
+	sent := map[identifier.Tag]int{}
+	for round := range 10 {
+		now := time.Duration(round+1) * connector.ReportInterval
+		for tag := range upstreams {
+			l.record(now, connector.LoadReport{Upstream: identifier.Tag(tag), Load: selector.Load{Slots: 2}})
+		}
+		loads := l.take(now, func(identifier.Tag) bool { return false }, limit)
+		assert.Assert(t, is.Len(loads, limit))
+		assert.Equal(t, l.withheld, upstreams-limit)
+		for _, load := range loads {
+			sent[load.Upstream]++
+		}
+	}
+	for tag := range upstreams {
+		// 10 rounds of 30 reports are 3 for each upstream. The order within a round does not matter.
+		assert.Assert(t, sent[identifier.Tag(tag)] >= 2 && sent[identifier.Tag(tag)] <= 4, "upstream %d: %d", tag, sent[identifier.Tag(tag)])
+	}
+}
--- a/rhubarbtrackd/internal/meter/meter.go
+++ b/rhubarbtrackd/internal/meter/meter.go
@@ -75,6 +75,14 @@
 	m.scope.Tagged(map[string]string{"service": service, "kind": kind}).Counter("upstream_notices_total").Inc(1)
 }
 
+// ControlSent counts bytes that this host has sent to other hosts as controller, with the heads of packets.
+func (m *Meter) ControlSent(bytes int) { m.scope.Counter("control_sent_bytes_total").Inc(int64(bytes)) }
+
+// ControlShed counts entries that did not fit into the messages of the controller, by part: loads, run-times, tables or full-states.
+func (m *Meter) ControlShed(part string, entries int) {
+	m.scope.Tagged(map[string]string{"part": part}).Counter("control_shed_total").Inc(int64(entries))
+}
+
 // Panicked counts a panic that was contained in the named task.
 func (m *Meter) Panicked(task string) {
 	m.scope.Tagged(map[string]string{"task": task}).Counter("panics_total").Inc(1)
--- a/rhubarbtrackd/internal/router/heartbeat.go
+++ b/rhubarbtrackd/internal/router/heartbeat.go
@@ -24,7 +24,7 @@
 // suspected upstreams, which this host probes.
 func (r *Router) OnHeartbeat(heartbeat connector.Heartbeat) {
 	now := r.options.Now()
-	loads, runTimes, err := heartbeat.Loads.Decode()
+	loads, runTimes, err := heartbeat.SharedLoads()
 	if err != nil {
 		r.options.Log.Log(eventlog.FrameRefused, eventlog.Cause(err))
 	}
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -192,9 +192,10 @@
 		Suspector: d.suspector,
 	})
 	d.coordinator = coordinator.New(coordinator.Options{
-		Host: name, Address: s.PeerAddress, TakeoverDelay: qualifier.Delay(fitness, seed), MaxLifetime: s.Bounds.MaxGrantLifetime,
-		FirstStart: s.FirstStart,
-		Store:      store, Orders: orderer.New(d.router.RecordLeaving), Follower: d.follower, Tables: d.tables, Log: d.log, Now: timer.Now,
+		Host: name, Address: s.PeerAddress, TakeoverDelay: qualifier.Delay(fitness, seed), Fitness: fitness, LinkRate: s.LinkRate,
+		MaxLifetime: s.Bounds.MaxGrantLifetime,
+		FirstStart:  s.FirstStart,
+		Store:       store, Orders: orderer.New(d.router.RecordLeaving), Follower: d.follower, Tables: d.tables, Log: d.log, Now: timer.Now,
 		Report: func() connector.Report {
 			report := d.router.Report()
 			report.Host = name
@@ -204,6 +205,8 @@
 		Suspector:   d.suspector,
 		OnDisproved: d.router.ReportCompleted,
 		Panics:      d.panics,
+		OnSent:      d.meter.ControlSent,
+		OnShed:      d.meter.ControlShed,
 	})
 	d.server = acceptor.New(acceptor.Options{
 		Handle: d.router.Handle, Limits: d.callerLimits, MaxConnections: max(64, s.FileDescriptors-descriptorReserve),
