--- a/rhubarbtrackd/internal/acceptor/parser.go
+++ b/rhubarbtrackd/internal/acceptor/parser.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -113,7 +114,7 @@
 	}
 	parsed, err := http.ReadRequest(bufio.NewReaderSize(bytes.NewReader(head), len(head)))
 	if err != nil {
-		return nil, malformed(err.Error())
+		return nil, malformed(withoutField(err))
 	}
 	if parsed.Host == "" && parsed.ProtoAtLeast(1, 1) {
 		return nil, malformed("Host header is missing")
@@ -121,6 +122,15 @@
 	return parsed, nil
 }
 
+// withoutField returns the text of an error without the header line that caused it, which may hold the credentials of the caller.
+func withoutField(err error) string {
+	const prefix = "malformed MIME header"
+	if strings.HasPrefix(err.Error(), prefix) {
+		return prefix
+	}
+	return err.Error()
+}
+
 // body returns the body that follows the header, or nil, and its length in bytes, or -1 if unknown.
 func body(parsed *http.Request, reader *bufio.Reader) (*messageBody, int64) {
 	if len(parsed.TransferEncoding) > 0 {
--- a/rhubarbtrackd/internal/connector/connector.go
+++ b/rhubarbtrackd/internal/connector/connector.go
@@ -81,8 +81,9 @@
 	p.echo = echo{report.SentAt, time.Now()}
 }
 
-// addEcho sets Echo and EchoAge of a heartbeat that is sent now.
-func (p *Peer) addEcho(heartbeat *Heartbeat) {
+// StampEcho sets Echo and EchoAge of a heartbeat. Ages that are read afterwards count at the host from that time at the latest, also
+// if the process stands still before the heartbeat is sent.
+func (p *Peer) StampEcho(heartbeat *Heartbeat) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.echo.sentAt > 0 {
@@ -117,10 +118,9 @@
 	return peers
 }
 
-// Send queues a heartbeat for a host. It does not block. If the queue is full, it closes the connection and returns an
+// Send queues a heartbeat for a host, which has been stamped by Peer.StampEcho. It does not block. If the queue is full, it closes the connection and returns an
 // error.
 func (h *Hub) Send(now time.Duration, peer *Peer, heartbeat Heartbeat) error {
-	peer.addEcho(&heartbeat)
 	data, err := encodeHeartbeat(now, heartbeat, peer.conn.Subprotocol() == subprotocol)
 	if err != nil {
 		return err
--- a/rhubarbtrackd/internal/connector/extension_test.go
+++ b/rhubarbtrackd/internal/connector/extension_test.go
@@ -191,3 +191,35 @@
 	assert.NilError(t, err)
 	assert.Equal(t, heartbeat.Tables[0].Rows[0].Owner, identifier.Incarnation{ID: "u"})
 }
+
+// Guards against a controller that stands still between reading the age of its copy and sending it: the host counted the age from the
+// time at which it was sent, and took the copy for newer than it is.
+func TestAgesCountFromTheStampOfAHeartbeat(t *testing.T) {
+	const still = 200 * time.Millisecond
+	hub := NewHub("controller", func(*Peer, Report) {}, func(*Peer, error) {})
+	server := httptest.NewServer(hub)
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	conn, _, err := websocket.Dial(ctx, "ws"+strings.TrimPrefix(server.URL, "http"), &websocket.DialOptions{Subprotocols: []string{subprotocol}})
+	assert.NilError(t, err)
+	defer func() { _ = conn.CloseNow() }()
+	began := time.Now()
+	report, err := encodeReport(Report{Host: "h", SentAt: time.Minute}, true)
+	assert.NilError(t, err)
+	assert.NilError(t, send(ctx, conn, report))
+	for len(hub.Peers()) == 0 && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	var heartbeat Heartbeat
+	hub.Peers()[0].StampEcho(&heartbeat)
+	stamped := time.Since(began)
+	time.Sleep(still)
+	assert.NilError(t, hub.Send(0, hub.Peers()[0], heartbeat))
+	data, err := receive(ctx, conn)
+	assert.NilError(t, err)
+	received, err := decodeHeartbeat(0, data)
+	assert.NilError(t, err)
+	madeAt := received.madeAt(time.Minute + time.Since(began))
+	assert.Assert(t, madeAt >= time.Minute && madeAt <= time.Minute+stamped, "made %v after the report", madeAt-time.Minute)
+}
--- a/rhubarbtrackd/internal/coordinator/controller.go
+++ b/rhubarbtrackd/internal/coordinator/controller.go
@@ -384,6 +384,7 @@
 		Term: lease.Term, Revision: lease.Revision, Remaining: lease.Remaining, Valid: c.contender.Valid(now),
 		Index: index, Hosts: hosts,
 	}
+	peer.StampEcho(&heartbeat)
 	hasCopy := c.contender.Valid(now) && !c.contender.RenewalOverdue(now) && c.options.Follower.Direct()
 	if !c.allowFullState(peer, hasCopy) {
 		return heartbeat
@@ -391,7 +392,9 @@
 	if hasCopy {
 		heartbeat.HasCopy = true
 		heartbeat.Copy = changeSince(now, c.sentSnapshots[peer], c.snapshot)
-		heartbeat.Copy.Age = c.options.Follower.ConfigurationAge(now)
+		// Read after the echo was stamped, and counted from the confirmation of the copy that is sent: a process that stands still in
+		// between would pass on an old configuration as a new one.
+		heartbeat.Copy.Age = c.options.Now() - c.confirmedAt
 		c.sentSnapshots[peer] = c.snapshot
 	}
 	known := c.sentTables[peer]
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -134,6 +134,7 @@
 	fetching         map[string]bool // services whose stored table is being read
 	nextFetch        map[string]time.Duration
 	snapshot         *follower.Snapshot
+	confirmedAt      time.Duration   // of the configuration of snapshot, or of a later one, see follower.ConfirmedAt
 	stopped          chan struct{}   // closed when Run returns
 	ctx              context.Context // of Run
 	// sentSnapshots holds the last snapshot of the store that was sent to each host.
@@ -365,6 +366,7 @@
 	if c.contender.Valid(now) {
 		c.leaseEnd.Store(int64(now + c.contender.Remaining(now)))
 	}
+	c.confirmedAt = c.options.Follower.ConfirmedAt(now) // before the snapshot, see there
 	snapshot := c.options.Follower.Snapshot()
 	if snapshot != c.snapshot {
 		c.snapshot = snapshot
--- a/rhubarbtrackd/internal/follower/configuration.go
+++ b/rhubarbtrackd/internal/follower/configuration.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/authenticator"
+	"rhubarbtrack.example/core/matcher"
 	"rhubarbtrack.example/platform/storer"
 	"rhubarbtrack.example/platform/translator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
@@ -45,7 +46,7 @@
 }
 
 // Configuration returns the applied configuration without the keys of client accounts, see translator.WithoutKeys, or nil if none
-// was read.
+// was read or its keys are being removed.
 func (f *Follower) Configuration() []byte {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -60,12 +61,17 @@
 	return now - f.recency.current[translator.ConfigurationKind]
 }
 
-// ConfirmedAt returns the time from which ConfigurationAge counts, or false if no configuration has been confirmed. It does not
-// block. A snapshot that is read afterwards contains the configuration that was confirmed, or a newer one. This order matters to
-// who decides by the age: the process may stand still between two reads.
-func (f *Follower) ConfirmedAt() (time.Duration, bool) {
-	at := time.Duration(f.confirmedAt.Load())
-	return at, at != 0
+// unconfirmedAge is the age of a configuration that neither the store nor the controller has confirmed.
+const unconfirmedAge = 365 * 24 * time.Hour
+
+// ConfirmedAt returns the time from which ConfigurationAge counts, or a time long ago if no configuration has been confirmed. It
+// does not block. A snapshot that is read afterwards contains the configuration that was confirmed, or a newer one. The order
+// matters where the age decides, because the process may stand still between two reads.
+func (f *Follower) ConfirmedAt(now time.Duration) time.Duration {
+	if at := time.Duration(f.confirmedAt.Load()); at != 0 {
+		return at
+	}
+	return now - unconfirmedAge
 }
 
 // publishConfirmation makes the last confirmation of the configuration visible to ConfirmedAt and LacksConfiguration, after the
@@ -102,18 +108,29 @@
 	if f.config != nil && config.Version <= f.config.Version {
 		return
 	}
-	// Keys must not stay in memory, nor reach other hosts.
-	passed := raw
-	if config.HasAccounts {
-		if passed, err = translator.WithoutKeys(raw); err != nil {
-			f.options.Log.Log(eventlog.ObjectRefused, zap.String("name", translator.ConfigurationName), source, eventlog.Cause(err))
-			return
-		}
-	}
 	age := time.Duration(0)
 	if f.config != nil {
 		age = now - f.recency.since
 	}
 	f.options.Log.Log(eventlog.ConfigurationChanged, zap.Int64("version", config.Version), source, zap.Duration("age", age))
-	f.config, f.rawConfig, f.authenticator = config, passed, authenticator.New(config)
+	f.config, f.rawConfig, f.authenticator = config, raw, authenticator.New(config)
+	if config.HasAccounts {
+		f.rawConfig = nil
+		go f.options.Panics.Do("remove-keys", func() { f.removeKeys(config, raw) })
+	}
+}
+
+// removeKeys sets rawConfig to raw without keys, which must not stay in memory nor reach other hosts. With 10,000 accounts, it
+// takes a small host 1 s, so the configuration is in force before.
+func (f *Follower) removeKeys(config *matcher.Config, raw []byte) {
+	passed, err := translator.WithoutKeys(raw)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if err != nil {
+		f.options.Log.Log(eventlog.ObjectRefused, zap.String("name", translator.ConfigurationName), eventlog.Cause(err))
+		return
+	}
+	if f.config == config {
+		f.rawConfig = passed
+	}
 }
--- a/rhubarbtrackd/internal/router/account.go
+++ b/rhubarbtrackd/internal/router/account.go
@@ -31,7 +31,7 @@
 // decideAccount sets what the job says of accounts, from the newest configuration.
 func (r *Router) decideAccount(j *job) authenticator.Verdict {
 	// The order matters, see Follower.ConfirmedAt. The clock is read last, so that an age is never too low.
-	confirmedAt, confirmed := r.options.Follower.ConfirmedAt()
+	confirmedAt := r.options.Follower.ConfirmedAt(r.options.Now())
 	superseded := r.options.Follower.LacksConfiguration()
 	accounts := r.options.Follower.Snapshot().Authenticator
 	if accounts == nil {
@@ -43,10 +43,7 @@
 		j.credentials = authenticator.ReadCredentials(j.request.Header[credentialsHeader])
 	}
 	limits := authenticator.Limits{MaxAge: authenticator.MaxAge(r.limits.Load().Revocation), MaxDenyAge: maxDenyAge}
-	age := unconfirmedAge
-	if confirmed {
-		age = r.options.Now() - confirmedAt
-	}
+	age := r.options.Now() - confirmedAt
 	verdict := accounts.Decide(limits, authenticator.Request{
 		Credentials: j.credentials, Public: j.route.Public, Age: age, Superseded: superseded,
 	})
@@ -55,9 +52,6 @@
 	return verdict
 }
 
-// unconfirmedAge is the age of a configuration that neither the store nor a controller has confirmed.
-const unconfirmedAge = 365 * 24 * time.Hour
-
 // denyAccount returns the response to a request that may not run, or nil.
 func (r *Router) denyAccount(j *job, verdict authenticator.Verdict) *acceptor.Response {
 	switch verdict.Decision {
--- a/rhubarbtrackd/internal/starter/host_test.go
+++ b/rhubarbtrackd/internal/starter/host_test.go
@@ -26,6 +26,9 @@
 // maxGrantLifetime is the longest lifetime of grants that upstreams accept.
 const maxGrantLifetime = 10 * time.Second
 
+// revocationTime is the time after which no host serves a key that was taken away.
+const revocationTime = 4 * time.Second
+
 type testHost struct {
 	settings         reader.Settings
 	stop             context.CancelFunc
@@ -35,7 +38,8 @@
 	logs             *observer.ObservedLogs
 	timeLeft         string // milliseconds that callers of status wait
 	reload           chan struct{}
-	peers            *partition                          // between other hosts and this one
+	peers            *partition // between other hosts and this one
+	metricsAddress   string
 	onLog            atomic.Pointer[func(zapcore.Entry)] // called in the goroutine that logs
 }
 
@@ -100,11 +104,12 @@
 		Bounds: reader.Bounds{
 			DrainDelay: 2 * time.Second, Grace: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60,
 			ColdRateFactor: 1.5, ColdSlack: 5, TakeOutDelay: 5 * time.Second, MaxGrantLifetime: maxGrantLifetime,
+			RevocationTime: revocationTime,
 		},
 	}
 	peers, err := net.Listen("tcp", h.settings.PeerAddress)
 	assert.NilError(t, err)
-	h.peers = newPartition(peers)
+	h.peers, h.metricsAddress = newPartition(peers), ip+":"+ports[3]
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	s.hosts = append(s.hosts, h)
--- a/rhubarbtrackd/internal/starter/partition_test.go
+++ b/rhubarbtrackd/internal/starter/partition_test.go
@@ -32,6 +32,7 @@
 	answer   answer        // of a cut in progress, or 0
 	changed  chan struct{} // closed when the cut begins or ends
 	closed   bool
+	onBytes  atomic.Pointer[func(conn net.Conn, isReceived bool, data []byte)] // called for what passes
 }
 
 func newPartition(listener net.Listener) *partition {
@@ -101,6 +102,7 @@
 	for {
 		n, err := c.Conn.Read(p)
 		if err != nil || !c.isSilent() {
+			c.record(true, p[:n])
 			return n, err
 		}
 	}
@@ -111,9 +113,16 @@
 	if c.isSilent() {
 		return len(p), nil
 	}
+	c.record(false, p)
 	return c.Conn.Write(p)
 }
 
+func (c *partitionedConn) record(isReceived bool, data []byte) {
+	if f := c.partition.onBytes.Load(); f != nil {
+		(*f)(c.Conn, isReceived, data)
+	}
+}
+
 // abort closes a connection with a reset.
 func abort(conn net.Conn) {
 	if through, ok := conn.(*partitionedConn); ok {
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -55,6 +55,7 @@
 	responses    atomic.Value         // text that all upstreams send instead of their responses before they close the connection
 	foreign      string               // an object that the store simulator adds to each list and watch
 	flood        atomic.Pointer[flood]
+	headers      map[string]http.Header // of the requests that ran, by attempt
 }
 
 // arrival is the receipt of a request by an upstream.
@@ -78,7 +79,7 @@
 // newSystemWithForeign starts a system whose store adds an object to each list and watch.
 func newSystemWithForeign(t *testing.T, foreign string, keyed, plain int, change ...func(*simulator.UpstreamOptions)) *system {
 	t.Helper()
-	s := &system{restartDelay: restartDelay, foreign: foreign, change: change, store: simulator.NewStore(), runs: map[string]int{}, begins: map[string][]time.Time{}, arrivals: map[string][]arrival{}, exits: map[int]context.CancelFunc{}, crashes: map[string]time.Time{}}
+	s := &system{restartDelay: restartDelay, foreign: foreign, change: change, store: simulator.NewStore(), runs: map[string]int{}, begins: map[string][]time.Time{}, arrivals: map[string][]arrival{}, headers: map[string]http.Header{}, exits: map[int]context.CancelFunc{}, crashes: map[string]time.Time{}}
 	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, simulator.Configuration(3), nil))
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -143,6 +144,7 @@
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
 			s.runs[run.Attempt]++
+			s.headers[run.Attempt] = run.Header
 			s.begins[run.Attempt] = append(s.begins[run.Attempt], run.Begin)
 			s.lastRun.Store(int64(i))
 		},
