--- a/rhubarbtrackd/internal/follower/confirmation_test.go
+++ b/rhubarbtrackd/internal/follower/confirmation_test.go
@@ -54,22 +54,36 @@
 	fault atomic.Int64
 }
 
+const (
+	noFault int64 = iota
+	rejects
+	hangs
+	delaysCalls
+	delaysResponses
+)
+
+// drawFault returns a fault. Delayed responses are those by which a copy may seem newer than it is.
+func drawFault() int64 {
+	faults := []int64{noFault, rejects, hangs, delaysCalls, delaysResponses, delaysResponses, delaysResponses}
+	return faults[rand.IntN(len(faults))]
+}
+
 func (s *faultyStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	delay := time.Duration(rand.Int64N(int64(300 * time.Millisecond)))
 	switch s.fault.Load() {
-	case 1:
+	case rejects:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
-	case 2:
+	case hangs:
 		<-r.Context().Done()
 		return
-	case 3:
-		time.Sleep(delay) // before the store reads
+	case delaysCalls:
+		time.Sleep(delay)
 	}
 	recorder := httptest.NewRecorder()
 	s.store.ServeHTTP(recorder, r)
-	if s.fault.Load() == 4 {
-		time.Sleep(delay) // after the store has read
+	if s.fault.Load() == delaysResponses {
+		time.Sleep(delay)
 	}
 	w.WriteHeader(recorder.Code)
 	_, _ = w.Write(recorder.Body.Bytes())
@@ -111,7 +125,7 @@
 	})
 	group.Go(func() {
 		for ctx.Err() == nil {
-			stores[rand.IntN(2)].fault.Store(rand.Int64N(5))
+			stores[rand.IntN(2)].fault.Store(drawFault())
 			time.Sleep(time.Duration(rand.Int64N(int64(700 * time.Millisecond))))
 		}
 	})
