--- a/core/authenticator/authenticator.go
+++ b/core/authenticator/authenticator.go
@@ -36,9 +36,10 @@
 const (
 	// scheme is the authentication scheme of keys. Its letter case does not matter (RFC 9110, section 11.1).
 	scheme = "Bearer"
-	// margin is the part of the time after which a key must not work any more that is reserved for what happens after a decision:
-	// a connection to the upstream is opened within 0.3 s, and the request is in transit.
-	margin = 500 * time.Millisecond
+	// margin is the part of the time after which a key must not work any more that is reserved for what the age does not cover. After
+	// a decision, a connection to the upstream is opened within 0.3 s, and the request is in transit. Before a store drops its
+	// history, watches may return without a change for a second, and so confirm a configuration that is not the newest.
+	margin = 1500 * time.Millisecond
 	// wait is the time after which a caller may retry a request that cannot be decided. Another host, or this one with its next
 	// reading of the configuration, is likely to decide it then.
 	wait = 300 * time.Millisecond
