apportioner: limits of client accounts over all hosts

Nothing keeps the limits of client accounts. The controller has a bucket of tokens for each account and gives hosts tokens in advance, by the demand that they report. Tokens on hosts count as in the bucket, also on hosts that are cut off, until they expire 3 s after the last confirmation. Nothing uses the package yet.

--- /dev/null
+++ b/core/apportioner/apportioner_test.go
@@ -0,0 +1,163 @@
+package apportioner_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/apportioner"
+)
+
+const second = time.Second
+
+// limit has a capacity of 16 + 0.8 x (0.1 x 96 + 20) = 39.68 tokens.
+var limit = apportioner.Account{Tag: 1, Rate: 16, Burst: 16}
+
+// grant returns a host that has got tokens at 0.
+func grant(tokens uint64) *apportioner.Host {
+	h := apportioner.NewHost(bounds)
+	h.Apply(0, 0, 1, apportioner.Grants{Ledger: 1, Rows: []apportioner.GrantRow{{Account: 1, Granted: tokens, Keep: tokens}}})
+	return h
+}
+
+// Guards against a host that is cut off, or resumes after it was frozen, and uses tokens that the controller has given to others.
+func TestTokensExpire(t *testing.T) {
+	h := grant(2)
+	token, verdict, _ := h.Take(apportioner.Lifetime-1, limit)
+	assert.Equal(t, verdict, apportioner.Admitted)
+	assert.Assert(t, !h.Spend(apportioner.Lifetime, token))
+	_, verdict, _ = h.Take(apportioner.Lifetime, limit)
+	assert.Equal(t, verdict, apportioner.Unconfirmed)
+
+	// A heartbeat that was made long before it arrived confirms the tokens only for the rest of the time.
+	h.Apply(10*second, 8*second, 1, apportioner.Grants{Ledger: 1})
+	_, verdict, _ = h.Take(11*second-1, limit)
+	assert.Equal(t, verdict, apportioner.Admitted)
+	_, verdict, _ = h.Take(11*second, limit)
+	assert.Equal(t, verdict, apportioner.Unconfirmed)
+}
+
+// Guards against tokens of an old connection or controller that arrive late, and against counts of one ledger that are applied to
+// another.
+func TestLateGrantsAreIgnored(t *testing.T) {
+	h := grant(2)
+	rows := []apportioner.GrantRow{{Account: 1, Granted: 1, Keep: 9}}
+	h.Apply(0, 0, 2, apportioner.Grants{Ledger: 3, Rows: rows})
+	assert.Equal(t, h.Usable(0, 1), 1)
+	h.Apply(0, 0, 1, apportioner.Grants{Ledger: 9, Rows: []apportioner.GrantRow{{Account: 1, Granted: 50, Keep: 50}}})
+	h.Apply(0, 0, 2, apportioner.Grants{Ledger: 2, Rows: []apportioner.GrantRow{{Account: 1, Granted: 50, Keep: 50}}})
+	assert.Equal(t, h.Usable(0, 1), 1)
+}
+
+// Guards against a successor that gives out what hosts may still use from its predecessors.
+func TestStartOfAController(t *testing.T) {
+	tests := []struct {
+		name   string
+		first  bool
+		recent int
+		after  time.Duration
+		want   float64 // of the capacity
+	}{
+		{"no predecessor", true, 0, 0, 0.7},
+		{"one predecessor", false, 0, 0, 0.15},
+		{"a predecessor with a short term", false, 1, 0, 0.15},
+		{"two predecessors with short terms", false, 2, 0, 0},
+		{"two predecessors with short terms, before their tokens end", false, 2, apportioner.Lifetime - 1, 0},
+		{"one predecessor, before its tokens end", false, 0, apportioner.Lifetime - 1, 0.25},
+		{"one predecessor, after its tokens have ended", false, 0, apportioner.Lifetime + 2*second, 0.7},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := apportioner.NewController[string](bounds)
+			c.Begin(100*second, tt.first, tt.recent)
+			c.SetAccounts(100*second, []apportioner.Account{limit})
+			bucket, held := c.Tokens(100*second+tt.after, 1)
+			assert.Assert(t, held == 0 && bucket > tt.want*bounds.Capacity(limit)-1e-6 && bucket < tt.want*bounds.Capacity(limit)+1e-6, "%v", bucket)
+		})
+	}
+}
+
+func row(spent, returned, refunded, asked uint64) apportioner.Report {
+	return apportioner.Report{Term: 1, Ledger: 1, Rows: []apportioner.ReportRow{
+		{Account: 1, Spent: spent, Returned: returned, Refunded: refunded, Asked: asked},
+	}}
+}
+
+// Guards against reports that create tokens: of a host that returns what it did not get, and of one that returns more tokens after
+// their requests were sent than the allowance contains.
+func TestReturnedTokens(t *testing.T) {
+	tests := []struct {
+		name   string
+		report apportioner.Report
+		want   float64 // change of the tokens in the bucket and on the host
+	}{
+		{"sent", row(2, 0, 0, 0), -2},
+		{"returned", row(0, 2, 0, 0), 0},
+		{"returned more than granted", row(0, 99, 0, 0), 0},
+		{"sent more than granted", row(99, 0, 0, 0), 0},
+		{"returned after it was sent", row(1, 0, 1, 0), 0},
+		{"many returned after they were sent", row(8, 0, 8, 0), -8 + 0.05*29.6},
+		{"more returned than sent", row(0, 0, 2, 0), 0},
+		{"another ledger", apportioner.Report{Term: 1, Ledger: 7, Rows: row(2, 0, 0, 0).Rows}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := apportioner.NewController[string](bounds)
+			c.Begin(0, true, 0)
+			c.SetAccounts(0, []apportioner.Account{limit})
+			c.Tokens(10*second, 1)
+			c.Report(10*second, "h", row(0, 0, 0, 100))
+			c.Apportion(10 * second)
+			grants := c.Grants(10*second, "h")
+			assert.Assert(t, len(grants.Rows) == 1 && grants.Rows[0].Granted >= 8)
+			bucket, held := c.Tokens(10*second, 1)
+			c.Report(10*second, "h", tt.report)
+			after, stillHeld := c.Tokens(10*second, 1)
+			got := after + stillHeld - bucket - held
+			assert.Assert(t, got > tt.want-1e-6 && got < tt.want+1e-6, "%v", got)
+		})
+	}
+}
+
+// Guards against a fleet with a controller of an earlier version, which gives no tokens: the hosts keep the limit by equal parts.
+func TestEqualPartsWithoutTokens(t *testing.T) {
+	const hosts = 4
+	admitted := 0
+	for range hosts {
+		h := apportioner.NewHost(bounds)
+		h.ApplyNone(hosts)
+		for now := time.Duration(0); now < bounds.Window; now += 10 * time.Millisecond {
+			if _, verdict, _ := h.Take(now, limit); verdict == apportioner.Admitted {
+				admitted++
+			}
+		}
+	}
+	assert.Assert(t, admitted > 90 && float64(admitted) <= bounds.Bound(limit), "%d", admitted)
+}
+
+// Guards against a request of an account beyond its limit that is told to come back at once, or after the limit has room again.
+func TestExhaustedAccountsGetATime(t *testing.T) {
+	h := apportioner.NewHost(bounds)
+	h.Apply(0, 0, 1, apportioner.Grants{Ledger: 1, Rows: []apportioner.GrantRow{{Account: 1, Wait: 700 * time.Millisecond}}})
+	_, verdict, wait := h.Take(200*time.Millisecond, limit)
+	assert.Equal(t, verdict, apportioner.Exhausted)
+	assert.Equal(t, wait, 500*time.Millisecond)
+	_, verdict, _ = h.Take(700*time.Millisecond, limit)
+	assert.Equal(t, verdict, apportioner.Wanting)
+}
+
+// Guards against an account that is not limited because it is listed later than others, or whose tokens stay after it was removed.
+func TestRemovedAccountsKeepTheirTokensForAWindow(t *testing.T) {
+	c := apportioner.NewController[string](bounds)
+	c.Begin(0, true, 0)
+	c.SetAccounts(0, []apportioner.Account{limit})
+	c.Report(0, "h", row(0, 0, 0, 100))
+	c.Apportion(0)
+	_, held := c.Tokens(0, 1)
+	assert.Assert(t, held > 0)
+	c.SetAccounts(second, nil)
+	c.SetAccounts(2*second, []apportioner.Account{limit})
+	bucket, still := c.Tokens(2*second, 1)
+	assert.Assert(t, still == held && bucket+still <= 0.7*bounds.Capacity(limit)+1e-6)
+}
