connector: reports and heartbeats carry the tokens of client accounts

Two fields in the extensions, omitted without changes and without client accounts. Heartbeat.MadeAt is the earliest time at which a heartbeat was made, from which the tokens expire. The controller confirms tokens again after a heartbeat was queued, so that a controller that was frozen in between does not count them as expired earlier than the host.

--- a/core/apportioner/apportioner.go
+++ b/core/apportioner/apportioner.go
@@ -15,6 +15,7 @@
 //	c.Report(now, host, report)       // reports whether requests wait for tokens
 //	c.Apportion(now)                  // before a round of heartbeats
 //	grants := c.Grants(now, host)     // for one heartbeat
+//	c.Confirm(now, host)              // when it has been sent
 //	c.Remove(host)                    // when its connection has ended
 //
 // On each host:
--- a/core/apportioner/controller.go
+++ b/core/apportioner/controller.go
@@ -229,11 +229,18 @@
 	c.ended = append(c.ended, l)
 }
 
+// Confirm records that the grants for a host were sent at now or earlier. It uses its tokens until Lifetime after that.
+func (c *Controller[K]) Confirm(now time.Duration, host K) {
+	if l := c.ledgers[host]; l != nil {
+		l.expires = max(l.expires, now+Lifetime)
+	}
+}
+
 // Grants returns the changes for a host, and confirms its tokens. It must be called only while the lease of the controller is
-// valid.
+// valid. Confirm must follow when the grants have been sent.
 func (c *Controller[K]) Grants(now time.Duration, host K) Grants {
 	l := c.ledger(now, host)
-	l.expires = max(l.expires, now+Lifetime)
+	c.Confirm(now, host)
 	grants := Grants{Ledger: l.number}
 	tags := slices.Sorted(maps.Keys(l.changed))
 	for _, tag := range tags[:min(len(tags), MaxRows)] {
--- a/core/apportioner/host.go
+++ b/core/apportioner/host.go
@@ -33,7 +33,6 @@
 	returned, refunded uint64
 	asked, waiting     uint64
 	keep               uint64
-	wait               time.Duration
 	waitUntil          time.Duration
 	staticTokens       float64 // of the equal part
 	staticAt           time.Duration
--- a/core/apportioner/simulator/simulator.go
+++ b/core/apportioner/simulator/simulator.go
@@ -94,7 +94,6 @@
 type controller struct {
 	state         *apportioner.Controller[connection]
 	term          uint64
-	frozen        bool
 	renewed       time.Duration // the lease is valid for leaseTime after that
 	lastBroadcast time.Duration
 	heard         map[connection]time.Duration
--- a/rhubarbtrackd/internal/connector/connector.go
+++ b/rhubarbtrackd/internal/connector/connector.go
@@ -299,7 +299,8 @@
 		if err != nil {
 			return err
 		}
-		heartbeat.Copy.MadeAt = heartbeat.madeAt(now)
+		heartbeat.MadeAt = heartbeat.madeAt(now)
+		heartbeat.Copy.MadeAt = heartbeat.MadeAt
 		c.options.OnHeartbeat(heartbeat)
 	}
 }
--- a/rhubarbtrackd/internal/connector/extension.go
+++ b/rhubarbtrackd/internal/connector/extension.go
@@ -43,6 +43,7 @@
 	Refused      []identifier.Tag `cbor:"refused,omitempty"`
 	Unresponsive []identifier.Tag `cbor:"unresponsive,omitempty"`
 	Reached      []identifier.Tag `cbor:"reached,omitempty"`
+	Quotas       *wireQuotaReport `cbor:"quotas,omitempty"`
 }
 
 type wireLeaving struct {
@@ -72,12 +73,13 @@
 	Loads       []byte           `cbor:"loads,omitempty"`
 	Doubted     []identifier.Tag `cbor:"doubted,omitempty"`
 	OwnerStarts [][]int64        `cbor:"owner-starts,omitempty"` // by table and row of wireHeartbeat
+	Quotas      *wireQuotaGrants `cbor:"quotas,omitempty"`
 }
 
 func toWireHeartbeatExtension(h Heartbeat) wireHeartbeatExtension {
 	wire := wireHeartbeatExtension{
 		Signatures: toWireSignatures(h.Signatures), Echo: h.Echo.Milliseconds(), EchoAge: h.EchoAge.Milliseconds(),
-		Loads: h.Loads, Doubted: h.Doubted,
+		Loads: h.Loads, Doubted: h.Doubted, Quotas: toWireQuotaGrants(h.Quotas),
 	}
 	for _, t := range h.Tables {
 		starts := make([]int64, 0, len(t.Rows))
@@ -103,6 +105,7 @@
 	}
 	h.Copy.DrainAges, h.Copy.TakeOutAges = fromWireAges(wire.DrainAges), fromWireAges(wire.TakeOutAges)
 	h.Copy.Kept = wire.Kept
+	h.Quotas = fromWireQuotaGrants(wire.Quotas)
 }
 
 // fromWireAge returns an age of at most maxAge. A negative one counts as 0.
@@ -178,6 +181,7 @@
 	}
 	r.Loads = fromWireLoads(wire.Loads)
 	r.Refused, r.Unresponsive, r.Reached = wire.Refused, wire.Unresponsive, wire.Reached
+	r.Quotas = fromWireQuotaReport(wire.Quotas)
 	if wire.SentAt > 0 && wire.SentAt <= maxEcho.Milliseconds() {
 		r.SentAt = time.Duration(wire.SentAt) * time.Millisecond
 	}
--- a/rhubarbtrackd/internal/connector/message.go
+++ b/rhubarbtrackd/internal/connector/message.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"rhubarbtrack.example/core/allocator"
+	"rhubarbtrack.example/core/apportioner"
 	"rhubarbtrack.example/core/detector"
 	"rhubarbtrack.example/core/identifier"
 	"rhubarbtrack.example/core/registrar"
@@ -62,6 +63,8 @@
 	Blocked       []detector.Report
 	// Leaving lists the upstreams from which the host has a leaving notice.
 	Leaving []identifier.Incarnation
+	// Quotas holds the changes of the tokens of client accounts on the host.
+	Quotas apportioner.Report
 	// SentAt is the time on the host's clock at which the report was sent. The controller returns it with its heartbeats. It is
 	// 0 in reports of earlier versions.
 	SentAt time.Duration
@@ -120,6 +123,12 @@
 	// heartbeats of earlier versions.
 	Echo    time.Duration
 	EchoAge time.Duration
+	// MadeAt is the earliest time at which the heartbeat may have been made, on the clock of the host that received it. It is not
+	// sent.
+	MadeAt time.Duration
+	// Quotas confirms the tokens of client accounts and holds their changes. It is nil without client accounts, from a controller
+	// without a valid lease, and from one of an earlier version.
+	Quotas *apportioner.Grants
 }
 
 // TableChange is a change to the routing table of a service, or the full table.
@@ -329,6 +338,7 @@
 	extension := wireReportExtension{
 		Completed: r.Completed, Blocked: toWireSignatures(r.Blocked), SentAt: r.SentAt.Milliseconds(),
 		Loads: toWireLoads(r.Loads), Refused: r.Refused, Unresponsive: r.Unresponsive, Reached: r.Reached,
+		Quotas: toWireQuotaReport(r.Quotas),
 	}
 	for _, t := range r.Timings {
 		extension.Timings = append(extension.Timings, wireTiming{Upstream: t.Upstream, Count: t.Count, Sum: t.Sum.Milliseconds()})
