router, coordinator: the limits of client accounts are kept

A request of an account with a limit takes a token before it is routed, and gives it back if it has not run. The controller gives tokens with its heartbeats, and at once when requests wait.

--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -107,6 +107,18 @@
 	}
 }
 
+// LargestAccounts returns up to n accounts with the highest limits.
+func (c *Config) LargestAccounts(n int) []Account {
+	var limited []Account
+	for _, a := range c.Accounts {
+		if a.Rate > 0 {
+			limited = append(limited, a)
+		}
+	}
+	sort.SliceStable(limited, func(i, j int) bool { return limited[i].Rate > limited[j].Rate })
+	return limited[:min(n, len(limited))]
+}
+
 // Match returns the route for a host name, with or without a port, and a path without a query. It returns false if
 // there is none.
 func (c *Config) Match(host, path string) (*Route, bool) {
--- a/rhubarbtrackd/internal/coordinator/controller.go
+++ b/rhubarbtrackd/internal/coordinator/controller.go
@@ -12,7 +12,6 @@
 
 	"rhubarbtrack.example/core/allocator"
 	"rhubarbtrack.example/core/identifier"
-	"rhubarbtrack.example/core/registrar"
 	"rhubarbtrack.example/platform/orderer"
 	"rhubarbtrack.example/platform/storer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/connector"
@@ -267,39 +266,6 @@
 	return tags
 }
 
-// detectSuspects stops the routing to upstreams that nearly all hosts fail to reach, and asks all hosts to probe those that
-// some hosts fail to reach.
-func (c *Coordinator) detectSuspects(now time.Duration) {
-	for _, upstream := range c.failures.DetectSuspects(now, len(c.hub.Peers())+1) {
-		c.logSuspect(upstream, "connections refused")
-	}
-	if doubted := len(c.failures.Doubted(now)); doubted > c.sentDoubted {
-		c.broadcast(now)
-	}
-}
-
-func (c *Coordinator) logSuspect(upstream identifier.Incarnation, reason string) {
-	u, _ := c.snapshot.Upstream(upstream)
-	c.options.Log.Log(eventlog.UpstreamSuspected, zap.String("upstream", upstream.ID), zap.Int64("start", upstream.Start),
-		zap.String("service", u.Service), zap.Int("hosts", len(c.hub.Peers())+1), zap.String("reason", reason))
-}
-
-// suspects reports whether an upstream is suspected. A draining upstream refuses connections while it finishes its work.
-func (c *Coordinator) suspects(u registrar.Upstream) bool {
-	return !u.Draining && c.failures.Suspected(u.Incarnation)
-}
-
-// keyedSuspects returns the suspected upstreams that may own keys. They get no requests, whose responses would end the suspicion.
-func (c *Coordinator) keyedSuspects() []identifier.Incarnation {
-	var keyed []identifier.Incarnation
-	for _, suspect := range c.failures.Suspects() {
-		if u, ok := c.snapshot.Upstream(suspect); ok && c.services[u.Service] != nil {
-			keyed = append(keyed, suspect)
-		}
-	}
-	return keyed
-}
-
 func (c *Coordinator) encodeLoads(loads []connector.LoadReport, runTimes map[identifier.Incarnation]time.Duration) connector.EncodedLoads {
 	encoded, err := connector.EncodeLoads(loads, runTimes)
 	if err != nil {
@@ -311,6 +277,7 @@
 // broadcast sends every host a heartbeat with the load reports and suspects of all hosts, and applies it on this host.
 func (c *Coordinator) broadcast(now time.Duration) {
 	c.fullEntries = 0
+	c.apportion(now)
 	loads := c.loads.take(now, func(upstream identifier.Tag) bool {
 		u, ok := c.snapshot.Resolve(upstream)
 		return ok && c.services[u.Service] != nil
@@ -334,7 +301,7 @@
 	})
 	c.options.OnHeartbeat(connector.Heartbeat{
 		Term: c.contender.Term(), Valid: true, Hosts: hosts, Loads: update.Loads, Doubted: update.Doubted,
-		Suspects: tags(c.keyedSuspects()),
+		Suspects: tags(c.keyedSuspects()), MadeAt: c.options.Now(), Quotas: c.grantsFor(nil),
 	})
 }
 
@@ -382,7 +349,7 @@
 	lease := c.contender.LeaseStatus(now)
 	heartbeat := connector.Heartbeat{
 		Term: lease.Term, Revision: lease.Revision, Remaining: lease.Remaining, Valid: c.contender.Valid(now),
-		Index: index, Hosts: hosts,
+		Index: index, Hosts: hosts, Quotas: c.grantsFor(peer),
 	}
 	hasCopy := c.contender.Valid(now) && !c.contender.RenewalOverdue(now) && c.options.Follower.Direct()
 	if !c.allowFullState(peer, hasCopy) {
@@ -417,7 +384,11 @@
 }
 
 func (c *Coordinator) send(peer *connector.Peer, heartbeat connector.Heartbeat) {
-	if err := c.hub.Send(c.options.Now(), peer, heartbeat); err != nil {
+	err := c.hub.Send(c.options.Now(), peer, heartbeat)
+	if heartbeat.Quotas != nil {
+		c.quotas.controller.Confirm(c.options.Now(), peer)
+	}
+	if err != nil {
 		c.options.Log.Log(eventlog.QueueOverflow, zap.String("ring", "beats"), zap.String("host", peer.Host), eventlog.Cause(err))
 	}
 }
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/allocator"
+	"rhubarbtrack.example/core/apportioner"
 	"rhubarbtrack.example/core/contender"
 	"rhubarbtrack.example/core/failuredetector"
 	"rhubarbtrack.example/core/identifier"
@@ -90,6 +91,10 @@
 	OnDisproved func(signatures ...uint64)
 	// Panics contains panics in the handling of an event. This host then resigns as controller.
 	Panics *recoverer.Recoverer
+	// QuotaBounds returns the bounds of the requests of client accounts. It may be nil if there are none.
+	QuotaBounds func() apportioner.Bounds
+	// OnGrants is called with tokens of client accounts for this host while it is the controller, between two heartbeats.
+	OnGrants func(term uint64, grants apportioner.Grants)
 }
 
 // leavingTimeout is how long a leaving notice counts after the last report that contains it. Hosts repeat it with each report.
@@ -149,6 +154,8 @@
 	reportSoon     chan struct{} // has a value when the next report must not wait
 	needsFullCopy  atomic.Bool   // the next report requests the controller's full copy of the store
 	reportBlocked  atomic.Bool   // the next report lists the blocked signatures
+	quotas         quotas
+	reportingSoon  atomic.Bool // an event for a report of this host is queued
 }
 
 // New returns a Coordinator that does nothing until Run is called.
@@ -175,6 +182,7 @@
 		reportSoon:     make(chan struct{}, 1),
 		profiler:       profiler.New(),
 		hostList:       newHostList(options.Address),
+		quotas:         newQuotas(),
 	}
 	c.hub = connector.NewHub(
 		options.Host,
@@ -184,6 +192,7 @@
 					delete(c.sentSnapshots, peer)
 				}
 				c.handleReport(report)
+				c.handleQuotas(peer, report.Quotas)
 				if c.contender.IsHolder() && c.signatures.hasBlocked() {
 					c.broadcast(c.options.Now())
 				}
@@ -197,6 +206,7 @@
 				delete(c.sentRunTimes, peer)
 				delete(c.sentSignatures, peer)
 				c.hostList.removePeer(peer)
+				c.quotas.controller.Remove(peer)
 			})
 		},
 	)
@@ -317,50 +327,10 @@
 	}()
 }
 
-// Resign releases the lease, after moves that have begun have ended or settleTime has passed. It returns when the store has
-// confirmed the release, or when ctx is done.
-func (c *Coordinator) Resign(ctx context.Context) {
-	end := c.options.Now() + settleTime
-	for ctx.Err() == nil {
-		done := make(chan bool, 1)
-		c.post(func() {
-			c.resignWhenSettled(ctx, end)
-			done <- !c.contender.IsHolder()
-		})
-		select {
-		case <-ctx.Done():
-			return
-		case <-c.stopped:
-			return
-		case free := <-done:
-			if free {
-				return
-			}
-		}
-		time.Sleep(tickInterval)
-	}
-}
-
-// resignWhenSettled resigns when no range is being moved, at the latest at end.
-func (c *Coordinator) resignWhenSettled(ctx context.Context, end time.Duration) {
-	if c.resigned {
-		return
-	}
-	now, moving := c.options.Now(), 0
-	for _, svc := range c.services {
-		c.step(ctx, svc, allocator.Settle{})
-		moving += svc.allocator.Moving()
-	}
-	if moving > 0 && now < end && c.contender.Valid(now) {
-		return
-	}
-	c.resigned = true
-	c.stepElection(ctx, contender.Resign{})
-}
-
 func (c *Coordinator) tick(ctx context.Context) {
 	now := c.options.Now()
 	c.stepElection(ctx, contender.Tick{})
+	c.quotas.observeTerm(now, c.quotaBounds().Window, c.contender.Term())
 	c.leaseEnd.Store(0)
 	if c.contender.Valid(now) {
 		c.leaseEnd.Store(int64(now + c.contender.Remaining(now)))
@@ -380,7 +350,7 @@
 	if now >= c.lastReport+connector.ReportInterval || (c.contender.IsHolder() && c.signatures.hasBlocked()) {
 		c.lastReport = now
 		if c.contender.IsHolder() {
-			c.handleReport(c.options.Report())
+			c.handleOwnReport()
 			c.broadcast(now)
 		}
 	}
--- a/rhubarbtrackd/internal/coordinator/election.go
+++ b/rhubarbtrackd/internal/coordinator/election.go
@@ -42,6 +42,7 @@
 			c.failures = failuredetector.New()
 			c.deferred = nil
 			c.leaseExpired = false
+			c.beginQuotas(action.Term)
 		case contender.StepDown:
 			c.options.Log.Log(eventlog.LeadershipLost, zap.Uint64("term", c.contender.Term()))
 			c.services = map[string]*serviceState{}
--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -165,6 +165,12 @@
 	KeysAccepted             = register(743, "keys-accepted", zap.InfoLevel, "This host accepts keys of client accounts again.")
 )
 
+// Events of the limits of client accounts.
+var (
+	AccountLimited = register(770, "account-limited", zap.InfoLevel, "A client account has reached its limit, and its requests get status 429; logged once in ten seconds for each account.")
+	QuotasBegun    = register(771, "quotas-begun", zap.InfoLevel, "This host, the new controller, gives the tokens of client accounts; with more than one recent term it gives none for three seconds.")
+)
+
 // maxText bounds texts that may quote bytes from outside, in bytes.
 const maxText = 256
 
--- a/rhubarbtrackd/internal/meter/meter.go
+++ b/rhubarbtrackd/internal/meter/meter.go
@@ -65,6 +65,12 @@
 	scope.Histogram("request_seconds", latencyBuckets).RecordDuration(latency)
 }
 
+// Quota counts a request of a client account with a limit by outcome: admitted, limited or unavailable. account is the name of one
+// of the accounts with the highest limits, or other.
+func (m *Meter) Quota(account, outcome string) {
+	m.scope.Tagged(map[string]string{"account": account, "outcome": outcome}).Counter("account_requests_total").Inc(1)
+}
+
 // Dropped counts a message that was dropped because the named queue was full.
 func (m *Meter) Dropped(queue string) {
 	m.scope.Tagged(map[string]string{"ring": queue}).Counter("ring_overflows_total").Inc(1)
--- a/rhubarbtrackd/internal/router/conclude.go
+++ b/rhubarbtrackd/internal/router/conclude.go
@@ -172,6 +172,7 @@
 
 // reject responds that the request has not run and may be retried after wait.
 func (r *Router) reject(j *job, reason string, wait time.Duration) *acceptor.Response {
+	j.rejected = true
 	response := r.finish(j, http.StatusServiceUnavailable, reason)
 	response.Header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	return response
--- a/rhubarbtrackd/internal/router/heartbeat.go
+++ b/rhubarbtrackd/internal/router/heartbeat.go
@@ -31,6 +31,9 @@
 	snapshot := r.options.Follower.Snapshot()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.applyQuotas(now, snapshot, heartbeat) {
+		r.options.ReportSoon()
+	}
 	if heartbeat.Hosts != r.hosts || heartbeat.Index != r.index {
 		r.hosts, r.index = heartbeat.Hosts, heartbeat.Index
 		clear(r.coldBuckets)
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -25,6 +25,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbtrack.example/core/apportioner"
 	"rhubarbtrack.example/core/authenticator"
 	"rhubarbtrack.example/core/detector"
 	"rhubarbtrack.example/core/identifier"
@@ -55,6 +56,7 @@
 	RetrySlack     float64       // retries in each window beyond RetryRatio
 	ColdRateFactor float64       // factor on the cold-start rate of a service
 	ColdSlack      float64       // requests per second to a cold upstream beyond that
+	Quota          apportioner.Bounds
 }
 
 // Options configures a Router.
@@ -74,6 +76,8 @@
 	Suspector *suspector.Suspector
 	// Panics contains panics in probes of upstreams.
 	Panics *recoverer.Recoverer
+	// ReportSoon makes the next report to the controller not wait for its time. It must not block.
+	ReportSoon func()
 }
 
 // maxDenyAge is the age of the configuration up to which a request without a route gets status 404. Callers do not try again
@@ -106,6 +110,7 @@
 	attempts     map[identifier.Incarnation]*attempts   // of the listed upstreams
 	crashProbes  map[identifier.Incarnation]*crashProbe // in progress
 	inhibitor    *inhibitor.Inhibitor
+	quotas       quotas
 	outdated     atomic.Bool // no key was accepted at the last request that needs one
 }
 
@@ -118,6 +123,7 @@
 		observed: newObservations(), probing: map[identifier.Incarnation]bool{}, lastProbe: map[identifier.Incarnation]time.Duration{},
 		attempts:    map[identifier.Incarnation]*attempts{},
 		crashProbes: map[identifier.Incarnation]*crashProbe{}, inhibitor: inhibitor.New(options.Seed),
+		quotas: newQuotas(options.Limits.Quota),
 	}
 	r.SetLimits(options.Limits)
 	return r
@@ -157,6 +163,7 @@
 	now := r.options.Now()
 	report := r.observed.take(now)
 	report.Leaving = r.leavingUpstreams(now)
+	report.Quotas = r.quotas.host.Report()
 	return report
 }
 
@@ -168,6 +175,7 @@
 	defer r.mutex.Unlock()
 	r.selector.Forget(isListed)
 	r.inhibitor.Sweep(r.options.Now())
+	r.sweepQuotas(r.options.Now(), snapshot.Config)
 	maps.DeleteFunc(r.attempts, func(upstream identifier.Incarnation, a *attempts) bool {
 		return !isListed(upstream) && len(a.sentAt) == 0
 	})
@@ -192,10 +200,14 @@
 	hasAccounts bool
 	credentials authenticator.Credentials
 	account     *matcher.Account
-	tried       map[identifier.Incarnation]bool // upstreams that are not chosen again
-	received    []identifier.Incarnation        // upstreams to which an attempt was sent
-	attempts    int
-	mayHaveRun  bool // an upstream may have run the request
+	// token is that of the request if its account has a limit.
+	token        *apportioner.Token
+	tokenAccount apportioner.Tag
+	rejected     bool                            // the request has not run, and was answered so
+	tried        map[identifier.Incarnation]bool // upstreams that are not chosen again
+	received     []identifier.Incarnation        // upstreams to which an attempt was sent
+	attempts     int
+	mayHaveRun   bool // an upstream may have run the request
 	// isRetry is set when the caller has probably sent the request before and received a rejection.
 	isRetry  bool
 	estimate selector.Estimate // for the last chosen upstream
@@ -299,6 +311,14 @@
 
 // serve sends the request until there is a response for the caller.
 func (r *Router) serve(ctx context.Context, j *job, choose func(context.Context, *job) choice) *acceptor.Response {
+	if response := r.takeToken(ctx, j); response != nil {
+		return response
+	}
+	defer func() {
+		if j.rejected || (j.attempts == 0 && !j.mayHaveRun) {
+			r.returnToken(j)
+		}
+	}()
 	r.locked(func() {
 		now := r.options.Now()
 		bucket, perRequest := r.retryBucket(now, j.service.Name)
@@ -327,6 +347,9 @@
 		if response := r.authenticateAgain(j); response != nil {
 			return response
 		}
+		if response := r.spendToken(ctx, j); response != nil {
+			return response
+		}
 		resp, err := r.attempt(ctx, j, chosen.upstream)
 		if err == nil || kindOf(err) == exchanger.NotSent {
 			r.countSend(err == nil)
@@ -337,28 +360,6 @@
 	}
 }
 
-// retryBucket returns the retry budget of a service, and the number of tokens that each request adds to it. The caller
-// holds the mutex.
-func (r *Router) retryBucket(now time.Duration, service string) (bucket *throttler.Bucket, perRequest float64) {
-	limits := r.limits.Load()
-	perRequest, burst := throttler.RetryShare(limits.RetryRatio, limits.RetrySlack, r.hosts)
-	bucket = r.retryBuckets[service]
-	if bucket == nil {
-		bucket = throttler.NewBucket(now, 0, burst)
-		r.retryBuckets[service] = bucket
-	}
-	bucket.Set(now, 0, burst)
-	return bucket, perRequest
-}
-
-func (r *Router) takeRetryToken(j *job) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	now := r.options.Now()
-	bucket, _ := r.retryBucket(now, j.service.Name)
-	return bucket.Take(now)
-}
-
 // attempt sends the request to an upstream once. If the response is streamed, the attempt ends with its transfer.
 func (r *Router) attempt(ctx context.Context, j *job, u registrar.Upstream) (resp *exchanger.Response, err error) {
 	began := r.options.Now()
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -29,6 +29,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"rhubarbtrack.example/core/apportioner"
 	"rhubarbtrack.example/core/detector"
 	"rhubarbtrack.example/core/partitiondetector"
 	"rhubarbtrack.example/platform/orderer"
@@ -194,7 +195,7 @@
 	d.router = router.New(router.Options{
 		FailureDomain: s.FailureDomain, Limits: limits(s.Bounds), Follower: d.follower, Tables: d.tables, Pool: d.pool,
 		Log: d.log, Meter: d.meter, Now: timer.Now, Seed: seed, Shutdown: d.shutdown, Panics: d.panics,
-		Suspector: d.suspector,
+		Suspector: d.suspector, ReportSoon: func() { d.coordinator.ReportSoon() },
 	})
 	d.coordinator = coordinator.New(coordinator.Options{
 		Host: name, Address: s.PeerAddress, TakeoverDelay: takeoverDelay(s.CPUShare, seed), MaxLifetime: s.Bounds.MaxGrantLifetime,
@@ -208,6 +209,8 @@
 		OnHeartbeat: d.router.OnHeartbeat,
 		Suspector:   d.suspector,
 		OnDisproved: d.router.ReportCompleted,
+		QuotaBounds: d.router.QuotaBounds,
+		OnGrants:    d.router.ApplyGrants,
 		Panics:      d.panics,
 	})
 	d.server = acceptor.New(acceptor.Options{
@@ -234,6 +237,7 @@
 	return router.Limits{
 		DrainDelay: b.DrainDelay, TakeOutDelay: b.TakeOutDelay, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
 		Revocation:     b.RevocationTime,
+		Quota:          apportioner.Bounds{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
 		ColdRateFactor: b.ColdRateFactor, ColdSlack: b.ColdSlack,
 	}
 }
