apportioner: hosts hold more tokens, and get what is left while the lease of the controller is expired

The tokens in the bucket of such a controller count as used in the proof, so it may give them, without refill and without a confirmation. A host that has just started waits up to 600 ms for its first grants. The log lines of requests name the account.

--- a/core/apportioner/apportion.go
+++ b/core/apportioner/apportion.go
@@ -50,15 +50,14 @@
 // apportion gives tokens first to the requests that wait, and then to the hosts in scope by their demand.
 func (c *Controller[K]) apportion(now time.Duration, a *account[K], inScope func(K) bool) {
 	c.refill(now, a)
-	_, share := c.limitShare(now)
-	most, held, demand := share*a.capacity, c.outstanding(a), 0.0
+	held, demand := c.outstanding(a), 0.0
 	for _, e := range a.holders {
 		e.decay(now)
 		demand += e.demand
 	}
-	planned := min(plannedHeldShare*most, plannedShare*(a.tokens+held))
+	planned := plannedShare * (a.tokens + held)
 	unmet := func(e holder[K]) float64 { return max(0, e.waiting-e.held()) }
-	c.give(a, min(a.tokens, most-held), unmet)
+	c.give(a, a.tokens, unmet)
 	held = c.outstanding(a)
 	c.give(a, min(a.tokens, planned-held), func(e holder[K]) float64 {
 		if !inScope(e.host) {
--- a/core/apportioner/apportioner.go
+++ b/core/apportioner/apportioner.go
@@ -16,6 +16,7 @@
 //	c.Apportion(now)                  // before a round of heartbeats
 //	grants := c.Grants(now, host)     // for one heartbeat
 //	c.Confirm(now, host)              // when it has been sent
+//	c.SetValid(now, valid)            // when the lease expires or is valid again
 //	c.Remove(host)                    // when its connection has ended
 //
 // On each host:
@@ -33,9 +34,10 @@
 //
 //   - The tokens in the bucket and on hosts are at most stableShare x C, and in any window at most R x window are added. So the requests that
 //     run in a window are at most C + R x window, which is within the bound.
-//   - Tokens of a controller end Lifetime after its term at the latest. For two changes of the controller within the window, the
-//     tokens of all three are at most C: stableShare + 2 x initialShare, and heldShare + 2 x takeoverShare, are at most 1. After a
-//     further change, the controller gives out nothing until the tokens of its predecessors have expired.
+//   - Tokens of a controller end Lifetime after its lease at the latest. For two changes of the controller within the window, the
+//     tokens of all three are at most C, because stableShare + 2 x takeoverShare is 1. After a further change, the controller gives
+//     out nothing until the tokens of its predecessors have expired.
+//   - A controller whose lease has expired gives out what is left in its bucket. It adds nothing, and confirms nothing.
 //   - Tokens that return after the request was sent are at most returnShare of the allowance in a window.
 //
 // Neither type is safe for concurrent use. Times are durations since an arbitrary origin, which differs between hosts.
@@ -53,19 +55,15 @@
 	Lifetime = 3 * time.Second
 	// usedShare is the share of the allowance beyond the limit that the capacity contains. The rest covers tokens that return after
 	// a request was sent, and requests that are sent later than their tokens were taken.
-	usedShare   = 0.8
+	usedShare   = 0.85
 	returnShare = 0.1
-	// stableShare is the share of the capacity that the bucket and the hosts have together, and heldShare that of the hosts. The
-	// rest is for the successors of a controller: until the tokens of the predecessor have expired, the bucket begins with
-	// initialShare, and bucket and hosts have takeoverShare.
+	// stableShare is the share of the capacity that the bucket and the hosts have together. The rest is for the successors of a
+	// controller: until the tokens of the predecessor have expired, bucket and hosts have takeoverShare, with which it begins.
 	stableShare   = 0.7
-	heldShare     = 0.45
-	initialShare  = 0.15
-	takeoverShare = 0.25
-	// plannedShare is the share of all tokens that follows the average demand of hosts, and plannedHeldShare bounds it as a share of
-	// those that hosts may hold. The others are for requests that wait on a host to which callers have just moved.
-	plannedShare     = 0.6
-	plannedHeldShare = 0.8
+	takeoverShare = 0.15
+	// plannedShare is the share of all tokens that hosts get by their average demand. The others are for requests that wait on a
+	// host to which callers have just moved.
+	plannedShare = 0.85
 	// maxRecent is the number of earlier terms that may have begun within the window or Lifetime. Their tokens, and those of the
 	// term before them, fit into the capacity.
 	maxRecent = 1
@@ -155,11 +153,13 @@
 	Waiting  uint64 // requests that wait for a token now
 }
 
-// Grants is a message of the controller to a host. It confirms the tokens of all accounts that the host got under the ledger. A
-// ledger begins with each connection of a host.
+// Grants is a message of the controller to a host about the tokens that the host got under the ledger, of all accounts. A ledger
+// begins with each connection of a host.
 type Grants struct {
 	Ledger uint64
-	Rows   []GrantRow
+	// Confirms is set while the lease of the controller is valid. Without it, tokens expire with the last confirmation.
+	Confirms bool
+	Rows     []GrantRow
 }
 
 // GrantRow is the change of one account. Granted is a count since the ledger began.
--- a/core/apportioner/controller.go
+++ b/core/apportioner/controller.go
@@ -16,7 +16,9 @@
 	lastLedger uint64
 	began      time.Duration // of the term
 	first      bool          // no controller has preceded this one
-	recent     int           // number of earlier terms that began within the window or Lifetime
+	expired    bool          // the lease is not valid
+	expiredAt  time.Duration
+	recent     int // number of earlier terms that began within the window or Lifetime
 }
 
 // ledger holds the tokens that one connection of a host got.
@@ -102,7 +104,7 @@
 			case c.first || now >= c.began+c.bounds.Window+Lifetime:
 				a.tokens = capacity
 			case c.recent <= maxRecent:
-				a.tokens = initialShare * capacity
+				a.tokens = takeoverShare * capacity
 			}
 		} else {
 			c.refill(now, a)
@@ -126,15 +128,30 @@
 	}
 }
 
-// limitShare returns the share of the capacity that the bucket and the hosts may have together, and that hosts may hold.
-func (c *Controller[K]) limitShare(now time.Duration) (total, held float64) {
+// limitShare returns the share of the capacity that the bucket and the hosts may have together.
+func (c *Controller[K]) limitShare(now time.Duration) float64 {
 	switch {
 	case c.first || now >= c.began+Lifetime:
-		return stableShare, heldShare
+		return stableShare
 	case c.recent <= maxRecent:
-		return takeoverShare, takeoverShare
+		return takeoverShare
 	}
-	return 0, 0
+	return 0
+}
+
+// SetValid records whether the lease of the controller is valid. If it is valid again in the same term, no other controller has given
+// tokens in between.
+func (c *Controller[K]) SetValid(now time.Duration, valid bool) {
+	if valid == !c.expired {
+		return
+	}
+	if !valid {
+		for _, a := range c.accounts {
+			c.refill(now, a)
+		}
+		c.expiredAt = now
+	}
+	c.expired = !valid
 }
 
 // outstanding returns the tokens of an account that hosts may use.
@@ -152,11 +169,13 @@
 }
 
 func (c *Controller[K]) refill(now time.Duration, a *account[K]) {
-	total, _ := c.limitShare(now)
+	if c.expired {
+		now = min(now, c.expiredAt)
+	}
 	elapsed := max(0, now-a.refilledAt).Seconds()
 	a.refilledAt = max(a.refilledAt, now)
 	a.tokens += a.rate * elapsed
-	a.tokens = max(0, min(a.tokens, total*a.capacity-c.outstanding(a)))
+	a.tokens = max(0, min(a.tokens, c.limitShare(now)*a.capacity-c.outstanding(a)))
 	// In a window, at most this bucket and its refill return, which is returnShare of the allowance.
 	most := returnShare * c.bounds.allowance(a.Account) / 2
 	a.refunds = min(most, a.refunds+most*elapsed/c.bounds.Window.Seconds())
@@ -232,16 +251,18 @@
 // Confirm records that the grants for a host were sent at now or earlier. It uses its tokens until Lifetime after that.
 func (c *Controller[K]) Confirm(now time.Duration, host K) {
 	if l := c.ledgers[host]; l != nil {
-		l.expires = max(l.expires, now+Lifetime)
+		if !c.expired {
+			l.expires = max(l.expires, now+Lifetime)
+		}
 	}
 }
 
-// Grants returns the changes for a host, and confirms its tokens. It must be called only while the lease of the controller is
-// valid. Confirm must follow when the grants have been sent.
+// Grants returns the changes for a host, and confirms its tokens if the lease is valid. Confirm must follow when the grants have been
+// sent.
 func (c *Controller[K]) Grants(now time.Duration, host K) Grants {
 	l := c.ledger(now, host)
 	c.Confirm(now, host)
-	grants := Grants{Ledger: l.number}
+	grants := Grants{Ledger: l.number, Confirms: !c.expired}
 	tags := slices.Sorted(maps.Keys(l.changed))
 	for _, tag := range tags[:min(len(tags), MaxRows)] {
 		delete(l.changed, tag)
--- a/core/apportioner/host.go
+++ b/core/apportioner/host.go
@@ -61,6 +61,8 @@
 	Wanting
 	// Exhausted means that the account has reached its limit.
 	Exhausted
+	// Unknown means that this host has started and has not got any grants yet.
+	Unknown
 	// Unconfirmed means that this host has no token and gets none, because it is not in touch with a controller.
 	Unconfirmed
 )
@@ -101,7 +103,9 @@
 		return &Token{share: s, confirmation: s.confirmation}, Admitted, 0
 	}
 	switch {
-	case h.current == nil || now >= h.current.expires:
+	case h.current == nil:
+		return nil, Unknown, minWait
+	case now >= h.current.expires:
 		return nil, Unconfirmed, minWait
 	case now < s.waitUntil:
 		return nil, Exhausted, max(waitStep, s.waitUntil-now)
@@ -209,7 +213,9 @@
 		}
 		h.current = &confirmation{term: term, ledger: grants.Ledger}
 	}
-	h.current.expires = max(h.current.expires, madeAt+Lifetime)
+	if grants.Confirms {
+		h.current.expires = max(h.current.expires, madeAt+Lifetime)
+	}
 	for _, row := range grants.Rows[:min(len(grants.Rows), MaxRows)] {
 		s := h.share(row.Account)
 		if s.confirmation != h.current {
--- a/rhubarbtrackd/internal/connector/message.go
+++ b/rhubarbtrackd/internal/connector/message.go
@@ -126,8 +126,8 @@
 	// MadeAt is the earliest time at which the heartbeat may have been made, on the clock of the host that received it. It is not
 	// sent.
 	MadeAt time.Duration
-	// Quotas confirms the tokens of client accounts and holds their changes. It is nil without client accounts, from a controller
-	// without a valid lease, and from one of an earlier version.
+	// Quotas confirms the tokens of client accounts and holds their changes. It is nil without client accounts, and from a
+	// controller of an earlier version.
 	Quotas *apportioner.Grants
 }
 
--- a/rhubarbtrackd/internal/connector/quotas.go
+++ b/rhubarbtrackd/internal/connector/quotas.go
@@ -24,9 +24,10 @@
 }
 
 type wireQuotaGrants struct {
-	_      struct{} `cbor:",toarray"`
-	Ledger uint64
-	Rows   []wireQuotaGrantRow
+	_        struct{} `cbor:",toarray"`
+	Ledger   uint64
+	Confirms bool
+	Rows     []wireQuotaGrantRow
 }
 
 type wireQuotaGrantRow struct {
@@ -67,7 +68,7 @@
 	if g == nil {
 		return nil
 	}
-	wire := &wireQuotaGrants{Ledger: g.Ledger}
+	wire := &wireQuotaGrants{Ledger: g.Ledger, Confirms: g.Confirms}
 	for _, row := range g.Rows {
 		wire.Rows = append(wire.Rows, wireQuotaGrantRow{
 			Account: uint64(row.Account), Granted: row.Granted, Keep: row.Keep, Wait: row.Wait.Milliseconds(),
@@ -80,7 +81,7 @@
 	if wire == nil {
 		return nil
 	}
-	g := &apportioner.Grants{Ledger: wire.Ledger}
+	g := &apportioner.Grants{Ledger: wire.Ledger, Confirms: wire.Confirms}
 	for _, row := range wire.Rows[:min(len(wire.Rows), apportioner.MaxRows)] {
 		g.Rows = append(g.Rows, apportioner.GrantRow{
 			Account: apportioner.Tag(row.Account), Granted: row.Granted, Keep: row.Keep, Wait: fromWireAge(row.Wait),
--- a/rhubarbtrackd/internal/coordinator/quotas.go
+++ b/rhubarbtrackd/internal/coordinator/quotas.go
@@ -73,10 +73,11 @@
 
 // hasQuotas reports whether this host may give tokens now, and updates the limits from the configuration.
 func (c *Coordinator) hasQuotas(now time.Duration) bool {
-	if !c.contender.Valid(now) || c.snapshot == nil || c.snapshot.Config == nil || !c.snapshot.Config.HasAccounts {
+	if !c.contender.IsHolder() || c.snapshot == nil || c.snapshot.Config == nil || !c.snapshot.Config.HasAccounts {
 		return false
 	}
 	q, config := &c.quotas, c.snapshot.Config
+	q.controller.SetValid(now, c.contender.Valid(now))
 	if q.config == config && now < q.setAt+accountsInterval {
 		return true
 	}
@@ -105,7 +106,7 @@
 // handleQuotas applies what a host reports of its tokens, and responds at once if requests wait for them.
 func (c *Coordinator) handleQuotas(peer *connector.Peer, report apportioner.Report) {
 	now := c.options.Now()
-	if len(report.Rows) == 0 || !c.contender.IsHolder() || !c.hasQuotas(now) || !c.quotas.controller.Report(now, peer, report) {
+	if len(report.Rows) == 0 || !c.hasQuotas(now) || !c.quotas.controller.Report(now, peer, report) {
 		return
 	}
 	peers := c.hub.Peers()
--- a/rhubarbtrackd/internal/router/conclude.go
+++ b/rhubarbtrackd/internal/router/conclude.go
@@ -145,6 +145,7 @@
 		zap.Int("tries", j.attempts), zap.Int("status", status), zap.Duration("left", j.timeLeft),
 		zap.Duration("expected-wait", j.estimate.Wait), zap.Duration("expected-run", j.estimate.Run),
 		zap.Duration("load-age", j.loadAge), zap.Duration("taken", taken),
+		accountField(j),
 	}
 	if err != nil {
 		event, outcome = eventlog.ResponseAborted, "aborted"
@@ -188,6 +189,14 @@
 	return response
 }
 
+// accountField returns the log field of the client account of a request, if it has one.
+func accountField(j *job) zap.Field {
+	if j.account == nil {
+		return zap.Skip()
+	}
+	return zap.String("account", j.account.Name)
+}
+
 // finish logs and counts a request to which the host itself responds, and returns a response without a body.
 func (r *Router) finish(j *job, status int, reason string) *acceptor.Response {
 	taken := time.Since(j.request.Arrived)
@@ -203,7 +212,7 @@
 	case status < http.StatusInternalServerError:
 		outcome = "refused"
 	}
-	r.options.Log.Log(eventlog.RequestRejected, zap.String("request", j.id), signatureField(j), querySignatureField(j), zap.String("route", route),
+	r.options.Log.Log(eventlog.RequestRejected, zap.String("request", j.id), signatureField(j), querySignatureField(j), accountField(j), zap.String("route", route),
 		zap.String("service", service), zap.Uint16("key", j.key), zap.Int("status", status), zap.String("outcome", outcome),
 		zap.String("reason", reason), zap.Int("tries", j.attempts), zap.Duration("left", j.timeLeft),
 		zap.Duration("expected-wait", j.estimate.Wait), zap.Duration("expected-run", j.estimate.Run),
--- a/rhubarbtrackd/internal/router/quota.go
+++ b/rhubarbtrackd/internal/router/quota.go
@@ -20,7 +20,9 @@
 	// maxTokenWait bounds the time that a request waits for a token of its account: a report to the controller, a heartbeat to a
 	// host that holds tokens, its report, and a heartbeat back.
 	maxTokenWait = 300 * time.Millisecond
-	// maxTokenWaitShare bounds the same wait as a share of the latency objective of the route.
+	// maxConnectWait bounds the same time on a host that has started and is about to connect to the controller.
+	maxConnectWait = 600 * time.Millisecond
+	// maxTokenWaitShare bounds both times as a share of the latency objective of the route.
 	maxTokenWaitShare = 0.5
 	// tokenAskInterval is the time after which a request that waits asks the controller again.
 	tokenAskInterval = 50 * time.Millisecond
@@ -70,7 +72,7 @@
 	}
 	r.returnToken(j) // that of another account, which the key belonged to
 	verdict, wait, changed := r.tryToken(j, limit)
-	if verdict == apportioner.Wanting {
+	if verdict == apportioner.Wanting || verdict == apportioner.Unknown {
 		verdict, wait = r.awaitToken(ctx, j, limit, changed)
 	}
 	r.countQuota(j.account.Name, verdict)
@@ -98,9 +100,15 @@
 func (r *Router) awaitToken(ctx context.Context, j *job, limit apportioner.Account, changed <-chan struct{}) (verdict apportioner.Verdict, wait time.Duration) {
 	r.locked(func() { r.quotas.host.Wait(limit, 1) })
 	defer r.locked(func() { r.quotas.host.Wait(limit, -1) })
-	deadline := time.Now().Add(min(maxTokenWait, time.Duration(maxTokenWaitShare*float64(j.route.Objective)), time.Until(j.deadline)))
+	began := time.Now()
+	longest := min(time.Duration(maxTokenWaitShare*float64(j.route.Objective)), time.Until(j.deadline))
 	verdict, wait = apportioner.Wanting, retryWait
-	for verdict == apportioner.Wanting {
+	for verdict == apportioner.Wanting || verdict == apportioner.Unknown {
+		most := min(longest, maxTokenWait)
+		if verdict == apportioner.Unknown {
+			most = min(longest, maxConnectWait)
+		}
+		deadline := began.Add(most)
 		left := time.Until(deadline)
 		if left <= 0 || ctx.Err() != nil {
 			return verdict, wait
@@ -152,11 +160,13 @@
 // applyQuotas applies what a heartbeat says of the tokens of client accounts. It reports whether tokens must return soon. The caller
 // holds the mutex.
 func (r *Router) applyQuotas(now time.Duration, snapshot *follower.Snapshot, heartbeat connector.Heartbeat) (returns bool) {
-	if !heartbeat.Valid || snapshot.Config == nil || !snapshot.Config.HasAccounts {
+	if snapshot.Config == nil || !snapshot.Config.HasAccounts {
 		return false
 	}
 	if heartbeat.Quotas == nil {
-		r.quotas.host.ApplyNone(heartbeat.Hosts)
+		if heartbeat.Valid {
+			r.quotas.host.ApplyNone(heartbeat.Hosts)
+		}
 		return false
 	}
 	r.quotas.host.SetBounds(r.limits.Load().Quota)
@@ -198,6 +208,7 @@
 
 var verdictNames = map[apportioner.Verdict]string{
 	apportioner.Admitted: "admitted", apportioner.Exhausted: "limited", apportioner.Wanting: "unavailable", apportioner.Unconfirmed: "unavailable",
+	apportioner.Unknown: "unavailable",
 }
 
 func (r *Router) countQuota(account string, verdict apportioner.Verdict) {
