--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -69,8 +69,10 @@
 	MaxAttempts int           // maximum number of upstreams to which one request is sent
 	Split       []Share       // at least one
 	Public      bool          // needs no key of a client account
-	// Urgent is set by Sort if the route has a higher priority than another route of one of its services.
+	// Urgent is set by Sort if the route has a higher priority than other requests of one of its services: those of another route,
+	// or of a client account whose priority replaces that of the route.
 	Urgent bool
+	lowest int // lowest priority of all requests of its services, which is the largest number
 }
 
 // Share is the share of the requests of a route that is sent to one service. Weight is relative to the other shares.
@@ -91,22 +93,52 @@
 func (c *Config) Sort() {
 	lowest := map[string]int{} // lowest priority by service, which is the largest number
 	for _, routes := range c.Hosts {
-		for _, r := range routes {
-			for _, share := range r.Split {
-				lowest[share.Service] = max(lowest[share.Service], r.Priority)
+		for i := range routes {
+			for _, share := range routes[i].Split {
+				lowest[share.Service] = max(lowest[share.Service], c.lowestPriority(&routes[i]))
 			}
 		}
 	}
 	for _, routes := range c.Hosts {
 		for i := range routes {
 			for _, share := range routes[i].Split {
-				routes[i].Urgent = routes[i].Urgent || routes[i].Priority < lowest[share.Service]
+				routes[i].lowest = max(routes[i].lowest, lowest[share.Service])
 			}
+			routes[i].Urgent = routes[i].Priority < routes[i].lowest
 		}
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
 }
 
+// lowestPriority returns the lowest priority that requests of a route can have.
+func (c *Config) lowestPriority(r *Route) int {
+	if r.Public || !c.HasAccounts || len(c.Accounts) == 0 {
+		return r.Priority
+	}
+	lowest := 0
+	for i := range c.Accounts {
+		lowest = max(lowest, r.PriorityFor(&c.Accounts[i]))
+	}
+	return lowest
+}
+
+// PriorityFor returns the priority of the requests of a client account, or of those without one if account is nil. The priority of
+// the account replaces that of the route. 0 is the highest.
+func (r *Route) PriorityFor(account *Account) int {
+	if account != nil && account.HasPriority {
+		return account.Priority
+	}
+	return r.Priority
+}
+
+// UrgentFor reports whether the requests of a client account have a higher priority than others of one of the services of the route.
+func (r *Route) UrgentFor(account *Account) bool {
+	if account != nil && account.HasPriority {
+		return account.Priority < r.lowest
+	}
+	return r.Urgent
+}
+
 // LargestAccounts returns up to n accounts with the highest limits.
 func (c *Config) LargestAccounts(n int) []Account {
 	var limited []Account
--- a/rhubarbtrackd/internal/router/choose.go
+++ b/rhubarbtrackd/internal/router/choose.go
@@ -145,7 +145,7 @@
 func (r *Router) decideAdmission(now time.Duration, j *job, upstream identifier.Incarnation, estimate selector.Estimate) shedder.Decision {
 	request := shedder.Request{
 		Route: j.route.Name, Service: j.service.Name, Objective: j.route.Objective,
-		Remaining: time.Until(j.deadline), Urgent: j.route.Urgent,
+		Remaining: time.Until(j.deadline), Urgent: j.route.UrgentFor(j.account),
 	}
 	j.estimate, j.loadAge = estimate, r.selector.ReportAge(now, upstream)
 	return r.shedder.Decide(now, request, j.isRetry, estimate)
