sharer, router: fair parts of an overloaded service for client accounts

Weighted max-min parts by the limit of an account or its usual demand. While a service refuses more than a twentieth, a request beyond the part of its account waits no longer than a retry.

--- a/rhubarbtrackd/internal/router/choose.go
+++ b/rhubarbtrackd/internal/router/choose.go
@@ -148,7 +148,9 @@
 		Remaining: time.Until(j.deadline), Urgent: j.route.UrgentFor(j.account),
 	}
 	j.estimate, j.loadAge = estimate, r.selector.ReportAge(now, upstream)
-	return r.shedder.Decide(now, request, j.isRetry, estimate)
+	decision := r.shedder.Decide(now, request, j.isRetry || j.beyondShare, estimate)
+	r.recordShare(now, j, decision)
+	return decision
 }
 
 const shutdownReason = "the host shuts down before a response is expected"
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -33,6 +33,7 @@
 	"rhubarbtrack.example/core/matcher"
 	"rhubarbtrack.example/core/registrar"
 	"rhubarbtrack.example/core/selector"
+	"rhubarbtrack.example/core/sharer"
 	"rhubarbtrack.example/core/shedder"
 	"rhubarbtrack.example/core/throttler"
 	"rhubarbtrack.example/platform/translator"
@@ -111,6 +112,7 @@
 	crashProbes  map[identifier.Incarnation]*crashProbe // in progress
 	inhibitor    *inhibitor.Inhibitor
 	quotas       quotas
+	sharer       *sharer.Sharer
 	outdated     atomic.Bool // no key was accepted at the last request that needs one
 }
 
@@ -123,7 +125,7 @@
 		observed: newObservations(), probing: map[identifier.Incarnation]bool{}, lastProbe: map[identifier.Incarnation]time.Duration{},
 		attempts:    map[identifier.Incarnation]*attempts{},
 		crashProbes: map[identifier.Incarnation]*crashProbe{}, inhibitor: inhibitor.New(options.Seed),
-		quotas: newQuotas(options.Limits.Quota),
+		quotas: newQuotas(options.Limits.Quota), sharer: sharer.New(options.Seed),
 	}
 	r.SetLimits(options.Limits)
 	return r
@@ -204,6 +206,8 @@
 	token        *apportioner.Token
 	tokenAccount apportioner.Tag
 	rejected     bool                            // the request has not run, and was answered so
+	countedShare bool                            // the request counts as accepted in the fair division of the service
+	beyondShare  bool                            // in overload, the request is beyond the fair part of its account of the service
 	tried        map[identifier.Incarnation]bool // upstreams that are not chosen again
 	received     []identifier.Incarnation        // upstreams to which an attempt was sent
 	attempts     int
@@ -314,6 +318,7 @@
 	if response := r.takeToken(ctx, j); response != nil {
 		return response
 	}
+	r.askShare(j)
 	defer func() {
 		if j.rejected || (j.attempts == 0 && !j.mayHaveRun) {
 			r.returnToken(j)
