--- a/rhubarbtrackd/internal/connector/extension.go
+++ b/rhubarbtrackd/internal/connector/extension.go
@@ -45,6 +45,7 @@
 	Reached      []identifier.Tag `cbor:"reached,omitempty"`
 	Fitness      int              `cbor:"fitness,omitempty"` // in thousandths, at least 1
 	PackedLoads  bool             `cbor:"packed-loads,omitempty"`
+	Quotas       *wireQuotaReport `cbor:"quotas,omitempty"`
 }
 
 type wireLeaving struct {
@@ -76,12 +77,13 @@
 	OwnerStarts [][]int64        `cbor:"owner-starts,omitempty"` // by table and row of wireHeartbeat
 	PackedLoads []byte           `cbor:"packed-loads,omitempty"` // instead of Loads, see Packer
 	Resigned    bool             `cbor:"resigned,omitempty"`
+	Quotas      *wireQuotaGrants `cbor:"quotas,omitempty"`
 }
 
 func toWireHeartbeatExtension(h Heartbeat) wireHeartbeatExtension {
 	wire := wireHeartbeatExtension{
 		Signatures: toWireSignatures(h.Signatures), Echo: h.Echo.Milliseconds(), EchoAge: h.EchoAge.Milliseconds(),
-		Loads: h.Loads, Doubted: h.Doubted, PackedLoads: h.packed, Resigned: h.Resigned,
+		Loads: h.Loads, Doubted: h.Doubted, PackedLoads: h.packed, Resigned: h.Resigned, Quotas: toWireQuotaGrants(h.Quotas),
 	}
 	for _, t := range h.Tables {
 		starts := make([]int64, 0, len(t.Rows))
@@ -108,6 +110,7 @@
 	}
 	h.Copy.DrainAges, h.Copy.TakeOutAges = fromWireAges(wire.DrainAges), fromWireAges(wire.TakeOutAges)
 	h.Copy.Kept = wire.Kept
+	h.Quotas = fromWireQuotaGrants(wire.Quotas)
 }
 
 // fromWireAge returns an age of at most maxAge. A negative one counts as 0.
@@ -184,6 +187,7 @@
 	r.Loads = fromWireLoads(wire.Loads)
 	r.Refused, r.Unresponsive, r.Reached = wire.Refused, wire.Unresponsive, wire.Reached
 	r.Fitness, r.PackedLoads = float64(min(max(0, wire.Fitness), 1000))/1000, wire.PackedLoads
+	r.Quotas = fromWireQuotaReport(wire.Quotas)
 	if wire.SentAt > 0 && wire.SentAt <= maxEcho.Milliseconds() {
 		r.SentAt = time.Duration(wire.SentAt) * time.Millisecond
 	}
--- a/rhubarbtrackd/internal/connector/message.go
+++ b/rhubarbtrackd/internal/connector/message.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"rhubarbtrack.example/core/allocator"
+	"rhubarbtrack.example/core/apportioner"
 	"rhubarbtrack.example/core/detector"
 	"rhubarbtrack.example/core/identifier"
 	"rhubarbtrack.example/core/registrar"
@@ -62,6 +63,8 @@
 	Blocked       []detector.Report
 	// Leaving lists the upstreams from which the host has a leaving notice.
 	Leaving []identifier.Incarnation
+	// Quotas holds the changes of the tokens of client accounts on the host.
+	Quotas apportioner.Report
 	// SentAt is the time on the host's clock at which the report was sent. The controller returns it with its heartbeats. It is
 	// 0 in reports of earlier versions.
 	SentAt time.Duration
@@ -128,6 +131,12 @@
 	// heartbeats of earlier versions.
 	Echo    time.Duration
 	EchoAge time.Duration
+	// MadeAt is the earliest time at which the heartbeat may have been made, on the clock of the host that received it. It is not
+	// sent.
+	MadeAt time.Duration
+	// Quotas confirms the tokens of client accounts and holds their changes. It is nil without client accounts, and from a
+	// controller of an earlier version.
+	Quotas *apportioner.Grants
 
 	packed   []byte // packed loads as they are sent
 	unpacked *unpackedLoads
@@ -353,7 +362,7 @@
 	extension := wireReportExtension{
 		Completed: r.Completed, Blocked: toWireSignatures(r.Blocked), SentAt: r.SentAt.Milliseconds(),
 		Loads: toWireLoads(r.Loads), Refused: r.Refused, Unresponsive: r.Unresponsive, Reached: r.Reached,
-		PackedLoads: r.PackedLoads,
+		PackedLoads: r.PackedLoads, Quotas: toWireQuotaReport(r.Quotas),
 	}
 	if r.Fitness > 0 {
 		extension.Fitness = max(1, int(r.Fitness*1000))
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap"
 
 	"rhubarbtrack.example/core/allocator"
+	"rhubarbtrack.example/core/apportioner"
 	"rhubarbtrack.example/core/contender"
 	"rhubarbtrack.example/core/failuredetector"
 	"rhubarbtrack.example/core/identifier"
@@ -96,6 +97,10 @@
 	// of a part of its messages that did not fit. Both may be nil.
 	OnSent func(bytes int)
 	OnShed func(part string, entries int)
+	// QuotaBounds returns the bounds of the requests of client accounts. It may be nil if there are none.
+	QuotaBounds func() apportioner.Bounds
+	// OnGrants is called with tokens of client accounts for this host while it is the controller, between two heartbeats.
+	OnGrants func(term uint64, grants apportioner.Grants)
 }
 
 // leavingTimeout is how long a leaving notice counts after the last report that contains it. Hosts repeat it with each report.
@@ -157,6 +162,8 @@
 	needsFullCopy  atomic.Bool   // the next report requests the controller's full copy of the store
 	reportBlocked  atomic.Bool   // the next report lists the blocked signatures
 	pacing         pacing
+	quotas         quotas
+	reportingSoon  atomic.Bool // an event for a report of this host is queued
 }
 
 // New returns a Coordinator that does nothing until Run is called.
@@ -190,6 +197,7 @@
 		profiler:       profiler.New(),
 		hostList:       newHostList(options.Address),
 		pacing:         newPacing(options.Now(), options),
+		quotas:         newQuotas(),
 	}
 	c.hub = connector.NewHub(
 		options.Host,
@@ -200,6 +208,7 @@
 				}
 				c.pacing.fitness[peer] = report.Fitness
 				c.handleReport(report)
+				c.handleQuotas(peer, report.Quotas)
 				if c.contender.IsHolder() && c.signatures.hasBlocked() {
 					c.broadcast(c.options.Now())
 				}
@@ -214,6 +223,7 @@
 				delete(c.sentSignatures, peer)
 				delete(c.pacing.fitness, peer)
 				c.hostList.removePeer(peer)
+				c.quotas.controller.Remove(peer)
 			})
 		},
 	)
@@ -338,6 +348,7 @@
 	now := c.options.Now()
 	c.pacing.observeTick(now)
 	c.stepElection(ctx, contender.Tick{})
+	c.quotas.observeTerm(now, c.quotaBounds().Window, c.contender.Term())
 	c.leaseEnd.Store(0)
 	if c.contender.Valid(now) {
 		c.leaseEnd.Store(int64(now + c.contender.Remaining(now)))
@@ -358,7 +369,7 @@
 	if now >= c.lastReport+connector.ReportInterval || (c.contender.IsHolder() && c.signatures.hasBlocked()) {
 		c.lastReport = now
 		if c.contender.IsHolder() {
-			c.handleReport(c.options.Report())
+			c.handleOwnReport()
 			c.broadcast(now)
 		}
 	}
--- a/rhubarbtrackd/internal/coordinator/election.go
+++ b/rhubarbtrackd/internal/coordinator/election.go
@@ -43,6 +43,7 @@
 			c.deferred = nil
 			c.leaseExpired = false
 			c.pacing.beginTerm(c.options.Now(), c.options)
+			c.beginQuotas(action.Term)
 		case contender.StepDown:
 			c.options.Log.Log(eventlog.LeadershipLost, zap.Uint64("term", c.contender.Term()))
 			if c.contender.HasResigned() {
--- a/rhubarbtrackd/internal/coordinator/heartbeat.go
+++ b/rhubarbtrackd/internal/coordinator/heartbeat.go
@@ -18,6 +18,7 @@
 // broadcast sends every host a heartbeat with the load reports and suspects of all hosts, and applies it on this host.
 func (c *Coordinator) broadcast(now time.Duration) {
 	c.fullEntries = 0
+	c.apportion(now)
 	loads := c.takeLoads(now)
 	runTimes := c.takeRunTimes(now)
 	update := connector.Heartbeat{
@@ -45,7 +46,7 @@
 	})
 	c.options.OnHeartbeat(connector.Heartbeat{
 		Term: c.contender.Term(), Valid: true, Hosts: hosts, Loads: update.Loads, Doubted: update.Doubted,
-		Suspects: tags(c.keyedSuspects()),
+		Suspects: tags(c.keyedSuspects()), MadeAt: c.options.Now(), Quotas: c.grantsFor(nil),
 	})
 }
 
@@ -109,6 +110,7 @@
 		Index: index, Hosts: hosts,
 	}
 	peer.StampEcho(&heartbeat)
+	heartbeat.Quotas = c.grantsFor(peer)
 	hasCopy := c.contender.Valid(now) && !c.contender.RenewalOverdue(now) && c.options.Follower.Direct()
 	if hasCopy && c.allowEntries(now, c.missingCopyEntries(peer)) {
 		heartbeat.HasCopy = true
@@ -148,6 +150,9 @@
 	if err := c.hub.Send(now, peer, heartbeat); err != nil {
 		c.options.Log.Log(eventlog.QueueOverflow, zap.String("ring", "beats"), zap.String("host", peer.Host), eventlog.Cause(err))
 	}
+	if heartbeat.Quotas != nil {
+		c.quotas.controller.Confirm(c.options.Now(), peer)
+	}
 	sent := c.hub.TakeSent()
 	c.pacing.pacer.Spend(now, sent)
 	c.options.OnSent(sent)
