--- a/rhubarbtrackd/internal/connector/connector.go
+++ b/rhubarbtrackd/internal/connector/connector.go
@@ -95,8 +95,16 @@
 	host         string
 	onReport     func(peer *Peer, report Report)
 	onDisconnect func(peer *Peer, err error)
-	mutex        sync.Mutex
-	peers        map[*Peer]bool
+	// CountBytes is called with the size of each message, sent or received. It may be nil, and is set before the first connection.
+	CountBytes func(sent, received int)
+	mutex      sync.Mutex
+	peers      map[*Peer]bool
+}
+
+func count(f func(sent, received int), sent, received int) {
+	if f != nil {
+		f(sent, received)
+	}
 }
 
 // NewHub returns a hub without hosts. A host becomes a peer with its first report, so no heartbeat precedes that
@@ -127,6 +135,7 @@
 	}
 	select {
 	case peer.queue <- data:
+		count(h.CountBytes, len(data), 0)
 		return nil
 	default:
 		_ = peer.conn.CloseNow()
@@ -160,6 +169,7 @@
 		if err != nil {
 			return &Error{"receive", Disconnected, err}
 		}
+		count(h.CountBytes, 0, len(data))
 		report, err := decodeReport(data)
 		if err != nil {
 			return err
@@ -234,7 +244,9 @@
 	OnDisconnect func(address string, err error)
 	// OnConnect is called after a connection was made.
 	OnConnect func(address string)
-	Now       func() time.Duration
+	// CountBytes is called with the size of each message, sent or received. It may be nil.
+	CountBytes func(sent, received int)
+	Now        func() time.Duration
 	// Panics contains panics in the handling of a connection, which then ends.
 	Panics *recoverer.Recoverer
 }
@@ -294,6 +306,7 @@
 		if err != nil {
 			return &Error{"receive", Disconnected, err}
 		}
+		count(c.options.CountBytes, 0, len(data))
 		now := c.options.Now()
 		heartbeat, err := decodeHeartbeat(now, data)
 		if err != nil {
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -88,6 +88,8 @@
 	// OnDisproved is called with signatures that the controller suspects or blocks, and that this host trusts. They belong
 	// into the next report.
 	OnDisproved func(signatures ...uint64)
+	// CountBytes is called with the size of each message to or from another host. It may be nil.
+	CountBytes func(sent, received int)
 	// Panics contains panics in the handling of an event. This host then resigns as controller.
 	Panics *recoverer.Recoverer
 }
@@ -200,8 +202,10 @@
 			})
 		},
 	)
+	c.hub.CountBytes = options.CountBytes
 	c.client = connector.NewClient(connector.ClientOptions{
-		Leader: c.leaderAddress,
+		Leader:     c.leaderAddress,
+		CountBytes: options.CountBytes,
 		OnAddressReused: func(host string) {
 			c.post(func() { c.controllerStopped(host) })
 		},
--- a/rhubarbtrackd/internal/exchanger/exchanger.go
+++ b/rhubarbtrackd/internal/exchanger/exchanger.go
@@ -23,6 +23,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -120,6 +121,14 @@
 	Deadline   time.Time
 	// StreamDeadline is that of the body of a response that is streamed. If it is zero, Deadline applies.
 	StreamDeadline time.Time
+	// Traffic counts the bytes of the exchange if it is not nil.
+	Traffic *Traffic
+}
+
+// Traffic is the number of bytes that were sent to and received from an upstream, with heads. It is safe for concurrent use.
+type Traffic struct {
+	Sent     atomic.Int64
+	Received atomic.Int64
 }
 
 // Response is a response with its complete body, or with a stream if the body is long. The stream fails with an *Error. It
@@ -138,10 +147,13 @@
 	IDHeader string
 	// MaxSilence is how long the upstream may send nothing within a streamed body; 0 selects the default.
 	MaxSilence time.Duration
+	// OnConnect is called with the time that a new connection to a target has taken. It may be nil.
+	OnConnect func(target Target, taken time.Duration)
 }
 
 type pooledConn struct {
 	net.Conn
+	traffic     *Traffic // of the present exchange; nil: not counted
 	reader      *bufio.Reader
 	used        bool // a request has been sent on the connection
 	idleSince   time.Time
@@ -174,6 +186,9 @@
 		p = p[:min(len(p), c.headBytes)]
 	}
 	n, err := c.Conn.Read(p)
+	if c.traffic != nil {
+		c.traffic.Received.Add(int64(n))
+	}
 	if c.readsHead {
 		c.headBytes -= n
 	}
@@ -181,6 +196,15 @@
 	return n, err
 }
 
+// Write writes to the connection.
+func (c *pooledConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if c.traffic != nil {
+		c.traffic.Sent.Add(int64(n))
+	}
+	return n, err
+}
+
 // readHead reads a status line and a header. The body of the result is read from the connection.
 func (c *pooledConn) readHead(request *http.Request) (*http.Response, error) {
 	c.readsHead = true
@@ -310,6 +334,7 @@
 		}
 		c = dialed
 	}
+	c.traffic = req.Traffic
 	_ = c.SetDeadline(req.Deadline)
 	stop := context.AfterFunc(ctx, func() { c.interrupt() })
 	response, reusable, err := p.exchange(c, req)
@@ -387,9 +412,13 @@
 func (p *Pool) dial(ctx context.Context, target Target, deadline time.Time) (*pooledConn, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	began := time.Now()
 	conn, err := p.dialer.DialContext(ctx, "tcp", target.Address)
 	if err != nil {
 		return nil, &Error{"dial " + target.ID, NotSent, err}
 	}
+	if p.options.OnConnect != nil {
+		p.options.OnConnect(target, time.Since(began))
+	}
 	return newPooledConn(conn), nil
 }
--- a/rhubarbtrackd/internal/meter/meter.go
+++ b/rhubarbtrackd/internal/meter/meter.go
@@ -70,6 +70,17 @@
 	m.scope.Tagged(map[string]string{"ring": queue}).Counter("ring_overflows_total").Inc(1)
 }
 
+// Bytes counts bytes that were sent or received (direction) by kind: unkeyed, keyed, unkeyed-upload and keyed-upload for requests to
+// upstreams, hosts and store. domain is own or other, as seen from this host, or unknown.
+func (m *Meter) Bytes(kind, direction, domain string, bytes int64) {
+	m.scope.Tagged(map[string]string{"kind": kind, "direction": direction, "domain": domain}).Counter("transferred_bytes_total").Inc(bytes)
+}
+
+// LeavingShare sets the highest share of the requests of a service that leave the failure domain of this host.
+func (m *Meter) LeavingShare(service string, share float64) {
+	m.scope.Tagged(map[string]string{"service": service}).Gauge("leaving_share").Update(share)
+}
+
 // UpstreamNotice counts a first notice of an upstream of a service: leaving or paused.
 func (m *Meter) UpstreamNotice(service, kind string) {
 	m.scope.Tagged(map[string]string{"service": service, "kind": kind}).Counter("upstream_notices_total").Inc(1)
