spreader: decide what leaves the failure domain

The selector prefers upstreams of the own domain by two constants, whatever the load, the size of the message and the distance. The new module divides the requests of a service, by classes of sizes, among domains: by expected response times from the occupied slots, the round trips and a price of bytes stated in callers' time.

--- a/core/rebalancer/responsetime.go
+++ b/core/rebalancer/responsetime.go
@@ -29,6 +29,13 @@
 	return cost + max(0, utilization-maxModelUtilization)*cost/(1-maxModelUtilization)
 }
 
+// Wait returns the mean queueing time relative to the run time at an upstream with the given number of slots, by the same
+// approximation. Above maxModelUtilization it grows as fast as a queue with the same number of requests for each slot.
+func Wait(utilization, slots float64) float64 {
+	u := min(max(0, utilization), maxModelUtilization)
+	return math.Pow(u, math.Sqrt(2*(slots+1))-1)/(slots*(1-u)) + max(0, utilization-maxModelUtilization)
+}
+
 // costTable holds relativeCost for utilizations from 0 to maxModelUtilization.
 type costTable [costSteps + 1]float64
 
--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -76,7 +76,8 @@
 type Candidate struct {
 	identifier.Incarnation
 	Slots  int
-	Remote bool // in another failure domain
+	Domain string // failure domain
+	Remote bool   // Domain is not that of this host
 }
 
 // Outcome is the outcome of a request at an upstream.
@@ -372,6 +373,37 @@
 	return best, !best.IsZero()
 }
 
+// maxLoadAge is the age up to which a load report counts in Load.
+const maxLoadAge = 2 * time.Second
+
+// maxFailureShare is the share of failed requests above which a candidate does not count as usable.
+const maxFailureShare = 0.25
+
+// Usable reports whether a candidate is reachable and answers most requests. The load reports of one that fails them show free
+// slots.
+func (sel *Selector) Usable(now time.Duration, c Candidate) bool {
+	_, blocked := sel.Blocked(now, c.Incarnation)
+	return !blocked && sel.state(c.Incarnation).failureShare(now) <= maxFailureShare
+}
+
+// Load returns the number of requests at a candidate, running or waiting, in its last load report, and its expected run time.
+// reported is false without a recent report. Unlike Estimate, it does not replace an old report by a mean: sums over many
+// candidates would then be those of other services.
+func (sel *Selector) Load(now time.Duration, c Candidate) (occupied float64, runTime time.Duration, reported bool) {
+	s := sel.state(c.Incarnation)
+	runTime = time.Duration(float64(sel.runTime(s)) * sel.meanSlowdown)
+	if s.reportedAt == 0 || now-s.reportedAt > maxLoadAge {
+		return 0, runTime, false
+	}
+	return float64(s.load.Running + s.load.Waiting), runTime, true
+}
+
+// Cost returns the expected response time of a request at a candidate, with a penalty for its failures.
+func (sel *Selector) Cost(now time.Duration, c Candidate) time.Duration {
+	total := sel.Estimate(now, c.Incarnation, c.Slots).Total()
+	return total + time.Duration(failurePenalty*sel.state(c.Incarnation).failureShare(now)*float64(total))
+}
+
 // setWeights sets the weights of candidates to their target rates, relative to the mean.
 func (sel *Selector) setWeights(now time.Duration, candidates []Candidate) {
 	sel.setUsualRunTimes(candidates)
--- /dev/null
+++ b/core/spreader/spreader.go
@@ -0,0 +1,445 @@
+// Package spreader divides the requests of a host among failure domains: how many stay in the domain of the host, and how many
+// go to which other domain.
+//
+// A request that leaves saves its caller time in the queues of the own domain, and costs round trips to the other domain and
+// bytes between domains. The price of a byte is stated in the callers' time, so that both sides have the same unit. The
+// division for a service and a class of message sizes follows the response times that a queueing model expects: work leaves while
+// a request takes longer at home than elsewhere with the crossing, and comes back as soon as it does not.
+//
+// # Usage
+//
+//	s := spreader.New(seed)
+//	s.RecordConnect("b", 2*time.Millisecond)                  // for each new connection
+//	s.RecordSize(route, 61_000)                               // for each finished request
+//	if s.IsDue(now, service) {
+//		s.Update(now, service, "a", domains)              // the load of each domain
+//	}
+//	domain := s.Choose(service, s.ExpectedSize(route, length)) // "" without a division
+//
+// Hosts decide on their own, each for its share of the requests of its domain. They see the same load reports, so that together
+// they move what the domain has too much of. A division changes by at most a part of the difference in each step, because
+// the reports that show the effect of a step arrive only after the next one.
+//
+// A Spreader is not safe for concurrent use. Times are durations since an arbitrary origin.
+package spreader
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"rhubarbtrack.example/core/rebalancer"
+)
+
+// Parameters of the division.
+const (
+	// updateInterval is the time between two steps. Load reports of other hosts are 200 to 400 ms old.
+	updateInterval = 250 * time.Millisecond
+	// forgetTime is the age from which on a division is not used: the service had no requests, so its load is unknown.
+	forgetTime = 5 * time.Second
+	// loadSmoothing is the weight of the last observation in the smoothed rate of a domain.
+	loadSmoothing = 0.4
+	// partSmoothing is the weight of the last observation in the parts of the other domains. All hosts change them at once, so
+	// that quick changes would move the work from one domain to the next and back.
+	partSmoothing = 0.1
+	// stepGain is the part of the difference between the load and the target load that one step moves.
+	stepGain = 0.2
+	// maxStep limits the share that one step moves.
+	maxStep = 0.1
+	// choices is the number of upstreams of which a request goes to the best one. They queue like one upstream with the slots
+	// of all of them.
+	choices = 4
+	// startMargin is what a request must save at least before the first requests leave, as a share of the run time, and margin
+	// what it must save while requests leave. Loads are observed with an error, and work that leaves and comes back costs new
+	// connections.
+	startMargin, margin = 0.2, 0.05
+	// minReturn is the share that returns in a step at least when it would be served as soon at home. Otherwise two domains with
+	// nearly the same load would exchange requests for long.
+	minReturn = 0.01
+	// minShare is the share below which no request leaves.
+	minShare = 0.01
+	// maxUtilization limits the utilization of a domain with queues. A queue says how long the overload has lasted, and not
+	// how much too high the rate is.
+	maxUtilization = 1.3
+	// bisectionSteps is the number of halvings by which a utilization is found.
+	bisectionSteps = 20
+	// sizeWeight is the weight of one message in the mean size of a route.
+	sizeWeight = 0.05
+	// connectWeight is the weight with which the time to connect rises to a longer measurement. A shorter one replaces it,
+	// because connections are delayed by load and never accelerated.
+	connectWeight = 0.02
+	// initialWindow is the number of bytes that a new connection sends in the first round trip.
+	initialWindow = 10 * 1460
+	// sizeBase is the ratio of the sizes of two classes, and smallSize the upper limit of the first class in bytes.
+	sizeBase, smallSize = 8, 4 << 10
+	// sizeClasses is the number of classes. The last one has no upper limit.
+	sizeClasses = 5
+)
+
+const megabyte = 1e6
+
+// MaxPrice is the highest price of a megabyte.
+const MaxPrice = time.Hour
+
+// Domain is the load of a failure domain: the upstreams of one service that may get requests. One without upstreams gets none.
+type Domain struct {
+	Name      string
+	Upstreams int
+	Slots     float64
+	// Occupied is the number of requests in slots and queues at upstreams with ReportedSlots of the slots. The load of the others
+	// is not known.
+	Occupied, ReportedSlots float64
+}
+
+// Division is how the requests of a class are divided. The shares add up to 1, and are zero for a domain without upstreams.
+type Division struct {
+	Names  []string
+	Shares []float64
+	// OwnCost is the expected response time at home, and OtherCost the lowest one elsewhere with the crossing. OwnCost is 0
+	// without upstreams at home, and OtherCost without upstreams elsewhere.
+	OwnCost, OtherCost time.Duration
+	// Utilization is the share of the slots of the own domain that are occupied.
+	Utilization float64
+	own         int // index of the own domain; -1: it has no upstreams
+}
+
+// Leaving returns the share of requests that leave the own domain.
+func (d Division) Leaving() float64 {
+	switch {
+	case len(d.Names) == 0:
+		return 0
+	case d.own < 0:
+		return 1
+	}
+	return 1 - d.Shares[d.own]
+}
+
+type service struct {
+	at        time.Duration
+	own       string
+	loads     map[string]float64 // smoothed utilizations by domain
+	divisions [sizeClasses]Division
+	used      [sizeClasses]float64 // mean size of the class in bytes; 0: no requests yet
+	away      [sizeClasses]float64 // share of the requests that leave
+	parts     [sizeClasses]map[string]float64
+}
+
+// Spreader holds the divisions of all services.
+type Spreader struct {
+	services map[string]*service
+	connects map[string]time.Duration
+	sizes    map[string]float64
+	price    time.Duration
+	random   *rand.Rand
+}
+
+// New returns a Spreader without divisions, with a price of 0. seed determines which requests leave.
+func New(seed uint64) *Spreader {
+	return &Spreader{services: map[string]*service{}, connects: map[string]time.Duration{}, sizes: map[string]float64{},
+		random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// SetPrice sets the time of a caller that a megabyte between two failure domains is worth, from 0 to MaxPrice. At 0, only the
+// distance counts.
+func (s *Spreader) SetPrice(megabyte time.Duration) { s.price = min(max(0, megabyte), MaxPrice) }
+
+// RecordConnect records the time that a new connection to an upstream of a domain has taken.
+func (s *Spreader) RecordConnect(domain string, taken time.Duration) {
+	known, ok := s.connects[domain]
+	if !ok || taken < known {
+		s.connects[domain] = taken
+		return
+	}
+	s.connects[domain] = known + time.Duration(connectWeight*float64(taken-known))
+}
+
+// distance returns the round trip to a domain beyond that in the own domain, or 0 if either is unknown.
+func (s *Spreader) distance(own, other string) time.Duration {
+	near, ok := s.connects[own]
+	far, known := s.connects[other]
+	if !ok || !known {
+		return 0
+	}
+	return max(0, far-near)
+}
+
+// RecordSize records the bytes of a request and its response.
+func (s *Spreader) RecordSize(route string, bytes float64) {
+	mean, ok := s.sizes[route]
+	if !ok {
+		mean = bytes
+	}
+	s.sizes[route] = mean + sizeWeight*(bytes-mean)
+}
+
+// ExpectedSize returns the expected bytes of a request and its response. length is the announced length of the request body, or
+// negative if it is unknown.
+func (s *Spreader) ExpectedSize(route string, length int64) float64 {
+	return max(s.sizes[route], float64(length))
+}
+
+// KeepSizes deletes the sizes of routes for which keep returns false.
+func (s *Spreader) KeepSizes(keep func(route string) bool) {
+	for route := range s.sizes {
+		if !keep(route) {
+			delete(s.sizes, route)
+		}
+	}
+}
+
+// class returns the class of a message of the given size.
+func class(bytes float64) int {
+	c, limit := 0, float64(smallSize)
+	for c < sizeClasses-1 && bytes > limit {
+		c, limit = c+1, limit*sizeBase
+	}
+	return c
+}
+
+// CrossingCost returns the time of a caller that a message to another domain is worth: the round trips until the message is
+// transferred, and the price of its bytes.
+func (s *Spreader) CrossingCost(own, other string, bytes float64) time.Duration {
+	if own == other {
+		return 0
+	}
+	trips := 1 + math.Log2(1+bytes/initialWindow)
+	return time.Duration(trips*float64(s.distance(own, other)) + bytes/megabyte*float64(s.price))
+}
+
+// IsDue reports whether the division of a service needs the present load.
+func (s *Spreader) IsDue(now time.Duration, name string) bool {
+	known := s.services[name]
+	return known == nil || now >= known.at+updateInterval
+}
+
+// Choose returns the domain of one request of a service with the given expected size, or "" if the service has no division.
+func (s *Spreader) Choose(name string, bytes float64) string {
+	known := s.services[name]
+	if known == nil {
+		return ""
+	}
+	c := class(bytes)
+	if known.used[c] == 0 {
+		known.used[c] = max(1, bytes)
+	}
+	known.used[c] += sizeWeight * (max(1, bytes) - known.used[c])
+	division := known.divisions[c]
+	if len(division.Names) == 0 {
+		return known.own
+	}
+	if division.Leaving() == 0 {
+		return division.Names[division.own]
+	}
+	draw := s.random.Float64()
+	for i, share := range division.Shares {
+		if draw -= share; draw < 0 {
+			return division.Names[i]
+		}
+	}
+	return known.own
+}
+
+// Division returns the present division of a service for messages of the given size.
+func (s *Spreader) Division(name string, bytes float64) Division {
+	if known := s.services[name]; known != nil {
+		return known.divisions[class(bytes)]
+	}
+	return Division{}
+}
+
+// Widest returns the division of a service with the highest share that leaves, over all classes.
+func (s *Spreader) Widest(name string) Division {
+	var widest Division
+	if known := s.services[name]; known != nil {
+		for c, bytes := range known.used {
+			division := known.divisions[c]
+			if bytes > 0 && len(division.Names) > 0 && (len(widest.Names) == 0 || division.Leaving() > widest.Leaving()) {
+				widest = division
+			}
+		}
+	}
+	return widest
+}
+
+// Update sets the divisions of a service from the present load of all domains. own is the domain of this host, and runTime the mean
+// run time of a request of the service.
+func (s *Spreader) Update(now time.Duration, name, own string, runTime time.Duration, domains []Domain) {
+	known := s.services[name]
+	if known == nil || known.own != own || now > known.at+forgetTime {
+		known = &service{own: own, loads: map[string]float64{}}
+		s.services[name] = known
+	}
+	known.at = now
+	usual := meanUtilization(domains)
+	loads := make([]load, len(domains))
+	for i, d := range domains {
+		loads[i] = newLoad(d, runTime, usual)
+		if smoothed, ok := known.loads[d.Name]; ok {
+			loads[i].utilization = smoothed + loadSmoothing*(loads[i].utilization-smoothed)
+		}
+		known.loads[d.Name] = loads[i].utilization
+	}
+	for c, bytes := range known.used {
+		if bytes > 0 {
+			known.divisions[c] = s.divide(known, c, loads)
+		}
+	}
+}
+
+// meanUtilization returns the utilization of all upstreams whose load is known.
+func meanUtilization(domains []Domain) float64 {
+	slots, occupied := 0.0, 0.0
+	for _, d := range domains {
+		slots += d.ReportedSlots
+		occupied += d.Occupied
+	}
+	return occupied / max(1, slots)
+}
+
+// load is the state of a domain in the queueing model. The domain is one upstream with the slots that a request can choose from. All
+// domains have the same run time: what differs between them is the time in queues, and slow upstreams have the longer ones.
+type load struct {
+	name        string
+	slots       float64 // 0: no upstreams
+	pool        float64 // slots that a request can choose from
+	utilization float64
+	runTime     float64 // in seconds
+}
+
+func newLoad(d Domain, runTime time.Duration, usual float64) load {
+	l := load{name: d.Name}
+	if d.Upstreams == 0 || d.Slots <= 0 {
+		return l
+	}
+	l.slots, l.utilization, l.runTime = d.Slots, usual, max(runTime, time.Millisecond).Seconds()
+	if d.ReportedSlots > 0 {
+		l.utilization = min(maxUtilization, d.Occupied/d.ReportedSlots)
+	}
+	l.pool = d.Slots / float64(d.Upstreams) * float64(min(choices, d.Upstreams))
+	return l
+}
+
+// cost returns the expected response time in seconds.
+func (l load) cost() float64 {
+	if l.slots == 0 {
+		return math.Inf(1)
+	}
+	return l.runTime * (1 + rebalancer.Wait(l.utilization, l.pool))
+}
+
+// utilizationAt returns the highest utilization at which the response time is at most cost seconds.
+func (l load) utilizationAt(cost float64) float64 {
+	low, high := 0.0, maxUtilization
+	for range bisectionSteps {
+		if middle := (low + high) / 2; l.runTime*(1+rebalancer.Wait(middle, l.pool)) <= cost {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// divide makes one step of the division of a class.
+func (s *Spreader) divide(known *service, c int, loads []load) Division {
+	division := Division{Names: make([]string, len(loads)), Shares: make([]float64, len(loads)), own: -1}
+	var own load
+	for i, l := range loads {
+		division.Names[i] = l.name
+		if l.name == known.own && l.slots > 0 {
+			division.own, own = i, l
+		}
+	}
+	ownCost := own.cost()
+	// room is the number of slots that a domain can fill until a request takes as long there as at home.
+	room := make([]float64, len(loads))
+	total, lowest := 0.0, math.Inf(1)
+	for i, l := range loads {
+		if i == division.own || l.slots == 0 {
+			continue
+		}
+		crossing := s.CrossingCost(known.own, l.name, known.used[c]).Seconds()
+		lowest = min(lowest, l.cost()+crossing)
+		if division.own < 0 {
+			room[i] = l.slots
+		} else if cost := ownCost - crossing; cost > 0 {
+			room[i] = l.slots * max(0, l.utilizationAt(cost)-l.utilization)
+		}
+		total += room[i]
+	}
+	if division.own < 0 {
+		known.away[c] = 1
+	} else {
+		known.away[c] = step(known.away[c], own, ownCost, lowest)
+		division.OwnCost, division.Utilization = seconds(ownCost), own.utilization
+	}
+	if !math.IsInf(lowest, 1) {
+		division.OtherCost = seconds(lowest)
+	}
+	parts := known.nextParts(c, division.own, loads, room, total)
+	if len(parts) == 0 {
+		known.away[c] = 0
+	}
+	for i, l := range loads {
+		division.Shares[i] = known.away[c] * parts[l.name]
+	}
+	if division.own >= 0 {
+		division.Shares[division.own] = 1 - known.away[c]
+	}
+	return division
+}
+
+// nextParts returns the part of each other domain in the requests that leave, by the room that it has. While no domain has room, the
+// parts stay, and what leaves returns in steps.
+func (known *service) nextParts(c, own int, loads []load, room []float64, total float64) map[string]float64 {
+	parts, sum := map[string]float64{}, 0.0
+	for i, l := range loads {
+		if i == own || l.slots == 0 {
+			continue
+		}
+		part, ok := known.parts[c][l.name]
+		if total > 0 {
+			if !ok && known.parts[c] == nil {
+				part = room[i] / total
+			}
+			part += partSmoothing * (room[i]/total - part)
+		}
+		if part > 0 {
+			parts[l.name] = part
+			sum += part
+		}
+	}
+	for name := range parts {
+		parts[name] /= sum
+	}
+	known.parts[c] = nil
+	if len(parts) > 0 {
+		known.parts[c] = parts
+	}
+	return parts
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// step returns the next share of requests that leave the own domain. ownCost is the response time at home, and lowest the lowest one
+// elsewhere with the crossing.
+func step(away float64, own load, ownCost, lowest float64) float64 {
+	if away == 0 && ownCost < lowest+startMargin*own.runTime {
+		return 0
+	}
+	lowest += margin * own.runTime
+	// The own domain should have the utilization at which a request takes as long as elsewhere.
+	target := 1.0
+	if !math.IsInf(lowest, 1) {
+		target = own.utilizationAt(lowest)
+	}
+	change := stepGain * (own.utilization - target) / max(own.utilization, target, math.SmallestNonzeroFloat64)
+	if change < 0 {
+		change -= minReturn
+	}
+	away = min(1, max(0, away+min(maxStep, max(-maxStep, change))))
+	if change <= 0 && away < minShare {
+		return 0
+	}
+	return away
+}
