router: divide requests without keys among failure domains

The router now chooses the domain by the spreader where warm upstreams of a service are in several domains, and the upstream within it as before. Events 760 and 761, metric leaving_share.

--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -161,6 +161,9 @@
 	UpstreamDropped          = register(739, "upstream-dropped", zap.InfoLevel, "This host no longer uses an upstream, because its entry is missing from the store, or from the controller's copy.")
 	HostIsolated             = register(740, "host-isolated", zap.WarnLevel, "This host receives nothing from the controller or the store and cannot reach most upstreams; it reports itself not ready.")
 	HostReconnected          = register(741, "host-reconnected", zap.InfoLevel, "This host is no longer isolated.")
+
+	DomainOverloaded = register(760, "domain-overloaded", zap.InfoLevel, "Requests of a service leave the failure domain of this host, because they are served sooner elsewhere; the field share is the highest share over the sizes of messages.")
+	DomainSufficient = register(761, "domain-sufficient", zap.InfoLevel, "All requests of a service stay in the failure domain of this host again.")
 )
 
 // maxText bounds texts that may quote bytes from outside, in bytes.
--- a/rhubarbtrackd/internal/router/choose.go
+++ b/rhubarbtrackd/internal/router/choose.go
@@ -179,7 +179,7 @@
 		if _, out := snapshot.TakenOut[u.Domain]; u.Draining || out {
 			continue
 		}
-		candidate := selector.Candidate{Incarnation: u.Incarnation, Slots: u.Slots, Remote: u.Domain != r.options.FailureDomain}
+		candidate := selector.Candidate{Incarnation: u.Incarnation, Slots: u.Slots, Domain: u.Domain, Remote: u.Domain != r.options.FailureDomain}
 		verdict := r.checkNotices(now, j, u)
 		switch {
 		case verdict.Decision == inhibitor.Left:
@@ -212,7 +212,7 @@
 	if r.status(now, j.signatures) == detector.Suspect && r.areMostUnreachable(now, g.warm, g.cold) {
 		return choice{reason: "most upstreams are down, and the request may have crashed one", wait: retryWait}
 	}
-	if picked, ok := r.selector.Pick(now, j.service.Name, g.warm, j.tried); ok {
+	if picked, ok := r.pickWarm(now, j, g.warm); ok {
 		u := snapshot.Upstreams[picked.ID]
 		estimate := r.selector.Estimate(now, picked, u.Slots)
 		if r.endsBefore(now, j, picked, estimate) {
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -32,6 +32,7 @@
 	"rhubarbtrack.example/core/registrar"
 	"rhubarbtrack.example/core/selector"
 	"rhubarbtrack.example/core/shedder"
+	"rhubarbtrack.example/core/spreader"
 	"rhubarbtrack.example/core/throttler"
 	"rhubarbtrack.example/platform/translator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/acceptor"
@@ -58,6 +59,8 @@
 // Options configures a Router.
 type Options struct {
 	FailureDomain string
+	// CrossingPrice is the time of a caller that a megabyte between two failure domains is worth.
+	CrossingPrice time.Duration
 	Limits        Limits
 	Follower      *follower.Follower
 	Tables        *resolver.Tables
@@ -104,6 +107,8 @@
 	attempts     map[identifier.Incarnation]*attempts   // of the listed upstreams
 	crashProbes  map[identifier.Incarnation]*crashProbe // in progress
 	inhibitor    *inhibitor.Inhibitor
+	spreader     *spreader.Spreader
+	leaving      map[string]bool // services of which requests leave the failure domain
 }
 
 // New returns a router that divides its limits by defaultHosts until the first heartbeat.
@@ -115,7 +120,9 @@
 		observed: newObservations(), probing: map[identifier.Incarnation]bool{}, lastProbe: map[identifier.Incarnation]time.Duration{},
 		attempts:    map[identifier.Incarnation]*attempts{},
 		crashProbes: map[identifier.Incarnation]*crashProbe{}, inhibitor: inhibitor.New(options.Seed),
+		spreader: spreader.New(options.Seed), leaving: map[string]bool{},
 	}
+	r.spreader.SetPrice(options.CrossingPrice)
 	r.SetLimits(options.Limits)
 	return r
 }
@@ -165,6 +172,7 @@
 	defer r.mutex.Unlock()
 	r.selector.Forget(isListed)
 	r.inhibitor.Sweep(r.options.Now())
+	r.sweepSpreader(snapshot)
 	maps.DeleteFunc(r.attempts, func(upstream identifier.Incarnation, a *attempts) bool {
 		return !isListed(upstream) && len(a.sentAt) == 0
 	})
@@ -372,7 +380,7 @@
 		},
 		Body: j.request.Body, Stream: j.request.Stream, Length: j.request.Length,
 		ID: j.id, Repeatable: j.route.Idempotent, Repeated: slices.Contains(j.received, u.Incarnation), Deadline: j.deadline,
-		StreamDeadline: j.streamDeadline(),
+		StreamDeadline: j.streamDeadline(), Traffic: &exchanger.Traffic{},
 	}
 	j.received = append(j.received, u.Incarnation)
 	resp, err = r.options.Pool.Do(ctx, target(u), call)
@@ -381,7 +389,10 @@
 		newTransfer(resp).onEnd(func(err error) {
 			r.locked(func() { r.selector.End(r.options.Now(), u.Incarnation, transferOutcome(resp, err)) })
 			r.observeCrash(began, j, u, resp, err)
+			r.observeTraffic(j, u, call.Traffic, err)
 		})
+	} else {
+		r.observeTraffic(j, u, call.Traffic, err)
 	}
 	observed = true
 	r.observe(began, j.estimate.Wait, u, resp, err)
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -120,6 +120,8 @@
 	Reload <-chan struct{}
 	// Dropped returns the number of log lines dropped since the last call.
 	Dropped func() int64
+	// CrossingPrice is the time of a caller that a megabyte between two failure domains is worth.
+	CrossingPrice time.Duration
 	// MetricsPort replaces the constant MetricsPort if it is not empty, for hosts that share an IP address.
 	MetricsPort string
 	// Listen replaces net.Listen for other hosts, the platform and metrics if it is not nil.
@@ -173,6 +175,7 @@
 	d.shutdown, d.cancelRequests = context.WithCancel(context.Background())
 	d.panics = recoverer.New(d.log, d.meter)
 	store := storer.New(s.StoreAddress)
+	store.CountBytes = func(sent, received int) { d.countBytes("store", sent, received) }
 	d.suspector = suspector.New(func(report detector.Report) { d.coordinator.ShareSignature(report) }, d.log)
 	d.follower = follower.New(follower.Options{
 		Store: store, Log: d.log, Now: timer.Now, FirstStart: s.FirstStart, Panics: d.panics,
@@ -188,11 +191,14 @@
 			}
 		},
 	})
-	d.pool = exchanger.New(exchanger.Options{IDHeader: translator.AttemptHeader})
+	d.pool = exchanger.New(exchanger.Options{
+		IDHeader:  translator.AttemptHeader,
+		OnConnect: func(target exchanger.Target, taken time.Duration) { d.router.RecordConnect(target, taken) },
+	})
 	name := incarnation(s.Host)
 	seed := xxhash.Sum64String(name)
 	d.router = router.New(router.Options{
-		FailureDomain: s.FailureDomain, Limits: limits(s.Bounds), Follower: d.follower, Tables: d.tables, Pool: d.pool,
+		FailureDomain: s.FailureDomain, CrossingPrice: options.CrossingPrice, Limits: limits(s.Bounds), Follower: d.follower, Tables: d.tables, Pool: d.pool,
 		Log: d.log, Meter: d.meter, Now: timer.Now, Seed: seed, Shutdown: d.shutdown, Panics: d.panics,
 		Suspector: d.suspector,
 	})
@@ -208,6 +214,7 @@
 		OnHeartbeat: d.router.OnHeartbeat,
 		Suspector:   d.suspector,
 		OnDisproved: d.router.ReportCompleted,
+		CountBytes:  func(sent, received int) { d.countBytes("hosts", sent, received) },
 		Panics:      d.panics,
 	})
 	d.server = acceptor.New(acceptor.Options{
@@ -222,6 +229,12 @@
 	return d
 }
 
+// countBytes counts bytes to and from a process whose failure domain this host does not know.
+func (d *daemon) countBytes(kind string, sent, received int) {
+	d.meter.Bytes(kind, "sent", "unknown", int64(sent))
+	d.meter.Bytes(kind, "received", "unknown", int64(received))
+}
+
 // takeoverDelay returns the time by which a host delays its candidacy for controller. It is shorter for hosts with more
 // CPU time. share is in cores.
 func takeoverDelay(share float64, seed uint64) time.Duration {
--- a/rhubarbtrackd/main.go
+++ b/rhubarbtrackd/main.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"rhubarbtrack.example/core/spreader"
 	"rhubarbtrack.example/platform/reader"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/logwriter"
@@ -38,9 +39,10 @@
 )
 
 type options struct {
-	Settings      string `long:"settings" value-name:"FILE" description:"YAML file with the settings of this host"`
-	Platform      bool   `long:"platform" description:"run on the users' platform, with the settings file that it provides"`
-	CheckSettings bool   `long:"check-settings" description:"report every fault of the settings and exit"`
+	Settings      string        `long:"settings" value-name:"FILE" description:"YAML file with the settings of this host"`
+	Platform      bool          `long:"platform" description:"run on the users' platform, with the settings file that it provides"`
+	CrossingPrice time.Duration `long:"crossing-price" value-name:"DURATION" description:"with --platform: time of a caller that a megabyte between two failure domains is worth, from 0 to 1h"`
+	CheckSettings bool          `long:"check-settings" description:"report every fault of the settings and exit"`
 }
 
 func main() {
@@ -59,7 +61,11 @@
 		return exitUsage
 	}
 	if opts.Platform {
-		return servePlatform(opts.CheckSettings)
+		if opts.CrossingPrice < 0 || opts.CrossingPrice > spreader.MaxPrice {
+			fmt.Fprintf(os.Stderr, "--crossing-price must be a duration between 0s and %s\n", spreader.MaxPrice)
+			return exitUsage
+		}
+		return servePlatform(opts.CheckSettings, opts.CrossingPrice)
 	}
 	if opts.Settings == "" {
 		fmt.Fprintln(os.Stderr, "one of --settings and --platform is required")
@@ -94,7 +100,7 @@
 
 // servePlatform runs the daemon with the settings file that the users' platform provides, and with a log writer that
 // does not block.
-func servePlatform(check bool) int {
+func servePlatform(check bool, crossingPrice time.Duration) int {
 	path := os.Getenv(reader.PathVariable)
 	load := func() (reader.Settings, error) { return reader.Load(path) }
 	if check {
@@ -122,6 +128,7 @@
 	}()
 	err := starter.Run(ctx, starter.Options{
 		Load: load, Log: eventlog.New(newPlatformLogger(out)), Reload: reload, Dropped: out.TakeDropped,
+		CrossingPrice: crossingPrice,
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
