inspector, rhubarbctl: check a configuration before it is sent

Operators saw a mistake in a configuration only by what callers got. rhubarbctl config check FILE [--against FILE] names errors, entries that no request can reach and limits that contradict each other, with their places, and what differs from another version.

The daemon does not run the checks: decoding twice would delay a change on every host. Attempts and rates beyond what the upstreams can do need their list and are not checked.

--- a/rhubarbctl/commander/commander.go
+++ b/rhubarbctl/commander/commander.go
@@ -16,6 +16,7 @@
 	auditlist "rhubarbtrack.example/rhubarbctl/internal/command/audit/list"
 	changeget "rhubarbtrack.example/rhubarbctl/internal/command/change/get"
 	"rhubarbtrack.example/rhubarbctl/internal/command/completion"
+	configcheck "rhubarbtrack.example/rhubarbctl/internal/command/config/check"
 	"rhubarbtrack.example/rhubarbctl/internal/command/failuredomain/bringback"
 	domaincreate "rhubarbtrack.example/rhubarbctl/internal/command/failuredomain/create"
 	domaindelete "rhubarbtrack.example/rhubarbctl/internal/command/failuredomain/delete"
@@ -96,6 +97,7 @@
 		{Name: "window", Short: "Weekly cleaning windows", Commands: []registrar.Command{
 			windowlist.New(p, nil), windowset.New(p, nil), windowdelete.New(p, nil),
 		}},
+		{Name: "config", Short: "Configurations of the users' platform", Commands: []registrar.Command{configcheck.New(p, nil)}},
 		{Name: "change", Short: "Issued changes", Commands: []registrar.Command{changeget.New(p, nil)}},
 		{Name: "audit", Short: "Audit trail", Commands: []registrar.Command{auditlist.New(p, nil)}},
 		{Name: "host", Short: "Hosts", Commands: []registrar.Command{hostlist.New(p, nil)}},
