--- a/rhubarbtrackd/internal/connector/connector.go
+++ b/rhubarbtrackd/internal/connector/connector.go
@@ -109,9 +109,17 @@
 	host         string
 	onReport     func(peer *Peer, report Report)
 	onDisconnect func(peer *Peer, err error)
-	mutex        sync.Mutex
-	peers        map[*Peer]bool
-	sent         atomic.Int64 // bytes of heartbeats since the last call of TakeSent
+	// CountBytes is called with the size of each message, sent or received. It may be nil, and is set before the first connection.
+	CountBytes func(sent, received int)
+	mutex      sync.Mutex
+	peers      map[*Peer]bool
+	sent       atomic.Int64 // bytes of heartbeats since the last call of TakeSent
+}
+
+func count(f func(sent, received int), sent, received int) {
+	if f != nil {
+		f(sent, received)
+	}
 }
 
 // NewHub returns a hub without hosts. A host becomes a peer with its first report, so no heartbeat precedes that
@@ -146,6 +154,7 @@
 	select {
 	case peer.queue <- data:
 		h.sent.Add(int64(len(data) + frameOverhead))
+		count(h.CountBytes, len(data), 0)
 		return nil
 	default:
 		_ = peer.conn.CloseNow()
@@ -182,6 +191,7 @@
 		if err != nil {
 			return &Error{"receive", Disconnected, err}
 		}
+		count(h.CountBytes, 0, len(data))
 		report, err := decodeReport(data)
 		if err != nil {
 			return err
@@ -256,7 +266,9 @@
 	OnDisconnect func(address string, err error)
 	// OnConnect is called after a connection was made.
 	OnConnect func(address string)
-	Now       func() time.Duration
+	// CountBytes is called with the size of each message, sent or received. It may be nil.
+	CountBytes func(sent, received int)
+	Now        func() time.Duration
 	// Panics contains panics in the handling of a connection, which then ends.
 	Panics *recoverer.Recoverer
 }
@@ -317,6 +329,7 @@
 		if err != nil {
 			return &Error{"receive", Disconnected, err}
 		}
+		count(c.options.CountBytes, 0, len(data))
 		now := c.options.Now()
 		heartbeat, err := decodeHeartbeat(now, data)
 		if err != nil {
--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -166,6 +166,8 @@
 	LeadershipHandedOver     = register(750, "leadership-handed-over", zap.InfoLevel, "The controller hands its role over to a fitter host, because its own link or processor does not suffice.")
 	ControllerStarved        = register(751, "controller-starved", zap.WarnLevel, "The link or the processor of the controller does not suffice for its messages; it sends fewer load reports, then fewer run times and changes of tables.")
 	ControllerSufficient     = register(752, "controller-sufficient", zap.InfoLevel, "Link and processor of the controller suffice again for all its messages.")
+	DomainOverloaded         = register(760, "domain-overloaded", zap.InfoLevel, "Requests of a service leave the failure domain of this host, because they are served sooner elsewhere; the field share is the highest share over the sizes of messages.")
+	DomainSufficient         = register(761, "domain-sufficient", zap.InfoLevel, "All requests of a service stay in the failure domain of this host again.")
 )
 
 // Events of the limits of client accounts.
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -35,6 +35,7 @@
 	"rhubarbtrack.example/core/selector"
 	"rhubarbtrack.example/core/sharer"
 	"rhubarbtrack.example/core/shedder"
+	"rhubarbtrack.example/core/spreader"
 	"rhubarbtrack.example/core/throttler"
 	"rhubarbtrack.example/platform/translator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/acceptor"
@@ -63,6 +64,8 @@
 // Options configures a Router.
 type Options struct {
 	FailureDomain string
+	// CrossingPrice is the time of a caller that a megabyte between two failure domains is worth.
+	CrossingPrice time.Duration
 	Limits        Limits
 	Follower      *follower.Follower
 	Tables        *resolver.Tables
@@ -114,6 +117,8 @@
 	quotas       quotas
 	sharer       *sharer.Sharer
 	outdated     atomic.Bool // no key was accepted at the last request that needs one
+	spreader     *spreader.Spreader
+	leaving      map[string]bool // services of which requests leave the failure domain
 }
 
 // New returns a router that divides its limits by defaultHosts until the first heartbeat.
@@ -126,7 +131,9 @@
 		attempts:    map[identifier.Incarnation]*attempts{},
 		crashProbes: map[identifier.Incarnation]*crashProbe{}, inhibitor: inhibitor.New(options.Seed),
 		quotas: newQuotas(options.Limits.Quota), sharer: sharer.New(options.Seed),
+		spreader: spreader.New(options.Seed), leaving: map[string]bool{},
 	}
+	r.spreader.SetPrice(options.CrossingPrice)
 	r.SetLimits(options.Limits)
 	return r
 }
@@ -178,6 +185,7 @@
 	r.selector.Forget(isListed)
 	r.inhibitor.Sweep(r.options.Now())
 	r.sweepQuotas(r.options.Now(), snapshot.Config)
+	r.sweepSpreader(snapshot)
 	maps.DeleteFunc(r.attempts, func(upstream identifier.Incarnation, a *attempts) bool {
 		return !isListed(upstream) && len(a.sentAt) == 0
 	})
@@ -394,7 +402,7 @@
 		},
 		Body: j.request.Body, Stream: j.request.Stream, Length: j.request.Length,
 		ID: j.id, Repeatable: j.route.Idempotent, Repeated: slices.Contains(j.received, u.Incarnation), Deadline: j.deadline,
-		StreamDeadline: j.streamDeadline(),
+		StreamDeadline: j.streamDeadline(), Traffic: &exchanger.Traffic{},
 	}
 	if j.account != nil {
 		call.Extra = append(call.Extra, [2]string{translator.AccountHeader, j.account.Name})
@@ -406,7 +414,10 @@
 		newTransfer(resp).onEnd(func(err error) {
 			r.locked(func() { r.selector.End(r.options.Now(), u.Incarnation, transferOutcome(resp, err)) })
 			r.observeCrash(began, j, u, resp, err)
+			r.observeTraffic(j, u, call.Traffic, err)
 		})
+	} else {
+		r.observeTraffic(j, u, call.Traffic, err)
 	}
 	observed = true
 	r.observe(began, j.estimate.Wait, u, resp, err)
