prioritizer, shedder, router: admission by class

Cause: upstreams process requests in the order of arrival, and each request was admitted by its own objective. The run time of an upstream was also the mean of all its requests, too long for the short ones. Change: core/prioritizer. While classes of different priorities have demand at a service, one with an objective of at least twice that of a more urgent class waits at most for a quarter of the slack of that class (half of it for a returning caller), more if urgent requests are few; each class keeps a quarter of its requests under its own objective. Run times are by class, urgent requests look at more upstreams, rejections count by route. Callers of keyed services get Retry-After by the rejections of their owner, not of the whole service. Without different priorities nothing competes: TestEqualPriorities, TestLessUrgentRouteIsDeferred "one priority".

--- a/core/shedder/shedder.go
+++ b/core/shedder/shedder.go
@@ -55,7 +55,7 @@
 	// retryAfterJitter is the share by which RetryAfter varies, so that callers that were rejected together do not retry
 	// together.
 	retryAfterJitter = 0.3
-	// maxRoutes limits the number of routes whose usual remaining time is stored.
+	// maxRoutes limits the number of routes whose usual remaining time is stored, and that of scopes.
 	maxRoutes = 4096
 )
 
@@ -66,8 +66,32 @@
 	Objective time.Duration // a response within this time is fully useful
 	Remaining time.Duration // time for which the caller still waits
 	Urgent    bool          // has a higher priority than other requests of the service
+	// Competing is set while requests of different priorities have demand at the service. Rejections are then counted by
+	// route, so that those of a less urgent route do not lengthen RetryAfter of an urgent one.
+	Competing bool
+	// WaitLimit bounds the queueing time in favour of more urgent requests. 0: no bound.
+	WaitLimit time.Duration
+	// Owner is the only upstream that can run the request, if its service has keys. Rejections are then also counted by
+	// owner, so that those at the owner of a hot key do not lengthen RetryAfter of callers of other owners.
+	Owner string
 }
 
+// scope identifies requests whose rejections are counted together.
+type scope struct {
+	service string
+	route   string // if Request.Competing is set
+	owner   string // in the record of one owner
+}
+
+func (r Request) scope() scope {
+	if r.Competing {
+		return scope{service: r.Service, route: r.Route}
+	}
+	return scope{service: r.Service}
+}
+
+func (r Request) ownerScope() scope { return scope{service: r.Service, owner: r.Owner} }
+
 // Decision is the result of Decide.
 type Decision struct {
 	Admit      bool
@@ -75,21 +99,21 @@
 }
 
 type rejections struct {
-	share     float64 // of the requests of a service, decayed
+	share     float64 // of the requests of a scope, decayed
 	updatedAt time.Duration
 }
 
-// Shedder records the share of rejected requests by service and the usual remaining time of requests by route.
+// Shedder records the share of rejected requests by scope and the usual remaining time of requests by route.
 type Shedder struct {
 	random         *rand.Rand
-	rejections     map[string]rejections
+	rejections     map[scope]rejections
 	usualRemaining map[string]time.Duration
 }
 
 // New returns a Shedder without records. seed determines the jitter of retries.
 func New(seed uint64) *Shedder {
 	return &Shedder{
-		random: rand.New(rand.NewPCG(seed, ^seed)), rejections: map[string]rejections{},
+		random: rand.New(rand.NewPCG(seed, ^seed)), rejections: map[scope]rejections{},
 		usualRemaining: map[string]time.Duration{},
 	}
 }
@@ -113,37 +137,58 @@
 	return float64(remaining) < retryThreshold*float64(usual)
 }
 
-// Decide decides whether a request is sent to an upstream, given the estimate of its queueing and run time there.
-func (s *Shedder) Decide(now time.Duration, request Request, retry bool, estimate selector.Estimate) Decision {
-	admit := estimate.Wait <= 0 ||
+// Admits reports whether a request is sent to an upstream, given the estimate of its queueing and run time there.
+func (s *Shedder) Admits(request Request, retry bool, estimate selector.Estimate) bool {
+	return estimate.Wait <= 0 ||
 		(estimate.Wait <= maxQueueTime(request, retry, estimate.Run) && estimate.Total() <= request.Remaining)
-	s.recordDecision(now, request.Service, admit)
+}
+
+// Decide decides whether a request is sent to an upstream and records the decision.
+func (s *Shedder) Decide(now time.Duration, request Request, retry bool, estimate selector.Estimate) Decision {
+	admit := s.Admits(request, retry, estimate)
+	s.recordDecision(now, request, admit)
 	if admit {
 		return Decision{Admit: true}
 	}
-	return Decision{RetryAfter: s.RetryAfter(now, request.Service, request.Remaining)}
+	return Decision{RetryAfter: s.RetryAfter(now, request)}
 }
 
 // maxQueueTime returns the longest time in the queue for which a request is sent.
 func maxQueueTime(request Request, retry bool, run time.Duration) time.Duration {
-	slack := max(float64(request.Objective-run), minSlackShare*float64(request.Objective))
+	share := newWaitShare
 	switch {
+	case retry && request.Urgent && request.Competing:
+		// Room for it comes from less urgent requests, not from first attempts of its own class alone.
 	case retry:
-		return time.Duration(retryWaitShare * slack)
+		share = retryWaitShare
 	case request.Urgent:
-		return time.Duration(urgentWaitShare * slack)
-	default:
-		return time.Duration(newWaitShare * slack)
+		share = urgentWaitShare
+	}
+	slack := max(float64(request.Objective-run), minSlackShare*float64(request.Objective))
+	longest := time.Duration(share * slack)
+	if request.WaitLimit > 0 {
+		longest = min(longest, request.WaitLimit)
 	}
+	return longest
 }
 
 // RecordRejection records a rejection of a request for another reason than a call of Decide.
-func (s *Shedder) RecordRejection(now time.Duration, service string) {
-	s.recordDecision(now, service, false)
+func (s *Shedder) RecordRejection(now time.Duration, request Request) {
+	s.recordDecision(now, request, false)
+}
+
+func (s *Shedder) recordDecision(now time.Duration, request Request, admitted bool) {
+	s.record(now, request.scope(), admitted)
+	if request.Owner != "" {
+		s.record(now, request.ownerScope(), admitted)
+	}
 }
 
-func (s *Shedder) recordDecision(now time.Duration, service string, admitted bool) {
-	r := s.rejections[service]
+func (s *Shedder) record(now time.Duration, key scope, admitted bool) {
+	r, known := s.rejections[key]
+	if !known && len(s.rejections) >= maxRoutes {
+		clear(s.rejections)
+	}
 	// With this weight of one request, the share adapts within about rejectionDecayTime at ten requests per second.
 	weight := 1 - math.Exp(-max(0.1, (now-r.updatedAt).Seconds())/rejectionDecayTime.Seconds())
 	value := 1.0
@@ -152,16 +197,23 @@
 	}
 	r.share += min(weight, 0.1) * (value - r.share)
 	r.updatedAt = now
-	s.rejections[service] = r
+	s.rejections[key] = r
+}
+
+func (s *Shedder) rejectedShare(now time.Duration, key scope) float64 {
+	r := s.rejections[key]
+	return r.share * math.Exp(-float64(max(0, now-r.updatedAt))/float64(rejectionDecayTime))
 }
 
 // RetryAfter returns the time after which a rejected caller should retry: a short time while rejections are rare, and
 // the longest time that the caller accepts while there are many, because each further rejection costs the caller an
-// attempt.
-func (s *Shedder) RetryAfter(now time.Duration, service string, remaining time.Duration) time.Duration {
-	r := s.rejections[service]
-	share := r.share * math.Exp(-float64(max(0, now-r.updatedAt))/float64(rejectionDecayTime))
-	longest := maxRetryAfterShare * float64(remaining)
+// attempt. Rejections at other owners do not count for a request that only one upstream can run.
+func (s *Shedder) RetryAfter(now time.Duration, request Request) time.Duration {
+	share := s.rejectedShare(now, request.scope())
+	if request.Owner != "" {
+		share = min(share, s.rejectedShare(now, request.ownerScope()))
+	}
+	longest := maxRetryAfterShare * float64(request.Remaining)
 	weight := min(1, share/highRejectionShare)
 	wait := (1-weight)*float64(shortRetryAfter) + weight*longest
 	wait *= 1 - retryAfterJitter*s.random.Float64()
--- a/core/shedder/shedder_test.go
+++ b/core/shedder/shedder_test.go
@@ -169,6 +169,10 @@
 	request := shedder.Request{Route: "r", Service: "s", Objective: 600 * time.Millisecond, Remaining: 4 * time.Second}
 	urgent := request
 	urgent.Urgent = true
+	limited := request
+	limited.Competing, limited.WaitLimit = true, 100*time.Millisecond
+	leading := urgent
+	leading.Competing = true
 	short := request
 	short.Remaining = 300 * time.Millisecond
 	run := 200 * time.Millisecond
@@ -184,6 +188,10 @@
 		{"long queue", request, false, 300 * time.Millisecond, false},
 		{"long queue, urgent", urgent, false, 300 * time.Millisecond, true},
 		{"short queue, retry", request, true, 200 * time.Millisecond, false},
+		{"short queue, more urgent requests compete", limited, false, 150 * time.Millisecond, false},
+		{"queue within the limit of the class", limited, false, 90 * time.Millisecond, true},
+		{"short queue, urgent retry", urgent, true, 200 * time.Millisecond, false},
+		{"short queue, urgent retry that competes with less urgent requests", leading, true, 200 * time.Millisecond, true},
 		{"response later than the caller waits", short, false, 150 * time.Millisecond, false},
 	}
 	for _, tt := range tests {
@@ -199,14 +207,15 @@
 // remaining time, and that it varies. Otherwise callers that were rejected together would retry together.
 func TestRetryAfterGrowsWithRejections(t *testing.T) {
 	s := shedder.New(1)
-	initial := s.RetryAfter(0, "s", 3*time.Second)
+	request := shedder.Request{Service: "s", Remaining: 3 * time.Second}
+	initial := s.RetryAfter(0, request)
 	for i := range 100 {
-		s.RecordRejection(time.Duration(i)*50*time.Millisecond, "s")
+		s.RecordRejection(time.Duration(i)*50*time.Millisecond, request)
 	}
 	now := 5 * time.Second
 	var waits []time.Duration
 	for range 50 {
-		waits = append(waits, s.RetryAfter(now, "s", 3*time.Second))
+		waits = append(waits, s.RetryAfter(now, request))
 	}
 	sort.Slice(waits, func(i, j int) bool { return waits[i] < waits[j] })
 	assert.Assert(t, initial <= 200*time.Millisecond)
@@ -225,3 +234,35 @@
 	assert.Assert(t, !s.LikelyRetry("r", 3400*time.Millisecond))
 	assert.Assert(t, s.LikelyRetry("r", 2300*time.Millisecond))
 }
+
+// TestRetryAfterOfCompetingRoutes checks that rejections of a less urgent route do not delay the retry of an urgent one, which
+// could still be in time, and that routes that do not compete share one record.
+func TestRetryAfterOfCompetingRoutes(t *testing.T) {
+	for _, competing := range []bool{false, true} {
+		s := shedder.New(1)
+		request := shedder.Request{Route: "uploads", Service: "s", Objective: time.Second, Remaining: 3 * time.Second, Competing: competing}
+		for i := range 100 {
+			s.Decide(time.Duration(i)*50*time.Millisecond, request, false, selector.Estimate{Wait: 5 * time.Second})
+		}
+		request.Route = "lookups"
+		wait := s.RetryAfter(5*time.Second, request)
+		assert.Equal(t, wait <= 200*time.Millisecond, competing, "%v", wait)
+	}
+}
+
+// TestRetryAfterBesideHotKey checks that callers of other owners return soon while the owner of a hot key rejects most of a
+// service's requests, and that callers of the hot key return late.
+func TestRetryAfterBesideHotKey(t *testing.T) {
+	s := shedder.New(1)
+	hot := shedder.Request{Route: "r", Service: "s", Owner: "hot", Objective: time.Second, Remaining: 3 * time.Second}
+	other := hot
+	other.Owner = "other"
+	for i := range 200 {
+		now := time.Duration(i) * 25 * time.Millisecond
+		s.Decide(now, hot, false, selector.Estimate{Wait: 5 * time.Second})
+		s.Decide(now, other, false, selector.Estimate{})
+	}
+	now := 5 * time.Second
+	assert.Assert(t, s.RetryAfter(now, hot) >= 600*time.Millisecond)
+	assert.Assert(t, s.RetryAfter(now, other) <= 200*time.Millisecond)
+}
--- a/rhubarbtrackd/internal/meter/meter.go
+++ b/rhubarbtrackd/internal/meter/meter.go
@@ -65,6 +65,12 @@
 	scope.Histogram("request_seconds", latencyBuckets).RecordDuration(latency)
 }
 
+// ClassDecision counts a decision about a request whose route competes with routes of other priorities: admitted, deferred
+// in favour of more urgent requests, or overloaded.
+func (m *Meter) ClassDecision(service, route, outcome string) {
+	m.scope.Tagged(map[string]string{"service": service, "route": route, "outcome": outcome}).Counter("class_decisions_total").Inc(1)
+}
+
 // Dropped counts a message that was dropped because the named queue was full.
 func (m *Meter) Dropped(queue string) {
 	m.scope.Tagged(map[string]string{"ring": queue}).Counter("ring_overflows_total").Inc(1)
--- a/rhubarbtrackd/internal/router/choose.go
+++ b/rhubarbtrackd/internal/router/choose.go
@@ -10,7 +10,6 @@
 	"rhubarbtrack.example/core/inhibitor"
 	"rhubarbtrack.example/core/registrar"
 	"rhubarbtrack.example/core/selector"
-	"rhubarbtrack.example/core/shedder"
 	"rhubarbtrack.example/core/throttler"
 	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
 )
@@ -141,16 +140,6 @@
 	return list
 }
 
-// decideAdmission decides by the expected time at the upstream whether a request is sent. The caller holds the mutex.
-func (r *Router) decideAdmission(now time.Duration, j *job, upstream identifier.Incarnation, estimate selector.Estimate) shedder.Decision {
-	request := shedder.Request{
-		Route: j.route.Name, Service: j.service.Name, Objective: j.route.Objective,
-		Remaining: time.Until(j.deadline), Urgent: j.route.Urgent,
-	}
-	j.estimate, j.loadAge = estimate, r.selector.ReportAge(now, upstream)
-	return r.shedder.Decide(now, request, j.isRetry, estimate)
-}
-
 const shutdownReason = "the host shuts down before a response is expected"
 
 // endsBefore reports whether this host shuts down before the response to a request that is sent now is expected. A request
@@ -213,6 +202,7 @@
 		return choice{reason: "most upstreams are down, and the request may have crashed one", wait: retryWait}
 	}
 	if picked, ok := r.selector.Pick(now, j.service.Name, g.warm, j.tried); ok {
+		picked = r.pickForUrgent(now, j, g.warm, picked)
 		u := snapshot.Upstreams[picked.ID]
 		estimate := r.selector.Estimate(now, picked, u.Slots)
 		if r.endsBefore(now, j, picked, estimate) {
--- a/rhubarbtrackd/internal/router/conclude.go
+++ b/rhubarbtrackd/internal/router/conclude.go
@@ -82,8 +82,10 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.options.Now()
-	r.shedder.RecordRejection(now, j.service.Name)
-	return r.shedder.RetryAfter(now, j.service.Name, time.Until(j.deadline))
+	request := j.admission
+	request.Remaining = time.Until(j.deadline)
+	r.shedder.RecordRejection(now, request)
+	return r.shedder.RetryAfter(now, request)
 }
 
 func closeStream(resp *exchanger.Response) {
--- a/rhubarbtrackd/internal/router/outcome.go
+++ b/rhubarbtrackd/internal/router/outcome.go
@@ -12,8 +12,8 @@
 )
 
 // observe records the outcome of an attempt for the selection of upstreams and for the next report. began is when the
-// attempt was sent, expected the estimated time in the upstream's queue. An attempt whose response is streamed stays in flight.
-func (r *Router) observe(began, expected time.Duration, u registrar.Upstream, resp *exchanger.Response, err error) {
+// attempt was sent. An attempt whose response is streamed stays in flight.
+func (r *Router) observe(began time.Duration, j *job, u registrar.Upstream, resp *exchanger.Response, err error) {
 	now := r.options.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -38,9 +38,10 @@
 		// Requests that waited in the queue count as well, because an upstream that is always busy would otherwise never
 		// get a measurement.
 		taken := now - began
-		run := max(taken-expected, time.Duration(minRunShare*float64(taken)))
+		run := max(taken-j.estimate.Wait, time.Duration(minRunShare*float64(taken)))
 		r.selector.RecordRunTime(u.Incarnation, run, load.Slowdown)
 		r.observed.recordTime(u.Incarnation, run)
+		r.prioritizer.RecordRunTime(j.class, run, j.meanRun)
 	}
 }
 
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -29,6 +29,7 @@
 	"rhubarbtrack.example/core/identifier"
 	"rhubarbtrack.example/core/inhibitor"
 	"rhubarbtrack.example/core/matcher"
+	"rhubarbtrack.example/core/prioritizer"
 	"rhubarbtrack.example/core/registrar"
 	"rhubarbtrack.example/core/selector"
 	"rhubarbtrack.example/core/shedder"
@@ -90,6 +91,7 @@
 	mutex        sync.Mutex
 	selector     *selector.Selector
 	shedder      *shedder.Shedder
+	prioritizer  *prioritizer.Prioritizer
 	coldBuckets  map[identifier.Incarnation]*throttler.Bucket
 	retryBuckets map[string]*throttler.Bucket
 	index        int // of this host among hosts
@@ -109,7 +111,7 @@
 // New returns a router that divides its limits by defaultHosts until the first heartbeat.
 func New(options Options) *Router {
 	r := &Router{
-		options: options, selector: selector.New(options.Seed), shedder: shedder.New(options.Seed),
+		options: options, selector: selector.New(options.Seed), shedder: shedder.New(options.Seed), prioritizer: prioritizer.New(),
 		coldBuckets:  map[identifier.Incarnation]*throttler.Bucket{},
 		retryBuckets: map[string]*throttler.Bucket{}, index: int(options.Seed % defaultHosts), hosts: defaultHosts,
 		observed: newObservations(), probing: map[identifier.Incarnation]bool{}, lastProbe: map[identifier.Incarnation]time.Duration{},
@@ -190,8 +192,12 @@
 	mayHaveRun bool // an upstream may have run the request
 	// isRetry is set when the caller has probably sent the request before and received a rejection.
 	isRetry  bool
+	class    prioritizer.Class
 	estimate selector.Estimate // for the last chosen upstream
-	loadAge  time.Duration     // age of the load report that estimate is based on
+	meanRun  time.Duration     // expected run time of all requests there
+	// admission is the part of the request that decided on its admission at the last chosen upstream.
+	admission shedder.Request
+	loadAge   time.Duration // age of the load report that estimate is based on
 }
 
 // Handle sends a request to an upstream and returns the response for the caller. It blocks until there is one, at the
@@ -239,7 +245,11 @@
 	if !r.setDeadline(j) {
 		return r.finish(j, http.StatusBadRequest, "the header with the time left is invalid")
 	}
-	r.locked(func() { j.isRetry = r.shedder.LikelyRetry(route.Name, j.timeLeft) })
+	j.class = prioritizer.Class{Service: j.service.Name, Route: route.Name, Priority: priority(j), Objective: route.Objective}
+	r.locked(func() {
+		j.isRetry = r.shedder.LikelyRetry(route.Name, j.timeLeft)
+		r.prioritizer.RecordArrival(r.options.Now(), j.class)
+	})
 	if !j.service.Keyed {
 		return r.serve(ctx, j, r.chooseAny)
 	}
@@ -384,7 +394,7 @@
 		})
 	}
 	observed = true
-	r.observe(began, j.estimate.Wait, u, resp, err)
+	r.observe(began, j, u, resp, err)
 	if err == nil {
 		r.observeNotices(began, u, resp)
 	}
