shedder, router: random queues at owners, rejections with room

Upstreams that reject with a short queue were taken for full, and callers got the longest Retry-After. Change: a request that only one upstream can run may use all of its slack while its owner rejects few, and the former share as rejections grow to a quarter. A rejection with fewer waiting requests than slots is sent again within the retry budget. 502 has Retry-After where the caller may retry.

--- a/core/shedder/shedder.go
+++ b/core/shedder/shedder.go
@@ -7,6 +7,10 @@
 // short queue, as many responses are in time as the slots allow. A retry of a rejected request is late in any case, so
 // first attempts take precedence.
 //
+// A request that only one upstream can run also meets random queues below the capacity, more often the fewer slots the
+// upstream has. They are short again soon, and a rejected caller would lose more time than one that waits. The share of
+// requests that the owner has rejected lately tells a random queue from one that stays.
+//
 // # Usage
 //
 //	s := shedder.New(seed)
@@ -29,7 +33,9 @@
 const (
 	newWaitShare    = 0.6
 	urgentWaitShare = 1.0
-	retryWaitShare  = 0.35
+	// calmWaitShare applies to requests that only one upstream can run, while it rejects none.
+	calmWaitShare  = 1.0
+	retryWaitShare = 0.35
 	// minSlackShare is the minimum slack as a share of the objective. It applies when the run time is close to the
 	// objective.
 	minSlackShare = 0.25
@@ -138,14 +144,18 @@
 }
 
 // Admits reports whether a request is sent to an upstream, given the estimate of its queueing and run time there.
-func (s *Shedder) Admits(request Request, retry bool, estimate selector.Estimate) bool {
+func (s *Shedder) Admits(now time.Duration, request Request, retry bool, estimate selector.Estimate) bool {
+	pressure := 1.0
+	if request.Owner != "" {
+		pressure = s.pressure(now, request)
+	}
 	return estimate.Wait <= 0 ||
-		(estimate.Wait <= maxQueueTime(request, retry, estimate.Run) && estimate.Total() <= request.Remaining)
+		(estimate.Wait <= maxQueueTime(request, retry, estimate.Run, pressure) && estimate.Total() <= request.Remaining)
 }
 
 // Decide decides whether a request is sent to an upstream and records the decision.
 func (s *Shedder) Decide(now time.Duration, request Request, retry bool, estimate selector.Estimate) Decision {
-	admit := s.Admits(request, retry, estimate)
+	admit := s.Admits(now, request, retry, estimate)
 	s.recordDecision(now, request, admit)
 	if admit {
 		return Decision{Admit: true}
@@ -153,8 +163,10 @@
 	return Decision{RetryAfter: s.RetryAfter(now, request)}
 }
 
-// maxQueueTime returns the longest time in the queue for which a request is sent.
-func maxQueueTime(request Request, retry bool, run time.Duration) time.Duration {
+// maxQueueTime returns the longest time in the queue for which a request is sent. Without pressure, a long queue is a random
+// one that will be short again, and the request may use all of its slack. Under pressure, the queue stays, and requests that
+// use all of their slack make all later ones late.
+func maxQueueTime(request Request, retry bool, run time.Duration, pressure float64) time.Duration {
 	share := newWaitShare
 	switch {
 	case retry && request.Urgent && request.Competing:
@@ -164,6 +176,7 @@
 	case request.Urgent:
 		share = urgentWaitShare
 	}
+	share += (1 - pressure) * (calmWaitShare - share)
 	slack := max(float64(request.Objective-run), minSlackShare*float64(request.Objective))
 	longest := time.Duration(share * slack)
 	if request.WaitLimit > 0 {
@@ -205,16 +218,22 @@
 	return r.share * math.Exp(-float64(max(0, now-r.updatedAt))/float64(rejectionDecayTime))
 }
 
-// RetryAfter returns the time after which a rejected caller should retry: a short time while rejections are rare, and
-// the longest time that the caller accepts while there are many, because each further rejection costs the caller an
-// attempt. Rejections at other owners do not count for a request that only one upstream can run.
-func (s *Shedder) RetryAfter(now time.Duration, request Request) time.Duration {
+// pressure returns how far the share of rejections is towards highRejectionShare, from 0 to 1. Rejections at other owners do
+// not count for a request that only one upstream can run.
+func (s *Shedder) pressure(now time.Duration, request Request) float64 {
 	share := s.rejectedShare(now, request.scope())
 	if request.Owner != "" {
 		share = min(share, s.rejectedShare(now, request.ownerScope()))
 	}
+	return min(1, share/highRejectionShare)
+}
+
+// RetryAfter returns the time after which a rejected caller should retry: a short time while rejections are rare, and
+// the longest time that the caller accepts while there are many, because each further rejection costs the caller an
+// attempt.
+func (s *Shedder) RetryAfter(now time.Duration, request Request) time.Duration {
 	longest := maxRetryAfterShare * float64(request.Remaining)
-	weight := min(1, share/highRejectionShare)
+	weight := s.pressure(now, request)
 	wait := (1-weight)*float64(shortRetryAfter) + weight*longest
 	wait *= 1 - retryAfterJitter*s.random.Float64()
 	return time.Duration(min(wait, longest))
--- a/core/shedder/shedder_test.go
+++ b/core/shedder/shedder_test.go
@@ -117,13 +117,18 @@
 func admitAll(time.Duration, *caller, int) (bool, time.Duration) { return true, 150 * time.Millisecond }
 
 func shed(s *shedder.Shedder) func(time.Duration, *caller, int) (bool, time.Duration) {
+	return shedAt(s, "")
+}
+
+// shedAt is shed for requests that only the given owner can run.
+func shedAt(s *shedder.Shedder, owner string) func(time.Duration, *caller, int) (bool, time.Duration) {
 	return func(now time.Duration, c *caller, occupied int) (bool, time.Duration) {
 		e := selector.Estimate{Run: runTime}
 		if ahead := occupied + 1 - slots; ahead > 0 {
 			e.Wait = runTime * time.Duration(ahead) / slots
 		}
 		remaining := c.firstAttempt + deadline - now
-		decision := s.Decide(now, shedder.Request{Route: "r", Service: "s", Objective: objective, Remaining: remaining},
+		decision := s.Decide(now, shedder.Request{Route: "r", Service: "s", Owner: owner, Objective: objective, Remaining: remaining},
 			s.LikelyRetry("r", remaining), e)
 		return decision.Admit, decision.RetryAfter
 	}
@@ -266,3 +271,33 @@
 	assert.Assert(t, s.RetryAfter(now, hot) >= 600*time.Millisecond)
 	assert.Assert(t, s.RetryAfter(now, other) <= 200*time.Millisecond)
 }
+
+// TestRandomQueueAtAnOwner plays the load below and above the capacity of the only upstream that can run its requests. Below it,
+// queues are random and short, and fewer callers are rejected if a request may use all of its slack. Above it, the queue stays, and
+// a minimum part of the capacity must go to responses in time, as without an owner.
+func TestRandomQueueAtAnOwner(t *testing.T) {
+	tests := []struct {
+		name string
+		rate float64 // relative to the capacity
+		d    time.Duration
+		// minimum gain in the share of callers with a response in time
+		minGain float64
+		// minimum share of the capacity that is used for such responses
+		minInTime float64
+	}{
+		{"high load", 0.9, 60 * time.Second, 0.02, 0.7},
+		{"load at the capacity", 1, 60 * time.Second, 0.02, 0.7},
+		{"burst", 1.7, 4 * time.Second, 0, 0.6},
+		{"long overload", 2, 20 * time.Second, -0.02, 0.6},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			beforeInTime, before := simulate(tt.rate, tt.d, shed(shedder.New(1)))
+			inTime, served := simulate(tt.rate, tt.d, shedAt(shedder.New(1), "owner"))
+			t.Logf("in time %.3f, was %.3f; served %.3f, was %.3f", inTime, beforeInTime, served, before)
+			assert.Assert(t, inTime >= beforeInTime+tt.minGain)
+			assert.Assert(t, served >= before-0.01)
+			assert.Assert(t, inTime*tt.rate >= tt.minInTime, "in time %.2f", inTime)
+		})
+	}
+}
--- a/rhubarbtrackd/internal/router/admission.go
+++ b/rhubarbtrackd/internal/router/admission.go
@@ -66,7 +66,7 @@
 		at := slices.IndexFunc(candidates, func(c selector.Candidate) bool { return c.Incarnation == picked })
 		estimate := r.selector.Estimate(now, picked, candidates[at].Slots)
 		request, standing, estimate := r.admissionRequest(now, j, estimate)
-		if !standing.Urgent || r.shedder.Admits(request, j.isRetry, estimate) {
+		if !standing.Urgent || r.shedder.Admits(now, request, j.isRetry, estimate) {
 			break
 		}
 		if n == 0 {
--- a/rhubarbtrackd/internal/router/conclude.go
+++ b/rhubarbtrackd/internal/router/conclude.go
@@ -63,7 +63,7 @@
 	if !j.service.Keyed || resp.Status == http.StatusMisdirectedRequest {
 		return nil
 	}
-	if hasFreeSlot(resp) {
+	if hasRoom(resp) {
 		// The upstream may accept the next attempt, and no other upstream can run the request.
 		delete(j.tried, u.Incarnation)
 		return nil
@@ -71,10 +71,11 @@
 	return r.fail(j, "the queue of the owner is full", max(r.queueFullWait(j), r.pauseLeft(j, u)))
 }
 
-// hasFreeSlot reports whether an upstream that rejected a request reported a free slot and an empty queue.
-func hasFreeSlot(resp *exchanger.Response) bool {
+// hasRoom reports whether an upstream that rejected a request reported fewer waiting requests than slots. Then it rejects for
+// another reason than a full queue.
+func hasRoom(resp *exchanger.Response) bool {
 	load, ok := translator.Load(resp.Header.Get(translator.LoadHeader))
-	return ok && load.Waiting == 0 && load.Running < load.Slots
+	return ok && load.Waiting < load.Slots
 }
 
 // queueFullWait returns the time after which the caller may retry a request that found the queue of the upstream full.
@@ -157,12 +158,20 @@
 }
 
 // fail ends a request without a response of an upstream to forward: with 502 if an attempt may have run, otherwise with
-// 503 and wait in Retry-After.
+// 503. Callers that may retry get wait in Retry-After.
 func (r *Router) fail(j *job, reason string, wait time.Duration) *acceptor.Response {
-	if j.mayHaveRun {
-		return r.finish(j, http.StatusBadGateway, reason)
+	if !j.mayHaveRun {
+		return r.reject(j, reason, wait)
+	}
+	response := r.finish(j, http.StatusBadGateway, reason)
+	if j.route.Idempotent {
+		setRetryAfter(response, wait)
 	}
-	return r.reject(j, reason, wait)
+	return response
+}
+
+func setRetryAfter(response *acceptor.Response, wait time.Duration) {
+	response.Header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 }
 
 func (r *Router) timeOut(j *job) *acceptor.Response {
@@ -175,7 +184,7 @@
 // reject responds that the request has not run and may be retried after wait.
 func (r *Router) reject(j *job, reason string, wait time.Duration) *acceptor.Response {
 	response := r.finish(j, http.StatusServiceUnavailable, reason)
-	response.Header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	setRetryAfter(response, wait)
 	return response
 }
 
