--- a/core/shedder/shedder.go
+++ b/core/shedder/shedder.go
@@ -7,6 +7,10 @@
 // short queue, as many responses are in time as the slots allow. A retry of a rejected request is late in any case, so
 // first attempts take precedence.
 //
+// A request that only one upstream can run also meets random queues below the capacity, more often the fewer slots the
+// upstream has. They are short again soon, and a rejected caller would lose more time than one that waits. The share of
+// requests that the owner has rejected lately tells a random queue from one that stays.
+//
 // # Usage
 //
 //	s := shedder.New(seed)
@@ -29,7 +33,9 @@
 const (
 	newWaitShare    = 0.6
 	urgentWaitShare = 1.0
-	retryWaitShare  = 0.35
+	// calmWaitShare applies to requests that only one upstream can run, while it rejects none.
+	calmWaitShare  = 1.0
+	retryWaitShare = 0.35
 	// minSlackShare is the minimum slack as a share of the objective. It applies when the run time is close to the
 	// objective.
 	minSlackShare = 0.25
@@ -55,7 +61,7 @@
 	// retryAfterJitter is the share by which RetryAfter varies, so that callers that were rejected together do not retry
 	// together.
 	retryAfterJitter = 0.3
-	// maxRoutes limits the number of routes whose usual remaining time is stored.
+	// maxRoutes limits the number of routes whose usual remaining time is stored, and that of scopes.
 	maxRoutes = 4096
 )
 
@@ -66,8 +72,32 @@
 	Objective time.Duration // a response within this time is fully useful
 	Remaining time.Duration // time for which the caller still waits
 	Urgent    bool          // has a higher priority than other requests of the service
+	// Competing is set while requests of different priorities have demand at the service. Rejections are then counted by
+	// route, so that those of a less urgent route do not lengthen RetryAfter of an urgent one.
+	Competing bool
+	// WaitLimit bounds the queueing time in favour of more urgent requests. 0: no bound.
+	WaitLimit time.Duration
+	// Owner is the only upstream that can run the request, if its service has keys. Rejections are then also counted by
+	// owner, so that those at the owner of a hot key do not lengthen RetryAfter of callers of other owners.
+	Owner string
+}
+
+// scope identifies requests whose rejections are counted together.
+type scope struct {
+	service string
+	route   string // if Request.Competing is set
+	owner   string // in the record of one owner
+}
+
+func (r Request) scope() scope {
+	if r.Competing {
+		return scope{service: r.Service, route: r.Route}
+	}
+	return scope{service: r.Service}
 }
 
+func (r Request) ownerScope() scope { return scope{service: r.Service, owner: r.Owner} }
+
 // Decision is the result of Decide.
 type Decision struct {
 	Admit      bool
@@ -75,21 +105,21 @@
 }
 
 type rejections struct {
-	share     float64 // of the requests of a service, decayed
+	share     float64 // of the requests of a scope, decayed
 	updatedAt time.Duration
 }
 
-// Shedder records the share of rejected requests by service and the usual remaining time of requests by route.
+// Shedder records the share of rejected requests by scope and the usual remaining time of requests by route.
 type Shedder struct {
 	random         *rand.Rand
-	rejections     map[string]rejections
+	rejections     map[scope]rejections
 	usualRemaining map[string]time.Duration
 }
 
 // New returns a Shedder without records. seed determines the jitter of retries.
 func New(seed uint64) *Shedder {
 	return &Shedder{
-		random: rand.New(rand.NewPCG(seed, ^seed)), rejections: map[string]rejections{},
+		random: rand.New(rand.NewPCG(seed, ^seed)), rejections: map[scope]rejections{},
 		usualRemaining: map[string]time.Duration{},
 	}
 }
@@ -113,37 +143,65 @@
 	return float64(remaining) < retryThreshold*float64(usual)
 }
 
-// Decide decides whether a request is sent to an upstream, given the estimate of its queueing and run time there.
+// Admits reports whether a request is sent to an upstream, given the estimate of its queueing and run time there.
+func (s *Shedder) Admits(now time.Duration, request Request, retry bool, estimate selector.Estimate) bool {
+	pressure := 1.0
+	if request.Owner != "" {
+		pressure = s.pressure(now, request)
+	}
+	return estimate.Wait <= 0 ||
+		(estimate.Wait <= maxQueueTime(request, retry, estimate.Run, pressure) && estimate.Total() <= request.Remaining)
+}
+
+// Decide decides whether a request is sent to an upstream and records the decision.
 func (s *Shedder) Decide(now time.Duration, request Request, retry bool, estimate selector.Estimate) Decision {
-	admit := estimate.Wait <= 0 ||
-		(estimate.Wait <= maxQueueTime(request, retry, estimate.Run) && estimate.Total() <= request.Remaining)
-	s.recordDecision(now, request.Service, admit)
+	admit := s.Admits(now, request, retry, estimate)
+	s.recordDecision(now, request, admit)
 	if admit {
 		return Decision{Admit: true}
 	}
-	return Decision{RetryAfter: s.RetryAfter(now, request.Service, request.Remaining)}
+	return Decision{RetryAfter: s.RetryAfter(now, request)}
 }
 
-// maxQueueTime returns the longest time in the queue for which a request is sent.
-func maxQueueTime(request Request, retry bool, run time.Duration) time.Duration {
-	slack := max(float64(request.Objective-run), minSlackShare*float64(request.Objective))
+// maxQueueTime returns the longest time in the queue for which a request is sent. Without pressure, a long queue is a random
+// one that will be short again, and the request may use all of its slack. Under pressure, the queue stays, and requests that
+// use all of their slack make all later ones late.
+func maxQueueTime(request Request, retry bool, run time.Duration, pressure float64) time.Duration {
+	share := newWaitShare
 	switch {
+	case retry && request.Urgent && request.Competing:
+		// Room for it comes from less urgent requests, not from first attempts of its own class alone.
 	case retry:
-		return time.Duration(retryWaitShare * slack)
+		share = retryWaitShare
 	case request.Urgent:
-		return time.Duration(urgentWaitShare * slack)
-	default:
-		return time.Duration(newWaitShare * slack)
+		share = urgentWaitShare
 	}
+	share += (1 - pressure) * (calmWaitShare - share)
+	slack := max(float64(request.Objective-run), minSlackShare*float64(request.Objective))
+	longest := time.Duration(share * slack)
+	if request.WaitLimit > 0 {
+		longest = min(longest, request.WaitLimit)
+	}
+	return longest
 }
 
 // RecordRejection records a rejection of a request for another reason than a call of Decide.
-func (s *Shedder) RecordRejection(now time.Duration, service string) {
-	s.recordDecision(now, service, false)
+func (s *Shedder) RecordRejection(now time.Duration, request Request) {
+	s.recordDecision(now, request, false)
+}
+
+func (s *Shedder) recordDecision(now time.Duration, request Request, admitted bool) {
+	s.record(now, request.scope(), admitted)
+	if request.Owner != "" {
+		s.record(now, request.ownerScope(), admitted)
+	}
 }
 
-func (s *Shedder) recordDecision(now time.Duration, service string, admitted bool) {
-	r := s.rejections[service]
+func (s *Shedder) record(now time.Duration, key scope, admitted bool) {
+	r, known := s.rejections[key]
+	if !known && len(s.rejections) >= maxRoutes {
+		clear(s.rejections)
+	}
 	// With this weight of one request, the share adapts within about rejectionDecayTime at ten requests per second.
 	weight := 1 - math.Exp(-max(0.1, (now-r.updatedAt).Seconds())/rejectionDecayTime.Seconds())
 	value := 1.0
@@ -152,17 +210,30 @@
 	}
 	r.share += min(weight, 0.1) * (value - r.share)
 	r.updatedAt = now
-	s.rejections[service] = r
+	s.rejections[key] = r
+}
+
+func (s *Shedder) rejectedShare(now time.Duration, key scope) float64 {
+	r := s.rejections[key]
+	return r.share * math.Exp(-float64(max(0, now-r.updatedAt))/float64(rejectionDecayTime))
+}
+
+// pressure returns how far the share of rejections is towards highRejectionShare, from 0 to 1. Rejections at other owners do
+// not count for a request that only one upstream can run.
+func (s *Shedder) pressure(now time.Duration, request Request) float64 {
+	share := s.rejectedShare(now, request.scope())
+	if request.Owner != "" {
+		share = min(share, s.rejectedShare(now, request.ownerScope()))
+	}
+	return min(1, share/highRejectionShare)
 }
 
 // RetryAfter returns the time after which a rejected caller should retry: a short time while rejections are rare, and
 // the longest time that the caller accepts while there are many, because each further rejection costs the caller an
 // attempt.
-func (s *Shedder) RetryAfter(now time.Duration, service string, remaining time.Duration) time.Duration {
-	r := s.rejections[service]
-	share := r.share * math.Exp(-float64(max(0, now-r.updatedAt))/float64(rejectionDecayTime))
-	longest := maxRetryAfterShare * float64(remaining)
-	weight := min(1, share/highRejectionShare)
+func (s *Shedder) RetryAfter(now time.Duration, request Request) time.Duration {
+	longest := maxRetryAfterShare * float64(request.Remaining)
+	weight := s.pressure(now, request)
 	wait := (1-weight)*float64(shortRetryAfter) + weight*longest
 	wait *= 1 - retryAfterJitter*s.random.Float64()
 	return time.Duration(min(wait, longest))
