--- a/core/contender/contender_test.go
+++ b/core/contender/contender_test.go
@@ -348,3 +348,36 @@
 	}
 	assert.Assert(t, sim.hosts[0].contender.Remaining(sim.Now) > time.Second)
 }
+
+// Guards against hosts that wait for missing heartbeats, or read the record first, although the holder has said that it resigned, and
+// against ones that take over from a later holder.
+func TestHolderResigned(t *testing.T) {
+	const delay = 50 * time.Millisecond
+	follower := func() *contender.Contender {
+		c := contender.New(time.Second, contender.Options{Name: "follower", Delay: delay})
+		c.Step(time.Second, contender.AnnouncementReceived{
+			Lease: contender.LeaseStatus{Term: 3, Revision: 7, Remaining: contender.LeaseDuration}, Holder: "holder",
+		})
+		return c
+	}
+	for _, tt := range []struct {
+		name  string
+		term  uint64
+		write bool
+	}{{"of the present term", 3, true}, {"of a former term", 2, false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := follower()
+			const now = 1100 * time.Millisecond
+			resigned := contender.HolderResigned{Lease: contender.LeaseStatus{Term: tt.term, Revision: 8}}
+			assert.Equal(t, len(c.Step(now, resigned)), 0)
+			actions := c.Step(now+delay, contender.Tick{})
+			if !tt.write {
+				assert.Equal(t, len(actions), 0)
+				return
+			}
+			assert.DeepEqual(t, actions, []contender.Action{
+				contender.Write{Record: contender.Record{Revision: 8, Holder: "follower", Term: 4}},
+			})
+		})
+	}
+}
--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -11,7 +11,7 @@
 //	p := pacer.New(now, settings.LinkRate)
 //	p.ObserveDelay(delay)                        // at each tick of the caller
 //	reports := p.Budget(now, pacer.Loads) / size // reports that may be sent
-//	if p.TakeTables(now) { ... }                 // changes of tables may be sent
+//	if p.TakeTables(now) { ... }                 // changes of tables may be sent; TakeFullState is similar
 //	p.Spend(now, bytes)                          // for each message, also for those that are not shed
 //	p.Shed(now)                                  // something was held back
 //	if p.Starved(now) { ... }
@@ -46,8 +46,9 @@
 	linkShare = 0.4
 	// burstTime is the time whose bytes may be sent at once. Behind a burst, a write to the store waits for linkShare of it.
 	burstTime = 250 * time.Millisecond
-	// maxTableDelay bounds how long changes of tables are held back. Hosts that lack them send requests to former owners.
-	maxTableDelay = time.Second
+	// maxHoldTime bounds how long changes of tables are held back, and the time between two full states. Hosts that lack them
+	// send requests to former owners.
+	maxHoldTime = time.Second
 	// delayWeight is the weight of a new delay in the mean.
 	delayWeight = 0.1
 	// delayTarget is the mean delay of the processor from which less is sent. A host that is idle stays far below it.
@@ -67,11 +68,12 @@
 	shed   bool
 	shedAt time.Duration // time of the last Shed
 	tables time.Duration // time of the last changes of tables
+	full   time.Duration // time of the last full state
 }
 
 // New returns a Pacer for a link of the given rate in bytes per second. 0 is an unknown rate, which is not limited.
 func New(now time.Duration, linkRate float64) *Pacer {
-	p := &Pacer{rate: linkShare * linkRate, last: now, tables: now}
+	p := &Pacer{rate: linkShare * linkRate, last: now, tables: now, full: now}
 	p.tokens = p.burst()
 	return p
 }
@@ -109,7 +111,7 @@
 
 // TakeTables reports whether changes of tables may be sent at now. They are then sent.
 func (p *Pacer) TakeTables(now time.Duration) bool {
-	if p.Budget(now, Tables) == 0 && now < p.tables+maxTableDelay {
+	if p.Budget(now, Tables) == 0 && now < p.tables+maxHoldTime {
 		p.Shed(now)
 		return false
 	}
@@ -117,6 +119,16 @@
 	return true
 }
 
+// TakeFullState reports whether the full state for a host may be sent at now. It is then sent.
+func (p *Pacer) TakeFullState(now time.Duration) bool {
+	if p.Budget(now, FullStates) == 0 && now < p.full+maxHoldTime {
+		p.Shed(now)
+		return false
+	}
+	p.full = now
+	return true
+}
+
 // Shed records that a part was held back at now.
 func (p *Pacer) Shed(now time.Duration) { p.shed, p.shedAt = true, now }
 
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -145,3 +145,16 @@
 	assert.Assert(t, !p.Starved(time.Second))
 	assert.Assert(t, p.Budget(time.Second, pacer.Loads) > 0)
 }
+
+// Guards against hosts that never get the tables of a controller whose link is too slow even for its heartbeats.
+func TestFullStatesOnASqueezedLink(t *testing.T) {
+	p := pacer.New(0, mbit)
+	full := 0
+	for now := time.Duration(0); now < 20*time.Second; now += interval {
+		p.Spend(now, 1<<20)
+		if p.TakeFullState(now) {
+			full++
+		}
+	}
+	assert.Assert(t, full >= 19, "%d full states in 20 s", full)
+}
--- a/rhubarbtrackd/internal/coordinator/controller.go
+++ b/rhubarbtrackd/internal/coordinator/controller.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		c.step(ctx, svc, allocator.UpstreamsListed{Upstreams: c.allocatorUpstreams(now, name)})
-		c.step(ctx, svc, allocator.SetLifetime{Long: c.contender.RenewalOverdue(now)})
+		c.step(ctx, svc, allocator.SetLifetime{Long: c.contender.RenewalOverdue(now) || c.pacing.handoverEnd > 0})
 		table := svc.allocator.RoutingTable(now)
 		if len(table.Diff(svc.routingTable)) > 0 || len(table) != len(svc.routingTable) {
 			svc.routingTable = table
--- a/rhubarbtrackd/internal/coordinator/heartbeat.go
+++ b/rhubarbtrackd/internal/coordinator/heartbeat.go
@@ -75,8 +75,11 @@
 	if entries == 0 {
 		return true
 	}
-	if c.fullEntries > 0 && c.fullEntries+entries > maxFullEntries || c.pacing.pacer.Budget(now, pacer.FullStates) == 0 {
-		c.shed(now, pacer.FullStates, entries)
+	if c.fullEntries > 0 && c.fullEntries+entries > maxFullEntries {
+		return false
+	}
+	if !c.pacing.pacer.TakeFullState(now) {
+		c.options.OnShed(partNames[pacer.FullStates], entries)
 		return false
 	}
 	c.fullEntries += entries
@@ -109,13 +112,15 @@
 		Index: index, Hosts: hosts,
 	}
 	hasCopy := c.contender.Valid(now) && !c.contender.RenewalOverdue(now) && c.options.Follower.Direct()
+	// Tables go first: keys need owners, whereas a host without the copy reads the store.
+	hasTables := !c.pacing.tablesHeld && c.allowEntries(now, c.missingTableEntries(peer))
 	if hasCopy && c.allowEntries(now, c.missingCopyEntries(peer)) {
 		heartbeat.HasCopy = true
 		heartbeat.Copy = changeSince(now, c.sentSnapshots[peer], c.snapshot)
 		heartbeat.Copy.Age = c.options.Follower.ConfigurationAge(now)
 		c.sentSnapshots[peer] = c.snapshot
 	}
-	if c.pacing.tablesHeld || !c.allowEntries(now, c.missingTableEntries(peer)) {
+	if !hasTables {
 		return heartbeat
 	}
 	known := c.sentTables[peer]
--- a/rhubarbtrackd/internal/coordinator/pacing.go
+++ b/rhubarbtrackd/internal/coordinator/pacing.go
@@ -110,6 +110,11 @@
 	}
 }
 
+// handoverTime is how long a controller that hands over prepares for that at least: the owners of all keys accept grants of the
+// longest lifetime meanwhile. If it is cut off halfway, its lease has to expire before another host takes over, and grants
+// of the usual lifetime may expire first.
+const handoverTime = grantTimeout + 2*tickInterval
+
 // checkHandover hands the role over to a fitter host if this one runs short of link or processor for some time. As in a
 // planned stop, moves end first. If this host stops meanwhile, its lease expires and another host takes over.
 func (c *Coordinator) checkHandover(ctx context.Context, now time.Duration) {
@@ -133,7 +138,7 @@
 		c.options.Log.Log(eventlog.LeadershipHandedOver, zap.Uint64("term", c.contender.Term()),
 			zap.Float64("fitness", c.options.Fitness), zap.Float64("fittest", fittest))
 	}
-	if c.settled(ctx, c.pacing.handoverEnd) {
+	if c.settled(ctx, c.pacing.handoverEnd) && now >= c.pacing.handoverEnd-settleTime+handoverTime {
 		c.stepElection(ctx, contender.Resign{Pause: qualifier.HandoverPause})
 	}
 }
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -55,6 +55,7 @@
 	responses    atomic.Value         // text that all upstreams send instead of their responses before they close the connection
 	foreign      string               // an object that the store simulator adds to each list and watch
 	flood        atomic.Pointer[flood]
+	linkRate     float64 // in the settings of hosts that start from now on
 }
 
 // arrival is the receipt of a request by an upstream.
