--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -160,10 +160,10 @@
 	UpstreamKept             = register(738, "upstream-kept", zap.InfoLevel, "The entry of an upstream is missing shortly after an outage of the store; unless the upstream registers again, this host uses it for the time in the field left.")
 	UpstreamDropped          = register(739, "upstream-dropped", zap.InfoLevel, "This host no longer uses an upstream, because its entry is missing from the store, or from the controller's copy.")
 	HostIsolated             = register(740, "host-isolated", zap.WarnLevel, "This host receives nothing from the controller or the store and cannot reach most upstreams; it reports itself not ready.")
+	HostReconnected          = register(741, "host-reconnected", zap.InfoLevel, "This host is no longer isolated.")
 	LeadershipHandedOver     = register(750, "leadership-handed-over", zap.InfoLevel, "The controller hands its role over to a fitter host, because its own link or processor does not suffice.")
 	ControllerStarved        = register(751, "controller-starved", zap.WarnLevel, "The link or the processor of the controller does not suffice for its messages; it sends fewer load reports, then fewer run times and changes of tables.")
 	ControllerSufficient     = register(752, "controller-sufficient", zap.InfoLevel, "Link and processor of the controller suffice again for all its messages.")
-	HostReconnected          = register(741, "host-reconnected", zap.InfoLevel, "This host is no longer isolated.")
 )
 
 // maxText bounds texts that may quote bytes from outside, in bytes.
