--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -72,7 +72,8 @@
 	// Urgent is set by Sort if the route has a higher priority than other requests of one of its services: those of another route,
 	// or of a client account whose priority replaces that of the route.
 	Urgent bool
-	lowest int // lowest priority of all requests of its services, which is the largest number
+	// LowestPriority is set by Sort to the lowest priority of all requests of its services, which is the largest number.
+	LowestPriority int
 }
 
 // Share is the share of the requests of a route that is sent to one service. Weight is relative to the other shares.
@@ -102,9 +103,9 @@
 	for _, routes := range c.Hosts {
 		for i := range routes {
 			for _, share := range routes[i].Split {
-				routes[i].lowest = max(routes[i].lowest, lowest[share.Service])
+				routes[i].LowestPriority = max(routes[i].LowestPriority, lowest[share.Service])
 			}
-			routes[i].Urgent = routes[i].Priority < routes[i].lowest
+			routes[i].Urgent = routes[i].Priority < routes[i].LowestPriority
 		}
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
@@ -134,7 +135,7 @@
 // UrgentFor reports whether the requests of a client account have a higher priority than others of one of the services of the route.
 func (r *Route) UrgentFor(account *Account) bool {
 	if account != nil && account.HasPriority {
-		return account.Priority < r.lowest
+		return account.Priority < r.LowestPriority
 	}
 	return r.Urgent
 }
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -56,6 +56,7 @@
 	foreign      string               // an object that the store simulator adds to each list and watch
 	flood        atomic.Pointer[flood]
 	headers      map[string]http.Header // of the requests that ran, by attempt
+	linkRate     float64                // in the settings of hosts that start from now on
 }
 
 // arrival is the receipt of a request by an upstream.
