--- a/demo/internal/soaker/caller.go
+++ b/demo/internal/soaker/caller.go
@@ -42,13 +42,16 @@
 // for each request.
 type callers struct {
 	addresses []string
+	accounts  *accounts // nil: callers send no keys of accounts
 	cancel    context.CancelFunc
 	group     sync.WaitGroup
 	mutex     sync.Mutex
 	outcomes  []outcome
 }
 
-func newCallers(addresses []string) *callers { return &callers{addresses: addresses} }
+func newCallers(addresses []string, a *accounts) *callers {
+	return &callers{addresses: addresses, accounts: a}
+}
 
 func (c *callers) start(ctx context.Context) {
 	ctx, c.cancel = context.WithCancel(ctx)
@@ -81,6 +84,9 @@
 		key: rand.IntN(keyCount) * (1 << 16 / keyCount), begin: time.Now(),
 	}
 	call := simulator.Call{Prefix: prefix, Name: o.attempt, Attempt: o.attempt, Key: o.key, TimeLeft: timeLeft}
+	if c.accounts != nil {
+		call.Caller = credentials(lastingKey)
+	}
 	o.Reply, o.err = call.Send(client, address)
 	o.end = time.Now()
 	return o
--- a/demo/internal/soaker/check.go
+++ b/demo/internal/soaker/check.go
@@ -124,7 +124,7 @@
 	if rejected && !o.HasRetryAfter {
 		report.addViolation("refused: %s was rejected without a Retry-After field", o.attempt)
 	}
-	if o.Status == http.StatusNotFound || o.Status == http.StatusBadRequest {
+	if o.Status == http.StatusNotFound || o.Status == http.StatusBadRequest || o.Status == http.StatusUnauthorized {
 		report.addViolation("denied: %s received status %d", o.attempt, o.Status)
 	}
 	if planned && runs > 0 && (o.err != nil || o.Status >= http.StatusInternalServerError) {
--- a/demo/internal/soaker/fault.go
+++ b/demo/internal/soaker/fault.go
@@ -195,6 +195,9 @@
 		call := simulator.Call{
 			Prefix: prefix, Name: simulator.CrashName, Attempt: fmt.Sprintf("%s%s%d", crashAttempt, prefix, n), Key: crashKey, TimeLeft: timeLeft,
 		}
+		if c.accounts != nil {
+			call.Caller = credentials(lastingKey)
+		}
 		address := addresses[random.IntN(len(addresses))]
 		go func() { _, _ = call.Send(client, address) }() // the response does not matter
 		sleep(ctx, crashInterval)
--- a/demo/internal/soaker/soaker.go
+++ b/demo/internal/soaker/soaker.go
@@ -10,7 +10,8 @@
 // Retry-After field; a response with status 200 is complete and belongs to its request; no two upstreams run requests
 // of the same key while both hold it; a request that crashes upstreams no longer reaches them soon after it has crashed
 // the third; an upstream that sends leaving notices gets no new requests after the drain delay, and one that asks for a
-// pause gets almost none during it; and nearly all requests are served once the faults have ended.
+// pause gets almost none during it; with client accounts, upstreams get their names and no keys, and a key that was taken away
+// stops to work in time; and nearly all requests are served once the faults have ended.
 //
 // # Usage
 //
@@ -19,7 +20,8 @@
 //	})
 //
 // Seeds that are divisible by three run planned operations only, such as shutdowns, new configurations, draining
-// upstreams and take-outs of failure domains. In these runs no request may be lost.
+// upstreams and take-outs of failure domains. In these runs no request may be lost. In runs with even seeds, the configuration has
+// client accounts, and keys are taken away all the time.
 package soaker
 
 import (
@@ -103,8 +105,11 @@
 	killTimes map[string]time.Time // upstream ID, which is unique to the process, to the time of its kill
 	faults    hostFaults
 	mutex     sync.Mutex // guards the processes of upstreams while they are replaced
-	version   int
 	planned   bool
+	accounts  *accounts
+	// configuring guards the version of the configuration, and puts its writes in order.
+	configuring sync.Mutex
+	version     int
 }
 
 // Run runs one seed. It returns an error if the run itself failed; violations of guarantees are in the report.
@@ -113,14 +118,21 @@
 		options: options, random: rand.New(rand.NewPCG(options.Seed, 1)), launcher: launcher.New(options.BinDir, options.WorkDir),
 		store: simulator.NewStore(), killTimes: map[string]time.Time{}, faults: hostFaults{}, version: 1, planned: options.Seed%plannedSeedInterval == 0,
 	}
+	if options.Seed%accountSeedInterval == 0 {
+		c.accounts = newAccounts()
+	}
 	defer c.close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if err := c.start(ctx); err != nil {
 		return Report{}, err
 	}
-	callers := newCallers(c.callerAddresses())
+	callers := newCallers(c.callerAddresses(), c.accounts)
 	callers.start(ctx)
+	if c.accounts != nil {
+		go c.changeKeys(ctx)
+		go c.useFormerKeys(ctx)
+	}
 	if !c.planned {
 		go c.sendCrashes(ctx)
 		go c.sendNotices(ctx)
@@ -139,6 +151,9 @@
 	report := check(outcomes, lines, c.killTimes, settled, c.planned)
 	checkLeaving(&report, outcomes, lines, c.faults)
 	checkPauses(&report, lines, len(c.hosts), c.faults)
+	if c.accounts != nil {
+		c.accounts.check(&report, lines)
+	}
 	return report, nil
 }
 
@@ -207,8 +222,19 @@
 func domain(i int) string { return fmt.Sprintf("domain-%d", i%2) }
 
 func (c *cluster) configure() error {
-	c.version += 1 + c.random.IntN(3)
-	return c.store.Put(translator.ConfigurationKind, translator.ConfigurationName, simulator.Configuration(c.version), nil)
+	return c.putConfiguration(1 + c.random.IntN(3))
+}
+
+// putConfiguration writes the next version of the configuration, whose number is higher by step.
+func (c *cluster) putConfiguration(step int) error {
+	c.configuring.Lock()
+	defer c.configuring.Unlock()
+	c.version += step
+	configuration := simulator.Configuration(c.version)
+	if c.accounts != nil {
+		configuration = c.accounts.configuration(c.version)
+	}
+	return c.store.Put(translator.ConfigurationKind, translator.ConfigurationName, configuration, nil)
 }
 
 func (c *cluster) expire(ctx context.Context) {
