--- a/rhubarbtrackd/internal/connector/extension.go
+++ b/rhubarbtrackd/internal/connector/extension.go
@@ -46,6 +46,7 @@
 	Fitness      int              `cbor:"fitness,omitempty"` // in thousandths, at least 1
 	PackedLoads  bool             `cbor:"packed-loads,omitempty"`
 	Quotas       *wireQuotaReport `cbor:"quotas,omitempty"`
+	CopyDigest   uint64           `cbor:"copy-digest,omitempty"`
 }
 
 type wireLeaving struct {
@@ -78,6 +79,7 @@
 	PackedLoads []byte           `cbor:"packed-loads,omitempty"` // instead of Loads, see Packer
 	Resigned    bool             `cbor:"resigned,omitempty"`
 	Quotas      *wireQuotaGrants `cbor:"quotas,omitempty"`
+	CopyBase    uint64           `cbor:"copy-base,omitempty"` // follower.Change.Base
 }
 
 func toWireHeartbeatExtension(h Heartbeat) wireHeartbeatExtension {
@@ -94,7 +96,7 @@
 	}
 	if h.HasCopy {
 		wire.Age, wire.DrainAges, wire.TakeOutAges = h.Copy.Age.Milliseconds(), toWireAges(h.Copy.DrainAges), toWireAges(h.Copy.TakeOutAges)
-		wire.Kept = h.Copy.Kept
+		wire.Kept, wire.CopyBase = h.Copy.Kept, h.Copy.Base
 	}
 	return wire
 }
@@ -109,7 +111,7 @@
 		h.Echo = time.Duration(wire.Echo) * time.Millisecond
 	}
 	h.Copy.DrainAges, h.Copy.TakeOutAges = fromWireAges(wire.DrainAges), fromWireAges(wire.TakeOutAges)
-	h.Copy.Kept = wire.Kept
+	h.Copy.Kept, h.Copy.Base = wire.Kept, wire.CopyBase
 	h.Quotas = fromWireQuotaGrants(wire.Quotas)
 }
 
@@ -188,6 +190,7 @@
 	r.Refused, r.Unresponsive, r.Reached = wire.Refused, wire.Unresponsive, wire.Reached
 	r.Fitness, r.PackedLoads = float64(min(max(0, wire.Fitness), 1000))/1000, wire.PackedLoads
 	r.Quotas = fromWireQuotaReport(wire.Quotas)
+	r.CopyDigest = wire.CopyDigest
 	if wire.SentAt > 0 && wire.SentAt <= maxEcho.Milliseconds() {
 		r.SentAt = time.Duration(wire.SentAt) * time.Millisecond
 	}
