reserver, acceptor: memory for bodies is bounded

Cause: a host buffers up to 128 kB of each body in both directions, for as long as the upstream or the caller takes. Nothing bounded the sum: some hundred slow uploads exceed a host of 144 MB, which ends with all its requests. Change: core/reserver counts the bytes of one host. A body is reserved before it is read; without room the request waits up to 500 ms unread (back-pressure) and is then refused with 503 and Retry-After. Large bodies leave a quarter of the room to small ones. Responses count and are never refused. The limit is a fifth of the memory in the settings; without that setting there is none.

--- a/rhubarbtrackd/internal/acceptor/acceptor.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor.go
@@ -69,6 +69,8 @@
 	Length  int64     // of Stream in bytes; -1 if unknown
 	Arrived time.Time // when the head was complete
 	body    *messageBody
+	// reserved is the number of bytes that Memory counts for the body.
+	reserved int64
 }
 
 // Repeatable reports whether the request can be sent, or sent again, with its whole body.
@@ -109,6 +111,8 @@
 	Panics *recoverer.Recoverer
 	// MaxConnections bounds the open connections; 0 means no bound.
 	MaxConnections int
+	// Memory bounds the bodies of requests and responses that are held; nil means no bound.
+	Memory *Memory
 }
 
 // Server serves callers on one or more listeners. It is safe for concurrent use.
--- a/rhubarbtrackd/internal/acceptor/acceptor_test.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor_test.go
@@ -31,6 +31,11 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWithMemory(t, nil)
+}
+
+func newFixtureWithMemory(t *testing.T, memory *acceptor.Memory) *fixture {
 	t.Helper()
 	f := &fixture{handle: func(_ context.Context, r *acceptor.Request) *acceptor.Response { return textResponse(r.Path) }}
 	f.server = acceptor.New(acceptor.Options{
@@ -42,6 +47,7 @@
 			return acceptor.Limits{HeaderBytes: 2048, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: testTimeout}
 		},
 		Refused: func(int, string, string) {},
+		Memory:  memory,
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/rhubarbtrackd/internal/acceptor/connection.go
+++ b/rhubarbtrackd/internal/acceptor/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -14,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"rhubarbtrack.example/core/reserver"
 	"rhubarbtrack.example/rhubarbtrackd/internal/copier"
 )
 
@@ -25,6 +25,7 @@
 	body     *messageBody // which the handler reads from the connection; nil if it was read before
 	// unreadable is set if the request was rejected before its end.
 	unreadable bool
+	held       int64 // bytes that Memory counts for the bodies of request and response
 }
 
 // endsMessage reports whether the next bytes of the connection belong to the next request. It must not be called before the
@@ -150,73 +151,10 @@
 	}
 }
 
-// readRequest reads one request.
-func (c *connection) readRequest() (*Request, bool, error) {
-	limits := c.server.options.Limits()
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	head, err := readHead(c.reader, limits.HeaderBytes)
-	if err != nil {
-		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() {
-			return nil, true, &Error{
-				"read-head", Incomplete, http.StatusRequestTimeout, errors.New("header incomplete after the header timeout"),
-			}
-		}
-		return nil, true, err
-	}
-	parsed, err := parseHead(head)
-	if err != nil {
-		return nil, true, err
-	}
-	last := parsed.Close || c.server.draining.Load()
-	target := parsed.RequestURI
-	request := &Request{
-		Method: parsed.Method, Target: target, Path: parsed.URL.EscapedPath(), Host: parsed.Host, Caller: c.caller,
-		Header: parsed.Header, Arrived: time.Now(),
-	}
-	reader, length := body(parsed, c.reader)
-	if reader == nil {
-		return request, last, nil
-	}
-	if length > limits.BodyBytes {
-		return nil, true, &Error{
-			"read-body", TooLarge, http.StatusRequestEntityTooLarge, errors.New("Content-Length exceeds the size limit"),
-		}
-	}
-	if parsed.Header.Get("Expect") != "" && len(c.queue) == 0 {
-		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return nil, true, &Error{"continue", Incomplete, 0, err}
-		}
-	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout + limits.IdleTimeout))
-	data, err := io.ReadAll(io.LimitReader(reader, maxBufferedBody+1))
-	if err != nil {
-		var ambiguous *Error
-		var network net.Error
-		if errors.As(err, &ambiguous) {
-			return nil, true, err
-		}
-		if errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
-			return nil, true, &Error{"read-body", Incomplete, 0, err}
-		}
-		return nil, true, malformed(err.Error())
-	}
-	if len(data) <= maxBufferedBody {
-		request.Body = data
-		return request, last, nil
-	}
-	request.Stream = &onceReader{
-		source: io.MultiReader(bytes.NewReader(data), io.LimitReader(reader, limits.BodyBytes-int64(len(data)))),
-	}
-	request.Length = length
-	request.body = reader
-	return request, last, nil
-}
-
 // dispatch starts the handler for a request. If the handler reads the body from the connection, dispatch returns a
 // channel that is closed when the handler returns, otherwise nil.
 func (c *connection) dispatch(request *Request, last bool) (*exchange, <-chan struct{}) {
-	e := &exchange{response: make(chan *Response, 1), method: request.Method, last: last, body: request.body}
+	e := &exchange{response: make(chan *Response, 1), method: request.Method, last: last, body: request.body, held: request.reserved}
 	done := make(chan struct{})
 	c.mutex.Lock()
 	closing := c.closing
@@ -227,12 +165,13 @@
 	if closing {
 		// The previous response announced the end of the connection, so the caller may safely send this request again.
 		c.cancel()
+		c.server.options.Memory.release(e.held)
 		return e, nil
 	}
 	select {
 	case c.queue <- e:
 	case <-c.ctx.Done():
-		c.requestFinished()
+		c.requestFinished(e)
 		return e, nil
 	}
 	go func() {
@@ -240,6 +179,12 @@
 		// The request may have run, which 500 does not exclude.
 		response := &Response{Status: http.StatusInternalServerError, Header: http.Header{}}
 		c.server.options.Panics.Do("handle-request", func() { response = c.server.options.Handle(c.ctx, request) })
+		size := int64(len(response.Body))
+		if response.Stream != nil {
+			size = maxBufferedBody
+		}
+		c.server.options.Memory.hold(size)
+		e.held += size
 		e.response <- response
 	}()
 	if last && request.Stream == nil {
@@ -257,7 +202,8 @@
 	c.server.active.Add(1)
 }
 
-func (c *connection) requestFinished() {
+func (c *connection) requestFinished(e *exchange) {
+	c.server.options.Memory.release(e.held)
 	c.inFlight.Add(-1)
 	c.server.active.Add(-1)
 }
@@ -283,12 +229,16 @@
 	}
 	c.server.options.Refused(typed.Status, c.conn.RemoteAddr().String(), err.Error())
 	e := &exchange{response: make(chan *Response, 1), last: true, unreadable: true}
-	e.response <- &Response{Status: typed.Status, Header: http.Header{}}
+	response := &Response{Status: typed.Status, Header: http.Header{}}
+	if typed.Kind == NoMemory {
+		response.Header.Set("Retry-After", strconv.FormatFloat(reserver.MaxWait.Seconds(), 'f', 3, 64))
+	}
+	e.response <- response
 	c.requestStarted()
 	select {
 	case c.queue <- e:
 	case <-c.ctx.Done():
-		c.requestFinished()
+		c.requestFinished(e)
 	}
 }
 
@@ -303,7 +253,7 @@
 		}
 		for rest := range c.queue {
 			closeStream(<-rest.response)
-			c.requestFinished()
+			c.requestFinished(rest)
 		}
 	}()
 	for e := range c.queue {
@@ -320,7 +270,7 @@
 
 // respond waits for a response and sends it. It returns false when the connection cannot be used any more.
 func (c *connection) respond(e *exchange) bool {
-	defer c.requestFinished()
+	defer c.requestFinished(e)
 	response := <-e.response
 	e.last = e.last || !e.endsMessage() || c.announceClose()
 	return c.send(e, response)
--- /dev/null
+++ b/rhubarbtrackd/internal/acceptor/memory.go
@@ -0,0 +1,129 @@
+package acceptor
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rhubarbtrack.example/core/reserver"
+)
+
+// Memory bounds the bodies that a host holds, over all connections. A nil Memory has no bound. It is safe for concurrent use.
+type Memory struct {
+	mutex    sync.Mutex
+	reserver *reserver.Reserver
+	started  time.Time
+	waiting  map[reserver.Ticket]chan reserver.Decision
+	observe  func(bytes int64, waiting int)
+}
+
+// NewMemory returns a Memory with a limit in bytes. observe is called after each change; it must not block.
+func NewMemory(limit int64, observe func(bytes int64, waiting int)) *Memory {
+	return &Memory{
+		reserver: reserver.New(limit), started: time.Now(), waiting: map[reserver.Ticket]chan reserver.Decision{}, observe: observe,
+	}
+}
+
+var errNoMemory = &Error{"read-body", NoMemory, http.StatusServiceUnavailable, errors.New("no memory for the body")}
+
+// reserve reserves the bytes of a body. It waits for room for up to reserver.MaxWait.
+func (m *Memory) reserve(ctx context.Context, size int64) error {
+	if m == nil {
+		return nil
+	}
+	m.mutex.Lock()
+	ticket, decision := m.reserver.Reserve(time.Since(m.started), size)
+	var decided chan reserver.Decision
+	if decision == reserver.Waiting {
+		decided = make(chan reserver.Decision, 1)
+		m.waiting[ticket] = decided
+	}
+	m.report()
+	m.mutex.Unlock()
+	switch decision {
+	case reserver.Granted:
+		return nil
+	case reserver.Refused:
+		return errNoMemory
+	}
+	timer := time.NewTimer(reserver.MaxWait)
+	defer timer.Stop()
+	select {
+	case decision = <-decided:
+	case <-timer.C:
+		m.expire()
+		decision = m.decided(ticket, decided)
+	case <-ctx.Done():
+		decision = m.decided(ticket, decided)
+		if decision == reserver.Granted {
+			m.release(size)
+		}
+		return &Error{"read-body", Incomplete, 0, ctx.Err()}
+	}
+	if decision != reserver.Granted {
+		return errNoMemory
+	}
+	return nil
+}
+
+// decided returns the decision about a request that waits no longer.
+func (m *Memory) decided(ticket reserver.Ticket, decided chan reserver.Decision) reserver.Decision {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	select {
+	case decision := <-decided:
+		return decision
+	default:
+		delete(m.waiting, ticket)
+		m.decide(m.reserver.Cancel(ticket), reserver.Granted)
+		m.report()
+		return reserver.Refused
+	}
+}
+
+func (m *Memory) expire() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	refused, granted := m.reserver.Expire(time.Since(m.started))
+	m.decide(refused, reserver.Refused)
+	m.decide(granted, reserver.Granted)
+	m.report()
+}
+
+// hold counts the bytes of a response until they are released.
+func (m *Memory) hold(size int64) {
+	if m == nil {
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.reserver.Hold(size)
+	m.report()
+}
+
+func (m *Memory) release(size int64) {
+	if m == nil || size == 0 {
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.decide(m.reserver.Release(size), reserver.Granted)
+	m.report()
+}
+
+// decide passes a decision to waiting requests. The caller holds the mutex.
+func (m *Memory) decide(tickets []reserver.Ticket, decision reserver.Decision) {
+	for _, ticket := range tickets {
+		m.waiting[ticket] <- decision
+		delete(m.waiting, ticket)
+	}
+}
+
+func (m *Memory) report() {
+	if m.observe != nil {
+		m.observe(m.reserver.Used(), m.reserver.Waiting())
+	}
+}
--- /dev/null
+++ b/rhubarbtrackd/internal/acceptor/memory_test.go
@@ -0,0 +1,148 @@
+package acceptor_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rhubarbtrack.example/core/reserver"
+	"rhubarbtrack.example/rhubarbtrackd/internal/acceptor"
+)
+
+const (
+	memoryLimit = 256 << 10
+	uploadSize  = 90_000
+)
+
+func uploadOf(size int) string {
+	return fmt.Sprintf("POST /scan HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+}
+
+// heldFixture has handlers of POST that hold their bodies until proceed is closed.
+func heldFixture(t *testing.T) (f *fixture, proceed chan struct{}, used, waiting *atomic.Int64) {
+	t.Helper()
+	used, waiting, proceed = &atomic.Int64{}, &atomic.Int64{}, make(chan struct{})
+	f = newFixtureWithMemory(t, acceptor.NewMemory(memoryLimit, func(bytes int64, count int) {
+		used.Store(bytes)
+		waiting.Store(int64(count))
+	}))
+	f.handle = func(_ context.Context, r *acceptor.Request) *acceptor.Response {
+		if r.Method == "POST" {
+			<-proceed
+		}
+		return textResponse(r.Path)
+	}
+	return f, proceed, used, waiting
+}
+
+func waitFor(t *testing.T, value *atomic.Int64, want int64) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := value.Load(); got != want {
+			return poll.Continue("%d, want %d", got, want)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(testTimeout), poll.WithDelay(time.Millisecond))
+}
+
+// Guards against a host that holds more bodies for slow upstreams than its memory has room for, and against small requests that
+// are refused because of them.
+func TestUploadWithoutMemoryIsRefusedUnread(t *testing.T) {
+	f, proceed, used, waiting := heldFixture(t)
+	for range 2 {
+		conn, _ := f.dial(t)
+		send(t, conn, uploadOf(uploadSize))
+	}
+	waitFor(t, used, 2*uploadSize)
+	began := time.Now()
+	conn, reader := f.dial(t)
+	send(t, conn, fmt.Sprintf("POST /scan HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", uploadSize))
+	waitFor(t, waiting, 1)
+	small, smallReader := f.dial(t)
+	send(t, small, "GET /card HTTP/1.1\r\nHost: h\r\n\r\n")
+	status, _, _ := receive(t, smallReader)
+	assert.Equal(t, status, 200)
+	status, _, response := receive(t, reader)
+	assert.Equal(t, status, 503)
+	assert.Equal(t, response.Header.Get("Retry-After"), "0.500")
+	assert.Assert(t, time.Since(began) >= reserver.MaxWait)
+	assert.Equal(t, f.runs.Load(), int64(3), "the refused upload must not reach the handler")
+	close(proceed)
+	waitFor(t, used, 0)
+}
+
+// Guards against an upload that is refused although there is room soon.
+func TestUploadWaitsForMemory(t *testing.T) {
+	f, proceed, used, waiting := heldFixture(t)
+	for range 2 {
+		conn, _ := f.dial(t)
+		send(t, conn, uploadOf(uploadSize))
+	}
+	waitFor(t, used, 2*uploadSize)
+	conn, reader := f.dial(t)
+	send(t, conn, uploadOf(uploadSize))
+	waitFor(t, waiting, 1)
+	close(proceed)
+	status, body, _ := receive(t, reader)
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, "/scan")
+	waitFor(t, used, 0)
+}
+
+// Guards against memory that stays counted for callers that have left, and for handlers that panic.
+func TestMemoryIsReleasedAfterFailures(t *testing.T) {
+	tests := []struct {
+		name string
+		fail func(t *testing.T, f *fixture, used, waiting *atomic.Int64)
+	}{
+		{"caller leaves within the body", func(t *testing.T, f *fixture, used, _ *atomic.Int64) {
+			conn, _ := f.dial(t)
+			send(t, conn, "POST /scan HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\nabc")
+			waitFor(t, used, 90000)
+			assert.NilError(t, conn.Close())
+		}},
+		{"caller leaves while it waits", func(t *testing.T, f *fixture, used, waiting *atomic.Int64) {
+			for range 2 {
+				conn, _ := f.dial(t)
+				send(t, conn, "POST /scan HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\nabc")
+				defer func() { _ = conn.Close() }()
+			}
+			waitFor(t, used, 180000)
+			conn, _ := f.dial(t)
+			send(t, conn, uploadOf(uploadSize))
+			waitFor(t, waiting, 1)
+			assert.NilError(t, conn.Close())
+			waitFor(t, waiting, 0)
+		}},
+		{"handler panics", func(t *testing.T, f *fixture, _, _ *atomic.Int64) {
+			f.handle = func(context.Context, *acceptor.Request) *acceptor.Response { panic("test") }
+			conn, reader := f.dial(t)
+			send(t, conn, uploadOf(uploadSize))
+			status, _, _ := receive(t, reader)
+			assert.Equal(t, status, 500)
+		}},
+		{"caller does not take the response", func(t *testing.T, f *fixture, used, _ *atomic.Int64) {
+			f.handle = func(context.Context, *acceptor.Request) *acceptor.Response {
+				return textResponse(strings.Repeat("x", 100<<20))
+			}
+			conn, _ := f.dial(t)
+			send(t, conn, "GET /card HTTP/1.1\r\nHost: h\r\n\r\n")
+			waitFor(t, used, 100<<20)
+			assert.NilError(t, conn.Close())
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f, proceed, used, waiting := heldFixture(t)
+			close(proceed)
+			tt.fail(t, f, used, waiting)
+			waitFor(t, used, 0)
+		})
+	}
+}
--- a/rhubarbtrackd/internal/acceptor/parser.go
+++ b/rhubarbtrackd/internal/acceptor/parser.go
@@ -22,6 +22,8 @@
 	TooLarge
 	// Incomplete means that the caller disconnected or timed out before the request was complete.
 	Incomplete
+	// NoMemory means that the host holds too many bodies to read another one.
+	NoMemory
 )
 
 // Error is the type of the errors of this package. Op names the failed operation.
--- /dev/null
+++ b/rhubarbtrackd/internal/acceptor/request.go
@@ -0,0 +1,92 @@
+package acceptor
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// readRequest reads one request.
+func (c *connection) readRequest() (*Request, bool, error) {
+	limits := c.server.options.Limits()
+	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	head, err := readHead(c.reader, limits.HeaderBytes)
+	if err != nil {
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() {
+			return nil, true, &Error{
+				"read-head", Incomplete, http.StatusRequestTimeout, errors.New("header incomplete after the header timeout"),
+			}
+		}
+		return nil, true, err
+	}
+	parsed, err := parseHead(head)
+	if err != nil {
+		return nil, true, err
+	}
+	last := parsed.Close || c.server.draining.Load()
+	target := parsed.RequestURI
+	request := &Request{
+		Method: parsed.Method, Target: target, Path: parsed.URL.EscapedPath(), Host: parsed.Host, Caller: c.caller,
+		Header: parsed.Header, Arrived: time.Now(),
+	}
+	reader, length := body(parsed, c.reader)
+	if reader == nil {
+		return request, last, nil
+	}
+	if length > limits.BodyBytes {
+		return nil, true, &Error{
+			"read-body", TooLarge, http.StatusRequestEntityTooLarge, errors.New("Content-Length exceeds the size limit"),
+		}
+	}
+	if err := c.readBody(request, reader, length, limits); err != nil {
+		return nil, true, err
+	}
+	return request, last, nil
+}
+
+// readBody reads the body of a request, or as much of a long one as is kept in memory. Without memory for it, nothing is read.
+func (c *connection) readBody(request *Request, reader *messageBody, length int64, limits Limits) error {
+	memory := c.server.options.Memory
+	reserved := int64(maxBufferedBody + 1)
+	if length >= 0 {
+		reserved = min(reserved, length)
+	}
+	if err := memory.reserve(c.ctx, reserved); err != nil {
+		return err
+	}
+	defer func() { memory.release(reserved - request.reserved) }()
+	if request.Header.Get("Expect") != "" && len(c.queue) == 0 {
+		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return &Error{"continue", Incomplete, 0, err}
+		}
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout + limits.IdleTimeout))
+	data, err := io.ReadAll(io.LimitReader(reader, maxBufferedBody+1))
+	if err != nil {
+		var ambiguous *Error
+		var network net.Error
+		if errors.As(err, &ambiguous) {
+			return err
+		}
+		if errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
+			return &Error{"read-body", Incomplete, 0, err}
+		}
+		return malformed(err.Error())
+	}
+	request.reserved = int64(len(data))
+	if len(data) <= maxBufferedBody {
+		request.Body = data
+		return nil
+	}
+	request.Stream = &onceReader{
+		source: io.MultiReader(bytes.NewReader(data), io.LimitReader(reader, limits.BodyBytes-int64(len(data)))),
+	}
+	request.Length = length
+	request.body = reader
+	return nil
+}
--- a/rhubarbtrackd/internal/meter/meter.go
+++ b/rhubarbtrackd/internal/meter/meter.go
@@ -71,6 +71,12 @@
 	m.scope.Tagged(map[string]string{"service": service, "route": route, "outcome": outcome}).Counter("class_decisions_total").Inc(1)
 }
 
+// BodyMemory sets the bytes of bodies that the host holds, and the number of requests that wait for room for theirs.
+func (m *Meter) BodyMemory(bytes int64, waiting int) {
+	m.scope.Gauge("body_bytes").Update(float64(bytes))
+	m.scope.Gauge("bodies_waiting").Update(float64(waiting))
+}
+
 // Dropped counts a message that was dropped because the named queue was full.
 func (m *Meter) Dropped(queue string) {
 	m.scope.Tagged(map[string]string{"ring": queue}).Counter("ring_overflows_total").Inc(1)
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -58,6 +58,8 @@
 	// memoryShare is the part of the host's memory that is the soft limit of the Go runtime. The rest is for kernel
 	// buffers.
 	memoryShare = 0.6
+	// bodyMemoryShare is the part of the host's memory for bodies of requests and responses. Each is in up to two buffers.
+	bodyMemoryShare = 0.2
 	// descriptorReserve is the number of file descriptors reserved for files and for connections to upstreams and other
 	// hosts.
 	descriptorReserve = 1200
@@ -216,6 +218,7 @@
 			d.log.Log(eventlog.RequestUnreadable, zap.Int("status", status), zap.String("remote", remote),
 				zap.String("reason", eventlog.Shorten(reason)))
 		},
+		Memory:       acceptor.NewMemory(int64(bodyMemoryShare*float64(s.MemoryBytes)), d.meter.BodyMemory),
 		Panics:       d.panics,
 		AcceptFailed: func(err error) { d.log.Log(eventlog.AcceptFailed, eventlog.Cause(err)) },
 	})
