router: avoid queues in the own failure domain request by request

The division changes over seconds. The highest utilization in the model is 4 instead of 1.3: at the former limit, domains with short and with long queues looked the same.

Divisions, sizes and events of services and routes that are no longer configured are deleted. TestQueuesAreAvoidedBeforeTheDivisionChanges fails without the comparison.

--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -398,10 +398,11 @@
 	return float64(s.load.Running + s.load.Waiting), runTime, true
 }
 
-// Cost returns the expected response time of a request at a candidate, with a penalty for its failures.
-func (sel *Selector) Cost(now time.Duration, c Candidate) time.Duration {
-	total := sel.Estimate(now, c.Incarnation, c.Slots).Total()
-	return total + time.Duration(failurePenalty*sel.state(c.Incarnation).failureShare(now)*float64(total))
+// Excess returns by how much the response time of a request at a candidate is expected to exceed the usual run time there, with a
+// penalty for its failures, and the usual run time. Pick selects the least excess.
+func (sel *Selector) Excess(now time.Duration, c Candidate) (excess, usual time.Duration) {
+	c.Remote = false
+	return time.Duration(sel.score(now, c)), sel.runTime(sel.state(c.Incarnation))
 }
 
 // setWeights sets the weights of candidates to their target rates, relative to the mean.
--- a/core/spreader/spreader.go
+++ b/core/spreader/spreader.go
@@ -24,6 +24,7 @@
 package spreader
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -37,12 +38,12 @@
 	updateInterval = 250 * time.Millisecond
 	// forgetTime is the age from which on a division is not used: the service had no requests, so its load is unknown.
 	forgetTime = 5 * time.Second
-	// loadSmoothing is the weight of the last observation in the smoothed rate of a domain.
+	// loadSmoothing is the weight of the last observation in the smoothed utilization of a domain.
 	loadSmoothing = 0.4
 	// partSmoothing is the weight of the last observation in the parts of the other domains. All hosts change them at once, so
 	// that quick changes would move the work from one domain to the next and back.
 	partSmoothing = 0.1
-	// stepGain is the part of the difference between the load and the target load that one step moves.
+	// stepGain is the part of the difference between the utilization and the target that one step moves.
 	stepGain = 0.2
 	// maxStep limits the share that one step moves.
 	maxStep = 0.1
@@ -58,9 +59,8 @@
 	minReturn = 0.01
 	// minShare is the share below which no request leaves.
 	minShare = 0.01
-	// maxUtilization limits the utilization of a domain with queues. A queue says how long the overload has lasted, and not
-	// how much too high the rate is.
-	maxUtilization = 1.3
+	// maxUtilization is the highest utilization in the model. Upstreams whose queues are longer reject requests.
+	maxUtilization = 4.0
 	// bisectionSteps is the number of halvings by which a utilization is found.
 	bisectionSteps = 20
 	// sizeWeight is the weight of one message in the mean size of a route.
@@ -178,13 +178,10 @@
 	return max(s.sizes[route], float64(length))
 }
 
-// KeepSizes deletes the sizes of routes for which keep returns false.
-func (s *Spreader) KeepSizes(keep func(route string) bool) {
-	for route := range s.sizes {
-		if !keep(route) {
-			delete(s.sizes, route)
-		}
-	}
+// Keep deletes the divisions of services and the sizes of routes for which the functions return false.
+func (s *Spreader) Keep(keepService, keepRoute func(name string) bool) {
+	maps.DeleteFunc(s.services, func(name string, _ *service) bool { return !keepService(name) })
+	maps.DeleteFunc(s.sizes, func(name string, _ float64) bool { return !keepRoute(name) })
 }
 
 // class returns the class of a message of the given size.
--- a/core/spreader/spreader_test.go
+++ b/core/spreader/spreader_test.go
@@ -276,7 +276,8 @@
 		s.RecordSize("r", 1000)
 	}
 	assert.Assert(t, math.Abs(s.ExpectedSize("r", 0)-1000) < 1)
-	s.KeepSizes(func(string) bool { return false })
+	none := func(string) bool { return false }
+	s.Keep(none, none)
 	assert.Equal(t, s.ExpectedSize("r", -1), 0.0)
 }
 
--- a/rhubarbtrackd/internal/router/spread.go
+++ b/rhubarbtrackd/internal/router/spread.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,8 +20,8 @@
 const uploadBytes = 16 << 10
 
 // detourShare is what a request must save at least, as a share of the run time, to go to another failure domain than its division
-// says. Two estimates differ by that much without a cause.
-const detourShare = 0.25
+// says.
+const detourShare = 0.1
 
 // RecordConnect records the time that a new connection to an upstream has taken.
 func (r *Router) RecordConnect(target exchanger.Target, taken time.Duration) {
@@ -51,38 +52,43 @@
 	}
 	bytes := r.spreader.ExpectedSize(j.route.Name, bodyLength(j.request))
 	chosen := r.spreader.Choose(service, bytes)
-	var near, far []selector.Candidate
-	for _, c := range warm {
-		if c.Domain == chosen {
-			near = append(near, c)
-		} else {
-			far = append(far, c)
-		}
-	}
+	near := filter(warm, func(c selector.Candidate) bool { return c.Domain == chosen })
 	picked, ok := r.selector.Pick(now, service+"/"+chosen, near, j.tried)
 	if !ok {
 		return r.selector.Pick(now, service, warm, j.tried)
 	}
 	first := find(near, picked)
-	run := r.selector.Estimate(now, picked, first.Slots).Run
-	least := time.Duration(detourShare * float64(run))
-	if r.selector.Cost(now, first)-run <= least {
+	excess, usual := r.selector.Excess(now, first)
+	least := time.Duration(detourShare * float64(usual))
+	if excess <= least {
 		return picked, true
 	}
-	// Queues and failures that are shorter than a step of the division are avoided request by request.
+	// Queues, slow phases and failures that are shorter than the steps of the division are avoided request by request.
+	far := filter(warm, func(c selector.Candidate) bool { return c.Domain != chosen })
 	other, ok := r.selector.Pick(now, service+"/other than "+chosen, far, j.tried)
 	if !ok {
 		return picked, true
 	}
-	if r.costOf(now, first, bytes)-r.costOf(now, find(far, other), bytes) > least {
+	second := find(far, other)
+	otherExcess, _ := r.selector.Excess(now, second)
+	if excess+r.crossingCost(first, bytes)-otherExcess-r.crossingCost(second, bytes) > least {
 		return other, true
 	}
 	return picked, true
 }
 
-// costOf returns the expected response time at a candidate with the cost of the message to its domain.
-func (r *Router) costOf(now time.Duration, c selector.Candidate, bytes float64) time.Duration {
-	return r.selector.Cost(now, c) + r.spreader.CrossingCost(r.options.FailureDomain, c.Domain, bytes)
+func (r *Router) crossingCost(c selector.Candidate, bytes float64) time.Duration {
+	return r.spreader.CrossingCost(r.options.FailureDomain, c.Domain, bytes)
+}
+
+func filter(candidates []selector.Candidate, keep func(selector.Candidate) bool) []selector.Candidate {
+	kept := make([]selector.Candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if keep(c) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
 }
 
 func find(candidates []selector.Candidate, upstream identifier.Incarnation) selector.Candidate {
@@ -167,7 +173,7 @@
 	}
 }
 
-// sweepSpreader deletes the sizes of routes that are not configured. The caller holds the mutex.
+// sweepSpreader deletes what belongs to services and routes that are not configured. The caller holds the mutex.
 func (r *Router) sweepSpreader(snapshot *follower.Snapshot) {
 	if snapshot.Config == nil {
 		return
@@ -178,5 +184,7 @@
 			routes[list[i].Name] = true
 		}
 	}
-	r.spreader.KeepSizes(func(route string) bool { return routes[route] })
+	isService := func(name string) bool { _, ok := snapshot.Config.Services[name]; return ok }
+	r.spreader.Keep(isService, func(name string) bool { return routes[name] })
+	maps.DeleteFunc(r.leaving, func(name string, _ bool) bool { return !isService(name) })
 }
--- a/rhubarbtrackd/internal/router/spread_test.go
+++ b/rhubarbtrackd/internal/router/spread_test.go
@@ -107,6 +107,30 @@
 	}
 }
 
+// TestQueuesAreAvoidedBeforeTheDivisionChanges guards against requests that fill the queues of the own domain while its demand swings
+// faster than divisions change: upstreams of two slots then rejected three times as many requests as before.
+func TestQueuesAreAvoidedBeforeTheDivisionChanges(t *testing.T) {
+	r, candidates := spreadRouter(0), domainCandidates("a", "b")
+	const now = 10 * time.Second
+	for _, c := range candidates {
+		load := selector.Load{Running: 2, Slots: 6, Slowdown: 1}
+		if c.Domain == "a" {
+			load = selector.Load{Running: 6, Waiting: 1, Slots: 6, Slowdown: 1}
+		}
+		r.selector.RecordLoad(now, c.Incarnation, load)
+	}
+	left := 0
+	const picks = 100 // within the first step
+	for range picks {
+		picked, ok := r.pickWarm(now, spreadJob(0), candidates)
+		assert.Assert(t, ok)
+		if picked.ID[:1] != "a" {
+			left++
+		}
+	}
+	assert.Assert(t, left >= 0.9*picks, "%d of %d requests leave", left, picks)
+}
+
 // TestTriedUpstreamsAreNotPickedAgain checks that an attempt after a failure goes to another upstream, elsewhere if none is left in the
 // own domain.
 func TestTriedUpstreamsAreNotPickedAgain(t *testing.T) {
