router, selector: choose from two upstreams of a domain

With the division, a request went to the best of four upstreams of one domain. Before, the four were of all domains, about two of them of the own one.

--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -330,6 +330,13 @@
 // The probability of a candidate is the share of requests that it should get according to its run time. Load reports are
 // too old to prefer fast upstreams by the score alone: many hosts would overload them at the same time.
 func (sel *Selector) Pick(now time.Duration, service string, candidates []Candidate, exclude map[identifier.Incarnation]bool) (identifier.Incarnation, bool) {
+	return sel.PickOf(now, service, candidates, exclude, sampleSize)
+}
+
+// PickOf is Pick with the best of size random candidates, at most sampleSize. With fewer, requests spread better while load reports are older
+// than requests take; with more, they find free slots among many busy upstreams.
+func (sel *Selector) PickOf(now time.Duration, service string, candidates []Candidate, exclude map[identifier.Incarnation]bool, size int) (identifier.Incarnation, bool) {
+	size = max(1, min(size, sampleSize))
 	if at, ok := sel.weightsAt[service]; !ok || now >= at+weightInterval {
 		sel.weightsAt[service] = now
 		sel.setWeights(now, candidates)
@@ -355,13 +362,13 @@
 		rank := sel.random.ExpFloat64() / weight
 		i := count
 		for ; i > 0 && rank < ranks[i-1]; i-- {
-			if i < sampleSize {
+			if i < size {
 				sample[i], ranks[i] = sample[i-1], ranks[i-1]
 			}
 		}
-		if i < sampleSize {
+		if i < size {
 			sample[i], ranks[i] = c, rank
-			count = min(count+1, sampleSize)
+			count = min(count+1, size)
 		}
 	}
 	best, bestScore := identifier.Incarnation{}, math.Inf(1)
--- a/core/spreader/spreader.go
+++ b/core/spreader/spreader.go
@@ -47,9 +47,6 @@
 	stepGain = 0.2
 	// maxStep limits the share that one step moves.
 	maxStep = 0.1
-	// choices is the number of upstreams of which a request goes to the best one. They queue like one upstream with the slots
-	// of all of them.
-	choices = 4
 	// startMargin is what a request must save at least before the first requests leave, as a share of the run time, and margin
 	// what it must save while requests leave. Loads are observed with an error, and work that leaves and comes back costs new
 	// connections.
@@ -76,6 +73,11 @@
 	sizeClasses = 5
 )
 
+// Choices is the number of upstreams of a domain of which a request goes to the best one. They queue like one upstream with the slots of
+// all of them. All hosts of a domain see the same load reports, which are older than many requests take; with more choices they would
+// all send to the few upstreams that were idle.
+const Choices = 2
+
 const megabyte = 1e6
 
 // MaxPrice is the highest price of a megabyte.
@@ -312,7 +314,7 @@
 	if d.ReportedSlots > 0 {
 		l.utilization = min(maxUtilization, d.Occupied/d.ReportedSlots)
 	}
-	l.pool = d.Slots / float64(d.Upstreams) * float64(min(choices, d.Upstreams))
+	l.pool = d.Slots / float64(d.Upstreams) * float64(min(Choices, d.Upstreams))
 	return l
 }
 
--- a/core/spreader/spreader_test.go
+++ b/core/spreader/spreader_test.go
@@ -18,7 +18,7 @@
 	largeBytes = 60_000
 )
 
-// zone is a failure domain of the model: callers, and upstreams of which a request goes to the best of four.
+// zone is a failure domain of the model: callers, and upstreams of which a request goes to the best of a few.
 type zone struct {
 	name      string
 	upstreams int
@@ -215,7 +215,7 @@
 			part = away / float64(len(zones)-1)
 			load = z.demand + zones[0].demand*part
 		}
-		pool := min(4, z.upstreams) * slots
+		pool := min(spreader.Choices, z.upstreams) * slots
 		taken := runTime.Seconds() * (1 + queueing(load/float64(z.upstreams*slots), float64(pool)))
 		if i > 0 {
 			own += part * (taken + crossing.Seconds())
--- a/rhubarbtrackd/internal/router/spread.go
+++ b/rhubarbtrackd/internal/router/spread.go
@@ -53,7 +53,7 @@
 	bytes := r.spreader.ExpectedSize(j.route.Name, bodyLength(j.request))
 	chosen := r.spreader.Choose(service, bytes)
 	near := filter(warm, func(c selector.Candidate) bool { return c.Domain == chosen })
-	picked, ok := r.selector.Pick(now, service+"/"+chosen, near, j.tried)
+	picked, ok := r.selector.PickOf(now, service+"/"+chosen, near, j.tried, spreader.Choices)
 	if !ok {
 		return r.selector.Pick(now, service, warm, j.tried)
 	}
@@ -65,7 +65,7 @@
 	}
 	// Queues, slow phases and failures that are shorter than the steps of the division are avoided request by request.
 	far := filter(warm, func(c selector.Candidate) bool { return c.Domain != chosen })
-	other, ok := r.selector.Pick(now, service+"/other than "+chosen, far, j.tried)
+	other, ok := r.selector.PickOf(now, service+"/other than "+chosen, far, j.tried, spreader.Choices)
 	if !ok {
 		return picked, true
 	}
