--- a/core/selector/fleet_test.go
+++ b/core/selector/fleet_test.go
@@ -22,12 +22,16 @@
 	hosts     []*selector.Selector
 	upstreams []*modelUpstream
 	profiler  *profiler.Profiler // nil: hosts do not share run times
+	slots     int                // of each upstream
+	objective time.Duration
+	choices   int // upstreams of which a request goes to the best one; 0: the default
 	late      int
 	finished  int
 }
 
 type modelUpstream struct {
 	id       identifier.Incarnation
+	slots    int
 	runTime  time.Duration
 	slowdown float64
 	running  int
@@ -43,7 +47,7 @@
 )
 
 func newFleet(seed uint64, hosts, upstreams int, shared bool) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 7))}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 7)), slots: modelSlots, objective: modelObjective}
 	if shared {
 		f.profiler = profiler.New()
 	}
@@ -52,7 +56,7 @@
 	}
 	speeds := []float64{0.7, 0.7, 1.6}
 	for i := range upstreams {
-		u := &modelUpstream{id: identifier.Incarnation{ID: fmt.Sprintf("u%03d", i)}, runTime: time.Duration(speeds[i%3] * float64(time.Second)), slowdown: 1}
+		u := &modelUpstream{slots: modelSlots, id: identifier.Incarnation{ID: fmt.Sprintf("u%03d", i)}, runTime: time.Duration(speeds[i%3] * float64(time.Second)), slowdown: 1}
 		f.upstreams = append(f.upstreams, u)
 		f.changeSlowdown(u)
 	}
@@ -68,7 +72,7 @@
 }
 
 func (u *modelUpstream) load() selector.Load {
-	return selector.Load{Running: u.running, Waiting: len(u.waiting), Slots: modelSlots, Slowdown: u.slowdown}
+	return selector.Load{Running: u.running, Waiting: len(u.waiting), Slots: u.slots, Slowdown: u.slowdown}
 }
 
 // share sends the load reports of all upstreams, 200 ms old, and the changed run times to all hosts.
@@ -96,10 +100,16 @@
 	host := f.hosts[f.random.IntN(len(f.hosts))]
 	var list []selector.Candidate
 	for _, u := range f.upstreams {
-		list = append(list, selector.Candidate{Incarnation: u.id, Slots: modelSlots})
+		list = append(list, selector.Candidate{Incarnation: u.id, Slots: f.slots})
 	}
 	sent := f.Now
-	id, ok := host.Pick(sent, "s", list, nil)
+	pick := host.Pick
+	if f.choices > 0 {
+		pick = func(now time.Duration, service string, list []selector.Candidate, exclude map[identifier.Incarnation]bool) (identifier.Incarnation, bool) {
+			return host.PickOf(now, service, list, exclude, f.choices)
+		}
+	}
+	id, ok := pick(sent, "s", list, nil)
 	if !ok {
 		return
 	}
@@ -115,7 +125,7 @@
 		taken := time.Duration((0.5 + f.random.Float64()) * u.slowdown * float64(u.runTime))
 		f.After(taken, func() { f.finish(host, u, sent, taken) })
 	}
-	if u.running < modelSlots {
+	if u.running < f.slots {
 		run()
 		return
 	}
@@ -140,7 +150,7 @@
 		return
 	}
 	f.finished++
-	if now-sent > modelObjective {
+	if now-sent > f.objective {
 		f.late++
 	}
 }
