--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -330,6 +330,13 @@
 // The probability of a candidate is the share of requests that it should get according to its run time. Load reports are
 // too old to prefer fast upstreams by the score alone: many hosts would overload them at the same time.
 func (sel *Selector) Pick(now time.Duration, service string, candidates []Candidate, exclude map[identifier.Incarnation]bool) (identifier.Incarnation, bool) {
+	return sel.PickOf(now, service, candidates, exclude, sampleSize)
+}
+
+// PickOf is Pick with the best of size random candidates, at most sampleSize. With fewer, requests spread better while load reports are older
+// than requests take; with more, they find free slots among many busy upstreams.
+func (sel *Selector) PickOf(now time.Duration, service string, candidates []Candidate, exclude map[identifier.Incarnation]bool, size int) (identifier.Incarnation, bool) {
+	size = max(1, min(size, sampleSize))
 	if at, ok := sel.weightsAt[service]; !ok || now >= at+weightInterval {
 		sel.weightsAt[service] = now
 		sel.setWeights(now, candidates)
@@ -355,13 +362,13 @@
 		rank := sel.random.ExpFloat64() / weight
 		i := count
 		for ; i > 0 && rank < ranks[i-1]; i-- {
-			if i < sampleSize {
+			if i < size {
 				sample[i], ranks[i] = sample[i-1], ranks[i-1]
 			}
 		}
-		if i < sampleSize {
+		if i < size {
 			sample[i], ranks[i] = c, rank
-			count = min(count+1, sampleSize)
+			count = min(count+1, size)
 		}
 	}
 	best, bestScore := identifier.Incarnation{}, math.Inf(1)
@@ -398,10 +405,11 @@
 	return float64(s.load.Running + s.load.Waiting), runTime, true
 }
 
-// Cost returns the expected response time of a request at a candidate, with a penalty for its failures.
-func (sel *Selector) Cost(now time.Duration, c Candidate) time.Duration {
-	total := sel.Estimate(now, c.Incarnation, c.Slots).Total()
-	return total + time.Duration(failurePenalty*sel.state(c.Incarnation).failureShare(now)*float64(total))
+// Excess returns by how much the response time of a request at a candidate is expected to exceed the usual run time there, with a
+// penalty for its failures, and the usual run time. Pick selects the least excess.
+func (sel *Selector) Excess(now time.Duration, c Candidate) (excess, usual time.Duration) {
+	c.Remote = false
+	return time.Duration(sel.score(now, c)), sel.runTime(sel.state(c.Incarnation))
 }
 
 // setWeights sets the weights of candidates to their target rates, relative to the mean.
