--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -12,6 +12,7 @@
 import (
 	"crypto/sha256"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -35,7 +36,7 @@
 type Account struct {
 	Name string
 	Keys []KeyDigest
-	// Priority replaces that of the route if HasPriority is set; 0 is the highest.
+	// Priority goes before that of the route if HasPriority is set; 0 is the highest.
 	Priority    int
 	HasPriority bool
 	Rate        float64 // requests per second over all hosts; 0: no limit
@@ -70,9 +71,10 @@
 	Split       []Share       // at least one
 	Public      bool          // needs no key of a client account
 	// Urgent is set by Sort if the route has a higher priority than other requests of one of its services: those of another route,
-	// or of a client account whose priority replaces that of the route.
+	// or of a client account with a lower priority.
 	Urgent bool
-	lowest int // lowest priority of all requests of its services, which is the largest number
+	lowest int  // lowest priority of all requests of its services, see PriorityFor
+	ranked bool // a client account has a priority
 }
 
 // Share is the share of the requests of a route that is sent to one service. Weight is relative to the other shares.
@@ -91,9 +93,11 @@
 
 // Sort sorts the routes of each host name as Match requires and sets Route.Urgent.
 func (c *Config) Sort() {
+	ranked := slices.ContainsFunc(c.Accounts, func(a Account) bool { return a.HasPriority })
 	lowest := map[string]int{} // lowest priority by service, which is the largest number
 	for _, routes := range c.Hosts {
 		for i := range routes {
+			routes[i].ranked = ranked
 			for _, share := range routes[i].Split {
 				lowest[share.Service] = max(lowest[share.Service], c.lowestPriority(&routes[i]))
 			}
@@ -104,7 +108,7 @@
 			for _, share := range routes[i].Split {
 				routes[i].lowest = max(routes[i].lowest, lowest[share.Service])
 			}
-			routes[i].Urgent = routes[i].Priority < routes[i].lowest
+			routes[i].Urgent = routes[i].PriorityFor(nil) < routes[i].lowest
 		}
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
@@ -112,8 +116,8 @@
 
 // lowestPriority returns the lowest priority that requests of a route can have.
 func (c *Config) lowestPriority(r *Route) int {
-	if r.Public || !c.HasAccounts || len(c.Accounts) == 0 {
-		return r.Priority
+	if r.Public || !r.ranked {
+		return r.PriorityFor(nil)
 	}
 	lowest := 0
 	for i := range c.Accounts {
@@ -122,21 +126,26 @@
 	return lowest
 }
 
-// PriorityFor returns the priority of the requests of a client account, or of those without one if account is nil. The priority of
-// the account replaces that of the route. 0 is the highest.
+// PriorityFor returns the priority of the requests of a client account, or of those without one if account is nil. 0 is the highest.
+// The priority of the account goes before that of the route, which decides between requests of equal accounts. If no account has a
+// priority, it is that of the route.
 func (r *Route) PriorityFor(account *Account) int {
+	if !r.ranked {
+		return r.Priority
+	}
+	first := r.Priority
 	if account != nil && account.HasPriority {
-		return account.Priority
+		first = account.Priority
 	}
-	return r.Priority
+	return max(0, first)*priorities + min(max(0, r.Priority), priorities-1)
 }
 
+// priorities is the number of priorities of routes that are told apart.
+const priorities = 1 << 10
+
 // UrgentFor reports whether the requests of a client account have a higher priority than others of one of the services of the route.
 func (r *Route) UrgentFor(account *Account) bool {
-	if account != nil && account.HasPriority {
-		return account.Priority < r.lowest
-	}
-	return r.Urgent
+	return r.PriorityFor(account) < r.lowest
 }
 
 // LargestAccounts returns up to n accounts with the highest limits.
--- a/core/sharer/sharer.go
+++ b/core/sharer/sharer.go
@@ -3,7 +3,8 @@
 // Each account has a part of the requests that a service accepts: in proportion to its weight, and what an account does not use
 // goes to the others (weighted max-min fairness). The weight is the limit of the account, or else its usual demand, so that an
 // account that always sends much is not refused for that, while one that suddenly sends many times its usual is. A request beyond
-// the part of its account should be refused before one within it. While a service accepts nearly all requests, no request is beyond.
+// the part of its account should be refused before one within it. Accounts that send less than twice their part have no requests
+// beyond it, and while a service accepts nearly all requests, none has.
 //
 // # Usage
 //
@@ -35,6 +36,9 @@
 	// minAsked is the number of requests within demandTime below which an account is never beyond its part, because their number
 	// varies too much.
 	minAsked = 4
+	// tolerance is the multiple of its part up to which an account is not limited. In an overload by all accounts, the parts of most
+	// are a little below their demands, and those that vary upwards would be refused without a gain for others.
+	tolerance = 2.0
 	// floorShare keeps the rate at which an account is served above a quarter of that of all accounts.
 	floorShare = 0.4
 	// levelInterval is the time between two computations of the parts.
@@ -128,8 +132,8 @@
 	if svc.level == 0 || r.demand*demandTime.Seconds() < minAsked {
 		return false
 	}
-	within := max(svc.level*r.effectiveWeight(now)/r.demand, floorShare*svc.fractionAccepted)
-	return s.random.Float64() >= within
+	within := svc.level * r.effectiveWeight(now) / r.demand
+	return within < 1/tolerance && s.random.Float64() >= max(within, floorShare*svc.fractionAccepted)
 }
 
 // RecordAccepted records that a service has accepted a request.
