--- a/bench/main.go
+++ b/bench/main.go
@@ -4,7 +4,7 @@
 // Usage:
 //
 //	go run ./bench            # all groups, about four minutes
-//	go run ./bench ownership  # one or more of ownership, placement, load, relay
+//	go run ./bench ownership  # one or more of ownership, placement, load, relay, quotas
 package main
 
 import (
@@ -16,6 +16,7 @@
 	"rhubarbtrack.example/bench/internal/ownership"
 	"rhubarbtrack.example/bench/internal/placement"
 	"rhubarbtrack.example/bench/internal/printer"
+	"rhubarbtrack.example/bench/internal/quotas"
 	"rhubarbtrack.example/bench/internal/relay"
 )
 
@@ -33,6 +34,7 @@
 	{"placement", placement.Measure},
 	{"load", load.Measure},
 	{"relay", relay.Measure},
+	{"quotas", quotas.Measure},
 }
 
 func main() {
