--- a/core/sharer/sharer.go
+++ b/core/sharer/sharer.go
@@ -3,8 +3,8 @@
 // Each account has a part of the requests that a service accepts: in proportion to its weight, and what an account does not use
 // goes to the others (weighted max-min fairness). The weight is the limit of the account, or else its usual demand, so that an
 // account that always sends much is not refused for that, while one that suddenly sends many times its usual is. A request beyond
-// the part of its account should be refused before one within it. Accounts that send less than twice their part have no requests
-// beyond it, and while a service accepts nearly all requests, none has.
+// the part of its account should be refused before one within it. While all accounts exceed their parts alike, or a service accepts
+// nearly all requests, no request is beyond.
 //
 // # Usage
 //
@@ -36,9 +36,9 @@
 	// minAsked is the number of requests within demandTime below which an account is never beyond its part, because their number
 	// varies too much.
 	minAsked = 4
-	// tolerance is the multiple of its part up to which an account is not limited. In an overload by all accounts, the parts of most
-	// are a little below their demands, and those that vary upwards would be refused without a gain for others.
-	tolerance = 2.0
+	// tolerance is the factor by which the demand of an account, relative to its part, must exceed that of all accounts together. In an
+	// overload by all accounts, each demand is beyond its part, and refusing those that vary upwards has no gain for others.
+	tolerance = 1.3
 	// floorShare keeps the rate at which an account is served above a quarter of that of all accounts.
 	floorShare = 0.4
 	// levelInterval is the time between two computations of the parts.
@@ -133,7 +133,7 @@
 		return false
 	}
 	within := svc.level * r.effectiveWeight(now) / r.demand
-	return within < 1/tolerance && s.random.Float64() >= max(within, floorShare*svc.fractionAccepted)
+	return within < svc.fractionAccepted/tolerance && s.random.Float64() >= max(within, floorShare*svc.fractionAccepted)
 }
 
 // RecordAccepted records that a service has accepted a request.
