--- a/core/apportioner/apportioner.go
+++ b/core/apportioner/apportioner.go
@@ -110,6 +110,14 @@
 // TagOf returns the tag of the account with a name.
 func TagOf(name string) Tag { return Tag(xxhash.Sum64String(name)) }
 
+// normalized returns bounds with a window, which the rates of the refill need.
+func (b Bounds) normalized() Bounds {
+	if b.Window <= 0 {
+		b.Window = time.Second
+	}
+	return b
+}
+
 // Bound returns the number of requests of an account that may run in a window.
 func (b Bounds) Bound(a Account) float64 {
 	return (a.Rate*b.Window.Seconds()+a.Burst)*(1+b.Overshoot) + b.Slack
--- a/core/apportioner/controller.go
+++ b/core/apportioner/controller.go
@@ -65,7 +65,7 @@
 
 // NewController returns a controller that gives no tokens until Begin is called.
 func NewController[K comparable](bounds Bounds) *Controller[K] {
-	return &Controller[K]{bounds: bounds, accounts: map[Tag]*account[K]{}, ledgers: map[K]*ledger{}}
+	return &Controller[K]{bounds: bounds.normalized(), accounts: map[Tag]*account[K]{}, ledgers: map[K]*ledger{}}
 }
 
 // Begin starts a term and discards the state of the last one. first is set if there was no controller before. recent is the number
@@ -79,6 +79,7 @@
 
 // SetBounds replaces the bounds.
 func (c *Controller[K]) SetBounds(now time.Duration, bounds Bounds) {
+	bounds = bounds.normalized()
 	if c.bounds == bounds {
 		return
 	}
--- a/core/apportioner/host.go
+++ b/core/apportioner/host.go
@@ -69,11 +69,11 @@
 
 // NewHost returns a host without tokens.
 func NewHost(bounds Bounds) *Host {
-	return &Host{bounds: bounds, shares: map[Tag]*share{}, changed: map[Tag]bool{}}
+	return &Host{bounds: bounds.normalized(), shares: map[Tag]*share{}, changed: map[Tag]bool{}}
 }
 
 // SetBounds replaces the bounds.
-func (h *Host) SetBounds(bounds Bounds) { h.bounds = bounds }
+func (h *Host) SetBounds(bounds Bounds) { h.bounds = bounds.normalized() }
 
 // Ask records a request of an account. It is called once for each request, before Take.
 func (h *Host) Ask(account Account) {
--- a/rhubarbtrackd/internal/coordinator/controller.go
+++ b/rhubarbtrackd/internal/coordinator/controller.go
@@ -349,9 +349,10 @@
 	lease := c.contender.LeaseStatus(now)
 	heartbeat := connector.Heartbeat{
 		Term: lease.Term, Revision: lease.Revision, Remaining: lease.Remaining, Valid: c.contender.Valid(now),
-		Index: index, Hosts: hosts, Quotas: c.grantsFor(peer),
+		Index: index, Hosts: hosts,
 	}
 	peer.StampEcho(&heartbeat)
+	heartbeat.Quotas = c.grantsFor(peer)
 	hasCopy := c.contender.Valid(now) && !c.contender.RenewalOverdue(now) && c.options.Follower.Direct()
 	if !c.allowFullState(peer, hasCopy) {
 		return heartbeat
