spreader: choose from more upstreams where requests outlast load reports

The number of choices now follows from the run time: two below 400 ms, the usual age of reports of other hosts, and four above.

--- a/core/spreader/spreader.go
+++ b/core/spreader/spreader.go
@@ -60,28 +60,15 @@
 	maxUtilization = 4.0
 	// bisectionSteps is the number of halvings by which a utilization is found.
 	bisectionSteps = 20
-	// sizeWeight is the weight of one message in the mean size of a route.
-	sizeWeight = 0.05
-	// connectWeight is the weight with which the time to connect rises to a longer measurement. A shorter one replaces it,
-	// because connections are delayed by load and never accelerated.
-	connectWeight = 0.02
-	// initialWindow is the number of bytes that a new connection sends in the first round trip.
-	initialWindow = 10 * 1460
-	// sizeBase is the ratio of the sizes of two classes, and smallSize the upper limit of the first class in bytes.
-	sizeBase, smallSize = 8, 4 << 10
-	// sizeClasses is the number of classes. The last one has no upper limit.
-	sizeClasses = 5
 )
 
-// Choices is the number of upstreams of a domain of which a request goes to the best one. They queue like one upstream with the slots of
-// all of them. All hosts of a domain see the same load reports, which are older than many requests take; with more choices they would
-// all send to the few upstreams that were idle.
-const Choices = 2
-
-const megabyte = 1e6
-
-// MaxPrice is the highest price of a megabyte.
-const MaxPrice = time.Hour
+// The number of upstreams of a domain of which a request goes to the best one. All hosts of a domain see the same load reports. If these are
+// older than a request takes, many choices would send all requests to the few upstreams that were idle.
+const (
+	fewChoices, manyChoices = 2, 4
+	// reportAge is the age of load reports of other hosts at most, usually.
+	reportAge = 400 * time.Millisecond
+)
 
 // Domain is the load of a failure domain: the upstreams of one service that may get requests. One without upstreams gets none.
 type Domain struct {
@@ -118,6 +105,7 @@
 
 type service struct {
 	at        time.Duration
+	runTime   time.Duration
 	own       string
 	loads     map[string]float64 // smoothed utilizations by domain
 	divisions [sizeClasses]Division
@@ -145,66 +133,12 @@
 // distance counts.
 func (s *Spreader) SetPrice(megabyte time.Duration) { s.price = min(max(0, megabyte), MaxPrice) }
 
-// RecordConnect records the time that a new connection to an upstream of a domain has taken.
-func (s *Spreader) RecordConnect(domain string, taken time.Duration) {
-	known, ok := s.connects[domain]
-	if !ok || taken < known {
-		s.connects[domain] = taken
-		return
-	}
-	s.connects[domain] = known + time.Duration(connectWeight*float64(taken-known))
-}
-
-// distance returns the round trip to a domain beyond that in the own domain, or 0 if either is unknown.
-func (s *Spreader) distance(own, other string) time.Duration {
-	near, ok := s.connects[own]
-	far, known := s.connects[other]
-	if !ok || !known {
-		return 0
-	}
-	return max(0, far-near)
-}
-
-// RecordSize records the bytes of a request and its response.
-func (s *Spreader) RecordSize(route string, bytes float64) {
-	mean, ok := s.sizes[route]
-	if !ok {
-		mean = bytes
-	}
-	s.sizes[route] = mean + sizeWeight*(bytes-mean)
-}
-
-// ExpectedSize returns the expected bytes of a request and its response. length is the announced length of the request body, or
-// negative if it is unknown.
-func (s *Spreader) ExpectedSize(route string, length int64) float64 {
-	return max(s.sizes[route], float64(length))
-}
-
 // Keep deletes the divisions of services and the sizes of routes for which the functions return false.
 func (s *Spreader) Keep(keepService, keepRoute func(name string) bool) {
 	maps.DeleteFunc(s.services, func(name string, _ *service) bool { return !keepService(name) })
 	maps.DeleteFunc(s.sizes, func(name string, _ float64) bool { return !keepRoute(name) })
 }
 
-// class returns the class of a message of the given size.
-func class(bytes float64) int {
-	c, limit := 0, float64(smallSize)
-	for c < sizeClasses-1 && bytes > limit {
-		c, limit = c+1, limit*sizeBase
-	}
-	return c
-}
-
-// CrossingCost returns the time of a caller that a message to another domain is worth: the round trips until the message is
-// transferred, and the price of its bytes.
-func (s *Spreader) CrossingCost(own, other string, bytes float64) time.Duration {
-	if own == other {
-		return 0
-	}
-	trips := 1 + math.Log2(1+bytes/initialWindow)
-	return time.Duration(trips*float64(s.distance(own, other)) + bytes/megabyte*float64(s.price))
-}
-
 // IsDue reports whether the division of a service needs the present load.
 func (s *Spreader) IsDue(now time.Duration, name string) bool {
 	known := s.services[name]
@@ -238,6 +172,21 @@
 	return known.own
 }
 
+// Choices returns the number of upstreams of a domain of which a request of the service should go to the best one.
+func (s *Spreader) Choices(name string) int {
+	if known := s.services[name]; known != nil {
+		return choices(known.runTime)
+	}
+	return fewChoices
+}
+
+func choices(runTime time.Duration) int {
+	if runTime < reportAge {
+		return fewChoices
+	}
+	return manyChoices
+}
+
 // Division returns the present division of a service for messages of the given size.
 func (s *Spreader) Division(name string, bytes float64) Division {
 	if known := s.services[name]; known != nil {
@@ -268,7 +217,7 @@
 		known = &service{own: own, loads: map[string]float64{}}
 		s.services[name] = known
 	}
-	known.at = now
+	known.at, known.runTime = now, runTime
 	usual := meanUtilization(domains)
 	loads := make([]load, len(domains))
 	for i, d := range domains {
@@ -295,7 +244,7 @@
 	return occupied / max(1, slots)
 }
 
-// load is the state of a domain in the queueing model. The domain is one upstream with the slots that a request can choose from. All
+// load is the state of a domain in the queueing model. The domain is one upstream with the slots that a request chooses from. All
 // domains have the same run time: what differs between them is the time in queues, and slow upstreams have the longer ones.
 type load struct {
 	name        string
@@ -314,7 +263,7 @@
 	if d.ReportedSlots > 0 {
 		l.utilization = min(maxUtilization, d.Occupied/d.ReportedSlots)
 	}
-	l.pool = d.Slots / float64(d.Upstreams) * float64(min(Choices, d.Upstreams))
+	l.pool = d.Slots / float64(d.Upstreams) * float64(min(choices(runTime), d.Upstreams))
 	return l
 }
 
--- a/core/spreader/spreader_test.go
+++ b/core/spreader/spreader_test.go
@@ -14,6 +14,7 @@
 	runTime    = 300 * time.Millisecond
 	slots      = 6
 	step       = 250 * time.Millisecond
+	choices    = 2 // at the run time
 	smallBytes = 800
 	largeBytes = 60_000
 )
@@ -215,7 +216,7 @@
 			part = away / float64(len(zones)-1)
 			load = z.demand + zones[0].demand*part
 		}
-		pool := min(spreader.Choices, z.upstreams) * slots
+		pool := min(choices, z.upstreams) * slots
 		taken := runTime.Seconds() * (1 + queueing(load/float64(z.upstreams*slots), float64(pool)))
 		if i > 0 {
 			own += part * (taken + crossing.Seconds())
@@ -281,6 +282,17 @@
 	assert.Equal(t, s.ExpectedSize("r", -1), 0.0)
 }
 
+// TestChoices checks that requests which take longer than load reports are old choose from more upstreams.
+func TestChoices(t *testing.T) {
+	s := spreader.New(1)
+	domains := []spreader.Domain{{Name: "a", Upstreams: 10, Slots: 60}, {Name: "b", Upstreams: 10, Slots: 60}}
+	assert.Equal(t, s.Choices("s"), choices)
+	s.Update(0, "s", "a", runTime, domains)
+	assert.Equal(t, s.Choices("s"), choices)
+	s.Update(time.Second, "s", "a", 500*time.Millisecond, domains)
+	assert.Equal(t, s.Choices("s"), 4)
+}
+
 // TestUnknownLoads guards against a domain that counts as idle because this host has no recent load reports of it.
 func TestUnknownLoads(t *testing.T) {
 	s := spreader.New(1)
--- a/rhubarbtrackd/internal/router/spread.go
+++ b/rhubarbtrackd/internal/router/spread.go
@@ -21,7 +21,7 @@
 
 // detourShare is what a request must save at least, as a share of the run time, to go to another failure domain than its division
 // says.
-const detourShare = 0.1
+const detourShare = 0.25
 
 // RecordConnect records the time that a new connection to an upstream has taken.
 func (r *Router) RecordConnect(target exchanger.Target, taken time.Duration) {
@@ -53,7 +53,7 @@
 	bytes := r.spreader.ExpectedSize(j.route.Name, bodyLength(j.request))
 	chosen := r.spreader.Choose(service, bytes)
 	near := filter(warm, func(c selector.Candidate) bool { return c.Domain == chosen })
-	picked, ok := r.selector.PickOf(now, service+"/"+chosen, near, j.tried, spreader.Choices)
+	picked, ok := r.selector.PickOf(now, service+"/"+chosen, near, j.tried, r.spreader.Choices(service))
 	if !ok {
 		return r.selector.Pick(now, service, warm, j.tried)
 	}
@@ -65,7 +65,7 @@
 	}
 	// Queues, slow phases and failures that are shorter than the steps of the division are avoided request by request.
 	far := filter(warm, func(c selector.Candidate) bool { return c.Domain != chosen })
-	other, ok := r.selector.PickOf(now, service+"/other than "+chosen, far, j.tried, spreader.Choices)
+	other, ok := r.selector.PickOf(now, service+"/other than "+chosen, far, j.tried, r.spreader.Choices(service))
 	if !ok {
 		return picked, true
 	}
