--- a/bench/internal/quotas/quotas.go
+++ b/bench/internal/quotas/quotas.go
@@ -29,6 +29,27 @@
 	limit  = apportioner.Account{Tag: 1, Rate: 50, Burst: 50}
 )
 
+// traffic measures the messages of a site with 60 hosts and 705 requests per second of all accounts, in bytes per second.
+func traffic(seed uint64, accounts int) float64 {
+	const (
+		hosts, demand = 60, 705.0
+		// rowBytes is the size of a row in messages, which a test of package connector bounds.
+		rowBytes = 20
+		length   = 120 * time.Second
+	)
+	random := rand.New(rand.NewPCG(seed, uint64(accounts)))
+	rate := demand / float64(accounts)
+	account := apportioner.Account{Tag: 1, Rate: 1.6 * rate, Burst: 1.6 * rate}
+	f := simulator.New(simulator.Options{Hosts: hosts, Bounds: bounds, Account: account, Seed: seed})
+	for f.Now < length {
+		for range poisson(random, rate*simulator.Tick.Seconds()) {
+			f.Request(random.IntN(hosts))
+		}
+		f.Step()
+	}
+	return float64(f.Rows) / length.Seconds() * float64(accounts) * rowBytes
+}
+
 // result is what one fleet did.
 type result struct {
 	refusedShare float64 // of the requests, that the limit alone would admit
@@ -111,5 +132,10 @@
 			)
 		}
 	}
+	for _, accounts := range []int{72, 10_000} {
+		lines = append(lines, printer.Line{
+			Measure: fmt.Sprintf("quota-traffic-%d-accounts", accounts), Ours: traffic(seed, accounts), Unit: "bytes-per-second", Seed: seed,
+		})
+	}
 	return lines
 }
