--- a/demo/internal/soaker/account.go
+++ b/demo/internal/soaker/account.go
@@ -25,6 +25,8 @@
 	// formerKeyPause is the pause between two requests with keys of changingAccount.
 	formerKeyPause   = 20 * time.Millisecond
 	formerKeyAttempt = "former-key-" // prefix of the attempts of these requests
+	// rejectionTime leaves time for requests with keys that were taken away at its begin.
+	rejectionTime = simulator.RevocationTime + 3*time.Second
 	// formerKeys is the number of keys that are used after they were taken away, for about twice the time after which they must not work.
 	formerKeys = 9
 )
@@ -80,6 +82,25 @@
 	}
 }
 
+// rejectHosts makes the store reject all hosts, in the middle of the run, for longer than a key may work that was taken away. The
+// other faults are shorter.
+func (c *cluster) rejectHosts(ctx context.Context) {
+	sleep(ctx, c.options.Length/4)
+	c.logf("store rejects all hosts")
+	c.isRejecting.Store(true)
+	sleep(ctx, rejectionTime)
+	c.isRejecting.Store(false)
+	c.logf("store serves hosts again")
+}
+
+func (c *cluster) serveHosts(w http.ResponseWriter, r *http.Request) {
+	if c.isRejecting.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	c.store.ServeHTTP(w, r)
+}
+
 // useFormerKeys sends requests with the present and former keys of changingAccount to random hosts until ctx is done. Half of them
 // name another account.
 func (c *cluster) useFormerKeys(ctx context.Context) {
--- a/demo/internal/soaker/soaker.go
+++ b/demo/internal/soaker/soaker.go
@@ -34,6 +34,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -94,19 +95,23 @@
 }
 
 type cluster struct {
-	options   Options
-	random    *rand.Rand
-	launcher  *launcher.Launcher
-	store     *simulator.Store
-	server    *http.Server
-	address   string // of the store
-	hosts     []*host
-	upstreams []*upstream
-	killTimes map[string]time.Time // upstream ID, which is unique to the process, to the time of its kill
-	faults    hostFaults
-	mutex     sync.Mutex // guards the processes of upstreams while they are replaced
-	planned   bool
-	accounts  *accounts
+	options  Options
+	random   *rand.Rand
+	launcher *launcher.Launcher
+	store    *simulator.Store
+	server   *http.Server
+	address  string // of the store
+	// hostServer serves the store for hosts, which it rejects while isRejecting is set. Upstreams and operators are served.
+	hostServer  *http.Server
+	hostAddress string
+	isRejecting atomic.Bool
+	hosts       []*host
+	upstreams   []*upstream
+	killTimes   map[string]time.Time // upstream ID, which is unique to the process, to the time of its kill
+	faults      hostFaults
+	mutex       sync.Mutex // guards the processes of upstreams while they are replaced
+	planned     bool
+	accounts    *accounts
 	// configuring guards the version of the configuration, and puts its writes in order.
 	configuring sync.Mutex
 	version     int
@@ -132,6 +137,9 @@
 	if c.accounts != nil {
 		go c.changeKeys(ctx)
 		go c.useFormerKeys(ctx)
+		if !c.planned {
+			go c.rejectHosts(ctx)
+		}
 	}
 	if !c.planned {
 		go c.sendCrashes(ctx)
@@ -182,6 +190,12 @@
 	c.address = listener.Addr().String()
 	c.server = &http.Server{Handler: c.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = c.server.Serve(listener) }()
+	if listener, err = net.Listen("tcp", ip(250)+":0"); err != nil {
+		return errors.Wrap(err, "listen for connections of hosts to the store")
+	}
+	c.hostAddress = listener.Addr().String()
+	c.hostServer = &http.Server{Handler: http.HandlerFunc(c.serveHosts), ReadHeaderTimeout: time.Minute}
+	go func() { _ = c.hostServer.Serve(listener) }()
 	go c.expire(ctx)
 	for i := range c.options.Upstreams + c.options.Upstreams/2 {
 		u := &upstream{service: simulator.KeyedService, domain: domain(i)}
@@ -197,7 +211,7 @@
 		}
 	}
 	for i := range c.options.Hosts {
-		link, err := proxier.Listen(ip(201)+":0", c.address)
+		link, err := proxier.Listen(ip(201)+":0", c.hostAddress)
 		if err != nil {
 			return err
 		}
@@ -343,7 +357,9 @@
 	for _, h := range c.hosts {
 		h.store.Close()
 	}
-	if c.server != nil {
-		_ = c.server.Close()
+	for _, server := range []*http.Server{c.server, c.hostServer} {
+		if server != nil {
+			_ = server.Close()
+		}
 	}
 }
