--- a/rhubarbtrackd/internal/acceptor/memory.go
+++ b/rhubarbtrackd/internal/acceptor/memory.go
@@ -95,7 +95,7 @@
 
 // hold counts the bytes of a response until they are released.
 func (m *Memory) hold(size int64) {
-	if m == nil {
+	if m == nil || size == 0 {
 		return
 	}
 	m.mutex.Lock()
