--- a/core/apportioner/apportioner.go
+++ b/core/apportioner/apportioner.go
@@ -59,17 +59,22 @@
 	returnShare = 0.1
 	// stableShare is the share of the capacity that the bucket and the hosts have together. The rest is for the successors of a
 	// controller: until the tokens of the predecessor have expired, bucket and hosts have takeoverShare, with which it begins.
-	stableShare   = 0.7
-	takeoverShare = 0.15
+	stableShare   = 0.6
+	takeoverShare = 0.2
 	// plannedShare is the share of all tokens that hosts get by their average demand. The others are for requests that wait on a
 	// host to which callers have just moved.
 	plannedShare = 0.85
+	// takeoverPlannedShare is the same until the tokens of the predecessor have expired. There are few, and all hosts may have
+	// requests that wait.
+	takeoverPlannedShare = 0.3
 	// maxRecent is the number of earlier terms that may have begun within the window or Lifetime. Their tokens, and those of the
 	// term before them, fit into the capacity.
 	maxRecent = 1
 	// minCapacityShare is the minimum capacity as a share of the requests in a window. Without allowance and burst, the rate of
 	// the refill is reduced for it.
 	minCapacityShare = 0.1
+	// minCapacity is the capacity in tokens below which the bucket would not hold a whole one.
+	minCapacity = 2.0
 	// demandTime is the time constant of the average demand of a host.
 	demandTime = time.Second
 	// minDemand is the demand in requests per second below which a host keeps no tokens.
@@ -137,7 +142,8 @@
 // share returns the capacity of the bucket of an account, and the rate of its refill in tokens per second.
 func (b Bounds) share(a Account) (capacity, rate float64) {
 	capacity, rate = a.Burst+usedShare*b.allowance(a), a.Rate
-	if missing := minCapacityShare*a.Rate*b.Window.Seconds() - capacity; missing > 0 {
+	window := a.Rate * b.Window.Seconds()
+	if missing := min(window, max(minCapacity, minCapacityShare*window)-capacity); missing > 0 {
 		capacity += missing
 		rate -= missing / b.Window.Seconds()
 	}
