--- /dev/null
+++ b/rhubarbtrackd/internal/router/quota_test.go
@@ -0,0 +1,129 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/apportioner"
+	"rhubarbtrack.example/core/matcher"
+	"rhubarbtrack.example/rhubarbtrackd/internal/acceptor"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/meter"
+)
+
+var limitedAccount = &matcher.Account{Name: "a", Rate: 10, Burst: 10}
+
+// newQuotaRouter returns a router at the time *now, and the number of its requests for an early report.
+func newQuotaRouter(t *testing.T, now *time.Duration) (r *Router, reports *int) {
+	t.Helper()
+	m := meter.New()
+	t.Cleanup(func() { _ = m.Close() })
+	reports = new(int)
+	return New(Options{
+		Now: func() time.Duration { return *now }, Log: eventlog.New(zap.NewNop()), Meter: m, ReportSoon: func() { *reports++ },
+		Limits: Limits{Quota: apportioner.Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}}, Shutdown: context.Background(),
+	}), reports
+}
+
+func quotaJob(account *matcher.Account) *job {
+	return &job{
+		request: &acceptor.Request{Arrived: time.Now()}, route: &matcher.Route{Objective: 100 * time.Millisecond}, account: account,
+		deadline: time.Now().Add(time.Second),
+	}
+}
+
+func (r *Router) giveTokens(now time.Duration, row apportioner.GrantRow) {
+	row.Account = apportioner.TagOf("a")
+	r.quotas.host.Apply(now, now, 1, apportioner.Grants{Ledger: 1, Confirms: true, Rows: []apportioner.GrantRow{row}})
+}
+
+func (r *Router) usableTokens(now time.Duration) int {
+	return r.quotas.host.Usable(now, apportioner.TagOf("a"))
+}
+
+// Guards against deployments without limits that take other decisions or send other messages because others have them.
+func TestRequestsWithoutALimitNeedNoToken(t *testing.T) {
+	now := time.Minute
+	for _, account := range []*matcher.Account{nil, {Name: "a"}, {Name: "a", Burst: 3}} {
+		r, reports := newQuotaRouter(t, &now)
+		j := quotaJob(account)
+		assert.Assert(t, r.takeToken(t.Context(), j) == nil && r.spendToken(t.Context(), j) == nil && j.token == nil)
+		assert.Equal(t, len(r.quotas.host.Report().Rows)+*reports, 0)
+	}
+}
+
+// Guards against requests beyond the limit that run or get no time, and against a limit that cannot be checked and looks like one that
+// is reached.
+func TestResponsesWithoutAToken(t *testing.T) {
+	const wait = 700 * time.Millisecond
+	tests := []struct {
+		name    string
+		prepare func(r *Router, now time.Duration)
+		after   time.Duration
+		status  int // 0: admitted
+		asks    bool
+	}{
+		{"tokens", func(r *Router, now time.Duration) { r.giveTokens(now, apportioner.GrantRow{Granted: 1, Keep: 1}) }, 0, 0, false},
+		{"limit reached", func(r *Router, now time.Duration) { r.giveTokens(now, apportioner.GrantRow{Wait: wait}) }, 0, http.StatusTooManyRequests, false},
+		{"no tokens here", func(r *Router, now time.Duration) { r.giveTokens(now, apportioner.GrantRow{}) }, 0, http.StatusServiceUnavailable, true},
+		{"tokens have expired", func(r *Router, now time.Duration) { r.giveTokens(now, apportioner.GrantRow{Granted: 1, Keep: 1}) }, apportioner.Lifetime, http.StatusServiceUnavailable, false},
+		{"no grants yet", func(*Router, time.Duration) {}, 0, http.StatusServiceUnavailable, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Minute
+			r, reports := newQuotaRouter(t, &now)
+			tt.prepare(r, now)
+			now += tt.after
+			response := r.takeToken(t.Context(), quotaJob(limitedAccount))
+			assert.Equal(t, *reports > 0, tt.asks)
+			if tt.status == 0 {
+				assert.Assert(t, response == nil)
+				return
+			}
+			assert.Equal(t, response.Status, tt.status)
+			if tt.status == http.StatusTooManyRequests {
+				assert.Equal(t, response.Header.Get("Retry-After"), "0.700")
+			}
+		})
+	}
+}
+
+// Guards against attempts that are repeated inside the system and count several times, and against requests that were rejected and
+// count.
+func TestOneTokenForEachRequestThatRuns(t *testing.T) {
+	now := time.Minute
+	r, _ := newQuotaRouter(t, &now)
+	r.giveTokens(now, apportioner.GrantRow{Granted: 3, Keep: 3})
+	j := quotaJob(limitedAccount)
+	for range 3 {
+		assert.Assert(t, r.takeToken(t.Context(), j) == nil && r.spendToken(t.Context(), j) == nil)
+	}
+	assert.Equal(t, r.usableTokens(now), 2)
+
+	rejected := quotaJob(limitedAccount)
+	assert.Assert(t, r.takeToken(t.Context(), rejected) == nil)
+	assert.Equal(t, r.usableTokens(now), 1)
+	r.returnToken(rejected)
+	r.returnToken(rejected)
+	assert.Equal(t, r.usableTokens(now), 2)
+}
+
+// Guards against a request that is sent with a token that expired while it waited, for example because the process stood still.
+func TestExpiredTokensAreReplacedBeforeTheRequestIsSent(t *testing.T) {
+	now := time.Minute
+	r, _ := newQuotaRouter(t, &now)
+	r.giveTokens(now, apportioner.GrantRow{Granted: 1, Keep: 1})
+	j, other := quotaJob(limitedAccount), quotaJob(limitedAccount)
+	assert.Assert(t, r.takeToken(t.Context(), j) == nil)
+	now += apportioner.Lifetime
+	assert.Equal(t, r.spendToken(t.Context(), j).Status, http.StatusServiceUnavailable)
+
+	r.giveTokens(now, apportioner.GrantRow{Granted: 2, Keep: 2})
+	assert.Assert(t, r.takeToken(t.Context(), other) == nil && r.spendToken(t.Context(), other) == nil)
+}
