--- a/core/apportioner/apportion.go
+++ b/core/apportioner/apportion.go
@@ -56,9 +56,6 @@
 		demand += e.demand
 	}
 	planned := plannedShare * (a.tokens + held)
-	if c.limitShare(now) < stableShare {
-		planned = takeoverPlannedShare * (a.tokens + held)
-	}
 	unmet := func(e holder[K]) float64 { return max(0, e.waiting-e.held()) }
 	c.give(a, a.tokens, unmet)
 	held = c.outstanding(a)
--- a/core/apportioner/apportioner.go
+++ b/core/apportioner/apportioner.go
@@ -59,14 +59,11 @@
 	returnShare = 0.1
 	// stableShare is the share of the capacity that the bucket and the hosts have together. The rest is for the successors of a
 	// controller: until the tokens of the predecessor have expired, bucket and hosts have takeoverShare, with which it begins.
-	stableShare   = 0.6
-	takeoverShare = 0.2
+	stableShare   = 0.7
+	takeoverShare = 0.15
 	// plannedShare is the share of all tokens that hosts get by their average demand. The others are for requests that wait on a
 	// host to which callers have just moved.
 	plannedShare = 0.85
-	// takeoverPlannedShare is the same until the tokens of the predecessor have expired. There are few, and all hosts may have
-	// requests that wait.
-	takeoverPlannedShare = 0.3
 	// maxRecent is the number of earlier terms that may have begun within the window or Lifetime. Their tokens, and those of the
 	// term before them, fit into the capacity.
 	maxRecent = 1
--- a/core/apportioner/apportioner_test.go
+++ b/core/apportioner/apportioner_test.go
@@ -59,13 +59,13 @@
 		after  time.Duration
 		want   float64 // of the capacity
 	}{
-		{"no predecessor", true, 0, 0, 0.6},
-		{"one predecessor", false, 0, 0, 0.2},
-		{"a predecessor with a short term", false, 1, 0, 0.2},
+		{"no predecessor", true, 0, 0, 0.7},
+		{"one predecessor", false, 0, 0, 0.15},
+		{"a predecessor with a short term", false, 1, 0, 0.15},
 		{"two predecessors with short terms", false, 2, 0, 0},
 		{"two predecessors with short terms, before their tokens end", false, 2, apportioner.Lifetime - 1, 0},
-		{"one predecessor, before its tokens end", false, 0, apportioner.Lifetime - 1, 0.2},
-		{"one predecessor, after its tokens have ended", false, 0, apportioner.Lifetime + 2*second, 0.6},
+		{"one predecessor, before its tokens end", false, 0, apportioner.Lifetime - 1, 0.15},
+		{"one predecessor, after its tokens have ended", false, 0, apportioner.Lifetime + 2*second, 0.7},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -159,7 +159,7 @@
 	c.SetAccounts(second, nil)
 	c.SetAccounts(2*second, []apportioner.Account{limit})
 	bucket, still := c.Tokens(2*second, 1)
-	assert.Assert(t, still == held && bucket+still <= 0.6*bounds.Capacity(limit)+1e-6)
+	assert.Assert(t, still == held && bucket+still <= 0.7*bounds.Capacity(limit)+1e-6)
 }
 
 // Guards against a controller whose lease has expired and which adds tokens, or lengthens the life of those on hosts, while a
@@ -175,7 +175,7 @@
 	c.SetValid(0, false)
 	c.Report(second, "h", row(first.Rows[0].Granted, 0, 0, 100))
 	bucket, held := c.Tokens(second, 1)
-	assert.Assert(t, held == 0 && bucket > 1 && bucket < 0.6*bounds.Capacity(limit))
+	assert.Assert(t, held == 0 && bucket > 1 && bucket < 0.7*bounds.Capacity(limit))
 	c.Apportion(second)
 	later := c.Grants(second, "h")
 	assert.Assert(t, !later.Confirms && later.Rows[0].Granted > first.Rows[0].Granted)
