--- a/core/apportioner/apportioner.go
+++ b/core/apportioner/apportioner.go
@@ -70,6 +70,8 @@
 	// minCapacityShare is the minimum capacity as a share of the requests in a window. Without allowance and burst, the rate of
 	// the refill is reduced for it.
 	minCapacityShare = 0.1
+	// minCapacity is the capacity in tokens below which the bucket would not hold a whole one.
+	minCapacity = 2.0
 	// demandTime is the time constant of the average demand of a host.
 	demandTime = time.Second
 	// minDemand is the demand in requests per second below which a host keeps no tokens.
@@ -137,7 +139,8 @@
 // share returns the capacity of the bucket of an account, and the rate of its refill in tokens per second.
 func (b Bounds) share(a Account) (capacity, rate float64) {
 	capacity, rate = a.Burst+usedShare*b.allowance(a), a.Rate
-	if missing := minCapacityShare*a.Rate*b.Window.Seconds() - capacity; missing > 0 {
+	window := a.Rate * b.Window.Seconds()
+	if missing := min(window, max(minCapacity, minCapacityShare*window)-capacity); missing > 0 {
 		capacity += missing
 		rate -= missing / b.Window.Seconds()
 	}
