--- a/demo/internal/soaker/soaker.go
+++ b/demo/internal/soaker/soaker.go
@@ -190,12 +190,13 @@
 	c.address = listener.Addr().String()
 	c.server = &http.Server{Handler: c.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = c.server.Serve(listener) }()
-	if listener, err = net.Listen("tcp", ip(250)+":0"); err != nil {
+	hostListener, err := net.Listen("tcp", ip(250)+":0")
+	if err != nil {
 		return errors.Wrap(err, "listen for connections of hosts to the store")
 	}
-	c.hostAddress = listener.Addr().String()
+	c.hostAddress = hostListener.Addr().String()
 	c.hostServer = &http.Server{Handler: http.HandlerFunc(c.serveHosts), ReadHeaderTimeout: time.Minute}
-	go func() { _ = c.hostServer.Serve(listener) }()
+	go func() { _ = c.hostServer.Serve(hostListener) }()
 	go c.expire(ctx)
 	for i := range c.options.Upstreams + c.options.Upstreams/2 {
 		u := &upstream{service: simulator.KeyedService, domain: domain(i)}
