--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -424,22 +424,6 @@
 	f.snapshot.Store(s)
 }
 
-// logRemovals logs the upstreams whose entries are missing since the last snapshot. The caller holds the mutex.
-func (f *Follower) logRemovals(old, s *Snapshot) {
-	for id, end := range f.list.Kept() {
-		if !old.Kept[id] {
-			f.options.Log.Log(eventlog.UpstreamKept, zap.String("upstream", id), zap.Duration("left", end-f.options.Now()),
-				zap.Int64("revision", f.revision))
-		}
-	}
-	for id, u := range old.Upstreams {
-		if _, ok := s.Upstreams[id]; !ok {
-			f.options.Log.Log(eventlog.UpstreamDropped, zap.String("upstream", id), zap.Int64("start", u.Start),
-				zap.Bool("relayed", f.relayed), zap.Int64("revision", f.revision))
-		}
-	}
-}
-
 // sweep removes expired entries and stops using the relay after relayTimeout.
 func (f *Follower) sweep() {
 	f.mutex.Lock()
