apportioner: keep the counts of removed accounts while hosts are connected

Callers of an account whose limit was removed for 8 s or more and then restored got status 503 (or had to wait up to 300 ms for it) on all hosts that had used more than the capacity, until those hosts reconnected.

Cause: the controller deleted its entries of the account 8 s after the removal, but the host continues the totals of its connection. The controller then ignored the reports of the host, because they named more tokens than it had granted.

The account now stays until 8 s after a version without it was last applied while a connected host had an entry. The memory is that of one entry per removed account and connected host, until the connection ends.

TestRestoredAccountsAreServed fails without the change (no more than 150 of 200 requests admitted in 10 s after 30 s of removal).

--- a/core/apportioner/apportioner_test.go
+++ b/core/apportioner/apportioner_test.go
@@ -162,6 +162,40 @@
 	assert.Assert(t, still == held && bucket+still <= 0.7*bounds.Capacity(limit)+1e-6)
 }
 
+// Guards against an account that is dead until the hosts reconnect, because the controller has dropped the counts of a connection
+// that hosts continue.
+func TestRestoredAccountsAreServed(t *testing.T) {
+	c := apportioner.NewController[string](bounds)
+	c.Begin(0, true, 0)
+	c.SetAccounts(0, []apportioner.Account{limit})
+	h, now := apportioner.NewHost(bounds), time.Duration(0)
+	serve := func(seconds int) (admitted int) {
+		for range 10 * seconds {
+			now += second / 10
+			for range 2 {
+				h.Ask(limit)
+				if token, verdict, _ := h.Take(now, limit); verdict == apportioner.Admitted && h.Spend(now, token) {
+					admitted++
+				}
+			}
+			c.Report(now, "h", h.Report())
+			c.Apportion(now)
+			h.Apply(now, now, 1, c.Grants(now, "h"))
+		}
+		return admitted
+	}
+	assert.Assert(t, serve(10) > 150)
+	for range 30 { // without requests
+		now += second
+		c.SetAccounts(now, nil)
+		h.Forget(now, func(apportioner.Tag) bool { return false })
+		c.Apportion(now)
+		h.Apply(now, now, 1, c.Grants(now, "h"))
+	}
+	c.SetAccounts(now, []apportioner.Account{limit})
+	assert.Assert(t, serve(10) > 150)
+}
+
 // Guards against a controller whose lease has expired and which adds tokens, or lengthens the life of those on hosts, while a
 // successor gives out its own.
 func TestAnExpiredControllerGivesOnlyWhatIsLeft(t *testing.T) {
--- a/core/apportioner/controller.go
+++ b/core/apportioner/controller.go
@@ -60,7 +60,7 @@
 	refilledAt     time.Duration
 	refunds        float64       // tokens that may still return after their requests were sent
 	holders        []holder[K]   // in the order of their first reports
-	removedAt      time.Duration // 0: it is in the configuration
+	removedAt      time.Duration // when it was last seen without a limit and, after that, with holders; 0: it has a limit
 }
 
 // NewController returns a controller that gives no tokens until Begin is called.
@@ -117,14 +117,11 @@
 	for tag, a := range c.accounts {
 		switch {
 		case listed[tag]:
-		case a.removedAt == 0:
+		case a.removedAt == 0 || len(a.holders) > 0:
+			// Counts are totals since the connection began, so the entry stays for as long as the connection.
 			a.removedAt = now
 		case now >= a.removedAt+c.bounds.Window+Lifetime:
 			delete(c.accounts, tag)
-			for _, l := range c.ledgers {
-				delete(l.entries, tag)
-				delete(l.changed, tag)
-			}
 		}
 	}
 }
