apportioner: do not forget the counts of the present ledger

An account could exceed its limit on a host: after a version without the account, while the lease of the controller had lapsed, the host dropped its counts. The next grants of the same connection contain the total of all tokens so far, and the host could use all of them again until its next report.

Forget now removes a share only if it has no tokens of the present ledger. Counts of an earlier ledger still end with its tokens.

TestForgottenAccountsDoNotGetUsedTokensAgain fails without the change (3 usable tokens instead of 1).

--- a/core/apportioner/apportioner_test.go
+++ b/core/apportioner/apportioner_test.go
@@ -196,6 +196,26 @@
 	assert.Assert(t, serve(10) > 150)
 }
 
+// Guards against tokens that are usable a second time: the host drops the count of those that it has used while the lease of the
+// controller has expired, and the next grants contain the total of the connection.
+func TestForgottenAccountsDoNotGetUsedTokensAgain(t *testing.T) {
+	h := grant(2)
+	for range 2 {
+		token, _, _ := h.Take(0, limit)
+		assert.Assert(t, h.Spend(0, token))
+	}
+	none := func(apportioner.Tag) bool { return false }
+	h.Forget(apportioner.Lifetime, none)
+	rows := []apportioner.GrantRow{{Account: 1, Granted: 3, Keep: 3}}
+	h.Apply(4*second, 4*second, 1, apportioner.Grants{Ledger: 1, Confirms: true, Rows: rows})
+	assert.Equal(t, h.Usable(4*second, 1), 1)
+
+	// The counts of an earlier ledger end with its tokens.
+	h.Apply(5*second, 5*second, 1, apportioner.Grants{Ledger: 2, Confirms: true})
+	h.Forget(7*second, none)
+	assert.Equal(t, h.Usable(7*second-1, 1), 0)
+}
+
 // Guards against a controller whose lease has expired and which adds tokens, or lengthens the life of those on hosts, while a
 // successor gives out its own.
 func TestAnExpiredControllerGivesOnlyWhatIsLeft(t *testing.T) {
--- a/core/apportioner/host.go
+++ b/core/apportioner/host.go
@@ -234,10 +234,12 @@
 // ApplyNone records a heartbeat of a controller that gives no tokens because it is of an earlier version.
 func (h *Host) ApplyNone(hosts int) { h.uncontrolled, h.hosts = true, hosts }
 
-// Forget removes the accounts that are not listed and hold no tokens.
+// Forget removes the accounts that are not listed and hold no tokens. Those of the present ledger stay also when their tokens have
+// expired: its counts are totals, and without the number of used tokens, all would count as unused once it is confirmed again.
 func (h *Host) Forget(now time.Duration, isListed func(Tag) bool) {
 	for tag, s := range h.shares {
-		if !isListed(tag) && s.waiting == 0 && s.pending == 0 && (s.confirmation == nil || now >= s.confirmation.expires) {
+		ended := s.confirmation == nil || s.confirmation != h.current && now >= s.confirmation.expires
+		if !isListed(tag) && s.waiting == 0 && s.pending == 0 && ended {
 			delete(h.shares, tag)
 			delete(h.changed, tag)
 		}
