apportioner: do not catch up with the refill of a lapse at once

An account could exceed its bound when the lease of the controller lapsed and was renewed in the same term: 126 requests in a window with a bound of 125.6 (rate 16, burst 16, lapse from 5 s to 8 s, surge from 7.8 s).

Cause: the controller added the refill of the whole lapse on renewal, while hosts had used their tokens from before it up to Lifetime after its beginning. Both fell into one window.

On renewal, the refill now begins Lifetime after the lease expired, or at the renewal if that is earlier. Tokens that hosts used before that time were part of the capacity, and a refill since then is at most rate x time, as without a lapse.

--- a/core/apportioner/apportioner.go
+++ b/core/apportioner/apportioner.go
@@ -37,7 +37,8 @@
 //   - Tokens of a controller end Lifetime after its lease at the latest. For two changes of the controller within the window, the
 //     tokens of all three are at most C, because stableShare + 2 x takeoverShare is 1. After a further change, the controller gives
 //     out nothing until the tokens of its predecessors have expired.
-//   - A controller whose lease has expired gives out what is left in its bucket. It adds nothing, and confirms nothing.
+//   - A controller whose lease has expired gives out what is left in its bucket. It adds nothing, and confirms nothing. If its lease
+//     is valid again in the same term, it adds the refill of the time since Lifetime after the lease expired, but not of the time before.
 //   - Tokens that return after the request was sent are at most returnShare of the allowance in a window.
 //
 // Neither type is safe for concurrent use. Times are durations since an arbitrary origin, which differs between hosts.
--- a/core/apportioner/controller.go
+++ b/core/apportioner/controller.go
@@ -138,7 +138,8 @@
 }
 
 // SetValid records whether the lease of the controller is valid. If it is valid again in the same term, no other controller has given
-// tokens in between.
+// tokens in between. The refill catches up only with the time in which hosts had no tokens: those from before the lease expired may
+// have been used until Lifetime after that, and a refill of the same time at once would add to them in one window.
 func (c *Controller[K]) SetValid(now time.Duration, valid bool) {
 	if valid == !c.expired {
 		return
@@ -148,6 +149,10 @@
 			c.refill(now, a)
 		}
 		c.expiredAt = now
+	} else {
+		for _, a := range c.accounts {
+			a.refilledAt = max(a.refilledAt, min(now, c.expiredAt+Lifetime))
+		}
 	}
 	c.expired = !valid
 }
