apportioner: refill accounts before the tokens of ended connections expire

An account could exceed its bound after the last host with its tokens was cut off: when the tokens had expired, the controller added the refill of up to 3 s at once, while the host could have used all of its tokens shortly before.

Cause: the refill is computed when an account is touched, and without a connected host nothing touched it. The refill of the time in which the expired tokens counted was then limited by a sum without them.

Apportion now refills the accounts of a ledger before the ledger leaves the sum.

TestExpiredTokensAreNotReplacedAtOnce fails without the change (28.8 tokens in the bucket at the expiry instead of less than 1).

--- a/core/apportioner/apportion.go
+++ b/core/apportioner/apportion.go
@@ -9,6 +9,18 @@
 
 // Apportion gives the tokens of all accounts to hosts by their demand. Grants returns them.
 func (c *Controller[K]) Apportion(now time.Duration) {
+	// Tokens that have expired leave the sum now. Accounts are refilled before, because a refill of the time in which they
+	// counted would replace them at once.
+	for _, l := range c.ended {
+		if now < l.expires {
+			continue
+		}
+		for tag := range l.entries {
+			if a := c.accounts[tag]; a != nil {
+				c.refill(now, a)
+			}
+		}
+	}
 	live := c.ended[:0]
 	for _, l := range c.ended {
 		if now < l.expires {
--- a/core/apportioner/apportioner_test.go
+++ b/core/apportioner/apportioner_test.go
@@ -340,6 +340,28 @@
 	return most
 }
 
+// Guards against a refill of the time in which a host that was cut off could use all tokens. Added at once when they have expired, it
+// exceeds the bound together with them.
+func TestExpiredTokensAreNotReplacedAtOnce(t *testing.T) {
+	c := apportioner.NewController[string](bounds)
+	c.Begin(0, true, 0)
+	c.SetAccounts(0, []apportioner.Account{limit})
+	asks := row(0, 0, 0, 100)
+	asks.Rows[0].Waiting = 100
+	c.Report(0, "h", asks)
+	c.ApportionWaiting(0, "h")
+	c.Grants(0, "h")
+	c.Remove("h")
+	c.Apportion(apportioner.Lifetime - 1)
+	bucket, held := c.Tokens(0, 1)
+	assert.Assert(t, bucket < 1 && held > 25)
+	c.Apportion(apportioner.Lifetime)
+	bucket, held = c.Tokens(apportioner.Lifetime, 1)
+	assert.Assert(t, held == 0 && bucket < 1, "%v", bucket)
+	bucket, _ = c.Tokens(apportioner.Lifetime+second, 1)
+	assert.Assert(t, bucket >= 16 && bucket < 17, "%v", bucket)
+}
+
 // Guards against an account with a small limit, without an allowance beyond it, that is never served.
 func TestSmallLimitsAreServed(t *testing.T) {
 	for _, limit := range []apportioner.Account{{Tag: 1, Rate: 1}, {Tag: 1, Rate: 1, Burst: 1}, {Tag: 1, Rate: 0.5, Burst: 0.5}} {
