apportioner: apply the lower limit to all of the time after a takeover

An account that nothing touched until the tokens of the predecessor had ended got the refill of that time with the limit of the time after: 0.7 of the capacity at once instead of 0.15, while hosts could have used the tokens of the predecessor shortly before.

The refill now computes the time until that moment on its own.

Two new rows of TestStartOfAController fail without the change (28.8 tokens instead of 6.2 and 0).

--- a/core/apportioner/apportioner_test.go
+++ b/core/apportioner/apportioner_test.go
@@ -65,6 +65,8 @@
 		{"two predecessors with short terms", false, 2, 0, 0},
 		{"two predecessors with short terms, before their tokens end", false, 2, apportioner.Lifetime - 1, 0},
 		{"one predecessor, before its tokens end", false, 0, apportioner.Lifetime - 1, 0.15},
+		{"one predecessor, when its tokens end", false, 0, apportioner.Lifetime, 0.15},
+		{"two predecessors with short terms, when their tokens end", false, 2, apportioner.Lifetime, 0},
 		{"one predecessor, after its tokens have ended", false, 0, apportioner.Lifetime + 2*second, 0.7},
 	}
 	for _, tt := range tests {
--- a/core/apportioner/controller.go
+++ b/core/apportioner/controller.go
@@ -175,6 +175,10 @@
 	if c.expired {
 		now = min(now, c.expiredAt)
 	}
+	// The time until the tokens of the predecessor end counts with the lower limit, also if nothing touched the account meanwhile.
+	if edge := c.began + Lifetime; !c.first && a.refilledAt < edge-1 && now >= edge {
+		c.refill(edge-1, a)
+	}
 	elapsed := max(0, now-a.refilledAt).Seconds()
 	a.refilledAt = max(a.refilledAt, now)
 	a.tokens += a.rate * elapsed
