router: use equal parts of limits only with a controller that has the same configuration

With 60 hosts, requests of a usual account got status 429 with Retry-After 2 although none had run: after a start, or when the first accounts were configured, until the controller had applied the configuration.

Cause: a valid heartbeat without tokens was taken as one of a controller of an earlier version, also if that controller had no configuration yet, or one without accounts. The equal part of a host was then less than one request.

A host now infers an earlier version only from a valid heartbeat that confirms a copy with its own configuration version: a controller that knows tokens sends them with that configuration. Otherwise the state stays as it was. A later version does not count either, because it may have no accounts.

TestOnlyControllersWithTheSameConfigurationLeadToEqualParts fails without the change (four of six rows).

--- a/rhubarbtrackd/internal/router/quota.go
+++ b/rhubarbtrackd/internal/router/quota.go
@@ -164,7 +164,8 @@
 		return false
 	}
 	if heartbeat.Quotas == nil {
-		if heartbeat.Valid {
+		// A controller without a configuration, or with another one, may give tokens once it has that of this host.
+		if heartbeat.Valid && heartbeat.HasCopy && heartbeat.Copy.Configuration == snapshot.Config.Version {
 			r.quotas.host.ApplyNone(heartbeat.Hosts)
 		}
 		return false
--- a/rhubarbtrackd/internal/router/quota_test.go
+++ b/rhubarbtrackd/internal/router/quota_test.go
@@ -12,7 +12,9 @@
 	"rhubarbtrack.example/core/apportioner"
 	"rhubarbtrack.example/core/matcher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/acceptor"
+	"rhubarbtrack.example/rhubarbtrackd/internal/connector"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
 	"rhubarbtrack.example/rhubarbtrackd/internal/meter"
 )
 
@@ -127,3 +129,32 @@
 	r.giveTokens(now, apportioner.GrantRow{Granted: 2, Keep: 2})
 	assert.Assert(t, r.takeToken(t.Context(), other) == nil && r.spendToken(t.Context(), other) == nil)
 }
+
+// Guards against a controller that has not read its configuration yet, or has one without accounts, and is taken for one of an
+// earlier version: the equal part of a host is less than one request for a usual account, and all requests are refused.
+func TestOnlyControllersWithTheSameConfigurationLeadToEqualParts(t *testing.T) {
+	tests := []struct {
+		name      string
+		heartbeat connector.Heartbeat
+		want      apportioner.Verdict
+	}{
+		{"lease not valid", connector.Heartbeat{HasCopy: true, Copy: follower.Change{Configuration: 5}}, apportioner.Unknown},
+		{"no copy", connector.Heartbeat{Valid: true}, apportioner.Unknown},
+		{"no configuration", connector.Heartbeat{Valid: true, HasCopy: true}, apportioner.Unknown},
+		{"older configuration", connector.Heartbeat{Valid: true, HasCopy: true, Copy: follower.Change{Configuration: 4}}, apportioner.Unknown},
+		{"newer configuration", connector.Heartbeat{Valid: true, HasCopy: true, Copy: follower.Change{Configuration: 6}}, apportioner.Unknown},
+		{"earlier version", connector.Heartbeat{Valid: true, HasCopy: true, Copy: follower.Change{Configuration: 5}}, apportioner.Exhausted},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Minute
+			r, _ := newQuotaRouter(t, &now)
+			snapshot := &follower.Snapshot{Config: &matcher.Config{Version: 5, HasAccounts: true, Accounts: []matcher.Account{*limitedAccount}}}
+			tt.heartbeat.Hosts = 200
+			r.applyQuotas(now, snapshot, tt.heartbeat)
+			limit, _ := quotaOf(limitedAccount)
+			_, verdict, _ := r.quotas.host.Take(now, limit)
+			assert.Equal(t, verdict, tt.want)
+		})
+	}
+}
