router: respond with 502 after a send if the account has no token

A caller got status 429 or 503, which say that the request has not run, for an idempotent request whose first attempt may have run, if a new configuration moved the key to another account, or limited its account, before the next attempt. The spent token of the first account was returned, so that the request did not count for any account.

After an attempt that may have run, the response is now 502, with Retry-After for idempotent routes, and the spent token stays spent.

TestNoTokenForAFurtherAttempt fails without the change (429 and 503 instead of 502), and without only the part about the token (1 refunded instead of 0).

--- a/rhubarbtrackd/internal/router/quota.go
+++ b/rhubarbtrackd/internal/router/quota.go
@@ -70,7 +70,11 @@
 	if j.token == nil {
 		r.locked(func() { r.quotas.host.Ask(limit) })
 	}
-	r.returnToken(j) // that of another account, which the key belonged to
+	if j.mayHaveRun {
+		j.token = nil // spent from another account, which the key belonged to
+	} else {
+		r.returnToken(j)
+	}
 	verdict, wait, changed := r.tryToken(j, limit)
 	if verdict == apportioner.Wanting || verdict == apportioner.Unknown {
 		verdict, wait = r.awaitToken(ctx, j, limit, changed)
@@ -81,11 +85,14 @@
 		return nil
 	case apportioner.Exhausted:
 		r.logLimit(j.account.Name, wait)
+		if j.mayHaveRun {
+			return r.fail(j, "the account has reached its limit", wait)
+		}
 		response := r.finish(j, http.StatusTooManyRequests, "the account has reached its limit")
 		response.Header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 		return response
 	}
-	return r.reject(j, "the limit of the account cannot be checked", wait)
+	return r.fail(j, "the limit of the account cannot be checked", wait)
 }
 
 func (r *Router) tryToken(j *job, limit apportioner.Account) (apportioner.Verdict, time.Duration, <-chan struct{}) {
--- a/rhubarbtrackd/internal/router/quota_test.go
+++ b/rhubarbtrackd/internal/router/quota_test.go
@@ -158,3 +158,42 @@
 		})
 	}
 }
+
+// Guards against a response that says that a request has not run, and against the return of its token, after an attempt that may have
+// run: the key has moved to an account that has no tokens, or whose limit is not known.
+func TestNoTokenForAFurtherAttempt(t *testing.T) {
+	tests := []struct {
+		name       string
+		mayHaveRun bool
+		rows       []apportioner.GrantRow
+		status     int
+		refunded   uint64
+	}{
+		{"limit reached, not run", false, []apportioner.GrantRow{{Wait: time.Second}}, http.StatusTooManyRequests, 1},
+		{"limit reached, may have run", true, []apportioner.GrantRow{{Wait: time.Second}}, http.StatusBadGateway, 0},
+		{"not known, not run", false, nil, http.StatusServiceUnavailable, 1},
+		{"not known, may have run", true, nil, http.StatusBadGateway, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Minute
+			r, _ := newQuotaRouter(t, &now)
+			r.giveTokens(now, apportioner.GrantRow{Granted: 2, Keep: 2})
+			for i := range tt.rows {
+				tt.rows[i].Account = apportioner.TagOf("b")
+			}
+			r.quotas.host.Apply(now, now, 1, apportioner.Grants{Ledger: 1, Confirms: true, Rows: tt.rows})
+			j := quotaJob(limitedAccount)
+			assert.Assert(t, r.takeToken(t.Context(), j) == nil && r.spendToken(t.Context(), j) == nil)
+			j.mayHaveRun = tt.mayHaveRun
+			j.account = &matcher.Account{Name: "b", Rate: 10, Burst: 10}
+			response := r.spendToken(t.Context(), j)
+			assert.Equal(t, response.Status, tt.status)
+			for _, row := range r.quotas.host.Report().Rows {
+				if row.Account == apportioner.TagOf("a") {
+					assert.Equal(t, row.Refunded, tt.refunded)
+				}
+			}
+		})
+	}
+}
