coordinator: ignore the counts of reports of another term

After a change of the controller, tokens of an account could be counted as used that hosts still held, and the other way round: a report for the last controller, with the ledger number that the new controller uses for the same host, was applied to its ledger.

Cause: only the number of the ledger was compared, and numbers begin at 1 in each process. Reports now count only if their term is that of the controller as well. Their demand is still recorded.

TestReportsOfAnotherTermDoNotCount fails without the change.

--- a/rhubarbtrackd/internal/coordinator/quotas.go
+++ b/rhubarbtrackd/internal/coordinator/quotas.go
@@ -106,6 +106,9 @@
 // handleQuotas applies what a host reports of its tokens, and responds at once if requests wait for them.
 func (c *Coordinator) handleQuotas(peer *connector.Peer, report apportioner.Report) {
 	now := c.options.Now()
+	if report.Term != c.contender.Term() {
+		report.Ledger = 0 // ledgers of other controllers may have the same numbers
+	}
 	if len(report.Rows) == 0 || !c.hasQuotas(now) || !c.quotas.controller.Report(now, peer, report) {
 		return
 	}
--- a/rhubarbtrackd/internal/coordinator/quotas_test.go
+++ b/rhubarbtrackd/internal/coordinator/quotas_test.go
@@ -69,3 +69,35 @@
 	renew()
 	assert.Assert(t, c.grantsFor(nil).Confirms)
 }
+
+// Guards against counts of a ledger of the last controller that are applied to the ledger of this one with the same number.
+func TestReportsOfAnotherTermDoNotCount(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		term  uint64
+		spent float64
+	}{{"this term", 2, 1}, {"the term before", 1, 0}} {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Minute
+			log := eventlog.New(zap.NewNop())
+			c := New(Options{
+				Host: "h", Now: func() time.Duration { return now }, Log: log,
+				Follower: follower.New(follower.Options{Store: storer.New("127.0.0.1:1"), Log: log, Now: func() time.Duration { return now }}),
+			})
+			c.snapshot = &follower.Snapshot{Config: &matcher.Config{
+				HasAccounts: true, Accounts: []matcher.Account{{Name: "a", Rate: 10, Burst: 10}},
+			}}
+			c.contender.Step(now, contender.WriteResult{SentAt: now, Record: contender.Record{Revision: 1, Holder: "h", Term: 2}})
+			c.quotas.begin(now, apportioner.Bounds{Window: 5 * time.Second}, 2, true)
+			tag := apportioner.TagOf("a")
+			c.handleQuotas(nil, apportioner.Report{Rows: []apportioner.ReportRow{{Account: tag, Asked: 10}}})
+			c.apportion(now)
+			ledger := c.grantsFor(nil).Ledger
+			_, held := c.quotas.controller.Tokens(now, tag)
+			assert.Assert(t, held > 1)
+			c.handleQuotas(nil, apportioner.Report{Term: tt.term, Ledger: ledger, Rows: []apportioner.ReportRow{{Account: tag, Spent: 1}}})
+			_, after := c.quotas.controller.Tokens(now, tag)
+			assert.Equal(t, held-after, tt.spent)
+		})
+	}
+}
