router: count the life of a controller's own grants from when they were made

On the host of the controller, tokens could be used for longer than the controller counted them, by the time that the process stood still between the two. In that time, the same tokens were given to other hosts.

Cause: grants between two heartbeats got the time at which they were applied. They now get the time that the controller read before it made them.

TestOwnGrantsExpireByTheTimeOfTheController fails without the change (1 usable token instead of 0).

--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -101,8 +101,9 @@
 	OnShed func(part string, entries int)
 	// QuotaBounds returns the bounds of the requests of client accounts. It may be nil if there are none.
 	QuotaBounds func() apportioner.Bounds
-	// OnGrants is called with tokens of client accounts for this host while it is the controller, between two heartbeats.
-	OnGrants func(term uint64, grants apportioner.Grants)
+	// OnGrants is called with tokens of client accounts for this host while it is the controller, between two heartbeats. They were
+	// made at madeAt or later.
+	OnGrants func(madeAt time.Duration, term uint64, grants apportioner.Grants)
 }
 
 // leavingTimeout is how long a leaving notice counts after the last report that contains it. Hosts repeat it with each report.
--- a/rhubarbtrackd/internal/coordinator/quotas.go
+++ b/rhubarbtrackd/internal/coordinator/quotas.go
@@ -120,7 +120,7 @@
 	for _, p := range c.quotas.controller.ApportionWaiting(now, peer) {
 		switch position := positions[p]; {
 		case p == nil:
-			c.options.OnGrants(c.contender.Term(), *c.grantsFor(nil))
+			c.options.OnGrants(now, c.contender.Term(), *c.grantsFor(nil))
 		case position > 0:
 			c.send(p, c.newHeartbeat(now, p, position, len(peers)+1))
 		}
--- a/rhubarbtrackd/internal/router/quota.go
+++ b/rhubarbtrackd/internal/router/quota.go
@@ -186,12 +186,12 @@
 	return returns
 }
 
-// ApplyGrants applies grants of this host's own controller that are not part of a heartbeat.
-func (r *Router) ApplyGrants(term uint64, grants apportioner.Grants) {
+// ApplyGrants applies grants of this host's own controller that are not part of a heartbeat, and were made at madeAt or later.
+func (r *Router) ApplyGrants(madeAt time.Duration, term uint64, grants apportioner.Grants) {
 	now := r.options.Now()
 	snapshot := r.options.Follower.Snapshot()
 	r.locked(func() {
-		r.applyQuotas(now, snapshot, connector.Heartbeat{Term: term, Valid: true, MadeAt: now, Quotas: &grants})
+		r.applyQuotas(now, snapshot, connector.Heartbeat{Term: term, Valid: true, MadeAt: madeAt, Quotas: &grants})
 	})
 }
 
--- a/rhubarbtrackd/internal/router/quota_test.go
+++ b/rhubarbtrackd/internal/router/quota_test.go
@@ -11,6 +11,8 @@
 
 	"rhubarbtrack.example/core/apportioner"
 	"rhubarbtrack.example/core/matcher"
+	"rhubarbtrack.example/platform/simulator"
+	"rhubarbtrack.example/platform/translator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/acceptor"
 	"rhubarbtrack.example/rhubarbtrackd/internal/connector"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
@@ -197,3 +199,18 @@
 		})
 	}
 }
+
+// Guards against tokens that this host uses for longer than its own controller counts them, because it stood still between the two.
+func TestOwnGrantsExpireByTheTimeOfTheController(t *testing.T) {
+	now := time.Minute
+	r, _ := newQuotaRouter(t, &now)
+	store := simulator.NewStore()
+	configuration := simulator.ConfigurationWithAccounts(3, simulator.Account{Name: "a", Keys: []string{"k"}})
+	assert.NilError(t, store.Put(translator.ConfigurationKind, translator.ConfigurationName, configuration, nil))
+	r.options.Follower = followStore(t, store)
+	await(t, func() bool { return r.options.Follower.Snapshot().Config != nil })
+	rows := []apportioner.GrantRow{{Account: apportioner.TagOf("a"), Granted: 1, Keep: 1}}
+	r.ApplyGrants(now-time.Second, 1, apportioner.Grants{Ledger: 1, Confirms: true, Rows: rows})
+	assert.Equal(t, r.usableTokens(now+apportioner.Lifetime-time.Second-1), 1)
+	assert.Equal(t, r.usableTokens(now+apportioner.Lifetime-time.Second), 0)
+}
