router: do not read the clock for accounts where there are none

Without client accounts, a request read the clock twice by a system call for each decision about its account: on arrival and before each attempt. The decision now returns before that.

TestRequestsWithoutAccountsReadNoClock fails without the change.

--- a/rhubarbtrackd/internal/router/account.go
+++ b/rhubarbtrackd/internal/router/account.go
@@ -30,6 +30,10 @@
 
 // decideAccount sets what the job says of accounts, from the newest configuration.
 func (r *Router) decideAccount(j *job) authenticator.Verdict {
+	if r.options.Follower.Snapshot().Authenticator == nil { // without accounts, the clock is not read
+		j.hasAccounts, j.account = false, nil
+		return authenticator.Verdict{Decision: authenticator.NotNeeded}
+	}
 	// The order matters, see Follower.ConfirmedAt. The clock is read last, so that an age is never too low.
 	confirmedAt := r.options.Follower.ConfirmedAt(r.options.Now())
 	superseded := r.options.Follower.LacksConfiguration()
--- a/rhubarbtrackd/internal/router/account_test.go
+++ b/rhubarbtrackd/internal/router/account_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"rhubarbtrack.example/core/authenticator"
 	"rhubarbtrack.example/core/detector"
 	"rhubarbtrack.example/platform/simulator"
 	"rhubarbtrack.example/platform/storer"
@@ -124,3 +125,14 @@
 	absent := job{request: &acceptor.Request{Method: "GET", Host: "h", Path: "/a", Target: "/a"}, hasAccounts: true}
 	assert.Equal(t, absent.sign(), sign(absent.request))
 }
+
+// Guards against deployments without accounts in which each attempt reads the clock by a system call because others have them.
+func TestRequestsWithoutAccountsReadNoClock(t *testing.T) {
+	log := eventlog.New(zap.NewNop())
+	f := follower.New(follower.Options{Store: storer.New("127.0.0.1:1"), Log: log, Now: timer.Now})
+	reads := 0
+	r := New(Options{Log: log, Meter: meter.New(), Follower: f, Now: func() time.Duration { reads++; return timer.Now() }})
+	before := reads
+	assert.Equal(t, r.decideAccount(&job{}).Decision, authenticator.NotNeeded)
+	assert.Equal(t, reads, before)
+}
