docs, router, coordinator: correct names and comments of quotas and keys

The usage of apportioner had outdated signatures. Renamed: hasQuotas, which also updates the limits, to updateQuotas; the verdict apportioner.Unknown (503) to Starting, since authenticator.Unknown leads to 401; the function sign to signRequest, beside the method sign. The fetched configuration has digests instead of keys, so it is not as the store holds it. Long lines are broken. The rows of TestResponsesWithoutAToken and the values of all signatures are as before.

--- a/core/apportioner/apportioner.go
+++ b/core/apportioner/apportioner.go
@@ -22,23 +22,24 @@
 // On each host:
 //
 //	h := apportioner.NewHost(bounds)
-//	token, verdict := h.Take(now, account)
-//	if !h.Spend(now, token) { ... }   // immediately before the request is sent
-//	h.Return(token)                   // if the request has not run
+//	h.Ask(account)                            // once for each request
+//	token, verdict, wait := h.Take(now, account)
+//	if !h.Spend(now, token) { ... }           // immediately before the request is sent
+//	h.Return(token)                           // if the request has not run
 //	report := h.Report()
-//	h.Apply(madeAt, term, grants)
+//	returns := h.Apply(now, madeAt, term, grants)
 //
 // # Invariants
 //
 // With C = Capacity(limit) and R the rate of the refill:
 //
-//   - The tokens in the bucket and on hosts are at most stableShare x C, and in any window at most R x window are added. So the requests that
-//     run in a window are at most C + R x window, which is within the bound.
+//   - The tokens in the bucket and on hosts are at most stableShare x C, and in any window at most R x window are added. So the
+//     requests that run in a window are at most C + R x window, which is within the bound.
 //   - Tokens of a controller end Lifetime after its lease at the latest. For two changes of the controller within the window, the
 //     tokens of all three are at most C, because stableShare + 2 x takeoverShare is 1. After a further change, the controller gives
 //     out nothing until the tokens of its predecessors have expired.
 //   - A controller whose lease has expired gives out what is left in its bucket. It adds nothing, and confirms nothing. If its lease
-//     is valid again in the same term, it adds the refill of the time since Lifetime after the lease expired, but not of the time before.
+//     is valid again in the same term, it adds the refill of the time since Lifetime after the lease expired, not of the time before.
 //   - Tokens that return after the request was sent are at most returnShare of the allowance in a window.
 //
 // Neither type is safe for concurrent use. Times are durations since an arbitrary origin, which differs between hosts.
--- a/core/apportioner/apportioner_test.go
+++ b/core/apportioner/apportioner_test.go
@@ -292,7 +292,8 @@
 		for surge := 5 * second; surge < 9*second; surge += second / 10 {
 			for _, renewed := range []time.Duration{6 * second, 8 * second, 10 * second} {
 				most := mostInWindow(limit, surge, 5*second, renewed)
-				assert.Assert(t, float64(most) <= bounds.Bound(limit), "burst %v, surge at %v, renewed at %v: %d", limit.Burst, surge, renewed, most)
+				assert.Assert(t, float64(most) <= bounds.Bound(limit), "burst %v, surge at %v, renewed at %v: %d",
+					limit.Burst, surge, renewed, most)
 			}
 		}
 	}
--- a/core/apportioner/controller.go
+++ b/core/apportioner/controller.go
@@ -274,7 +274,9 @@
 	for _, tag := range tags[:min(len(tags), MaxRows)] {
 		delete(l.changed, tag)
 		if e := l.entries[tag]; e != nil {
-			grants.Rows = append(grants.Rows, GrantRow{Account: tag, Granted: e.granted, Keep: max(e.keep, uint64(e.waiting)), Wait: e.wait})
+			grants.Rows = append(grants.Rows, GrantRow{
+				Account: tag, Granted: e.granted, Keep: max(e.keep, uint64(e.waiting)), Wait: e.wait,
+			})
 		}
 	}
 	return grants
--- a/core/apportioner/host.go
+++ b/core/apportioner/host.go
@@ -61,8 +61,8 @@
 	Wanting
 	// Exhausted means that the account has reached its limit.
 	Exhausted
-	// Unknown means that this host has started and has not got any grants yet.
-	Unknown
+	// Starting means that this host has started and has not got any grants yet.
+	Starting
 	// Unconfirmed means that this host has no token and gets none, because it is not in touch with a controller.
 	Unconfirmed
 )
@@ -104,7 +104,7 @@
 	}
 	switch {
 	case h.current == nil:
-		return nil, Unknown, minWait
+		return nil, Starting, minWait
 	case now >= h.current.expires:
 		return nil, Unconfirmed, minWait
 	case now < s.waitUntil:
--- a/core/apportioner/simulator/simulator.go
+++ b/core/apportioner/simulator/simulator.go
@@ -234,7 +234,7 @@
 	case apportioner.Exhausted:
 		f.Refused++
 		return true
-	case apportioner.Unknown:
+	case apportioner.Starting:
 		if f.Now < h.startedAt+tokenWait {
 			return false
 		}
--- a/rhubarbtrackd/internal/connector/configuration.go
+++ b/rhubarbtrackd/internal/connector/configuration.go
@@ -31,7 +31,8 @@
 	Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
 }
 
-// FetchConfiguration returns the configuration of the controller at address, as the store holds it.
+// FetchConfiguration returns the configuration of the controller at address, with digests instead of the keys of client
+// accounts.
 func FetchConfiguration(ctx context.Context, address string) ([]byte, error) {
 	op := "fetch configuration from " + address
 	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
--- a/rhubarbtrackd/internal/coordinator/quotas.go
+++ b/rhubarbtrackd/internal/coordinator/quotas.go
@@ -71,8 +71,8 @@
 	c.options.Log.Log(eventlog.QuotasBegun, zap.Uint64("term", term), zap.Bool("first", first), zap.Int("recent-terms", recent))
 }
 
-// hasQuotas reports whether this host may give tokens now, and updates the limits from the configuration.
-func (c *Coordinator) hasQuotas(now time.Duration) bool {
+// updateQuotas updates the limits from the configuration. It reports whether this host may give tokens now.
+func (c *Coordinator) updateQuotas(now time.Duration) bool {
 	if !c.contender.IsHolder() || c.snapshot == nil || c.snapshot.Config == nil || !c.snapshot.Config.HasAccounts {
 		return false
 	}
@@ -96,7 +96,7 @@
 // grantsFor returns the grants for a host, or nil if this host gives no tokens now.
 func (c *Coordinator) grantsFor(peer *connector.Peer) *apportioner.Grants {
 	now := c.options.Now()
-	if !c.hasQuotas(now) {
+	if !c.updateQuotas(now) {
 		return nil
 	}
 	grants := c.quotas.controller.Grants(now, peer)
@@ -109,7 +109,7 @@
 	if report.Term != c.contender.Term() {
 		report.Ledger = 0 // ledgers of other controllers may have the same numbers
 	}
-	if len(report.Rows) == 0 || !c.hasQuotas(now) || !c.quotas.controller.Report(now, peer, report) {
+	if len(report.Rows) == 0 || !c.updateQuotas(now) || !c.quotas.controller.Report(now, peer, report) {
 		return
 	}
 	peers := c.hub.Peers()
@@ -129,7 +129,7 @@
 
 // apportion gives tokens before a round of heartbeats.
 func (c *Coordinator) apportion(now time.Duration) {
-	if c.hasQuotas(now) {
+	if c.updateQuotas(now) {
 		c.quotas.controller.Apportion(now)
 	}
 }
--- a/rhubarbtrackd/internal/coordinator/quotas_test.go
+++ b/rhubarbtrackd/internal/coordinator/quotas_test.go
@@ -95,7 +95,8 @@
 			ledger := c.grantsFor(nil).Ledger
 			_, held := c.quotas.controller.Tokens(now, tag)
 			assert.Assert(t, held > 1)
-			c.handleQuotas(nil, apportioner.Report{Term: tt.term, Ledger: ledger, Rows: []apportioner.ReportRow{{Account: tag, Spent: 1}}})
+			rows := []apportioner.ReportRow{{Account: tag, Spent: 1}}
+			c.handleQuotas(nil, apportioner.Report{Term: tt.term, Ledger: ledger, Rows: rows})
 			_, after := c.quotas.controller.Tokens(now, tag)
 			assert.Equal(t, held-after, tt.spent)
 		})
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -112,7 +112,8 @@
 	// was removed. Both may be nil.
 	OnBlocked   func([]detector.Report)
 	OnUnblocked func(signature uint64)
-	// FetchConfiguration returns the configuration of the controller, as the store holds it. It may be nil.
+	// FetchConfiguration returns the configuration of the controller, with digests instead of the keys of client accounts, see
+	// translator.WithoutKeys. It may be nil.
 	FetchConfiguration func(ctx context.Context) ([]byte, error)
 	// Panics contains panics in the handling of a response of the store, which then counts as failed.
 	Panics *recoverer.Recoverer
--- a/rhubarbtrackd/internal/router/account_test.go
+++ b/rhubarbtrackd/internal/router/account_test.go
@@ -81,7 +81,8 @@
 				Limits: Limits{RetryRatio: 1, RetrySlack: 100, Revocation: 5 * time.Second},
 			})
 			response := r.Handle(context.Background(), &acceptor.Request{
-				Method: http.MethodGet, Target: simulator.PlainPrefix + "x", Path: simulator.PlainPrefix + "x", Host: simulator.Hostname, Arrived: time.Now(),
+				Method: http.MethodGet, Target: simulator.PlainPrefix + "x", Path: simulator.PlainPrefix + "x",
+				Host: simulator.Hostname, Arrived: time.Now(),
 				Header: http.Header{"Authorization": {"Bearer k"}, translator.AttemptHeader: {"1"}},
 			})
 			assert.Equal(t, response.Status, tt.status)
@@ -119,11 +120,11 @@
 	request := &acceptor.Request{Method: "GET", Host: "h", Path: "/a", Target: "/a", Header: http.Header{"Authorization": {"Bearer k"}}}
 	other := &acceptor.Request{Method: "GET", Host: "h", Path: "/a", Target: "/a", Header: http.Header{"Authorization": {"Bearer l"}}}
 	without, with, withOther := job{request: request}, job{request: request, hasAccounts: true}, job{request: other, hasAccounts: true}
-	assert.Equal(t, without.sign(), sign(request))
-	assert.Assert(t, with.sign().withQuery != sign(request).withQuery && with.sign().withoutQuery != sign(request).withoutQuery)
+	assert.Equal(t, without.sign(), signRequest(request))
+	assert.Assert(t, with.sign().withQuery != signRequest(request).withQuery && with.sign().withoutQuery != signRequest(request).withoutQuery)
 	assert.Assert(t, with.sign() != withOther.sign())
 	absent := job{request: &acceptor.Request{Method: "GET", Host: "h", Path: "/a", Target: "/a"}, hasAccounts: true}
-	assert.Equal(t, absent.sign(), sign(absent.request))
+	assert.Equal(t, absent.sign(), signRequest(absent.request))
 }
 
 // Guards against deployments without accounts in which each attempt reads the clock by a system call because others have them.
--- a/rhubarbtrackd/internal/router/quota.go
+++ b/rhubarbtrackd/internal/router/quota.go
@@ -76,7 +76,7 @@
 		r.returnToken(j)
 	}
 	verdict, wait, changed := r.tryToken(j, limit)
-	if verdict == apportioner.Wanting || verdict == apportioner.Unknown {
+	if verdict == apportioner.Wanting || verdict == apportioner.Starting {
 		verdict, wait = r.awaitToken(ctx, j, limit, changed)
 	}
 	r.countQuota(j.account.Name, verdict)
@@ -104,15 +104,17 @@
 }
 
 // awaitToken asks the controller for a token and waits for it.
-func (r *Router) awaitToken(ctx context.Context, j *job, limit apportioner.Account, changed <-chan struct{}) (verdict apportioner.Verdict, wait time.Duration) {
+func (r *Router) awaitToken(
+	ctx context.Context, j *job, limit apportioner.Account, changed <-chan struct{},
+) (verdict apportioner.Verdict, wait time.Duration) {
 	r.locked(func() { r.quotas.host.Wait(limit, 1) })
 	defer r.locked(func() { r.quotas.host.Wait(limit, -1) })
 	began := time.Now()
 	longest := min(time.Duration(maxTokenWaitShare*float64(j.route.Objective)), time.Until(j.deadline))
 	verdict, wait = apportioner.Wanting, retryWait
-	for verdict == apportioner.Wanting || verdict == apportioner.Unknown {
+	for verdict == apportioner.Wanting || verdict == apportioner.Starting {
 		most := min(longest, maxTokenWait)
-		if verdict == apportioner.Unknown {
+		if verdict == apportioner.Starting {
 			most = min(longest, maxConnectWait)
 		}
 		deadline := began.Add(most)
@@ -215,8 +217,8 @@
 }
 
 var verdictNames = map[apportioner.Verdict]string{
-	apportioner.Admitted: "admitted", apportioner.Exhausted: "limited", apportioner.Wanting: "unavailable", apportioner.Unconfirmed: "unavailable",
-	apportioner.Unknown: "unavailable",
+	apportioner.Admitted: "admitted", apportioner.Exhausted: "limited", apportioner.Wanting: "unavailable",
+	apportioner.Unconfirmed: "unavailable", apportioner.Starting: "unavailable",
 }
 
 func (r *Router) countQuota(account string, verdict apportioner.Verdict) {
--- a/rhubarbtrackd/internal/router/quota_test.go
+++ b/rhubarbtrackd/internal/router/quota_test.go
@@ -65,6 +65,9 @@
 // is reached.
 func TestResponsesWithoutAToken(t *testing.T) {
 	const wait = 700 * time.Millisecond
+	give := func(row apportioner.GrantRow) func(*Router, time.Duration) {
+		return func(r *Router, now time.Duration) { r.giveTokens(now, row) }
+	}
 	tests := []struct {
 		name    string
 		prepare func(r *Router, now time.Duration)
@@ -72,10 +75,13 @@
 		status  int // 0: admitted
 		asks    bool
 	}{
-		{"tokens", func(r *Router, now time.Duration) { r.giveTokens(now, apportioner.GrantRow{Granted: 1, Keep: 1}) }, 0, 0, false},
-		{"limit reached", func(r *Router, now time.Duration) { r.giveTokens(now, apportioner.GrantRow{Wait: wait}) }, 0, http.StatusTooManyRequests, false},
-		{"no tokens here", func(r *Router, now time.Duration) { r.giveTokens(now, apportioner.GrantRow{}) }, 0, http.StatusServiceUnavailable, true},
-		{"tokens have expired", func(r *Router, now time.Duration) { r.giveTokens(now, apportioner.GrantRow{Granted: 1, Keep: 1}) }, apportioner.Lifetime, http.StatusServiceUnavailable, false},
+		{"tokens", give(apportioner.GrantRow{Granted: 1, Keep: 1}), 0, 0, false},
+		{"limit reached", give(apportioner.GrantRow{Wait: wait}), 0, http.StatusTooManyRequests, false},
+		{"no tokens here", give(apportioner.GrantRow{}), 0, http.StatusServiceUnavailable, true},
+		{
+			"tokens have expired", give(apportioner.GrantRow{Granted: 1, Keep: 1}), apportioner.Lifetime, http.StatusServiceUnavailable,
+			false,
+		},
 		{"no grants yet", func(*Router, time.Duration) {}, 0, http.StatusServiceUnavailable, true},
 	}
 	for _, tt := range tests {
@@ -135,23 +141,28 @@
 // Guards against a controller that has not read its configuration yet, or has one without accounts, and is taken for one of an
 // earlier version: the equal part of a host is less than one request for a usual account, and all requests are refused.
 func TestOnlyControllersWithTheSameConfigurationLeadToEqualParts(t *testing.T) {
+	copyOf := func(version int64) connector.Heartbeat {
+		return connector.Heartbeat{Valid: true, HasCopy: true, Copy: follower.Change{Configuration: version}}
+	}
 	tests := []struct {
 		name      string
 		heartbeat connector.Heartbeat
 		want      apportioner.Verdict
 	}{
-		{"lease not valid", connector.Heartbeat{HasCopy: true, Copy: follower.Change{Configuration: 5}}, apportioner.Unknown},
-		{"no copy", connector.Heartbeat{Valid: true}, apportioner.Unknown},
-		{"no configuration", connector.Heartbeat{Valid: true, HasCopy: true}, apportioner.Unknown},
-		{"older configuration", connector.Heartbeat{Valid: true, HasCopy: true, Copy: follower.Change{Configuration: 4}}, apportioner.Unknown},
-		{"newer configuration", connector.Heartbeat{Valid: true, HasCopy: true, Copy: follower.Change{Configuration: 6}}, apportioner.Unknown},
-		{"earlier version", connector.Heartbeat{Valid: true, HasCopy: true, Copy: follower.Change{Configuration: 5}}, apportioner.Exhausted},
+		{"lease not valid", connector.Heartbeat{HasCopy: true, Copy: follower.Change{Configuration: 5}}, apportioner.Starting},
+		{"no copy", connector.Heartbeat{Valid: true}, apportioner.Starting},
+		{"no configuration", copyOf(0), apportioner.Starting},
+		{"older configuration", copyOf(4), apportioner.Starting},
+		{"newer configuration", copyOf(6), apportioner.Starting},
+		{"earlier version", copyOf(5), apportioner.Exhausted},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			now := time.Minute
 			r, _ := newQuotaRouter(t, &now)
-			snapshot := &follower.Snapshot{Config: &matcher.Config{Version: 5, HasAccounts: true, Accounts: []matcher.Account{*limitedAccount}}}
+			snapshot := &follower.Snapshot{Config: &matcher.Config{
+				Version: 5, HasAccounts: true, Accounts: []matcher.Account{*limitedAccount},
+			}}
 			tt.heartbeat.Hosts = 200
 			r.applyQuotas(now, snapshot, tt.heartbeat)
 			limit, _ := quotaOf(limitedAccount)
--- a/rhubarbtrackd/internal/router/sign_test.go
+++ b/rhubarbtrackd/internal/router/sign_test.go
@@ -32,7 +32,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			changed := base
 			tt.change(&changed)
-			assert.Equal(t, sign(&changed) == sign(&base), tt.same)
+			assert.Equal(t, signRequest(&changed) == signRequest(&base), tt.same)
 		})
 	}
 }
@@ -53,9 +53,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			one := &acceptor.Request{Method: "GET", Host: "h", Path: "/a", Target: "/a?" + tt.query}
 			other := &acceptor.Request{Method: "GET", Host: "h", Path: "/a", Target: "/a?" + tt.other}
-			assert.Equal(t, sign(one).withQuery == sign(other).withQuery, tt.sameWith)
-			assert.Equal(t, sign(one).withoutQuery == sign(other).withoutQuery, tt.sameWithout)
-			assert.Assert(t, sign(one).withQuery != sign(one).withoutQuery)
+			assert.Equal(t, signRequest(one).withQuery == signRequest(other).withQuery, tt.sameWith)
+			assert.Equal(t, signRequest(one).withoutQuery == signRequest(other).withoutQuery, tt.sameWithout)
+			assert.Assert(t, signRequest(one).withQuery != signRequest(one).withoutQuery)
 		})
 	}
 }
--- a/rhubarbtrackd/internal/router/signature.go
+++ b/rhubarbtrackd/internal/router/signature.go
@@ -31,17 +31,17 @@
 // sign the text, do not check keys and are not used where accounts exist. Elsewhere the signatures of all versions are equal.
 func (j *job) sign() signatures {
 	credentials := j.request.Header.Get(credentialsHeader)
-	if j.hasAccounts && credentials != "" {
-		digest := matcher.DigestKey(credentials)
-		credentials = string(digest[:])
+	if !j.hasAccounts || credentials == "" {
+		return signRequest(j.request)
 	}
-	return signAs(j.request, credentials)
+	digest := matcher.DigestKey(credentials)
+	return signAs(j.request, string(digest[:]))
 }
 
-// sign returns the signatures of a request. The address of the caller is no part of them, because one caller may use several:
-// another one in each failure domain, for example. A body that is too long to be kept in memory counts with its length only.
-// Hosts of earlier versions know withoutQuery only, so its parts do not change.
-func sign(request *acceptor.Request) signatures {
+// signRequest returns the signatures of a request with the text of its credentials. The address of the caller is no part of them,
+// because one caller may use several: another one in each failure domain, for example. A body that is too long to be kept in memory
+// counts with its length only. Hosts of earlier versions know withoutQuery only, so its parts do not change.
+func signRequest(request *acceptor.Request) signatures {
 	return signAs(request, request.Header.Get(credentialsHeader))
 }
 
