router: check the key again after a wait for a token

If a request has got another token, the key is now checked again. The order and the work are as before for all others. The other order, token first, would spend and return a token each time that a key has moved to another account.

TestKeyTakenAwayDuringTheWaitForAToken fails without the change.

--- a/rhubarbtrackd/internal/router/account.go
+++ b/rhubarbtrackd/internal/router/account.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -23,6 +24,20 @@
 	return r.denyAccount(j, verdict)
 }
 
+// permit decides whether the request may be sent to an upstream now. If it had to get another token, for which it may have waited,
+// its key is checked again.
+func (r *Router) permit(ctx context.Context, j *job) *acceptor.Response {
+	for {
+		if response := r.authenticateAgain(j); response != nil {
+			return response
+		}
+		token := j.token
+		if response := r.spendToken(ctx, j); response != nil || j.token == token {
+			return response
+		}
+	}
+}
+
 // authenticateAgain is called before each attempt, because the key may have been taken away since the request has arrived.
 func (r *Router) authenticateAgain(j *job) *acceptor.Response {
 	return r.denyAccount(j, r.decideAccount(j))
--- a/rhubarbtrackd/internal/router/account_test.go
+++ b/rhubarbtrackd/internal/router/account_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"rhubarbtrack.example/core/apportioner"
 	"rhubarbtrack.example/core/authenticator"
 	"rhubarbtrack.example/core/detector"
 	"rhubarbtrack.example/platform/simulator"
@@ -137,3 +138,63 @@
 	assert.Equal(t, r.decideAccount(&job{}).Decision, authenticator.NotNeeded)
 	assert.Equal(t, reads, before)
 }
+
+// Guards against a request that is sent although its key was taken away while it waited for a token, and against a token that is lost
+// with it.
+func TestKeyTakenAwayDuringTheWaitForAToken(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		remove bool
+		status int // 0: may be sent
+	}{{"key stays", false, 0}, {"key is taken away", true, http.StatusUnauthorized}} {
+		t.Run(tt.name, func(t *testing.T) {
+			store := simulator.NewStore()
+			put := func(version int, key string) {
+				account := simulator.Account{Name: "a", Keys: []string{key}, Rate: 9, Burst: 9}
+				configuration := simulator.ConfigurationWithAccounts(version, account)
+				assert.NilError(t, store.Put(translator.ConfigurationKind, translator.ConfigurationName, configuration, nil))
+			}
+			put(3, "k")
+			f := followStore(t, store)
+			await(t, func() bool { return f.Snapshot().Config != nil })
+			log := eventlog.New(zap.NewNop())
+			var r *Router
+			waits := 0
+			r = New(Options{
+				Log: log, Meter: meter.New(), Now: timer.Now, Follower: f, Shutdown: context.Background(),
+				Limits: Limits{Revocation: 5 * time.Second},
+				ReportSoon: func() {
+					waits++
+					if tt.remove {
+						put(4, "other")
+						await(t, func() bool { return f.Snapshot().Config.Version == 4 })
+					}
+					rows := []apportioner.GrantRow{{Account: apportioner.TagOf("a"), Granted: 1, Keep: 1}}
+					r.ApplyGrants(timer.Now(), 2, apportioner.Grants{Ledger: 1, Confirms: true, Rows: rows})
+				},
+			})
+			// The token of the last controller expires while the request waits for an upstream.
+			const left = 200 * time.Millisecond
+			r.locked(func() {
+				r.quotas.host.Apply(timer.Now(), timer.Now()+left-apportioner.Lifetime, 1, apportioner.Grants{
+					Ledger: 1, Confirms: true, Rows: []apportioner.GrantRow{{Account: apportioner.TagOf("a"), Granted: 1, Keep: 1}},
+				})
+			})
+			j := quotaJob(nil)
+			j.request.Header = http.Header{"Authorization": {"Bearer k"}}
+			j.deadline = time.Now().Add(5 * time.Second)
+			assert.Assert(t, r.authenticate(j) == nil && r.takeToken(t.Context(), j) == nil && waits == 0)
+			time.Sleep(left)
+			r.ApplyGrants(timer.Now(), 2, apportioner.Grants{Ledger: 1, Confirms: true})
+			response := r.permit(t.Context(), j)
+			assert.Equal(t, waits, 1)
+			if tt.status == 0 {
+				assert.Assert(t, response == nil && j.token != nil)
+				return
+			}
+			assert.Assert(t, response != nil && response.Status == tt.status)
+			r.returnToken(j)
+			assert.Equal(t, r.quotas.host.Report().Rows[0].Refunded, uint64(1))
+		})
+	}
+}
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -367,10 +367,7 @@
 		if j.attempts > 0 && !r.takeRetryToken(j) {
 			return r.fail(j, "the retry budget is exhausted", retryWait)
 		}
-		if response := r.authenticateAgain(j); response != nil {
-			return response
-		}
-		if response := r.spendToken(ctx, j); response != nil {
+		if response := r.permit(ctx, j); response != nil {
 			return response
 		}
 		resp, err := r.attempt(ctx, j, chosen.upstream)
