apportioner/simulator: end the connection of a host with its process

The model let a new process receive grants that were under way to the last process of the host: with one host that stops and starts within 21 ms, 11.5 tokens were valid with a capacity of 8 (property test with 1000 checks and removal of accounts). A connection of a process ends with it, so no host of the system gets such a message.

The connection of a stopped host now counts as closed, as after a timeout. The same history passes with the change.

--- a/core/apportioner/simulator/simulator.go
+++ b/core/apportioner/simulator/simulator.go
@@ -185,7 +185,10 @@
 	*h = hostAfterStop(h)
 }
 
-func hostAfterStop(h *host) host { return host{index: h.index, down: true, connection: h.connection} }
+// The connection ends with the process: a new process does not receive what is under way on it.
+func hostAfterStop(h *host) host {
+	return host{index: h.index, down: true, connection: -max(h.connection, -h.connection)}
+}
 
 // Start starts a host that was stopped.
 func (f *Fleet) Start(i int) {
