apportioner: remove and restore the account in the property tests

The histories of the simulator did not contain the removal of an account, so that they could not show that a restored account was not served. Both property tests now draw it.

While an account is removed, the controller does not know a limit that was changed since, so the sum of tokens is compared with the capacity again after the restoration, and that counts as a change of the limit. Histories without a removal are checked as before.

--- a/core/apportioner/property_test.go
+++ b/core/apportioner/property_test.go
@@ -22,7 +22,7 @@
 )
 
 // Guards against histories in which hosts that join, stop, freeze, thaw or are cut off, or changes of the controller or of the
-// limit, let more requests run in a window than the bound.
+// limit, or the removal and return of the account, let more requests run in a window than the bound.
 func TestRequestsInAnyWindowStayWithinTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := apportioner.Bounds{
@@ -43,11 +43,12 @@
 		}
 		periods := []period{{0, f.Bound()}}
 		highest := f.Bound()
+		removed, unknownLimit := false, false // the controller gets the limit of a removed account when it is restored
 		n := rapid.IntRange(5, 25).Draw(t, "events")
 		count := f.Hosts()
 		for range n {
 			h := hosts.Draw(t, "host") % count
-			switch rapid.IntRange(0, 10).Draw(t, "event") {
+			switch rapid.IntRange(0, 12).Draw(t, "event") {
 			case 0:
 				f.Cut(h, rapid.Bool().Draw(t, "up"), rapid.Bool().Draw(t, "down"))
 			case 1:
@@ -72,13 +73,26 @@
 				f.SetLimit(limit.Rate, limit.Burst)
 				periods = append(periods, period{f.Now, f.Bound()})
 				highest = max(highest, f.Bound())
+				unknownLimit = unknownLimit || removed
+			case 10:
+				if last := periods[len(periods)-1]; !removed && len(periods) > 1 {
+					unknownLimit = f.Now < last.from+applyTime
+				}
+				removed = true
+				f.SetRemoved(true)
+			case 11:
+				if unknownLimit {
+					periods = append(periods, period{f.Now, f.Bound()})
+				}
+				removed, unknownLimit = false, false
+				f.SetRemoved(false)
 			}
 			length := time.Duration(rapid.IntRange(1, 3000).Draw(t, "length")) * time.Millisecond
 			load := rapid.SampledFrom([]float64{0, 0.1, 0.5, 1, 3, 20}).Draw(t, "load")
 			focus := rapid.Bool().Draw(t, "focus") // all callers at one host
 			owed := 0.0
 			for end := f.Now + length; f.Now < end; f.Step() {
-				if f.Now >= periods[len(periods)-1].from+applyTime+b.Window || len(periods) == 1 {
+				if !unknownLimit && (f.Now >= periods[len(periods)-1].from+applyTime+b.Window || len(periods) == 1) {
 					assert.Assert(t, f.Usable() <= f.Capacity()+1e-6, "%.1f tokens are valid, capacity %.1f", f.Usable(), f.Capacity())
 				}
 				for owed += load * limit.Rate * simulator.Tick.Seconds(); owed >= 1; owed-- {
@@ -103,7 +117,8 @@
 	})
 }
 
-// Guards against refusals below the limit: tokens that stay on hosts which no longer need them, or do not follow the demand.
+// Guards against refusals below the limit: tokens that stay on hosts which no longer need them, or do not follow the demand, also
+// after the account was removed and restored.
 func TestDemandBelowTheLimitIsServed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := apportioner.Account{Tag: 1, Rate: rapid.SampledFrom([]float64{1, 3, 16, 122, 400}).Draw(t, "rate")}
@@ -125,6 +140,11 @@
 			f.StopController(false)
 			run(3*time.Second, 0.5)
 		}
+		if rapid.Bool().Draw(t, "account is removed") {
+			f.SetRemoved(true)
+			run(10*time.Second, 0)
+			f.SetRemoved(false)
+		}
 		run(settleTime, 0.85)
 		refused, unserved := f.Refused, f.Unserved
 		for range 4 { // callers move to other hosts
--- a/core/apportioner/simulator/controller.go
+++ b/core/apportioner/simulator/controller.go
@@ -68,7 +68,11 @@
 			c.heard[conn] = -1 // closed
 		}
 	}
-	c.state.SetAccounts(f.Now, []apportioner.Account{f.options.Account})
+	accounts := []apportioner.Account{f.options.Account}
+	if f.removed {
+		accounts = nil
+	}
+	c.state.SetAccounts(f.Now, accounts)
 	c.state.Apportion(f.Now)
 	var open []connection
 	for conn, heard := range c.heard {
--- a/core/apportioner/simulator/simulator.go
+++ b/core/apportioner/simulator/simulator.go
@@ -63,6 +63,7 @@
 	terms      []time.Duration // begins of terms
 	successor  time.Duration   // time of the next takeover, 0: there is a controller
 	messages   []message
+	removed    bool // the account is not configured
 }
 
 type connection struct{ host, number int }
@@ -201,10 +202,13 @@
 	}
 }
 
+// SetRemoved removes the account from the configuration, or restores it. Meanwhile, Request does nothing.
+func (f *Fleet) SetRemoved(removed bool) { f.removed = removed }
+
 // Request sends a request of the account to a host.
 func (f *Fleet) Request(i int) {
 	h := f.hosts[i]
-	if h.down || h.frozen {
+	if h.down || h.frozen || f.removed {
 		return
 	}
 	h.state.Ask(f.options.Account)
@@ -276,6 +280,9 @@
 		f.receive(h, m)
 	}
 	f.sendPending(h)
+	if f.removed {
+		h.state.Forget(f.Now, func(apportioner.Tag) bool { return false })
+	}
 	h.waiting = slices.DeleteFunc(h.waiting, func(deadline time.Duration) bool {
 		done := f.take(h, f.Now < deadline)
 		if done {
