apportioner: forget removed accounts a window after their tokens have expired

A restored account could exceed its bound: a host that was cut off just after an update of the accounts could use its tokens for up to 3 s more, and 8 s after that update the account was forgotten. Restored then, it began with a full bucket 3 s after those requests.

The time until an account is forgotten now counts from the expiry of the tokens of the last connection.

TestRemovedAccountsStayForAWindowAfterTheirTokens fails without the change.

--- a/core/apportioner/apportioner_test.go
+++ b/core/apportioner/apportioner_test.go
@@ -198,6 +198,26 @@
 	assert.Assert(t, serve(10) > 150)
 }
 
+// Guards against a full bucket for a restored account within a window after a host, which was then cut off, could use the old tokens.
+func TestRemovedAccountsStayForAWindowAfterTheirTokens(t *testing.T) {
+	c := apportioner.NewController[string](bounds)
+	c.Begin(0, true, 0)
+	c.SetAccounts(0, []apportioner.Account{limit})
+	asks := row(0, 0, 0, 100)
+	asks.Rows[0].Waiting = 100
+	c.Report(0, "h", asks)
+	c.ApportionWaiting(0, "h")
+	c.SetAccounts(20*second, nil)
+	c.Grants(22*second-1, "h") // confirms
+	c.Remove("h")
+	c.SetAccounts(29*second, nil) // 4 s after the tokens have expired
+	bucket, held := c.Tokens(24*second, 1)
+	assert.Assert(t, bucket+held > 0)
+	c.SetAccounts(34*second, nil)
+	bucket, held = c.Tokens(34*second, 1)
+	assert.Assert(t, bucket+held == 0)
+}
+
 // Guards against tokens that are usable a second time: the host drops the count of those that it has used while the lease of the
 // controller has expired, and the next grants contain the total of the connection.
 func TestForgottenAccountsDoNotGetUsedTokensAgain(t *testing.T) {
--- a/core/apportioner/controller.go
+++ b/core/apportioner/controller.go
@@ -250,6 +250,9 @@
 	for tag := range l.entries {
 		if a := c.accounts[tag]; a != nil {
 			a.holders = slices.DeleteFunc(a.holders, func(h holder[K]) bool { return h.host == host })
+			if a.removedAt != 0 {
+				a.removedAt = max(a.removedAt, l.expires) // its tokens may be used until then
+			}
 		}
 	}
 	c.ended = append(c.ended, l)
