--- a/core/apportioner/controller.go
+++ b/core/apportioner/controller.go
@@ -60,7 +60,7 @@
 	refilledAt     time.Duration
 	refunds        float64       // tokens that may still return after their requests were sent
 	holders        []holder[K]   // in the order of their first reports
-	removedAt      time.Duration // 0: it is in the configuration
+	removedAt      time.Duration // when it was last seen without a limit and, after that, with holders; 0: it has a limit
 }
 
 // NewController returns a controller that gives no tokens until Begin is called.
@@ -117,14 +117,11 @@
 	for tag, a := range c.accounts {
 		switch {
 		case listed[tag]:
-		case a.removedAt == 0:
+		case a.removedAt == 0 || len(a.holders) > 0:
+			// Counts are totals since the connection began, so the entry stays for as long as the connection.
 			a.removedAt = now
 		case now >= a.removedAt+c.bounds.Window+Lifetime:
 			delete(c.accounts, tag)
-			for _, l := range c.ledgers {
-				delete(l.entries, tag)
-				delete(l.changed, tag)
-			}
 		}
 	}
 }
@@ -141,7 +138,8 @@
 }
 
 // SetValid records whether the lease of the controller is valid. If it is valid again in the same term, no other controller has given
-// tokens in between.
+// tokens in between. The refill catches up only with the time in which hosts had no tokens: those from before the lease expired may
+// have been used until Lifetime after that, and a refill of the same time at once would add to them in one window.
 func (c *Controller[K]) SetValid(now time.Duration, valid bool) {
 	if valid == !c.expired {
 		return
@@ -151,6 +149,10 @@
 			c.refill(now, a)
 		}
 		c.expiredAt = now
+	} else {
+		for _, a := range c.accounts {
+			a.refilledAt = max(a.refilledAt, min(now, c.expiredAt+Lifetime))
+		}
 	}
 	c.expired = !valid
 }
@@ -173,6 +175,10 @@
 	if c.expired {
 		now = min(now, c.expiredAt)
 	}
+	// The time until the tokens of the predecessor end counts with the lower limit, also if nothing touched the account meanwhile.
+	if edge := c.began + Lifetime; !c.first && a.refilledAt < edge-1 && now >= edge {
+		c.refill(edge-1, a)
+	}
 	elapsed := max(0, now-a.refilledAt).Seconds()
 	a.refilledAt = max(a.refilledAt, now)
 	a.tokens += a.rate * elapsed
@@ -244,6 +250,9 @@
 	for tag := range l.entries {
 		if a := c.accounts[tag]; a != nil {
 			a.holders = slices.DeleteFunc(a.holders, func(h holder[K]) bool { return h.host == host })
+			if a.removedAt != 0 {
+				a.removedAt = max(a.removedAt, l.expires) // its tokens may be used until then
+			}
 		}
 	}
 	c.ended = append(c.ended, l)
@@ -268,7 +277,9 @@
 	for _, tag := range tags[:min(len(tags), MaxRows)] {
 		delete(l.changed, tag)
 		if e := l.entries[tag]; e != nil {
-			grants.Rows = append(grants.Rows, GrantRow{Account: tag, Granted: e.granted, Keep: max(e.keep, uint64(e.waiting)), Wait: e.wait})
+			grants.Rows = append(grants.Rows, GrantRow{
+				Account: tag, Granted: e.granted, Keep: max(e.keep, uint64(e.waiting)), Wait: e.wait,
+			})
 		}
 	}
 	return grants
--- a/rhubarbtrackd/internal/router/quota.go
+++ b/rhubarbtrackd/internal/router/quota.go
@@ -70,9 +70,13 @@
 	if j.token == nil {
 		r.locked(func() { r.quotas.host.Ask(limit) })
 	}
-	r.returnToken(j) // that of another account, which the key belonged to
+	if j.mayHaveRun {
+		j.token = nil // spent from another account, which the key belonged to
+	} else {
+		r.returnToken(j)
+	}
 	verdict, wait, changed := r.tryToken(j, limit)
-	if verdict == apportioner.Wanting || verdict == apportioner.Unknown {
+	if verdict == apportioner.Wanting || verdict == apportioner.Starting {
 		verdict, wait = r.awaitToken(ctx, j, limit, changed)
 	}
 	r.countQuota(j.account.Name, verdict)
@@ -81,11 +85,14 @@
 		return nil
 	case apportioner.Exhausted:
 		r.logLimit(j.account.Name, wait)
+		if j.mayHaveRun {
+			return r.fail(j, "the account has reached its limit", wait)
+		}
 		response := r.finish(j, http.StatusTooManyRequests, "the account has reached its limit")
 		response.Header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 		return response
 	}
-	return r.reject(j, "the limit of the account cannot be checked", wait)
+	return r.fail(j, "the limit of the account cannot be checked", wait)
 }
 
 func (r *Router) tryToken(j *job, limit apportioner.Account) (apportioner.Verdict, time.Duration, <-chan struct{}) {
@@ -97,15 +104,17 @@
 }
 
 // awaitToken asks the controller for a token and waits for it.
-func (r *Router) awaitToken(ctx context.Context, j *job, limit apportioner.Account, changed <-chan struct{}) (verdict apportioner.Verdict, wait time.Duration) {
+func (r *Router) awaitToken(
+	ctx context.Context, j *job, limit apportioner.Account, changed <-chan struct{},
+) (verdict apportioner.Verdict, wait time.Duration) {
 	r.locked(func() { r.quotas.host.Wait(limit, 1) })
 	defer r.locked(func() { r.quotas.host.Wait(limit, -1) })
 	began := time.Now()
 	longest := min(time.Duration(maxTokenWaitShare*float64(j.route.Objective)), time.Until(j.deadline))
 	verdict, wait = apportioner.Wanting, retryWait
-	for verdict == apportioner.Wanting || verdict == apportioner.Unknown {
+	for verdict == apportioner.Wanting || verdict == apportioner.Starting {
 		most := min(longest, maxTokenWait)
-		if verdict == apportioner.Unknown {
+		if verdict == apportioner.Starting {
 			most = min(longest, maxConnectWait)
 		}
 		deadline := began.Add(most)
@@ -164,7 +173,8 @@
 		return false
 	}
 	if heartbeat.Quotas == nil {
-		if heartbeat.Valid {
+		// A controller without a configuration, or with another one, may give tokens once it has that of this host.
+		if heartbeat.Valid && heartbeat.HasCopy && heartbeat.Copy.Configuration == snapshot.Config.Version {
 			r.quotas.host.ApplyNone(heartbeat.Hosts)
 		}
 		return false
@@ -178,12 +188,12 @@
 	return returns
 }
 
-// ApplyGrants applies grants of this host's own controller that are not part of a heartbeat.
-func (r *Router) ApplyGrants(term uint64, grants apportioner.Grants) {
+// ApplyGrants applies grants of this host's own controller that are not part of a heartbeat, and were made at madeAt or later.
+func (r *Router) ApplyGrants(madeAt time.Duration, term uint64, grants apportioner.Grants) {
 	now := r.options.Now()
 	snapshot := r.options.Follower.Snapshot()
 	r.locked(func() {
-		r.applyQuotas(now, snapshot, connector.Heartbeat{Term: term, Valid: true, MadeAt: now, Quotas: &grants})
+		r.applyQuotas(now, snapshot, connector.Heartbeat{Term: term, Valid: true, MadeAt: madeAt, Quotas: &grants})
 	})
 }
 
@@ -207,8 +217,8 @@
 }
 
 var verdictNames = map[apportioner.Verdict]string{
-	apportioner.Admitted: "admitted", apportioner.Exhausted: "limited", apportioner.Wanting: "unavailable", apportioner.Unconfirmed: "unavailable",
-	apportioner.Unknown: "unavailable",
+	apportioner.Admitted: "admitted", apportioner.Exhausted: "limited", apportioner.Wanting: "unavailable",
+	apportioner.Unconfirmed: "unavailable", apportioner.Starting: "unavailable",
 }
 
 func (r *Router) countQuota(account string, verdict apportioner.Verdict) {
