follower: Resume the relay only on a copy with the same kept upstreams

A host could drop an upstream that was registered and in use. It happened after an outage of the store: the host listed while the upstream was not registered again and kept it for 1.7 s, and a new controller that had listed later resumed the relay on equal digests. Nothing then told the host that the upstream was registered, and its own watches had ended. The digest now covers whether an entry is only kept, so the host refuses the base and gets a full copy.

A host that refuses a base while it still follows the relay of the former controller applied the next change of the new one to its old copy. A flag now refuses these until a full copy or a fitting base arrives. The request for a full copy without a digest is no longer cleared by such a refused change.

--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -431,7 +431,9 @@
 		c.options.Tables.Overlay(change.Service, change.Rows)
 	}
 	if heartbeat.HasCopy && !c.options.Follower.ApplyChange(heartbeat.Copy) {
-		c.resumeFailed.Store(heartbeat.Copy.Base != 0)
+		if heartbeat.Copy.Base != 0 {
+			c.resumeFailed.Store(true)
+		}
 		c.needsFullCopy.Store(true)
 	}
 	if disproved := c.options.Suspector.Merge(now, heartbeat.Signatures); len(disproved) > 0 {
--- a/rhubarbtrackd/internal/follower/digest.go
+++ b/rhubarbtrackd/internal/follower/digest.go
@@ -9,7 +9,7 @@
 )
 
 // Digest returns a digest of the upstreams of a snapshot, or 0 if they have not been read. Two hosts with the same digest have the
-// same upstreams, apart from the times until they are warm. A new controller sends hosts that have its copy no full one: in a fleet
+// same upstreams and keep the same removed ones, apart from the times until they are warm or dropped. A new controller sends hosts that have its copy no full one: in a fleet
 // of 300 hosts with 3,000 upstreams, these take a link of 200 Mbit/s for seconds.
 func (s *Snapshot) Digest() uint64 {
 	if !s.Listed {
@@ -18,18 +18,21 @@
 	if known := s.digest.Load(); known != 0 {
 		return known
 	}
-	sum := digest(s.Upstreams)
+	sum := digest(s.Upstreams, s.Kept)
 	s.digest.Store(sum)
 	return sum
 }
 
-// digest does not depend on the order of the upstreams. It is never 0.
-func digest(upstreams map[string]registrar.Upstream) uint64 {
+// digest does not depend on the order of the upstreams. It is never 0. An upstream that a host only keeps after its removal
+// counts as another one: the host drops it later, and the controller would send no change for it.
+func digest[K any](upstreams map[string]registrar.Upstream, kept map[string]K) uint64 {
 	sum := uint64(1)
 	for _, u := range upstreams {
+		_, isKept := kept[u.ID]
 		h := xxhash.New()
 		for _, text := range []string{
 			u.ID, strconv.FormatInt(u.Start, 10), u.Service, u.Address, u.Domain, strconv.Itoa(u.Slots), strconv.FormatBool(u.Draining),
+			strconv.FormatBool(isKept),
 		} {
 			_, _ = h.WriteString(text) // documented to never fail
 			_, _ = h.Write([]byte{0})
@@ -39,10 +42,11 @@
 	return max(1, sum)
 }
 
-// hasBase reports whether this host has the copy that a change applies to. The caller holds the mutex.
+// hasBase reports whether this host has the copy that a change applies to. After a Base that does not fit, changes of that
+// controller do not apply to the copy that this host has from the former one. The caller holds the mutex.
 func (f *Follower) hasBase(change Change) bool {
 	if change.Base == 0 {
-		return f.relayed
+		return f.relayed && !f.needsFull
 	}
-	return f.listed && digest(f.list.All()) == change.Base
+	return f.listed && digest(f.list.All(), f.list.Kept()) == change.Base
 }
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -137,6 +137,7 @@
 	revision      int64                    // newest revision of all upstream entries read so far
 	lastRelay     time.Duration            // when the controller made its last confirmation, at the earliest
 	relayed       bool                     // the copy is updated from the relay
+	needsFull     bool                     // the controller's changes apply to another copy, see hasBase
 	late          bool                     // the last change arrived late
 	// connected is set when the store or the controller sends data. It is cleared when the relay times out, and when a
 	// call to the store fails while the copy is not updated from the relay.
--- a/rhubarbtrackd/internal/follower/relay.go
+++ b/rhubarbtrackd/internal/follower/relay.go
@@ -89,8 +89,12 @@
 		return false
 	}
 	if !change.Full && !f.hasBase(change) {
+		f.needsFull = f.needsFull || change.Base != 0
 		return false
 	}
+	if change.Full || change.Base != 0 {
+		f.needsFull = false
+	}
 	f.recency.relay(madeAt, f.configVersion(), change)
 	// Otherwise an outage would last until this host's next list, which may be long after it, and entries that were removed
 	// in the meantime would be kept.
