pacer: Limit full states to the controller's share of the link

Heartbeats and the lease writes then wait behind them. Operators would see relay-late and lost leases after many hosts connect.

Full states now have an account of their own: the next ones wait until the share has carried all earlier ones, but for one burst. Raising the floor of the debt alone to 500 ms of the share does not bound them, since a full state of 2 MB takes 4 s of it on 10 Mbit/s; the floor is raised as well, so that load reports wait longer behind them. Between TakeFullState and the message, no second full state passes, so a host gets tables and copy in two heartbeats if the link is known to be limited. An unknown link stays unlimited.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -13,6 +13,7 @@
 //	reports := p.Budget(now, pacer.Loads) / size // reports that may be sent
 //	if p.TakeTables(now) { ... }                 // changes of tables may be sent; TakeFullState is similar
 //	p.Spend(now, bytes)                          // for each message, also for those that are not shed
+//	p.SpendFullState(now, bytes)                 // instead of Spend, for a message with a full state
 //	p.Shed(now)                                  // something was held back
 //	if p.Starved(now) { ... }
 //
@@ -46,8 +47,11 @@
 	linkShare = 0.4
 	// burstTime is the time whose bytes may be sent at once. Behind a burst, a write to the store waits for linkShare of it.
 	burstTime = 250 * time.Millisecond
-	// maxHoldTime bounds how long changes of tables are held back, and the time between two full states. Hosts that lack them
-	// send requests to former owners.
+	// maxDebtTime is the time whose bytes count after a message that is larger than a burst. One second would hold back run
+	// times for a second after a peak, see TestRecovery.
+	maxDebtTime = 500 * time.Millisecond
+	// maxHoldTime bounds how long changes of tables are held back, and how long full states are held back for other messages.
+	// Hosts that lack them send requests to former owners.
 	maxHoldTime = time.Second
 	// delayWeight is the weight of a new delay in the mean.
 	delayWeight = 0.1
@@ -70,6 +74,10 @@
 	shedAt time.Duration // time of the last Shed
 	tables time.Duration // time of the last changes of tables
 	full   time.Duration // time of the last full state
+	// fullEnd is when the share of the link has carried all full states, and fullPending is set between TakeFullState and the
+	// message.
+	fullEnd     time.Duration
+	fullPending bool
 }
 
 // New returns a Pacer for a link of the given rate in bytes per second. 0 is an unknown rate, which is not limited.
@@ -96,9 +104,20 @@
 	if p.rate == 0 {
 		return
 	}
+	p.fullPending = false
 	p.refill(now)
 	// Without a bound, parts that are never shed could hold back the others for long after a peak.
-	p.tokens = max(-p.burst(), p.tokens-float64(bytes))
+	p.tokens = max(-p.rate*maxDebtTime.Seconds(), p.tokens-float64(bytes))
+}
+
+// SpendFullState counts the bytes of a message with a full state that was sent at now. The next full states wait until the share
+// of the link has carried all of it, however large it is. Load reports and changes do not wait as long.
+func (p *Pacer) SpendFullState(now time.Duration, bytes int) {
+	if p.rate == 0 {
+		return
+	}
+	p.Spend(now, bytes)
+	p.fullEnd = max(p.fullEnd, now) + time.Duration(float64(bytes)/p.rate*float64(time.Second))
 }
 
 // Budget returns how many bytes of a part may be sent at now.
@@ -110,7 +129,7 @@
 	return max(0, int(p.tokens-reserves[part]*p.burst()))
 }
 
-// TakeTables reports whether changes of tables may be sent at now. They are then sent.
+// TakeTables reports whether changes of tables may be sent at now. If so, the caller sends them.
 func (p *Pacer) TakeTables(now time.Duration) bool {
 	if p.Budget(now, Tables) == 0 && now < p.tables+maxHoldTime {
 		p.Shed(now)
@@ -120,13 +139,18 @@
 	return true
 }
 
-// TakeFullState reports whether the full state for a host may be sent at now. It is then sent.
+// TakeFullState reports whether the full state for a host may be sent at now. If so, the caller sends it and calls SpendFullState.
+// It returns false until then, so that no second full state passes on the same tokens.
 func (p *Pacer) TakeFullState(now time.Duration) bool {
-	if p.Budget(now, FullStates) == 0 && now < p.full+maxHoldTime {
+	if p.rate == 0 {
+		return true
+	}
+	held := p.Budget(now, FullStates) == 0 && now < p.full+maxHoldTime
+	if held || p.fullPending || p.fullEnd > now+burstTime {
 		p.Shed(now)
 		return false
 	}
-	p.full = now
+	p.full, p.fullPending = now, true
 	return true
 }
 
--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -158,3 +158,36 @@
 	}
 	assert.Assert(t, full >= 19, "%d full states in 20 s", full)
 }
+
+// Guards against full states that take the whole link because only a part of their bytes counts, and against two of them that pass
+// on the same tokens.
+func TestRateOfFullStates(t *testing.T) {
+	const length = 60 * time.Second
+	for _, link := range []float64{mbit, 10 * mbit, 50 * mbit} {
+		for _, size := range []int{20_000, 250_000, 500_000, 1_000_000, 2_000_000} {
+			t.Run(fmt.Sprintf("%.0f, %d bytes", link, size), func(t *testing.T) {
+				p := pacer.New(0, link)
+				full, others := 0, 0
+				for now := time.Duration(0); now < length; now += interval {
+					for p.TakeFullState(now) {
+						assert.Assert(t, !p.TakeFullState(now), "a second full state before the first one is sent")
+						p.SpendFullState(now, size)
+						full += size
+					}
+					granted := min(int(0.02*link), p.Budget(now, pacer.Loads)) // a tenth of the link
+					p.Spend(now, granted)
+					others += granted
+				}
+				// The last full state may begin at any time, and counts as a whole.
+				rate := float64(full-size) / length.Seconds()
+				t.Logf("full states %.3f, load reports %.3f of the link", rate/link, float64(others)/length.Seconds()/link)
+				assert.Assert(t, rate <= 0.41*link, "%.2f of the link", rate/link)
+				assert.Assert(t, full > size || float64(size) > 0.4*link*length.Seconds()/2, "hosts wait for ever")
+			})
+		}
+	}
+	p := pacer.New(0, 0)
+	for range 100 {
+		assert.Assert(t, p.TakeFullState(0), "an unknown link is not limited")
+	}
+}
--- a/rhubarbtrackd/internal/coordinator/fullstate_test.go
+++ b/rhubarbtrackd/internal/coordinator/fullstate_test.go
@@ -89,3 +89,20 @@
 		})
 	}
 }
+
+// Guards against full states whose bytes count as those of other messages, so that the next ones do not wait for them.
+func TestFullStateOfAHeartbeat(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		heartbeat connector.Heartbeat
+		want      bool
+	}{
+		{"neither", connector.Heartbeat{}, false},
+		{"change of the copy", connector.Heartbeat{HasCopy: true}, false},
+		{"copy", connector.Heartbeat{HasCopy: true, Copy: follower.Change{Full: true}}, true},
+		{"change of a table", connector.Heartbeat{Tables: []connector.TableChange{{}}}, false},
+		{"second table in full", connector.Heartbeat{Tables: []connector.TableChange{{}, {Full: true}}}, true},
+	} {
+		assert.Equal(t, hasFullState(tt.heartbeat), tt.want, tt.name)
+	}
+}
--- a/rhubarbtrackd/internal/coordinator/heartbeat.go
+++ b/rhubarbtrackd/internal/coordinator/heartbeat.go
@@ -169,10 +169,20 @@
 		c.quotas.controller.Confirm(c.options.Now(), peer)
 	}
 	sent := c.hub.TakeSent()
-	c.pacing.pacer.Spend(now, sent)
+	if hasFullState(heartbeat) {
+		c.pacing.pacer.SpendFullState(now, sent)
+	} else {
+		c.pacing.pacer.Spend(now, sent)
+	}
 	c.options.OnSent(sent)
 }
 
+// hasFullState reports whether a heartbeat carries the copy of the store or a table to a host that had none.
+func hasFullState(heartbeat connector.Heartbeat) bool {
+	return heartbeat.HasCopy && heartbeat.Copy.Full ||
+		slices.ContainsFunc(heartbeat.Tables, func(change connector.TableChange) bool { return change.Full })
+}
+
 // changeSince returns the change from old to snapshot, or the full copy if old is nil.
 func changeSince(now time.Duration, old, snapshot *follower.Snapshot) follower.Change {
 	change := follower.Change{
