coordinator: Send changes of tables while another full table waits

A host that lacked the table of one service, for example of a service that was just configured, got no changes of any table while the pacer or the limit of entries held back full states. It sent requests with keys to former owners meanwhile. The check applied to the whole heartbeat; it now only skips the tables that the host lacks.

TestChangesAreSentWhileAFullTableWaits fails without the change: the heartbeat has no tables.

--- a/rhubarbtrackd/internal/coordinator/fullstate_test.go
+++ b/rhubarbtrackd/internal/coordinator/fullstate_test.go
@@ -106,3 +106,32 @@
 		assert.Equal(t, hasFullState(tt.heartbeat), tt.want, tt.name)
 	}
 }
+
+// Guards against a host that gets no changes of any table while the full table of one service has to wait: it would send requests to
+// former owners.
+func TestChangesAreSentWhileAFullTableWaits(t *testing.T) {
+	now := func() time.Duration { return 0 }
+	log := eventlog.New(zap.NewNop())
+	c := New(Options{Host: "h", Now: now, Log: log, Follower: follower.New(follower.Options{Store: storer.New("127.0.0.1:1"), Log: log, Now: now})})
+	table := func(owner string) allocator.RoutingTable {
+		return allocator.RoutingTable{{From: 0, To: 65535, Owner: identifier.Incarnation{ID: owner, Start: 1}}}
+	}
+	peer := &connector.Peer{}
+	c.services["old"] = &serviceState{service: "old", routingTable: table("a")}
+	assert.Assert(t, is.Len(c.newHeartbeat(0, peer, 1, 2).Tables, 1))
+
+	c.services["old"].routingTable = table("b")
+	c.services["new"] = &serviceState{service: "new", routingTable: table("c")}
+	c.fullEntries = maxFullEntries
+	waiting := c.newHeartbeat(0, peer, 1, 2).Tables
+	assert.Assert(t, is.Len(waiting, 1))
+	assert.Equal(t, waiting[0].Service, "old")
+	assert.Assert(t, !waiting[0].Full)
+	assert.Equal(t, waiting[0].Rows[0].Owner.ID, "b")
+
+	c.fullEntries = 0
+	allowed := c.newHeartbeat(0, peer, 1, 2).Tables
+	assert.Assert(t, is.Len(allowed, 1))
+	assert.Equal(t, allowed[0].Service, "new")
+	assert.Assert(t, allowed[0].Full)
+}
--- a/rhubarbtrackd/internal/coordinator/heartbeat.go
+++ b/rhubarbtrackd/internal/coordinator/heartbeat.go
@@ -124,7 +124,8 @@
 	heartbeat.Quotas = c.grantsFor(peer)
 	hasCopy := c.contender.Valid(now) && !c.contender.RenewalOverdue(now) && c.options.Follower.Direct()
 	// Tables go first: keys need owners, whereas a host without the copy reads the store.
-	hasTables := !c.pacing.tablesHeld && c.allowEntries(now, c.missingTableEntries(peer))
+	hasTables := !c.pacing.tablesHeld
+	hasFullTables := hasTables && c.allowEntries(now, c.missingTableEntries(peer))
 	if hasCopy && c.allowEntries(now, c.missingCopyEntries(peer)) {
 		heartbeat.HasCopy = true
 		heartbeat.Copy = changeSince(now, c.sentSnapshots[peer], c.snapshot)
@@ -148,6 +149,9 @@
 			continue
 		}
 		old, full := known[service], known[service] == nil
+		if full && !hasFullTables {
+			continue // the tables that the host has still follow their changes
+		}
 		change := connector.TableChange{Service: service, Full: full, Rows: svc.routingTable}
 		if !full {
 			change.Rows = svc.routingTable.Diff(old)
