coordinator: Begin no hand-over during a takeover

A new controller sheds full states in its first seconds, counts as starved, and handed over after 3 s, while it waited for grants of a crashed owner to expire. Its successor waited for them from the beginning, so keys stayed without an owner for longer. Services whose tables were not loaded counted as settled, too.

A hand-over now begins only when the tables of all configured keyed services are loaded and grants of the predecessor have expired: 10.3 s after the beginning of the term for grants of 10 s. The first term of a first start has no predecessor and does not wait for grants.

--- a/rhubarbtrackd/internal/coordinator/pacing.go
+++ b/rhubarbtrackd/internal/coordinator/pacing.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbtrack.example/core/allocator"
 	"rhubarbtrack.example/core/contender"
 	"rhubarbtrack.example/core/identifier"
 	"rhubarbtrack.example/core/pacer"
@@ -36,6 +37,7 @@
 	lastTables    time.Duration               // time of the last heartbeats with tables
 	lastTick      time.Duration
 	starved       bool
+	begun         time.Duration // time of the beginning of the term
 }
 
 func newPacing(now time.Duration, options Options) pacing {
@@ -47,7 +49,7 @@
 func (p *pacing) beginTerm(now time.Duration, options Options) {
 	p.pacer, p.packer = pacer.New(now, options.LinkRate), connector.NewPacker()
 	p.handover, p.handoverEnd = qualifier.NewHandover(options.Fitness), 0
-	p.tablesChanged, p.tablesHeld, p.starved = false, false, false
+	p.tablesChanged, p.tablesHeld, p.starved, p.begun = false, false, false, now
 }
 
 func (p *pacing) observeTick(now time.Duration) {
@@ -131,7 +133,8 @@
 		for _, fitness := range c.pacing.fitness {
 			fittest = max(fittest, fitness)
 		}
-		if c.resigned || !c.pacing.handover.Step(now, qualifier.Observation{Starved: c.pacing.starved, Fittest: fittest}) {
+		due := c.pacing.handover.Step(now, qualifier.Observation{Starved: c.pacing.starved, Fittest: fittest})
+		if !due || c.resigned || !c.hasTakenOver(now) {
 			return
 		}
 		c.pacing.handoverEnd = now + settleTime
@@ -143,6 +146,17 @@
 	}
 }
 
+// hasTakenOver reports whether the takeover by this host is complete: it has loaded all tables, and grants of its predecessor have
+// expired. It may wait for these grants, and a successor would wait for them anew.
+func (c *Coordinator) hasTakenOver(now time.Duration) bool {
+	for name, service := range c.snapshot.Config.Services {
+		if svc := c.services[name]; service.Keyed && (svc == nil || !svc.loaded) {
+			return false
+		}
+	}
+	return c.options.FirstStart && c.contender.Term() == 1 || now >= allocator.GrantExpiry(c.pacing.begun, c.options.MaxLifetime)
+}
+
 // sendResignation informs all hosts that this one has given up the lease, so that they need not wait for missing heartbeats.
 func (c *Coordinator) sendResignation() {
 	now, peers := c.options.Now(), c.hub.Peers()
