coordinator: Report no fitness while a host leaves the role to others

Reports named the full fitness of a host that had resigned, also after SIGTERM and in the pause after a panic or a hand-over. A starved controller handed over to it, and the fleet had no controller until another host took the role. Such a host now reports fitness 0, which the controller treats as unknown. The flag follows the election after each event.

With that, a paused host could be the only one that leads: the pause now ends when neither a newer revision of the record nor a heartbeat has come for 2.4 s, twice the longest delay of a candidate. Its write is conditional, so a successor that it has not heard of keeps the role. The pause of 5 s after a panic ends early as well if there is no other host.

--- a/core/contender/contender.go
+++ b/core/contender/contender.go
@@ -39,6 +39,9 @@
 	// for a rejected one, so failing hosts back off. The limit is short because the first host whose backoff ends becomes
 	// controller.
 	MaxBackoff = 1600 * time.Millisecond
+	// VacancyTimeout is how long a host that leaves the role to others waits for a controller. It is twice the longest delay of
+	// a candidate, qualifier.MaxDelay, so a host that takes the role has done so by then.
+	VacancyTimeout = 2400 * time.Millisecond
 	// maxBackoffDoublings is the number of doublings of ReadInterval that reaches MaxBackoff.
 	maxBackoffDoublings = 2
 	// RenewalOverdueAge is the age of the last confirmed write from which the holder expects an outage of the store.
@@ -106,7 +109,8 @@
 	Rejected bool  // the write has no effect; with Err alone, it may take effect later
 }
 
-// Resign makes the host give up the lease. It takes over again after Pause at the earliest, or never if Pause is 0.
+// Resign makes the host give up the lease. It takes over again after Pause at the earliest, or never if Pause is 0. The pause ends
+// early if no other host acts as controller within VacancyTimeout.
 type Resign struct{ Pause time.Duration }
 
 func (Tick) event()                 {}
@@ -158,6 +162,7 @@
 	callPending    bool
 	nextCall       time.Duration // earliest time of the next call
 	resigned       bool
+	resignedAt     time.Duration // time of the last Resign
 	returnAt       time.Duration // from which a host that has resigned may take over again; 0: never
 }
 
@@ -198,6 +203,9 @@
 	return c.record.Resigned && c.record.Holder == c.options.Name
 }
 
+// Declines reports whether this host has resigned and does not take the role at present.
+func (c *Contender) Declines() bool { return c.resigned }
+
 // Term returns the last known term.
 func (c *Contender) Term() uint64 { return c.record.Term }
 
@@ -223,7 +231,7 @@
 		c.applyLeaseStatus(now, event.Lease)
 		c.recordStopped(now, event.Lease.Term)
 	case Resign:
-		c.resigned = true
+		c.resigned, c.resignedAt = true, now
 		c.returnAt = 0
 		if event.Pause > 0 {
 			c.returnAt = now + event.Pause
@@ -274,7 +282,7 @@
 	if c.callPending || now < c.nextCall {
 		return nil
 	}
-	if c.resigned && !c.holder && c.returnAt > 0 && now >= c.returnAt {
+	if c.resigned && !c.holder && c.returnAt > 0 && now >= min(c.returnAt, c.vacantAt()) {
 		c.resigned = false
 	}
 	switch {
@@ -305,6 +313,11 @@
 	}
 }
 
+// vacantAt returns from when a host that has resigned assumes that no other host takes the role.
+func (c *Contender) vacantAt() time.Duration {
+	return max(c.resignedAt, c.revisionSeenAt, c.heartbeatAt) + VacancyTimeout
+}
+
 // vacant reports whether no host can have the lease.
 func (c *Contender) vacant() bool {
 	return c.record.Revision == 0 || c.record.Resigned || c.stoppedTerm == c.record.Term
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -165,6 +165,7 @@
 	reportSoon     chan struct{} // has a value when the next report must not wait
 	needsFullCopy  atomic.Bool   // the next report requests the controller's full copy of the store
 	connected      atomic.Bool   // the next report is the first one of a connection
+	declines       atomic.Bool   // this host has resigned and does not take the role at present
 	resumeFailed   atomic.Bool   // the host has no copy that the relay can resume on
 	reportBlocked  atomic.Bool   // the next report lists the blocked signatures
 	pacing         pacing
@@ -291,6 +292,9 @@
 	}
 	report.NeedsFullCopy = c.needsFullCopy.Swap(false)
 	report.Address, report.Fitness = c.options.Address, c.options.Fitness
+	if c.declines.Load() {
+		report.Fitness = 0 // the controller hands the role over to no host that would leave it to others
+	}
 	connected, failed := c.connected.Swap(false), c.resumeFailed.Swap(false)
 	if !failed && (connected || !c.options.Follower.Relayed()) {
 		report.CopyDigest = c.options.Follower.Snapshot().Digest()
--- a/rhubarbtrackd/internal/coordinator/election.go
+++ b/rhubarbtrackd/internal/coordinator/election.go
@@ -14,7 +14,9 @@
 
 // stepElection passes an event to the election state machine and performs the resulting actions.
 func (c *Coordinator) stepElection(ctx context.Context, event contender.Event) {
-	c.perform(ctx, c.contender.Step(c.options.Now(), event))
+	actions := c.contender.Step(c.options.Now(), event)
+	c.declines.Store(c.contender.Declines())
+	c.perform(ctx, actions)
 }
 
 // perform carries out actions of the election state machine.
--- a/rhubarbtrackd/internal/coordinator/handover_test.go
+++ b/rhubarbtrackd/internal/coordinator/handover_test.go
@@ -15,6 +15,8 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/connector"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
+	"rhubarbtrack.example/rhubarbtrackd/internal/meter"
+	"rhubarbtrack.example/rhubarbtrackd/internal/recoverer"
 )
 
 // Guards against a new controller that hands the role over during its takeover: its successor waits anew for grants of a crashed
@@ -63,3 +65,32 @@
 		})
 	}
 }
+
+// Guards against a role that is handed over to a host which leaves it to others, because its reports name the fitness of its settings.
+func TestAHostThatDeclinesTheRoleReportsNoFitness(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		pause time.Duration
+		later float64 // fitness after a minute
+	}{{"for a while", panicPause, 0.9}, {"for good", 0, 0}} {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Minute
+			clock := func() time.Duration { return now }
+			log := eventlog.New(zap.NewNop())
+			store := storer.New("127.0.0.1:1")
+			c := New(Options{
+				Host: "h", Now: clock, Log: log, Fitness: 0.9, Store: store, Panics: recoverer.New(log, meter.New()),
+				Follower: follower.New(follower.Options{Store: store, Log: log, Now: clock}),
+				Report:   func() connector.Report { return connector.Report{} },
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			assert.Equal(t, c.report().Fitness, 0.9)
+			c.stepElection(ctx, contender.Resign{Pause: tt.pause})
+			assert.Equal(t, c.report().Fitness, 0.0)
+			now += time.Minute
+			c.stepElection(ctx, contender.Tick{})
+			assert.Equal(t, c.report().Fitness, tt.later)
+		})
+	}
+}
