coordinator: Keep the numbering of packed loads over terms

A host that became controller again began a new numbering of upstreams, while connections that had outlasted the term kept the count of names of the former one. Hosts took loads for those of other upstreams, or ended the connection because names were missing. The packer is now created once for a coordinator, as its connections are.

--- a/rhubarbtrackd/internal/connector/packer.go
+++ b/rhubarbtrackd/internal/connector/packer.go
@@ -24,8 +24,8 @@
 )
 
 // Packer encodes load reports and run times in a short form. It numbers the upstreams, and tells each host every number once.
-// A connection carries messages in order, so both sides have the same numbers. In a fleet of 91 hosts, load reports with the
-// tags of upstreams were most of what a controller sent.
+// A connection carries messages in order, so both sides have the same numbers. All loads that a Hub sends must come from one Packer.
+// Load reports with the tags of upstreams would be most of what a controller of 91 hosts sends.
 //
 // A packed load holds numbers as varints: the first number that follows, the count of names and their tags; then the count
 // of reports, and each as the difference of its number to the last one, running, waiting, slots, pace and age; then the count of
@@ -45,7 +45,7 @@
 	epoch int
 	body  []byte
 	mutex sync.Mutex
-	heads map[int][]byte // encodings with the names from the given number on
+	heads map[int][]byte // complete encodings, by the number of names that the host knows
 }
 
 // Pack encodes load reports, and mean run times by upstream.
--- a/rhubarbtrackd/internal/coordinator/pacing.go
+++ b/rhubarbtrackd/internal/coordinator/pacing.go
@@ -28,7 +28,7 @@
 // pacing is what a controller sends and how much of it fits.
 type pacing struct {
 	pacer         *pacer.Pacer
-	packer        *connector.Packer
+	packer        *connector.Packer // one for all terms, since connections of hosts may outlast a term
 	handover      *qualifier.Handover
 	handoverEnd   time.Duration               // until when moves may end before this host hands over; 0: it does not hand over
 	fitness       map[*connector.Peer]float64 // of the connected hosts
@@ -41,13 +41,13 @@
 }
 
 func newPacing(now time.Duration, options Options) pacing {
-	p := pacing{fitness: map[*connector.Peer]float64{}}
+	p := pacing{packer: connector.NewPacker(), fitness: map[*connector.Peer]float64{}}
 	p.beginTerm(now, options)
 	return p
 }
 
 func (p *pacing) beginTerm(now time.Duration, options Options) {
-	p.pacer, p.packer = pacer.New(now, options.LinkRate), connector.NewPacker()
+	p.pacer = pacer.New(now, options.LinkRate)
 	p.handover, p.handoverEnd = qualifier.NewHandover(options.Fitness), 0
 	p.tablesChanged, p.tablesHeld, p.starved, p.begun = false, false, false, now
 }
