coordinator: Send only tokens in heartbeats for waiting requests

A heartbeat that responds to requests waiting for tokens also carried changes of tables and of the copy, and the full ones if the host had none. These heartbeats go out with each such report and are not subject to the pacer's rounds, so a load of client accounts raised what the controller sends beyond its share.

TestHeartbeatsForWaitingRequestsCarryOnlyTokens fails without the change: the heartbeat has a table.

--- a/rhubarbtrackd/internal/coordinator/heartbeat.go
+++ b/rhubarbtrackd/internal/coordinator/heartbeat.go
@@ -67,8 +67,8 @@
 }
 
 // maxFullEntries bounds the entries of full states that are sent between two broadcasts. The hosts that wait get their full
-// state with a later heartbeat. After the start of 300 hosts with 3,000 upstreams, full states for all of them at once took
-// the link of the controller for seconds, and hosts closed their connections and began again.
+// state with a later heartbeat. Full states for 300 hosts with 3,000 upstreams at once take the link of the controller for
+// seconds, and hosts close their connections and begin again.
 const maxFullEntries = 40_000
 
 // allowEntries reports whether a host may get the given number of entries of a full state, and counts them.
@@ -114,7 +114,8 @@
 	return 0
 }
 
-func (c *Coordinator) newHeartbeat(now time.Duration, peer *connector.Peer, index, hosts int) connector.Heartbeat {
+// newStatus returns a heartbeat with the state of the lease and tokens of client accounts, which the pacer never holds back.
+func (c *Coordinator) newStatus(now time.Duration, peer *connector.Peer, index, hosts int) connector.Heartbeat {
 	lease := c.contender.LeaseStatus(now)
 	heartbeat := connector.Heartbeat{
 		Term: lease.Term, Revision: lease.Revision, Remaining: lease.Remaining, Valid: c.contender.Valid(now),
@@ -122,6 +123,12 @@
 	}
 	peer.StampEcho(&heartbeat)
 	heartbeat.Quotas = c.grantsFor(peer)
+	return heartbeat
+}
+
+// newHeartbeat returns a heartbeat with the changes to tables and to the copy of the store that may be sent now.
+func (c *Coordinator) newHeartbeat(now time.Duration, peer *connector.Peer, index, hosts int) connector.Heartbeat {
+	heartbeat := c.newStatus(now, peer, index, hosts)
 	hasCopy := c.contender.Valid(now) && !c.contender.RenewalOverdue(now) && c.options.Follower.Direct()
 	// Tables go first: keys need owners, whereas a host without the copy reads the store.
 	hasTables := !c.pacing.tablesHeld
--- a/rhubarbtrackd/internal/coordinator/quotas.go
+++ b/rhubarbtrackd/internal/coordinator/quotas.go
@@ -119,7 +119,7 @@
 		case p == nil:
 			c.options.OnGrants(c.contender.Term(), *c.grantsFor(nil))
 		case position > 0:
-			c.send(p, c.newHeartbeat(now, p, position, len(peers)+1))
+			c.send(p, c.newStatus(now, p, position, len(peers)+1))
 		}
 	}
 }
