--- a/rhubarbtrackd/internal/coordinator/pacing.go
+++ b/rhubarbtrackd/internal/coordinator/pacing.go
@@ -20,7 +20,7 @@
 // begin together, follow each other within tens of milliseconds, and one heartbeat to each host carries them all.
 const tableInterval = 80 * time.Millisecond
 
-// partNames are the names of the parts of heartbeats in metrics.
+// The names are label values of rhubarbtrack_control_shed_total.
 var partNames = map[pacer.Part]string{
 	pacer.Tables: "tables", pacer.FullStates: "full-states", pacer.RunTimes: "run-times", pacer.Loads: "loads",
 }
