--- a/rhubarbtrackd/internal/coordinator/heartbeat.go
+++ b/rhubarbtrackd/internal/coordinator/heartbeat.go
@@ -67,8 +67,8 @@
 }
 
 // maxFullEntries bounds the entries of full states that are sent between two broadcasts. The hosts that wait get their full
-// state with a later heartbeat. After the start of 300 hosts with 3,000 upstreams, full states for all of them at once took
-// the link of the controller for seconds, and hosts closed their connections and began again.
+// state with a later heartbeat. Full states for 300 hosts with 3,000 upstreams at once take the link of the controller for
+// seconds, and hosts close their connections and begin again.
 const maxFullEntries = 40_000
 
 // allowEntries reports whether a host may get the given number of entries of a full state, and counts them.
@@ -114,7 +114,8 @@
 	return 0
 }
 
-func (c *Coordinator) newHeartbeat(now time.Duration, peer *connector.Peer, index, hosts int) connector.Heartbeat {
+// newStatus returns a heartbeat with the state of the lease and tokens of client accounts, which the pacer never holds back.
+func (c *Coordinator) newStatus(now time.Duration, peer *connector.Peer, index, hosts int) connector.Heartbeat {
 	lease := c.contender.LeaseStatus(now)
 	heartbeat := connector.Heartbeat{
 		Term: lease.Term, Revision: lease.Revision, Remaining: lease.Remaining, Valid: c.contender.Valid(now),
@@ -122,9 +123,16 @@
 	}
 	peer.StampEcho(&heartbeat)
 	heartbeat.Quotas = c.grantsFor(peer)
+	return heartbeat
+}
+
+// newHeartbeat returns a heartbeat with the changes to tables and to the copy of the store that may be sent now.
+func (c *Coordinator) newHeartbeat(now time.Duration, peer *connector.Peer, index, hosts int) connector.Heartbeat {
+	heartbeat := c.newStatus(now, peer, index, hosts)
 	hasCopy := c.contender.Valid(now) && !c.contender.RenewalOverdue(now) && c.options.Follower.Direct()
 	// Tables go first: keys need owners, whereas a host without the copy reads the store.
-	hasTables := !c.pacing.tablesHeld && c.allowEntries(now, c.missingTableEntries(peer))
+	hasTables := !c.pacing.tablesHeld
+	hasFullTables := hasTables && c.allowEntries(now, c.missingTableEntries(peer))
 	if hasCopy && c.allowEntries(now, c.missingCopyEntries(peer)) {
 		heartbeat.HasCopy = true
 		heartbeat.Copy = changeSince(now, c.sentSnapshots[peer], c.snapshot)
@@ -148,6 +156,9 @@
 			continue
 		}
 		old, full := known[service], known[service] == nil
+		if full && !hasFullTables {
+			continue // the tables that the host has still follow their changes
+		}
 		change := connector.TableChange{Service: service, Full: full, Rows: svc.routingTable}
 		if !full {
 			change.Rows = svc.routingTable.Diff(old)
@@ -169,10 +180,20 @@
 		c.quotas.controller.Confirm(c.options.Now(), peer)
 	}
 	sent := c.hub.TakeSent()
-	c.pacing.pacer.Spend(now, sent)
+	if hasFullState(heartbeat) {
+		c.pacing.pacer.SpendFullState(now, sent)
+	} else {
+		c.pacing.pacer.Spend(now, sent)
+	}
 	c.options.OnSent(sent)
 }
 
+// hasFullState reports whether a heartbeat carries the copy of the store or a table to a host that had none.
+func hasFullState(heartbeat connector.Heartbeat) bool {
+	return heartbeat.HasCopy && heartbeat.Copy.Full ||
+		slices.ContainsFunc(heartbeat.Tables, func(change connector.TableChange) bool { return change.Full })
+}
+
 // changeSince returns the change from old to snapshot, or the full copy if old is nil.
 func changeSince(now time.Duration, old, snapshot *follower.Snapshot) follower.Change {
 	change := follower.Change{
--- a/rhubarbtrackd/internal/coordinator/pacing.go
+++ b/rhubarbtrackd/internal/coordinator/pacing.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"rhubarbtrack.example/core/allocator"
 	"rhubarbtrack.example/core/contender"
 	"rhubarbtrack.example/core/identifier"
 	"rhubarbtrack.example/core/pacer"
@@ -19,7 +20,7 @@
 // begin together, follow each other within tens of milliseconds, and one heartbeat to each host carries them all.
 const tableInterval = 80 * time.Millisecond
 
-// partNames are the names of the parts of heartbeats in metrics.
+// The names are label values of rhubarbtrack_control_shed_total.
 var partNames = map[pacer.Part]string{
 	pacer.Tables: "tables", pacer.FullStates: "full-states", pacer.RunTimes: "run-times", pacer.Loads: "loads",
 }
@@ -27,7 +28,7 @@
 // pacing is what a controller sends and how much of it fits.
 type pacing struct {
 	pacer         *pacer.Pacer
-	packer        *connector.Packer
+	packer        *connector.Packer // one for all terms, since connections of hosts may outlast a term
 	handover      *qualifier.Handover
 	handoverEnd   time.Duration               // until when moves may end before this host hands over; 0: it does not hand over
 	fitness       map[*connector.Peer]float64 // of the connected hosts
@@ -36,18 +37,19 @@
 	lastTables    time.Duration               // time of the last heartbeats with tables
 	lastTick      time.Duration
 	starved       bool
+	begun         time.Duration // time of the beginning of the term
 }
 
 func newPacing(now time.Duration, options Options) pacing {
-	p := pacing{fitness: map[*connector.Peer]float64{}}
+	p := pacing{packer: connector.NewPacker(), fitness: map[*connector.Peer]float64{}}
 	p.beginTerm(now, options)
 	return p
 }
 
 func (p *pacing) beginTerm(now time.Duration, options Options) {
-	p.pacer, p.packer = pacer.New(now, options.LinkRate), connector.NewPacker()
+	p.pacer = pacer.New(now, options.LinkRate)
 	p.handover, p.handoverEnd = qualifier.NewHandover(options.Fitness), 0
-	p.tablesChanged, p.tablesHeld, p.starved = false, false, false
+	p.tablesChanged, p.tablesHeld, p.starved, p.begun = false, false, false, now
 }
 
 func (p *pacing) observeTick(now time.Duration) {
@@ -131,7 +133,8 @@
 		for _, fitness := range c.pacing.fitness {
 			fittest = max(fittest, fitness)
 		}
-		if c.resigned || !c.pacing.handover.Step(now, qualifier.Observation{Starved: c.pacing.starved, Fittest: fittest}) {
+		due := c.pacing.handover.Step(now, qualifier.Observation{Starved: c.pacing.starved, Fittest: fittest})
+		if !due || c.resigned || !c.hasTakenOver(now) {
 			return
 		}
 		c.pacing.handoverEnd = now + settleTime
@@ -143,6 +146,17 @@
 	}
 }
 
+// hasTakenOver reports whether the takeover by this host is complete: it has loaded all tables, and grants of its predecessor have
+// expired. It may wait for these grants, and a successor would wait for them anew.
+func (c *Coordinator) hasTakenOver(now time.Duration) bool {
+	for name, service := range c.snapshot.Config.Services {
+		if svc := c.services[name]; service.Keyed && (svc == nil || !svc.loaded) {
+			return false
+		}
+	}
+	return c.options.FirstStart && c.contender.Term() == 1 || now >= allocator.GrantExpiry(c.pacing.begun, c.options.MaxLifetime)
+}
+
 // sendResignation informs all hosts that this one has given up the lease, so that they need not wait for missing heartbeats.
 func (c *Coordinator) sendResignation() {
 	now, peers := c.options.Now(), c.hub.Peers()
