Count one block of a streamed response after its beginning

While about 230 responses were streamed, a host with 144 MB refused every request with a body for as long as they lasted. The acceptor counted the buffered beginning of 128 kB until the end of the response.

The connection releases all but one block as soon as it has written as many bytes as the beginning has, because only the block of the copy is held from then on. The exchanger drops the buffered beginning at that point; its empty slice kept the array in memory.

Test: TestStreamCountsOneBlockAfterItsBeginning.

--- a/rhubarbtrackd/internal/acceptor/connection.go
+++ b/rhubarbtrackd/internal/acceptor/connection.go
@@ -345,11 +345,12 @@
 	if response.Stream == nil || bodyless {
 		return true
 	}
-	return c.stream(response)
+	return c.stream(e, response)
 }
 
-// stream sends the body of a long response.
-func (c *connection) stream(response *Response) bool {
+// stream sends the body of a long response. The beginning of the body is held until it is written, from then on only one block.
+func (c *connection) stream(e *exchange, response *Response) bool {
+	beginning := maxBufferedBody
 	err := copier.Copy(func(data []byte) error {
 		until := time.Now().Add(writeTimeout)
 		if !response.Deadline.IsZero() && response.Deadline.Before(until) {
@@ -357,6 +358,10 @@
 		}
 		_ = c.conn.SetWriteDeadline(until)
 		_, err := c.conn.Write(data)
+		if beginning -= len(data); beginning <= 0 && beginning+len(data) > 0 {
+			c.server.options.Memory.release(maxBufferedBody - copier.BlockSize)
+			e.held -= maxBufferedBody - copier.BlockSize
+		}
 		return err
 	}, response.Stream, response.Length)
 	if copier.KindOf(err) == copier.Incomplete {
--- a/rhubarbtrackd/internal/acceptor/memory_test.go
+++ b/rhubarbtrackd/internal/acceptor/memory_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -146,3 +148,32 @@
 		})
 	}
 }
+
+// Guards against open streams that count the buffered beginning of their bodies for as long as they last, so that a few hundred of
+// them refuse all uploads.
+func TestStreamCountsOneBlockAfterItsBeginning(t *testing.T) {
+	for _, length := range []int64{-1, 200 << 10} {
+		t.Run(fmt.Sprintf("length %d", length), func(t *testing.T) {
+			f, proceed, used, _ := heldFixture(t)
+			close(proceed)
+			body, upstream := io.Pipe()
+			f.handle = func(context.Context, *acceptor.Request) *acceptor.Response {
+				return &acceptor.Response{Status: 200, Header: http.Header{}, Stream: body, Length: length}
+			}
+			conn, reader := f.dial(t)
+			send(t, conn, "GET /card HTTP/1.1\r\nHost: h\r\n\r\n")
+			_, err := upstream.Write(make([]byte, 100<<10))
+			assert.NilError(t, err)
+			assert.Equal(t, used.Load(), int64(128<<10), "the beginning is held")
+			_, err = upstream.Write(make([]byte, 50<<10))
+			assert.NilError(t, err)
+			waitFor(t, used, 16<<10)
+			_, err = upstream.Write(make([]byte, 50<<10))
+			assert.NilError(t, err)
+			assert.NilError(t, upstream.Close())
+			_, received, _ := receive(t, reader)
+			assert.Equal(t, len(received), 200<<10)
+			waitFor(t, used, 0)
+		})
+	}
+}
--- a/rhubarbtrackd/internal/copier/copier.go
+++ b/rhubarbtrackd/internal/copier/copier.go
@@ -16,8 +16,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// blockSize is the maximum number of bytes of one read. It is a few packets, so that bodies are sent on as they arrive.
-const blockSize = 16 << 10
+// BlockSize is the maximum number of bytes of one read. It is a few packets, so that bodies are sent on as they arrive.
+const BlockSize = 16 << 10
 
 // Kind classifies errors of this package.
 type Kind int
@@ -55,7 +55,7 @@
 // followed by the last chunk at the end. Otherwise the body must have that length, and no byte beyond it is written. Errors are of
 // type *Error.
 func Copy(write func([]byte) error, body io.Reader, length int64) error {
-	block := make([]byte, blockSize)
+	block := make([]byte, BlockSize)
 	var chunk []byte // reused: a long body would fill the heap with one chunk for each block
 	copied := int64(0)
 	for {
--- a/rhubarbtrackd/internal/exchanger/response.go
+++ b/rhubarbtrackd/internal/exchanger/response.go
@@ -125,7 +125,9 @@
 func (j *joinedBody) Read(p []byte) (int, error) {
 	if len(j.buffered) > 0 {
 		n := copy(p, j.buffered)
-		j.buffered = j.buffered[n:]
+		if j.buffered = j.buffered[n:]; len(j.buffered) == 0 {
+			j.buffered = nil // an empty slice would keep its array in memory
+		}
 		return n, nil
 	}
 	return j.rest.Read(p)
