Bound the wait for body memory by the time of the caller

A caller with a deadline of 300 ms got the refusal of a host without memory after its deadline, and one with 1,200 ms after it had abandoned the attempt, because the host always waited 500 ms. Retry-After was 0.5 s also for callers with less time.

The acceptor gets the time left by Options.TimeLeft and waits at most a quarter of it. Callers abandon an attempt that is not read after a third, so the answer reaches them before that. Retry-After is at most a third of the rest, up to which callers honour it.

Test: TestWaitForMemoryIsBoundedByTheTimeOfTheCaller. With the former timer, the rows 0s, 300ms and 1200ms fail (500 ms of wait).

--- a/rhubarbtrackd/internal/acceptor/acceptor.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor.go
@@ -46,6 +46,8 @@
 	bodyLingerTimeout = 2 * time.Second
 	// maxLingerBytes bounds that data. The rest of a body is bounded by the limit for bodies, if that is higher.
 	maxLingerBytes = 1 << 20
+	// maxTimeLeft is how long callers are assumed to wait that do not say so. It is beyond the timeouts of routes.
+	maxTimeLeft = time.Hour
 )
 
 // Limits bound what callers may send. They may change while connections are open and then apply to the next request.
@@ -111,6 +113,9 @@
 	Panics *recoverer.Recoverer
 	// MaxConnections bounds the open connections; 0 means no bound.
 	MaxConnections int
+	// TimeLeft returns how long the caller of a request with this header still waits, or false if the header does not say so. The
+	// wait for Memory is bounded by it. It may be nil.
+	TimeLeft func(header http.Header) (time.Duration, bool)
 	// Memory bounds the bodies of requests and responses that are held; nil means no bound.
 	Memory *Memory
 }
--- a/rhubarbtrackd/internal/acceptor/acceptor_test.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor_test.go
@@ -47,7 +47,11 @@
 			return acceptor.Limits{HeaderBytes: 2048, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: testTimeout}
 		},
 		Refused: func(int, string, string) {},
-		Memory:  memory,
+		TimeLeft: func(header http.Header) (time.Duration, bool) {
+			left, err := time.ParseDuration(header.Get("Time-Left"))
+			return left, err == nil
+		},
+		Memory: memory,
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/rhubarbtrackd/internal/acceptor/connection.go
+++ b/rhubarbtrackd/internal/acceptor/connection.go
@@ -13,7 +13,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"rhubarbtrack.example/core/reserver"
 	"rhubarbtrack.example/rhubarbtrackd/internal/copier"
 )
 
@@ -231,7 +230,7 @@
 	e := &exchange{response: make(chan *Response, 1), last: true, unreadable: true}
 	response := &Response{Status: typed.Status, Header: http.Header{}}
 	if typed.Kind == NoMemory {
-		response.Header.Set("Retry-After", strconv.FormatFloat(reserver.MaxWait.Seconds(), 'f', 3, 64))
+		response.Header.Set("Retry-After", strconv.FormatFloat(typed.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	e.response <- response
 	c.requestStarted()
--- a/rhubarbtrackd/internal/acceptor/memory.go
+++ b/rhubarbtrackd/internal/acceptor/memory.go
@@ -27,13 +27,29 @@
 	}
 }
 
-var errNoMemory = &Error{"read-body", NoMemory, http.StatusServiceUnavailable, errors.New("no memory for the body")}
+// waitShare is the share of the time which the caller still waits that a request may spend without memory. Callers abandon an attempt
+// that is not read after a third; the difference leaves time for the answer to reach them.
+const waitShare = 1.0 / 4
 
-// reserve reserves the bytes of a body. It waits for room for up to reserver.MaxWait.
-func (m *Memory) reserve(ctx context.Context, size int64) error {
+// maxRetryAfterShare is the share of the remaining time up to which callers honour Retry-After.
+const maxRetryAfterShare = 1.0 / 3
+
+// refuse returns the error for a request without memory, after a wait, whose caller waits for timeLeft in all.
+func refuse(timeLeft, waited time.Duration) error {
+	left := max(0, timeLeft-waited)
+	return &Error{
+		Op: "read-body", Kind: NoMemory, Status: http.StatusServiceUnavailable, RetryAfter: min(reserver.MaxWait, time.Duration(maxRetryAfterShare*float64(left))),
+		Err: errors.New("no memory for the body"),
+	}
+}
+
+// reserve reserves the bytes of a body. It waits for room for up to reserver.MaxWait, and for a caller that waits for timeLeft
+// only for waitShare of it.
+func (m *Memory) reserve(ctx context.Context, size int64, timeLeft time.Duration) error {
 	if m == nil {
 		return nil
 	}
+	began := time.Now()
 	m.mutex.Lock()
 	ticket, decision := m.reserver.Reserve(time.Since(m.started), size)
 	var decided chan reserver.Decision
@@ -47,9 +63,9 @@
 	case reserver.Granted:
 		return nil
 	case reserver.Refused:
-		return errNoMemory
+		return refuse(timeLeft, time.Since(began))
 	}
-	timer := time.NewTimer(reserver.MaxWait)
+	timer := time.NewTimer(min(reserver.MaxWait, time.Duration(waitShare*float64(timeLeft))))
 	defer timer.Stop()
 	select {
 	case decision = <-decided:
@@ -61,10 +77,10 @@
 		if decision == reserver.Granted {
 			m.release(size)
 		}
-		return &Error{"read-body", Incomplete, 0, ctx.Err()}
+		return &Error{Op: "read-body", Kind: Incomplete, Err: ctx.Err()}
 	}
 	if decision != reserver.Granted {
-		return errNoMemory
+		return refuse(timeLeft, time.Since(began))
 	}
 	return nil
 }
--- a/rhubarbtrackd/internal/acceptor/memory_test.go
+++ b/rhubarbtrackd/internal/acceptor/memory_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -177,3 +178,39 @@
 		})
 	}
 }
+
+// Guards against an answer that comes after the caller has left, which abandons an attempt that is not read after a third of its time,
+// and against a Retry-After of more than a third of the rest.
+func TestWaitForMemoryIsBoundedByTheTimeOfTheCaller(t *testing.T) {
+	f, proceed, used, _ := heldFixture(t)
+	defer close(proceed)
+	for range 2 {
+		conn, _ := f.dial(t)
+		send(t, conn, uploadOf(uploadSize))
+	}
+	waitFor(t, used, 2*uploadSize)
+	for _, tt := range []struct {
+		left                  string
+		least, most           time.Duration // of the wait
+		leastRetry, mostRetry float64       // Retry-After in seconds
+	}{
+		{"0s", 0, 300 * time.Millisecond, 0, 0},
+		{"300ms", 75 * time.Millisecond, 300 * time.Millisecond, 0, 0.075},
+		{"1200ms", 300 * time.Millisecond, 480 * time.Millisecond, 0.24, 0.3},
+		{"60s", 500 * time.Millisecond, testTimeout, 0.5, 0.5},
+		{"unknown", 500 * time.Millisecond, testTimeout, 0.5, 0.5},
+	} {
+		t.Run(tt.left, func(t *testing.T) {
+			conn, reader := f.dial(t)
+			began := time.Now()
+			send(t, conn, fmt.Sprintf("POST /scan HTTP/1.1\r\nHost: h\r\nTime-Left: %s\r\nContent-Length: %d\r\n\r\n", tt.left, uploadSize))
+			status, _, response := receive(t, reader)
+			waited := time.Since(began)
+			assert.Equal(t, status, 503)
+			assert.Assert(t, waited >= tt.least && waited <= tt.most, "%v", waited)
+			retryAfter, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			assert.Assert(t, retryAfter >= tt.leastRetry && retryAfter <= tt.mostRetry, "%v", retryAfter)
+		})
+	}
+}
--- a/rhubarbtrackd/internal/acceptor/parser.go
+++ b/rhubarbtrackd/internal/acceptor/parser.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httputil"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -32,7 +33,9 @@
 	Op     string
 	Kind   Kind
 	Status int // of the response to the caller; 0 if there is none
-	Err    error
+	// RetryAfter is when the caller may send the request again after NoMemory.
+	RetryAfter time.Duration
+	Err        error
 }
 
 // Error implements the error interface.
@@ -42,7 +45,7 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 func malformed(reason string) error {
-	return &Error{"parse-request", Malformed, http.StatusBadRequest, errors.New(eventlog.Shorten(reason))}
+	return &Error{Op: "parse-request", Kind: Malformed, Status: http.StatusBadRequest, Err: errors.New(eventlog.Shorten(reason))}
 }
 
 // readHead reads the request line and the header, including the empty line at the end, of up to limit bytes.
@@ -54,14 +57,14 @@
 		head = append(head, line...)
 		if skipped+len(head) > limit {
 			return nil, &Error{
-				"read-head", TooLarge, http.StatusRequestHeaderFieldsTooLarge, errors.New("header exceeds the size limit"),
+				Op: "read-head", Kind: TooLarge, Status: http.StatusRequestHeaderFieldsTooLarge, Err: errors.New("header exceeds the size limit"),
 			}
 		}
 		if err == bufio.ErrBufferFull {
 			continue
 		}
 		if err != nil {
-			return nil, &Error{"read-head", Incomplete, 0, err}
+			return nil, &Error{Op: "read-head", Kind: Incomplete, Err: err}
 		}
 		if len(line) == 2 && line[0] == '\r' && (len(head) == 2 || head[len(head)-3] == '\n') {
 			if len(head) == 2 {
--- a/rhubarbtrackd/internal/acceptor/request.go
+++ b/rhubarbtrackd/internal/acceptor/request.go
@@ -19,7 +19,7 @@
 		var timeout net.Error
 		if errors.As(err, &timeout) && timeout.Timeout() {
 			return nil, true, &Error{
-				"read-head", Incomplete, http.StatusRequestTimeout, errors.New("header incomplete after the header timeout"),
+				Op: "read-head", Kind: Incomplete, Status: http.StatusRequestTimeout, Err: errors.New("header incomplete after the header timeout"),
 			}
 		}
 		return nil, true, err
@@ -40,7 +40,7 @@
 	}
 	if length > limits.BodyBytes {
 		return nil, true, &Error{
-			"read-body", TooLarge, http.StatusRequestEntityTooLarge, errors.New("Content-Length exceeds the size limit"),
+			Op: "read-body", Kind: TooLarge, Status: http.StatusRequestEntityTooLarge, Err: errors.New("Content-Length exceeds the size limit"),
 		}
 	}
 	if err := c.readBody(request, reader, length, limits); err != nil {
@@ -49,6 +49,16 @@
 	return request, last, nil
 }
 
+// timeLeft returns the time that the caller of a request still waits, or a long time if it is unknown.
+func (c *connection) timeLeft(header http.Header) time.Duration {
+	if c.server.options.TimeLeft != nil {
+		if left, ok := c.server.options.TimeLeft(header); ok {
+			return left
+		}
+	}
+	return maxTimeLeft
+}
+
 // readBody reads the body of a request, or as much of a long one as is kept in memory. Without memory for it, nothing is read.
 func (c *connection) readBody(request *Request, reader *messageBody, length int64, limits Limits) error {
 	memory := c.server.options.Memory
@@ -56,13 +66,13 @@
 	if length >= 0 {
 		reserved = min(reserved, length)
 	}
-	if err := memory.reserve(c.ctx, reserved); err != nil {
+	if err := memory.reserve(c.ctx, reserved, c.timeLeft(request.Header)); err != nil {
 		return err
 	}
 	defer func() { memory.release(reserved - request.reserved) }()
 	if request.Header.Get("Expect") != "" && len(c.queue) == 0 {
 		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return &Error{"continue", Incomplete, 0, err}
+			return &Error{Op: "continue", Kind: Incomplete, Err: err}
 		}
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout + limits.IdleTimeout))
@@ -74,7 +84,7 @@
 			return err
 		}
 		if errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
-			return &Error{"read-body", Incomplete, 0, err}
+			return &Error{Op: "read-body", Kind: Incomplete, Err: err}
 		}
 		return malformed(err.Error())
 	}
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -89,9 +89,6 @@
 // after that, so a host that may lack a newer version rejects the request instead.
 const maxDenyAge = 2 * time.Second
 
-// maxTimeLeft bounds the time that a caller says it will wait. The timeouts of routes are far shorter.
-const maxTimeLeft = 24 * time.Hour
-
 // defaultHosts is the number of hosts among which limits are divided until a heartbeat contains the actual number.
 const defaultHosts = 16
 
@@ -309,19 +306,6 @@
 	f()
 }
 
-func (r *Router) setDeadline(j *job) bool {
-	j.timeLeft = j.route.Timeout
-	if value := j.request.Header.Get(translator.TimeLeftHeader); value != "" {
-		left, err := strconv.ParseInt(value, 10, 64)
-		if err != nil || left < 0 {
-			return false
-		}
-		j.timeLeft = time.Duration(min(left, maxTimeLeft.Milliseconds())) * time.Millisecond
-	}
-	j.deadline = j.request.Arrived.Add(min(j.timeLeft, j.route.Timeout))
-	return true
-}
-
 // choice is the upstream chosen for an attempt, or the reason why there is none.
 type choice struct {
 	upstream registrar.Upstream
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -226,6 +226,7 @@
 			d.log.Log(eventlog.RequestUnreadable, zap.Int("status", status), zap.String("remote", remote),
 				zap.String("reason", eventlog.Shorten(reason)))
 		},
+		TimeLeft:     router.TimeLeft,
 		Memory:       acceptor.NewMemory(int64(bodyMemoryShare*float64(s.MemoryBytes)), d.meter.BodyMemory),
 		Panics:       d.panics,
 		AcceptFailed: func(err error) { d.log.Log(eventlog.AcceptFailed, eventlog.Cause(err)) },
