shedder, spreader, selector: usual terms for names

uncontendedWaitShare replaces calmWaitShare. In spreader, remote and weights replace away and parts, and its comments say that work is moved back. PickFromSample replaces PickOf, whose name did not say what size means. A comment of core named the platform.

--- a/core/selector/fleet_test.go
+++ b/core/selector/fleet_test.go
@@ -106,7 +106,7 @@
 	pick := host.Pick
 	if f.choices > 0 {
 		pick = func(now time.Duration, service string, list []selector.Candidate, exclude map[identifier.Incarnation]bool) (identifier.Incarnation, bool) {
-			return host.PickOf(now, service, list, exclude, f.choices)
+			return host.PickFromSample(now, service, list, exclude, f.choices)
 		}
 	}
 	id, ok := pick(sent, "s", list, nil)
--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -330,12 +330,12 @@
 // The probability of a candidate is the share of requests that it should get according to its run time. Load reports are
 // too old to prefer fast upstreams by the score alone: many hosts would overload them at the same time.
 func (sel *Selector) Pick(now time.Duration, service string, candidates []Candidate, exclude map[identifier.Incarnation]bool) (identifier.Incarnation, bool) {
-	return sel.PickOf(now, service, candidates, exclude, sampleSize)
+	return sel.PickFromSample(now, service, candidates, exclude, sampleSize)
 }
 
-// PickOf is Pick with the best of size random candidates, at most sampleSize. With fewer, requests spread better while load reports are older
+// PickFromSample is Pick with the best of size random candidates, at most sampleSize. With fewer, requests spread better while load reports are older
 // than requests take; with more, they find free slots among many busy upstreams.
-func (sel *Selector) PickOf(now time.Duration, service string, candidates []Candidate, exclude map[identifier.Incarnation]bool, size int) (identifier.Incarnation, bool) {
+func (sel *Selector) PickFromSample(now time.Duration, service string, candidates []Candidate, exclude map[identifier.Incarnation]bool, size int) (identifier.Incarnation, bool) {
 	size = max(1, min(size, sampleSize))
 	if at, ok := sel.weightsAt[service]; !ok || now >= at+weightInterval {
 		sel.weightsAt[service] = now
--- a/core/shedder/shedder.go
+++ b/core/shedder/shedder.go
@@ -33,9 +33,9 @@
 const (
 	newWaitShare    = 0.6
 	urgentWaitShare = 1.0
-	// calmWaitShare applies to requests that only one upstream can run, while it rejects none.
-	calmWaitShare  = 1.0
-	retryWaitShare = 0.35
+	// uncontendedWaitShare applies to requests that only one upstream can run, while it rejects none.
+	uncontendedWaitShare = 1.0
+	retryWaitShare       = 0.35
 	// minSlackShare is the minimum slack as a share of the objective. It applies when the run time is close to the
 	// objective.
 	minSlackShare = 0.25
@@ -48,8 +48,7 @@
 	// riseWeight and fallWeight make the usual remaining time follow a high quantile of the remaining times.
 	riseWeight = 0.1
 	fallWeight = 0.005
-	// maxRetryAfterShare is the share of its remaining time for which a caller waits at most, according to the platform's
-	// contract.
+	// maxRetryAfterShare is the share of its remaining time for which a caller waits at most, by the contract with callers.
 	maxRetryAfterShare = 1.0 / 3
 	// shortRetryAfter is the time before a retry while few requests are rejected: the usual duration of a slow phase of a
 	// straggler.
@@ -176,7 +175,7 @@
 	case request.Urgent:
 		share = urgentWaitShare
 	}
-	share += (1 - pressure) * (calmWaitShare - share)
+	share += (1 - pressure) * (uncontendedWaitShare - share)
 	slack := max(float64(request.Objective-run), minSlackShare*float64(request.Objective))
 	longest := time.Duration(share * slack)
 	if request.WaitLimit > 0 {
--- a/core/spreader/spreader.go
+++ b/core/spreader/spreader.go
@@ -4,7 +4,7 @@
 // A request that leaves saves its caller time in the queues of the own domain, and costs round trips to the other domain and
 // bytes between domains. The price of a byte is stated in the callers' time, so that both sides have the same unit. The
 // division for a service and a class of message sizes follows the response times that a queueing model expects: work leaves while
-// a request takes longer at home than elsewhere with the crossing, and comes back as soon as it does not.
+// a request takes longer at home than elsewhere with the crossing, and is moved back when it does not.
 //
 // # Usage
 //
@@ -40,15 +40,15 @@
 	forgetTime = 5 * time.Second
 	// loadSmoothing is the weight of the last observation in the smoothed utilization of a domain.
 	loadSmoothing = 0.4
-	// partSmoothing is the weight of the last observation in the parts of the other domains. All hosts change them at once, so
+	// weightSmoothing is the weight of the last observation in the weights of the other domains. All hosts change them at once, so
 	// that quick changes would move the work from one domain to the next and back.
-	partSmoothing = 0.1
+	weightSmoothing = 0.1
 	// stepGain is the part of the difference between the utilization and the target that one step moves.
 	stepGain = 0.2
 	// maxStep limits the share that one step moves.
 	maxStep = 0.1
 	// startMargin is what a request must save at least before the first requests leave, as a share of the run time, and margin
-	// what it must save while requests leave. Loads are observed with an error, and work that leaves and comes back costs new
+	// what it must save while requests leave. Loads are observed with an error, and moving work there and back costs new
 	// connections.
 	startMargin, margin = 0.2, 0.05
 	// minReturn is the share that returns in a step at least when it would be served as soon at home. Otherwise two domains with
@@ -109,9 +109,9 @@
 	own       string
 	loads     map[string]float64 // smoothed utilizations by domain
 	divisions [sizeClasses]Division
-	used      [sizeClasses]float64 // mean size of the class in bytes; 0: no requests yet
-	away      [sizeClasses]float64 // share of the requests that leave
-	parts     [sizeClasses]map[string]float64
+	used      [sizeClasses]float64            // mean size of the class in bytes; 0: no requests yet
+	remote    [sizeClasses]float64            // share of the requests sent to other domains
+	weights   [sizeClasses]map[string]float64 // of the other domains in that share; they add up to 1
 }
 
 // Spreader holds the divisions of all services.
@@ -316,63 +316,63 @@
 		total += room[i]
 	}
 	if division.own < 0 {
-		known.away[c] = 1
+		known.remote[c] = 1
 	} else {
-		known.away[c] = step(known.away[c], own, ownCost, lowest)
+		known.remote[c] = step(known.remote[c], own, ownCost, lowest)
 		division.OwnCost, division.Utilization = seconds(ownCost), own.utilization
 	}
 	if !math.IsInf(lowest, 1) {
 		division.OtherCost = seconds(lowest)
 	}
-	parts := known.nextParts(c, division.own, loads, room, total)
-	if len(parts) == 0 {
-		known.away[c] = 0
+	weights := known.nextWeights(c, division.own, loads, room, total)
+	if len(weights) == 0 {
+		known.remote[c] = 0
 	}
 	for i, l := range loads {
-		division.Shares[i] = known.away[c] * parts[l.name]
+		division.Shares[i] = known.remote[c] * weights[l.name]
 	}
 	if division.own >= 0 {
-		division.Shares[division.own] = 1 - known.away[c]
+		division.Shares[division.own] = 1 - known.remote[c]
 	}
 	return division
 }
 
-// nextParts returns the part of each other domain in the requests that leave, by the room that it has. While no domain has room, the
-// parts stay, and what leaves returns in steps.
-func (known *service) nextParts(c, own int, loads []load, room []float64, total float64) map[string]float64 {
-	parts, sum := map[string]float64{}, 0.0
+// nextWeights returns the weight of each other domain in the requests that are sent to others, by the room that it has. While no
+// domain has room, the weights stay, and the remote share falls in steps.
+func (known *service) nextWeights(c, own int, loads []load, room []float64, total float64) map[string]float64 {
+	weights, sum := map[string]float64{}, 0.0
 	for i, l := range loads {
 		if i == own || l.slots == 0 {
 			continue
 		}
-		part, ok := known.parts[c][l.name]
+		weight, ok := known.weights[c][l.name]
 		if total > 0 {
-			if !ok && known.parts[c] == nil {
-				part = room[i] / total
+			if !ok && known.weights[c] == nil {
+				weight = room[i] / total
 			}
-			part += partSmoothing * (room[i]/total - part)
+			weight += weightSmoothing * (room[i]/total - weight)
 		}
-		if part > 0 {
-			parts[l.name] = part
-			sum += part
+		if weight > 0 {
+			weights[l.name] = weight
+			sum += weight
 		}
 	}
-	for name := range parts {
-		parts[name] /= sum
+	for name := range weights {
+		weights[name] /= sum
 	}
-	known.parts[c] = nil
-	if len(parts) > 0 {
-		known.parts[c] = parts
+	known.weights[c] = nil
+	if len(weights) > 0 {
+		known.weights[c] = weights
 	}
-	return parts
+	return weights
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // step returns the next share of requests that leave the own domain. ownCost is the response time at home, and lowest the lowest one
 // elsewhere with the crossing.
-func step(away float64, own load, ownCost, lowest float64) float64 {
-	if away == 0 && ownCost < lowest+startMargin*own.runTime {
+func step(remote float64, own load, ownCost, lowest float64) float64 {
+	if remote == 0 && ownCost < lowest+startMargin*own.runTime {
 		return 0
 	}
 	lowest += margin * own.runTime
@@ -385,9 +385,9 @@
 	if change < 0 {
 		change -= minReturn
 	}
-	away = min(1, max(0, away+min(maxStep, max(-maxStep, change))))
-	if change <= 0 && away < minShare {
+	remote = min(1, max(0, remote+min(maxStep, max(-maxStep, change))))
+	if change <= 0 && remote < minShare {
 		return 0
 	}
-	return away
+	return remote
 }
--- a/core/spreader/spreader_test.go
+++ b/core/spreader/spreader_test.go
@@ -155,7 +155,7 @@
 	}
 }
 
-// TestDivisionReturns checks that work comes back when a burst or a loss is over, within three seconds for nine tenths of it.
+// TestDivisionReturns checks that work is moved back when a burst or a loss is over, within three seconds for nine tenths of it.
 func TestDivisionReturns(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -206,14 +206,14 @@
 	return math.Pow(utilization, math.Sqrt(2*(slots+1))-1) / (slots * (1 - utilization))
 }
 
-// responses returns the mean response times in the queueing model when the callers of the first domain send the share away, in equal
-// parts, and all other callers stay: of the callers of the first domain, and of all.
-func responses(zones []zone, away float64, crossing time.Duration) (own, all float64) {
+// responses returns the mean response times in the queueing model when the callers of the first domain send the share remote to the
+// other domains in equal parts, and all other callers stay: of the callers of the first domain, and of all.
+func responses(zones []zone, remote float64, crossing time.Duration) (own, all float64) {
 	demand := 0.0
 	for i, z := range zones {
-		part, load := 1-away, z.demand*(1-away)
+		part, load := 1-remote, z.demand*(1-remote)
 		if i > 0 {
-			part = away / float64(len(zones)-1)
+			part = remote / float64(len(zones)-1)
 			load = z.demand + zones[0].demand*part
 		}
 		pool := min(choices, z.upstreams) * slots
@@ -236,9 +236,9 @@
 		zones := []zone{{"a", 10, demand, false}, {"b", 10, 30, false}, {"c", 10, 30, false}}
 		m := newModel(zones, 0, smallBytes)
 		m.play(400)
-		away := 0.0
+		remote := 0.0
 		for _, s := range m.leaving[0][len(m.leaving[0])-40:] {
-			away += s / 40
+			remote += s / 40
 		}
 		bestOwn, best := 0.0, math.Inf(1)
 		for a := 0.0; a <= 1; a += 0.005 {
@@ -246,10 +246,10 @@
 				bestOwn, best = own, all
 			}
 		}
-		own, all := responses(zones, away, time.Millisecond)
-		t.Logf("demand %.0f: %.3f leaves, mean response %.3f s, best %.3f s; of all %.3f s, best %.3f s", demand, away, own, bestOwn, all, best)
-		assert.Assert(t, own <= 1.1*bestOwn, "demand %.0f: %.3f leaves, mean response %.3f s, best %.3f s", demand, away, own, bestOwn)
-		assert.Assert(t, all <= 1.1*best, "demand %.0f: %.3f leaves, mean response %.3f s, best %.3f s", demand, away, all, best)
+		own, all := responses(zones, remote, time.Millisecond)
+		t.Logf("demand %.0f: %.3f leaves, mean response %.3f s, best %.3f s; of all %.3f s, best %.3f s", demand, remote, own, bestOwn, all, best)
+		assert.Assert(t, own <= 1.1*bestOwn, "demand %.0f: %.3f leaves, mean response %.3f s, best %.3f s", demand, remote, own, bestOwn)
+		assert.Assert(t, all <= 1.1*best, "demand %.0f: %.3f leaves, mean response %.3f s, best %.3f s", demand, remote, all, best)
 	}
 }
 
--- a/rhubarbtrackd/internal/router/spread.go
+++ b/rhubarbtrackd/internal/router/spread.go
@@ -53,7 +53,7 @@
 	bytes := r.spreader.ExpectedSize(j.route.Name, bodyLength(j.request))
 	chosen := r.spreader.Choose(service, bytes)
 	near := filter(warm, func(c selector.Candidate) bool { return c.Domain == chosen })
-	picked, ok := r.selector.PickOf(now, service+"/"+chosen, near, j.tried, r.spreader.Choices(service))
+	picked, ok := r.selector.PickFromSample(now, service+"/"+chosen, near, j.tried, r.spreader.Choices(service))
 	if !ok {
 		return r.selector.Pick(now, service, warm, j.tried)
 	}
@@ -65,7 +65,7 @@
 	}
 	// Queues, slow phases and failures that are shorter than the steps of the division are avoided request by request.
 	far := filter(warm, func(c selector.Candidate) bool { return c.Domain != chosen })
-	other, ok := r.selector.PickOf(now, service+"/other than "+chosen, far, j.tried, r.spreader.Choices(service))
+	other, ok := r.selector.PickFromSample(now, service+"/other than "+chosen, far, j.tried, r.spreader.Choices(service))
 	if !ok {
 		return picked, true
 	}
