router: answer 404 only by the newest configuration

A caller could get 404, after which it does not try again, for a route of a version that its host had just confirmed or knew to exist.

A host that has never confirmed its configuration answers 503. ConfigurationAge had no other caller and is removed; its test uses ConfirmedAt.

Test: TestNotFoundNeedsTheNewestConfiguration. With the former order and condition, the rows "newer version is known" and "newer version is applied in between" fail (404, want 503).

--- a/rhubarbtrackd/internal/follower/configuration.go
+++ b/rhubarbtrackd/internal/follower/configuration.go
@@ -53,19 +53,12 @@
 	return f.rawConfig
 }
 
-// ConfigurationAge returns the time since the applied configuration was last known to be the newest, by a response of the store
-// to this host or to the controller. It serves as the age of the other kinds as well, whose watches last longer.
-func (f *Follower) ConfigurationAge(now time.Duration) time.Duration {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return now - f.recency.current[translator.ConfigurationKind]
-}
-
 // unconfirmedAge is the age of a configuration that neither the store nor the controller has confirmed.
 const unconfirmedAge = 365 * 24 * time.Hour
 
-// ConfirmedAt returns the time from which ConfigurationAge counts, or a time long ago if no configuration has been confirmed. It
-// does not block. A snapshot that is read afterwards contains the configuration that was confirmed, or a newer one. The order
+// ConfirmedAt returns the time when the applied configuration was last known to be the newest, by a response of the store to this
+// host or to the controller, or a time long ago if none has been confirmed. It serves as the age of the other kinds as well, whose
+// watches last longer. It does not block. A snapshot that is read afterwards contains the configuration that was confirmed, or a newer one. The order
 // matters where the age decides, because the process may stand still between two reads.
 func (f *Follower) ConfirmedAt(now time.Duration) time.Duration {
 	if at := time.Duration(f.confirmedAt.Load()); at != 0 {
--- a/rhubarbtrackd/internal/follower/delay_test.go
+++ b/rhubarbtrackd/internal/follower/delay_test.go
@@ -83,7 +83,7 @@
 	time.Sleep(1500 * time.Millisecond) // until the first watch has ended
 	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		now := timer.Now()
-		age := f.ConfigurationAge(now)
+		age := now - f.ConfirmedAt(now)
 		listAge := now - time.Duration(listedAt.Load())
 		assert.Assert(t, age >= delay-20*time.Millisecond, "age %v, time since the last list %v", age, listAge)
 	}
--- a/rhubarbtrackd/internal/follower/relay.go
+++ b/rhubarbtrackd/internal/follower/relay.go
@@ -51,7 +51,7 @@
 	// Configuration is the newest version of the configuration that the controller has read. Hosts read the
 	// configuration itself from the store, because it may be long.
 	Configuration int64
-	// Age is the age of the controller's configuration, see ConfigurationAge. A controller that waits for a store that hangs still
+	// Age is the age of the controller's configuration, see ConfirmedAt. A controller that waits for a store that hangs still
 	// confirms its copy. DrainAges and TakeOutAges are the longest times for which upstreams of Puts may have been
 	// draining and failure domains of TakenOut have been taken out. Controllers of earlier versions send none of these.
 	Age         time.Duration
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -254,13 +254,16 @@
 
 // route finds the route of a request and sends it to an upstream.
 func (r *Router) route(ctx context.Context, request *acceptor.Request) *acceptor.Response {
+	// The order matters, see Follower.ConfirmedAt: a 404 must not follow from a snapshot that is older than the confirmation.
+	confirmedAt := r.options.Follower.ConfirmedAt(r.options.Now())
+	superseded := r.options.Follower.LacksConfiguration()
 	snapshot := r.options.Follower.Snapshot()
 	if snapshot.Config == nil {
 		return r.reject(&job{request: request}, "no configuration is loaded", startupWait)
 	}
 	route, ok := snapshot.Config.Match(request.Host, request.Path)
 	if !ok {
-		if r.options.Follower.ConfigurationAge(r.options.Now()) > maxDenyAge {
+		if superseded || r.options.Now()-confirmedAt > maxDenyAge {
 			return r.reject(&job{request: request}, "the configuration may be outdated", startupWait)
 		}
 		return r.finish(&job{request: request}, http.StatusNotFound, "no route matches the request")
