translator: skip an account that cannot be decoded, not the version

One account with a control character in its name or a field of another type ("priority": 1.0) kept the whole version of the configuration from being applied. The former version still counted as confirmed, so that keys which the new one takes away stayed valid without end.

The follower writes accounts-skipped (204) with the field, without the value, which may be a key. Valid configurations are decoded as before.

--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -30,6 +30,8 @@
 	// nevertheless: then no key is valid.
 	HasAccounts bool
 	Accounts    []Account
+	// SkippedAccounts says for each account that could not be decoded why. No key of it is valid.
+	SkippedAccounts []string
 }
 
 // Account is a client account. Its callers authenticate with any of its keys.
--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -52,6 +52,7 @@
 	StoreAvailable   = register(201, "store-available", zap.InfoLevel, "The store is available again.")
 	WatchCompacted   = register(202, "watch-compacted", zap.InfoLevel, "The store has compacted the revision of a watch; all objects are listed again.")
 	ObjectRefused    = register(203, "object-refused", zap.ErrorLevel, "A configuration object cannot be decoded; its previous version stays in use.")
+	AccountsSkipped  = register(204, "accounts-skipped", zap.ErrorLevel, "Client accounts of a version of the configuration cannot be decoded and are left out; their keys are rejected. The field reason is that of the first one.")
 )
 
 // Events of hosts and the relay tree.
--- a/rhubarbtrackd/internal/follower/configuration.go
+++ b/rhubarbtrackd/internal/follower/configuration.go
@@ -106,6 +106,10 @@
 		age = now - f.recency.since
 	}
 	f.options.Log.Log(eventlog.ConfigurationChanged, zap.Int64("version", config.Version), source, zap.Duration("age", age))
+	if skipped := config.SkippedAccounts; len(skipped) > 0 {
+		f.options.Log.Log(eventlog.AccountsSkipped, zap.Int64("version", config.Version), zap.Int("count", len(skipped)),
+			zap.String("reason", eventlog.Shorten(skipped[0])))
+	}
 	f.config, f.rawConfig, f.authenticator = config, raw, authenticator.New(config)
 	if config.HasAccounts {
 		f.rawConfig = nil
