acceptor: end the wait for body memory when the caller disconnects

A caller that left while its request waited for memory kept its place among the 256 for up to 0.5 s, and its earlier requests on the connection ran on for as long. The body is not read during the wait, so the end of the connection behind it went unseen.

The wait checks every 25 ms by poll(2) whether the caller has closed its side (POLLRDHUP), which unread bytes do not hide. Only requests that wait pay for it.

Test: TestDisconnectEndsTheWaitForMemory. Without the check it fails: the request is refused at the limit of its wait.

--- a/rhubarbtrackd/internal/acceptor/acceptor_test.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor_test.go
@@ -23,6 +23,7 @@
 	server  *acceptor.Server
 	address string
 	runs    atomic.Int64
+	refused atomic.Int64
 	handle  func(ctx context.Context, r *acceptor.Request) *acceptor.Response
 }
 
@@ -46,7 +47,7 @@
 		Limits: func() acceptor.Limits {
 			return acceptor.Limits{HeaderBytes: 2048, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: testTimeout}
 		},
-		Refused: func(int, string, string) {},
+		Refused: func(int, string, string) { f.refused.Add(1) },
 		TimeLeft: func(header http.Header) (time.Duration, bool) {
 			left, err := time.ParseDuration(header.Get("Time-Left"))
 			return left, err == nil
--- a/rhubarbtrackd/internal/acceptor/memory.go
+++ b/rhubarbtrackd/internal/acceptor/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -34,6 +35,10 @@
 // maxRetryAfterShare is the share of the remaining time up to which callers honour Retry-After.
 const maxRetryAfterShare = 1.0 / 3
 
+// disconnectInterval is the time between two checks whether the caller of a waiting request has disconnected. Its body is not read
+// during the wait, so reading would not show the end.
+const disconnectInterval = 25 * time.Millisecond
+
 // refuse returns the error for a request without memory, after a wait, whose caller waits for timeLeft in all.
 func refuse(timeLeft, waited time.Duration) error {
 	left := max(0, timeLeft-waited)
@@ -44,8 +49,8 @@
 }
 
 // reserve reserves the bytes of a body. It waits for room for up to reserver.MaxWait, and for a caller that waits for timeLeft
-// only for waitShare of it.
-func (m *Memory) reserve(ctx context.Context, size int64, timeLeft time.Duration) error {
+// only for waitShare of it. It ends the wait when the caller has disconnected.
+func (m *Memory) reserve(ctx context.Context, size int64, timeLeft time.Duration, isDisconnected func() bool) error {
 	if m == nil {
 		return nil
 	}
@@ -67,17 +72,23 @@
 	}
 	timer := time.NewTimer(min(reserver.MaxWait, time.Duration(waitShare*float64(timeLeft))))
 	defer timer.Stop()
-	select {
-	case decision = <-decided:
-	case <-timer.C:
-		m.expire()
-		decision = m.decided(ticket, decided)
-	case <-ctx.Done():
-		decision = m.decided(ticket, decided)
-		if decision == reserver.Granted {
-			m.release(size)
+	poll := time.NewTicker(disconnectInterval)
+	defer poll.Stop()
+	for waits := true; waits; {
+		waits = false
+		select {
+		case decision = <-decided:
+		case <-timer.C:
+			m.expire()
+			decision = m.decided(ticket, decided)
+		case <-ctx.Done():
+			return m.abandon(ticket, decided, size, ctx.Err())
+		case <-poll.C:
+			if isDisconnected() {
+				return m.abandon(ticket, decided, size, io.ErrUnexpectedEOF)
+			}
+			waits = true
 		}
-		return &Error{Op: "read-body", Kind: Incomplete, Err: ctx.Err()}
 	}
 	if decision != reserver.Granted {
 		return refuse(timeLeft, time.Since(began))
@@ -85,6 +96,14 @@
 	return nil
 }
 
+// abandon ends the wait of a request whose caller has disconnected.
+func (m *Memory) abandon(ticket reserver.Ticket, decided chan reserver.Decision, size int64, reason error) error {
+	if m.decided(ticket, decided) == reserver.Granted {
+		m.release(size)
+	}
+	return &Error{Op: "read-body", Kind: Incomplete, Err: reason}
+}
+
 // decided returns the decision about a request that waits no longer.
 func (m *Memory) decided(ticket reserver.Ticket, decided chan reserver.Decision) reserver.Decision {
 	m.mutex.Lock()
--- a/rhubarbtrackd/internal/acceptor/memory_test.go
+++ b/rhubarbtrackd/internal/acceptor/memory_test.go
@@ -214,3 +214,21 @@
 		})
 	}
 }
+
+// Guards against a caller that has left but waits for memory until the end of its wait, in the place of another one.
+func TestDisconnectEndsTheWaitForMemory(t *testing.T) {
+	f, proceed, used, waiting := heldFixture(t)
+	defer close(proceed)
+	for range 2 {
+		conn, _ := f.dial(t)
+		send(t, conn, uploadOf(uploadSize))
+	}
+	waitFor(t, used, 2*uploadSize)
+	conn, _ := f.dial(t)
+	send(t, conn, uploadOf(uploadSize))
+	waitFor(t, waiting, 1)
+	assert.NilError(t, conn.Close())
+	waitFor(t, waiting, 0)
+	time.Sleep(50 * time.Millisecond) // a refusal would be reported by then
+	assert.Equal(t, f.refused.Load(), int64(0), "the wait must end by the disconnect, not by its limit")
+}
--- a/rhubarbtrackd/internal/acceptor/request.go
+++ b/rhubarbtrackd/internal/acceptor/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // readRequest reads one request.
@@ -59,6 +60,25 @@
 	return maxTimeLeft
 }
 
+// isDisconnected reports whether the caller has closed its side of the connection, also behind bytes that have not been read.
+func (c *connection) isDisconnected() bool {
+	tcp, ok := c.conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		count, err := unix.Poll(poll, 0)
+		closed = err == nil && count > 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err != nil || closed
+}
+
 // readBody reads the body of a request, or as much of a long one as is kept in memory. Without memory for it, nothing is read.
 func (c *connection) readBody(request *Request, reader *messageBody, length int64, limits Limits) error {
 	memory := c.server.options.Memory
@@ -66,7 +86,7 @@
 	if length >= 0 {
 		reserved = min(reserved, length)
 	}
-	if err := memory.reserve(c.ctx, reserved, c.timeLeft(request.Header)); err != nil {
+	if err := memory.reserve(c.ctx, reserved, c.timeLeft(request.Header), c.isDisconnected); err != nil {
 		return err
 	}
 	defer func() { memory.release(reserved - request.reserved) }()
