--- a/rhubarbtrackd/internal/acceptor/memory.go
+++ b/rhubarbtrackd/internal/acceptor/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -27,13 +28,33 @@
 	}
 }
 
-var errNoMemory = &Error{"read-body", NoMemory, http.StatusServiceUnavailable, errors.New("no memory for the body")}
+// waitShare is the share of the time which the caller still waits that a request may spend without memory. Callers abandon an attempt
+// that is not read after a third; the difference leaves time for the answer to reach them.
+const waitShare = 1.0 / 4
 
-// reserve reserves the bytes of a body. It waits for room for up to reserver.MaxWait.
-func (m *Memory) reserve(ctx context.Context, size int64) error {
+// maxRetryAfterShare is the share of the remaining time up to which callers honour Retry-After.
+const maxRetryAfterShare = 1.0 / 3
+
+// disconnectInterval is the time between two checks whether the caller of a waiting request has disconnected. Its body is not read
+// during the wait, so reading would not show the end.
+const disconnectInterval = 25 * time.Millisecond
+
+// refuse returns the error for a request without memory, after a wait, whose caller waits for timeLeft in all.
+func refuse(timeLeft, waited time.Duration) error {
+	left := max(0, timeLeft-waited)
+	return &Error{
+		Op: "read-body", Kind: NoMemory, Status: http.StatusServiceUnavailable, RetryAfter: min(reserver.MaxWait, time.Duration(maxRetryAfterShare*float64(left))),
+		Err: errors.New("no memory for the body"),
+	}
+}
+
+// reserve reserves the bytes of a body. It waits for room for up to reserver.MaxWait, and for a caller that waits for timeLeft
+// only for waitShare of it. It ends the wait when the caller has disconnected.
+func (m *Memory) reserve(ctx context.Context, size int64, timeLeft time.Duration, isDisconnected func() bool) error {
 	if m == nil {
 		return nil
 	}
+	began := time.Now()
 	m.mutex.Lock()
 	ticket, decision := m.reserver.Reserve(time.Since(m.started), size)
 	var decided chan reserver.Decision
@@ -47,28 +68,42 @@
 	case reserver.Granted:
 		return nil
 	case reserver.Refused:
-		return errNoMemory
+		return refuse(timeLeft, time.Since(began))
 	}
-	timer := time.NewTimer(reserver.MaxWait)
+	timer := time.NewTimer(min(reserver.MaxWait, time.Duration(waitShare*float64(timeLeft))))
 	defer timer.Stop()
-	select {
-	case decision = <-decided:
-	case <-timer.C:
-		m.expire()
-		decision = m.decided(ticket, decided)
-	case <-ctx.Done():
-		decision = m.decided(ticket, decided)
-		if decision == reserver.Granted {
-			m.release(size)
+	poll := time.NewTicker(disconnectInterval)
+	defer poll.Stop()
+	for waits := true; waits; {
+		waits = false
+		select {
+		case decision = <-decided:
+		case <-timer.C:
+			m.expire()
+			decision = m.decided(ticket, decided)
+		case <-ctx.Done():
+			return m.abandon(ticket, decided, size, ctx.Err())
+		case <-poll.C:
+			if isDisconnected() {
+				return m.abandon(ticket, decided, size, io.ErrUnexpectedEOF)
+			}
+			waits = true
 		}
-		return &Error{"read-body", Incomplete, 0, ctx.Err()}
 	}
 	if decision != reserver.Granted {
-		return errNoMemory
+		return refuse(timeLeft, time.Since(began))
 	}
 	return nil
 }
 
+// abandon ends the wait of a request whose caller has disconnected.
+func (m *Memory) abandon(ticket reserver.Ticket, decided chan reserver.Decision, size int64, reason error) error {
+	if m.decided(ticket, decided) == reserver.Granted {
+		m.release(size)
+	}
+	return &Error{Op: "read-body", Kind: Incomplete, Err: reason}
+}
+
 // decided returns the decision about a request that waits no longer.
 func (m *Memory) decided(ticket reserver.Ticket, decided chan reserver.Decision) reserver.Decision {
 	m.mutex.Lock()
--- a/rhubarbtrackd/internal/acceptor/memory_test.go
+++ b/rhubarbtrackd/internal/acceptor/memory_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -146,3 +149,86 @@
 		})
 	}
 }
+
+// Guards against open streams that count the buffered beginning of their bodies for as long as they last, so that a few hundred of
+// them refuse all uploads.
+func TestStreamCountsOneBlockAfterItsBeginning(t *testing.T) {
+	for _, length := range []int64{-1, 200 << 10} {
+		t.Run(fmt.Sprintf("length %d", length), func(t *testing.T) {
+			f, proceed, used, _ := heldFixture(t)
+			close(proceed)
+			body, upstream := io.Pipe()
+			f.handle = func(context.Context, *acceptor.Request) *acceptor.Response {
+				return &acceptor.Response{Status: 200, Header: http.Header{}, Stream: body, Length: length}
+			}
+			conn, reader := f.dial(t)
+			send(t, conn, "GET /card HTTP/1.1\r\nHost: h\r\n\r\n")
+			_, err := upstream.Write(make([]byte, 100<<10))
+			assert.NilError(t, err)
+			assert.Equal(t, used.Load(), int64(128<<10), "the beginning is held")
+			_, err = upstream.Write(make([]byte, 50<<10))
+			assert.NilError(t, err)
+			waitFor(t, used, 16<<10)
+			_, err = upstream.Write(make([]byte, 50<<10))
+			assert.NilError(t, err)
+			assert.NilError(t, upstream.Close())
+			_, received, _ := receive(t, reader)
+			assert.Equal(t, len(received), 200<<10)
+			waitFor(t, used, 0)
+		})
+	}
+}
+
+// Guards against an answer that comes after the caller has left, which abandons an attempt that is not read after a third of its time,
+// and against a Retry-After of more than a third of the rest.
+func TestWaitForMemoryIsBoundedByTheTimeOfTheCaller(t *testing.T) {
+	f, proceed, used, _ := heldFixture(t)
+	defer close(proceed)
+	for range 2 {
+		conn, _ := f.dial(t)
+		send(t, conn, uploadOf(uploadSize))
+	}
+	waitFor(t, used, 2*uploadSize)
+	for _, tt := range []struct {
+		left                  string
+		least, most           time.Duration // of the wait
+		leastRetry, mostRetry float64       // Retry-After in seconds
+	}{
+		{"0s", 0, 300 * time.Millisecond, 0, 0},
+		{"300ms", 75 * time.Millisecond, 300 * time.Millisecond, 0, 0.075},
+		{"1200ms", 300 * time.Millisecond, 480 * time.Millisecond, 0.24, 0.3},
+		{"60s", 500 * time.Millisecond, testTimeout, 0.5, 0.5},
+		{"unknown", 500 * time.Millisecond, testTimeout, 0.5, 0.5},
+	} {
+		t.Run(tt.left, func(t *testing.T) {
+			conn, reader := f.dial(t)
+			began := time.Now()
+			send(t, conn, fmt.Sprintf("POST /scan HTTP/1.1\r\nHost: h\r\nTime-Left: %s\r\nContent-Length: %d\r\n\r\n", tt.left, uploadSize))
+			status, _, response := receive(t, reader)
+			waited := time.Since(began)
+			assert.Equal(t, status, 503)
+			assert.Assert(t, waited >= tt.least && waited <= tt.most, "%v", waited)
+			retryAfter, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			assert.Assert(t, retryAfter >= tt.leastRetry && retryAfter <= tt.mostRetry, "%v", retryAfter)
+		})
+	}
+}
+
+// Guards against a caller that has left but waits for memory until the end of its wait, in the place of another one.
+func TestDisconnectEndsTheWaitForMemory(t *testing.T) {
+	f, proceed, used, waiting := heldFixture(t)
+	defer close(proceed)
+	for range 2 {
+		conn, _ := f.dial(t)
+		send(t, conn, uploadOf(uploadSize))
+	}
+	waitFor(t, used, 2*uploadSize)
+	conn, _ := f.dial(t)
+	send(t, conn, uploadOf(uploadSize))
+	waitFor(t, waiting, 1)
+	assert.NilError(t, conn.Close())
+	waitFor(t, waiting, 0)
+	time.Sleep(50 * time.Millisecond) // a refusal would be reported by then
+	assert.Equal(t, f.refused.Load(), int64(0), "the wait must end by the disconnect, not by its limit")
+}
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -89,9 +89,6 @@
 // after that, so a host that may lack a newer version rejects the request instead.
 const maxDenyAge = 2 * time.Second
 
-// maxTimeLeft bounds the time that a caller says it will wait. The timeouts of routes are far shorter.
-const maxTimeLeft = 24 * time.Hour
-
 // defaultHosts is the number of hosts among which limits are divided until a heartbeat contains the actual number.
 const defaultHosts = 16
 
@@ -257,13 +254,16 @@
 
 // route finds the route of a request and sends it to an upstream.
 func (r *Router) route(ctx context.Context, request *acceptor.Request) *acceptor.Response {
+	// The order matters, see Follower.ConfirmedAt: a 404 must not follow from a snapshot that is older than the confirmation.
+	confirmedAt := r.options.Follower.ConfirmedAt(r.options.Now())
+	superseded := r.options.Follower.LacksConfiguration()
 	snapshot := r.options.Follower.Snapshot()
 	if snapshot.Config == nil {
 		return r.reject(&job{request: request}, "no configuration is loaded", startupWait)
 	}
 	route, ok := snapshot.Config.Match(request.Host, request.Path)
 	if !ok {
-		if r.options.Follower.ConfigurationAge(r.options.Now()) > maxDenyAge {
+		if superseded || r.options.Now()-confirmedAt > maxDenyAge {
 			return r.reject(&job{request: request}, "the configuration may be outdated", startupWait)
 		}
 		return r.finish(&job{request: request}, http.StatusNotFound, "no route matches the request")
@@ -309,19 +309,6 @@
 	f()
 }
 
-func (r *Router) setDeadline(j *job) bool {
-	j.timeLeft = j.route.Timeout
-	if value := j.request.Header.Get(translator.TimeLeftHeader); value != "" {
-		left, err := strconv.ParseInt(value, 10, 64)
-		if err != nil || left < 0 {
-			return false
-		}
-		j.timeLeft = time.Duration(min(left, maxTimeLeft.Milliseconds())) * time.Millisecond
-	}
-	j.deadline = j.request.Arrived.Add(min(j.timeLeft, j.route.Timeout))
-	return true
-}
-
 // choice is the upstream chosen for an attempt, or the reason why there is none.
 type choice struct {
 	upstream registrar.Upstream
