starter test: upstreams listen on loopback addresses of their own

The test closes the listener of an upstream and opens it again at the same port of 127.0.0.1, which is the address that all outgoing connections of the machine get their ports from, so another process or test can have the port meanwhile. Hosts of these tests have addresses of their own for the same reason. The checks are unchanged.

--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -108,7 +108,7 @@
 	started := make(chan *process)
 	go func() {
 		for start := 0; ctx.Err() == nil; start++ {
-			id, address := fmt.Sprintf("u%d", i), "127.0.0.1:0"
+			id, address := fmt.Sprintf("u%d", i), loopbackIP()+":0"
 			if start > 0 && s.sameID {
 				address = s.partitions[i].address
 			} else if start > 0 {
