--- a/core/apportioner/apportioner_test.go
+++ b/core/apportioner/apportioner_test.go
@@ -138,7 +138,7 @@
 	assert.Assert(t, admitted > 90 && float64(admitted) <= bounds.Bound(limit), "%d", admitted)
 }
 
-// Guards against a request of an account beyond its limit that is told to come back at once, or after the limit has room again.
+// Guards against a request of an account beyond its limit whose Retry-After is zero, or ends after the limit has room again.
 func TestExhaustedAccountsGetATime(t *testing.T) {
 	h := apportioner.NewHost(bounds)
 	h.Apply(0, 0, 1, apportioner.Grants{Ledger: 1, Confirms: true, Rows: []apportioner.GrantRow{{Account: 1, Wait: 700 * time.Millisecond}}})
--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -144,7 +144,7 @@
 	return max(0, first)*priorities + min(max(0, r.Priority), priorities-1)
 }
 
-// priorities is the number of priorities of routes that are told apart.
+// priorities is the number of priorities of routes that are distinguished.
 const priorities = 1 << 10
 
 // UrgentFor reports whether the requests of a client account have a higher priority than others of one of the services of the route.
--- a/core/shedder/shedder.go
+++ b/core/shedder/shedder.go
@@ -9,7 +9,7 @@
 //
 // A request that only one upstream can run also meets random queues below the capacity, more often the fewer slots the
 // upstream has. They are short again soon, and a rejected caller would lose more time than one that waits. The share of
-// requests that the owner has rejected lately tells a random queue from one that stays.
+// requests that the owner has rejected lately distinguishes a random queue from one that stays.
 //
 // # Usage
 //
--- a/rhubarbtrackd/internal/connector/packer.go
+++ b/rhubarbtrackd/internal/connector/packer.go
@@ -23,7 +23,7 @@
 	PackedLoadBytes = 7
 )
 
-// Packer encodes load reports and run times in a short form. It numbers the upstreams, and tells each host every number once.
+// Packer encodes load reports and run times in a short form. It numbers the upstreams, and sends each host every number once.
 // A connection carries messages in order, so both sides have the same numbers. All loads that a Hub sends must come from one Packer.
 // Load reports with the tags of upstreams would be most of what a controller of 91 hosts sends.
 //
