storer, follower, router: log what delays a configuration, and which version decided

Metrics: configuration_version, configuration_age_seconds, configuration_reads_total, configuration_transfer_seconds. No decision changes.

--- a/rhubarbtrackd/internal/follower/configuration.go
+++ b/rhubarbtrackd/internal/follower/configuration.go
@@ -33,13 +33,17 @@
 	if !f.lacksAnnounced() {
 		return
 	}
+	sentAt := f.options.Now()
 	raw, err := f.options.FetchConfiguration(ctx)
+	transfer := storer.Transfer{Bytes: len(raw), Taken: f.options.Now() - sentAt}
+	f.options.OnConfigurationRead("controller", transfer, err)
 	if err != nil {
 		f.options.Log.Log(eventlog.ConfigurationFetchFailed, eventlog.Cause(err))
 		return
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.transfer = transfer
 	f.applyConfiguration(f.options.Now(), raw, zap.String("source", "controller"))
 	f.publish()
 	f.publishConfirmation()
@@ -94,6 +98,7 @@
 // applyConfiguration applies a configuration if it is valid and newer than the applied one.
 func (f *Follower) applyConfiguration(now time.Duration, raw []byte, source zap.Field) {
 	config, err := translator.Configuration(raw)
+	decoded := f.options.Now() - now
 	if err != nil {
 		f.options.Log.Log(eventlog.ObjectRefused, zap.String("name", translator.ConfigurationName), source, eventlog.Cause(err))
 		return
@@ -105,7 +110,8 @@
 	if f.config != nil {
 		age = now - f.recency.since
 	}
-	f.options.Log.Log(eventlog.ConfigurationChanged, zap.Int64("version", config.Version), source, zap.Duration("age", age))
+	f.options.Log.Log(eventlog.ConfigurationChanged, zap.Int64("version", config.Version), source, zap.Duration("age", age),
+		zap.Int("bytes", f.transfer.Bytes), zap.Duration("transfer", f.transfer.Taken), zap.Duration("decoding", decoded))
 	if skipped := config.SkippedAccounts; len(skipped) > 0 {
 		f.options.Log.Log(eventlog.AccountsSkipped, zap.Int64("version", config.Version), zap.Int("count", len(skipped)),
 			zap.String("reason", eventlog.Shorten(skipped[0])))
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -115,6 +115,9 @@
 	// FetchConfiguration returns the configuration of the controller, with digests instead of the keys of client accounts, see
 	// translator.WithoutKeys. It may be nil.
 	FetchConfiguration func(ctx context.Context) ([]byte, error)
+	// OnConfigurationRead is called with the result of each call for the configuration: its source, store or controller, and the
+	// transfer of the response. It may be nil.
+	OnConfigurationRead func(source string, transfer storer.Transfer, err error)
 	// Panics contains panics in the handling of a response of the store, which then counts as failed.
 	Panics *recoverer.Recoverer
 }
@@ -147,11 +150,15 @@
 	cancels          map[string]context.CancelFunc
 	relayDeadline    time.Duration    // until then, this host waits for the relay and reads only the configuration
 	announcedVersion int64            // newest version of the configuration that a controller has read
+	transfer         storer.Transfer  // of the response that is being applied
 	rejected         map[string]int64 // revision of each invalid entry, so that each is logged once
 }
 
 // New returns a follower with an empty snapshot.
 func New(options Options) *Follower {
+	if options.OnConfigurationRead == nil {
+		options.OnConfigurationRead = func(string, storer.Transfer, error) {}
+	}
 	f := &Follower{
 		options: options, list: registrar.New(), takenOut: map[string]time.Duration{},
 		draining: map[identifier.Incarnation]time.Duration{}, failing: map[string]time.Duration{}, rejected: map[string]int64{},
@@ -304,11 +311,13 @@
 	defer cancel()
 	sentAt := f.options.Now()
 	list, err := f.options.Store.List(ctx, kind.kind, skip)
+	f.countRead(kind, list.Transfer, err)
 	if err != nil {
 		return 0, err
 	}
 	f.apply(ctx, kind, func(now time.Duration) {
 		f.recency.list(kind.kind, sentAt)
+		f.transfer = list.Transfer
 		kind.replace(now, list.Objects)
 	})
 	return list.Revision, nil
@@ -317,7 +326,8 @@
 // watch waits for changes and returns the revision to continue from. 0 means that the next call must be a list.
 func (f *Follower) watch(ctx context.Context, kind kindWatcher, revision int64, skip func([]byte, error)) (int64, error) {
 	sentAt := f.options.Now()
-	events, next, err := f.options.Store.Watch(ctx, kind.kind, revision, kind.wait, skip)
+	changes, err := f.options.Store.Watch(ctx, kind.kind, revision, kind.wait, skip)
+	f.countRead(kind, changes.Transfer, err)
 	if storer.KindOf(err) == storer.Compacted {
 		f.options.Log.Log(eventlog.WatchCompacted, zap.String("kind", kind.kind), zap.Int64("revision", revision))
 		return f.relist(ctx, kind, skip)
@@ -327,15 +337,22 @@
 		return 0, err
 	}
 	f.apply(ctx, kind, func(now time.Duration) {
-		f.recency.events(kind.kind, watchConfirmedAt(sentAt, now, kind.wait, len(events)), now)
-		for _, event := range events {
+		f.recency.events(kind.kind, watchConfirmedAt(sentAt, now, kind.wait, len(changes.Events)), now)
+		f.transfer = changes.Transfer
+		for _, event := range changes.Events {
 			kind.put(now, event)
 		}
 	})
-	if next == 0 {
-		next = revision
+	if changes.Revision == 0 {
+		return revision, nil
+	}
+	return changes.Revision, nil
+}
+
+func (f *Follower) countRead(kind kindWatcher, transfer storer.Transfer, err error) {
+	if kind.kind == translator.ConfigurationKind && !errors.Is(err, context.Canceled) {
+		f.options.OnConfigurationRead("store", transfer, err)
 	}
-	return next, nil
 }
 
 // watchConfirmedAt returns the latest time at which the store is known to have sent the response to a watch. The response may have
--- a/rhubarbtrackd/internal/follower/relay.go
+++ b/rhubarbtrackd/internal/follower/relay.go
@@ -77,7 +77,7 @@
 		madeAt = min(now, change.MadeAt)
 	}
 	f.logDelay(now-madeAt, change)
-	f.announcedVersion = max(f.announcedVersion, change.Configuration)
+	f.announce(change)
 	if now >= madeAt+relayTimeout {
 		// A full copy would arrive as late, and delay others.
 		f.endRelay(now - madeAt)
@@ -131,6 +131,18 @@
 	return true
 }
 
+// announce records the version of the configuration that the controller has.
+func (f *Follower) announce(change Change) {
+	if change.Configuration <= f.announcedVersion {
+		return
+	}
+	f.announcedVersion = change.Configuration
+	if applied := f.configVersion(); change.Configuration > applied {
+		f.options.Log.Log(eventlog.ConfigurationAnnounced, zap.Int64("version", change.Configuration), zap.Int64("applied", applied),
+			zap.Duration("controller-age", change.Age))
+	}
+}
+
 // withoutDropped returns Puts without the upstreams whose entries the controller has found removed and this host does not use any more.
 // The controller may keep these because its own calls of the store have failed, while this host has read their removal.
 func (f *Follower) withoutDropped(change Change) []registrar.Upstream {
--- a/rhubarbtrackd/internal/meter/meter.go
+++ b/rhubarbtrackd/internal/meter/meter.go
@@ -99,6 +99,22 @@
 	m.scope.Tagged(map[string]string{"kind": kind, "direction": direction, "domain": domain}).Counter("transferred_bytes_total").Inc(bytes)
 }
 
+// Configuration sets the version of the configuration that this host has applied, and the time since it was last known to be the newest.
+func (m *Meter) Configuration(version int64, age time.Duration) {
+	m.scope.Gauge("configuration_version").Update(float64(version))
+	m.scope.Gauge("configuration_age_seconds").Update(age.Seconds())
+}
+
+// ConfigurationRead counts a call for the configuration by source (store or controller) and outcome (read or failed), and the time
+// in which the bytes of a response arrived.
+func (m *Meter) ConfigurationRead(source, outcome string, taken time.Duration) {
+	scope := m.scope.Tagged(map[string]string{"source": source, "outcome": outcome})
+	scope.Counter("configuration_reads_total").Inc(1)
+	if outcome == "read" {
+		scope.Histogram("configuration_transfer_seconds", latencyBuckets).RecordDuration(taken)
+	}
+}
+
 // LeavingShare sets the highest share of the requests of a service that leave the failure domain of this host.
 func (m *Meter) LeavingShare(service string, share float64) {
 	m.scope.Tagged(map[string]string{"service": service}).Gauge("leaving_share").Update(share)
--- a/rhubarbtrackd/internal/router/conclude.go
+++ b/rhubarbtrackd/internal/router/conclude.go
@@ -148,7 +148,7 @@
 		zap.Int("tries", j.attempts), zap.Int("status", status), zap.Duration("left", j.timeLeft),
 		zap.Duration("expected-wait", j.estimate.Wait), zap.Duration("expected-run", j.estimate.Run),
 		zap.Duration("load-age", j.loadAge), zap.Duration("taken", taken),
-		accountField(j),
+		accountField(j), zap.Int64("configuration", j.version),
 	}
 	if err != nil {
 		event, outcome = eventlog.ResponseAborted, "aborted"
@@ -227,7 +227,7 @@
 		zap.String("service", service), zap.Uint16("key", j.key), zap.Int("status", status), zap.String("outcome", outcome),
 		zap.String("reason", reason), zap.Int("tries", j.attempts), zap.Duration("left", j.timeLeft),
 		zap.Duration("expected-wait", j.estimate.Wait), zap.Duration("expected-run", j.estimate.Run),
-		zap.Duration("load-age", j.loadAge), zap.Duration("taken", taken))
+		zap.Duration("load-age", j.loadAge), zap.Duration("taken", taken), zap.Int64("configuration", j.version))
 	r.options.Meter.Request(service, outcome, taken)
 	return &acceptor.Response{Status: status, Header: http.Header{}}
 }
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -197,6 +197,7 @@
 	request    *acceptor.Request
 	id         string
 	signatures signatures // equal for requests that the caller sends again
+	version    int64      // of the configuration; 0 without one
 	route      *matcher.Route
 	service    matcher.Service
 	header     http.Header
@@ -258,20 +259,20 @@
 	confirmedAt := r.options.Follower.ConfirmedAt(r.options.Now())
 	superseded := r.options.Follower.LacksConfiguration()
 	snapshot := r.options.Follower.Snapshot()
+	j := &job{request: request, id: request.Header.Get(translator.AttemptHeader)}
 	if snapshot.Config == nil {
-		return r.reject(&job{request: request}, "no configuration is loaded", startupWait)
+		return r.reject(j, "no configuration is loaded", startupWait)
 	}
+	j.version = snapshot.Config.Version
 	route, ok := snapshot.Config.Match(request.Host, request.Path)
 	if !ok {
 		if superseded || r.options.Now()-confirmedAt > maxDenyAge {
-			return r.reject(&job{request: request}, "the configuration may be outdated", startupWait)
+			return r.reject(j, "the configuration may be outdated", startupWait)
 		}
-		return r.finish(&job{request: request}, http.StatusNotFound, "no route matches the request")
-	}
-	j := &job{
-		request: request, route: route, id: request.Header.Get(translator.AttemptHeader),
-		tried: map[identifier.Incarnation]bool{}, arrived: r.options.Now() - time.Since(request.Arrived),
+		return r.finish(j, http.StatusNotFound, "no route matches the request")
 	}
+	j.route, j.tried = route, map[identifier.Incarnation]bool{}
+	j.arrived = r.options.Now() - time.Since(request.Arrived)
 	j.service = snapshot.Config.Services[route.Choose(j.id)]
 	if response := r.authenticate(j); response != nil {
 		return response
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -177,6 +177,13 @@
 	d.follower = follower.New(follower.Options{
 		Store: store, Log: d.log, Now: timer.Now, FirstStart: s.FirstStart, Panics: d.panics,
 		FetchConfiguration: func(ctx context.Context) ([]byte, error) { return d.coordinator.FetchConfiguration(ctx) },
+		OnConfigurationRead: func(source string, transfer storer.Transfer, err error) {
+			outcome := "read"
+			if err != nil {
+				outcome = "failed"
+			}
+			d.meter.ConfigurationRead(source, outcome, transfer.Taken)
+		},
 		OnBlocked: func(reports []detector.Report) {
 			d.router.ReportCompleted(d.suspector.Merge(timer.Now(), reports)...)
 			d.coordinator.ShareStored(reports)
@@ -375,7 +382,12 @@
 // sweep removes the state of upstreams that are no longer registered.
 func (d *daemon) sweep() {
 	d.router.Sweep()
+	now := timer.Now()
+	age := now - d.follower.ConfirmedAt(now)
 	snapshot := d.follower.Snapshot()
+	if snapshot.Config != nil {
+		d.meter.Configuration(snapshot.Config.Version, age)
+	}
 	d.pool.Sweep(time.Now(), func(t exchanger.Target) bool {
 		u, ok := snapshot.Upstream(t.Incarnation)
 		return ok && u.Address == t.Address
