follower: log the age of a replaced configuration from its last confirmation

The age counted from recency.since, which each heartbeat sets to its own time. It counts from when the replaced version was last known to be the newest now, for all three sources.

--- a/rhubarbtrackd/internal/follower/configuration.go
+++ b/rhubarbtrackd/internal/follower/configuration.go
@@ -44,6 +44,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.transfer = transfer
+	f.recency.replace(translator.ConfigurationKind)
 	f.applyConfiguration(f.options.Now(), raw, zap.String("source", "controller"))
 	f.publish()
 	f.publishConfirmation()
@@ -108,7 +109,7 @@
 	}
 	age := time.Duration(0)
 	if f.config != nil {
-		age = now - f.recency.since
+		age = now - f.recency.former
 	}
 	f.options.Log.Log(eventlog.ConfigurationChanged, zap.Int64("version", config.Version), source, zap.Duration("age", age),
 		zap.Int("bytes", f.transfer.Bytes), zap.Duration("transfer", f.transfer.Taken), zap.Duration("decoding", decoded))
--- a/rhubarbtrackd/internal/follower/follower_test.go
+++ b/rhubarbtrackd/internal/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -160,3 +161,11 @@
 		return version(f) == 9
 	})
 }
+
+// configurationText returns a version of the configuration as the store holds it.
+func configurationText(t *testing.T, version int) []byte {
+	t.Helper()
+	text, err := json.Marshal(simulator.Configuration(version))
+	assert.NilError(t, err)
+	return text
+}
