--- a/rhubarbtrackd/internal/starter/configuration_test.go
+++ b/rhubarbtrackd/internal/starter/configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -19,14 +20,28 @@
 
 // addRoute writes a version of the configuration with one more route, and returns the prefix of its path.
 func (s *system) addRoute(t *testing.T, version int) string {
+	t.Helper()
+	return s.addRoutes(t, version, 0)
+}
+
+// addRoutes writes a version of the configuration with a route as addRoute does, and with a number of other routes.
+func (s *system) addRoutes(t *testing.T, version, others int) string {
 	t.Helper()
 	prefix := fmt.Sprintf("/added-%d/", version)
 	configuration := simulator.Configuration(version)
 	host := configuration["virtual_hosts"].([]any)[0].(map[string]any)
-	host["route_paths"] = append(host["route_paths"].([]any), map[string]any{
-		"name": "added", "path_prefix": prefix, "kind": "idempotent", "timeout_s": 2, "target_latency_s": 0.5, "priority": 1,
-		"service": simulator.PlainService, "max_attempts": 2,
-	})
+	routes := host["route_paths"].([]any)
+	for i := range others + 1 {
+		route := map[string]any{
+			"name": fmt.Sprintf("added-%d", i), "path_prefix": fmt.Sprintf("/other-%d-%d/", i, i*7919), "kind": "idempotent",
+			"timeout_s": 2, "target_latency_s": 0.5, "priority": 1, "service": simulator.PlainService, "max_attempts": 2,
+		}
+		if i == others {
+			route["path_prefix"] = prefix
+		}
+		routes = append(routes, route)
+	}
+	host["route_paths"] = routes
 	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, configuration, nil))
 	return prefix
 }
@@ -149,3 +164,84 @@
 		assert.Assert(t, time.Now().Before(deadline), "the host does not respond with 404 again")
 	}
 }
+
+// Guards against a configuration of half a megabyte that is not in force in time where its transfer takes a second.
+func TestLargeConfigurationIsInForceInTimeOverSlowLinks(t *testing.T) {
+	const (
+		routes = 3000
+		rate   = 550_000 // bytes per second: what callers leave of a link of 10 Mbit/s
+	)
+	isolateController := func(t *testing.T, s *system) {
+		controller := s.controller()
+		assert.Assert(t, controller != nil)
+		controller.storeUnavailable.Store(true)
+		controller.peers.cut(t, refused)
+		s.hosts = slices.DeleteFunc(slices.Clone(s.hosts), func(h *testHost) bool { return h == controller })
+	}
+	tests := []struct {
+		name    string
+		isSlow  func(s *system, h *testHost) bool
+		disturb func(t *testing.T, s *system)
+	}{
+		{"all hosts", func(*system, *testHost) bool { return true }, func(*testing.T, *system) {}},
+		{"hosts that follow a controller", func(s *system, h *testHost) bool { return h != s.controller() }, func(*testing.T, *system) {}},
+		{"hosts that have just lost their controller", func(*system, *testHost) bool { return true }, isolateController},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t)
+			s.awaitRoute(t, s.addRoutes(t, 10, routes), time.Now())
+			for _, h := range s.hosts {
+				if tt.isSlow(s, h) {
+					h.storeLink.rate.Store(rate)
+				}
+			}
+			tt.disturb(t, s)
+			for i := range 6 {
+				// The phase of the calls in progress differs from version to version.
+				time.Sleep(time.Duration(300+270*i) * time.Millisecond)
+				addedAt := time.Now()
+				s.awaitRoute(t, s.addRoutes(t, 11+i, routes), addedAt)
+			}
+		})
+	}
+}
+
+// Guards against hosts that fall further behind with each version while versions come faster than they are transferred.
+func TestHostsKeepUpWithVersionsThatAreFasterThanTheirLinks(t *testing.T) {
+	t.Parallel()
+	const (
+		routes   = 3000
+		rate     = 800_000 // bytes per second
+		interval = 400 * time.Millisecond
+	)
+	s := newSystem(t)
+	s.awaitRoute(t, s.addRoutes(t, 10, routes), time.Now())
+	for _, h := range s.hosts {
+		h.storeLink.rate.Store(rate)
+		h.peers.cut(t, refused) // no host follows a controller
+	}
+	acknowledged := map[int64]time.Time{}
+	for version, end := int64(11), time.Now().Add(8*time.Second); time.Now().Before(end); version++ {
+		s.addRoutes(t, int(version), routes)
+		acknowledged[version] = time.Now()
+		time.Sleep(interval)
+		for _, h := range s.hosts {
+			applied := h.appliedVersion()
+			for v, at := range acknowledged {
+				assert.Assert(t, applied >= v || time.Since(at) < configurationDelay, "%s has version %d, and version %d was acknowledged %v before",
+					h.settings.Host, applied, v, time.Since(at))
+			}
+		}
+	}
+}
+
+// appliedVersion returns the version of the configuration that the host has logged last.
+func (h *testHost) appliedVersion() int64 {
+	lines := h.logs.FilterMessage(eventlog.ConfigurationChanged.Name).All()
+	if len(lines) == 0 {
+		return 0
+	}
+	return lines[len(lines)-1].ContextMap()["version"].(int64)
+}
--- a/rhubarbtrackd/internal/starter/host_test.go
+++ b/rhubarbtrackd/internal/starter/host_test.go
@@ -35,6 +35,7 @@
 	stopped          chan error
 	storeUnavailable atomic.Bool // the store simulator responds to this host with 503
 	watchesHang      atomic.Bool // the store simulator does not respond to watches of this host
+	storeLink        link        // over which the store simulator responds to this host
 	logs             *observer.ObservedLogs
 	timeLeft         string // milliseconds that callers of status wait
 	reload           chan struct{}
@@ -78,7 +79,7 @@
 	ports := freePorts(t, ip, 4)
 	core, logs := observer.New(zap.InfoLevel)
 	h := &testHost{stopped: make(chan error, 1), logs: logs, timeLeft: "2000", reload: make(chan struct{}, 1)}
-	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	store := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if h.storeUnavailable.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -96,6 +97,8 @@
 		w.WriteHeader(recorder.Code)
 		_, _ = w.Write(addForeign(recorder.Body.Bytes(), s.foreign))
 	}))
+	store.Listener = &linkListener{store.Listener, &h.storeLink}
+	store.Start()
 	t.Cleanup(store.CloseClientConnections)
 	h.settings = reader.Settings{
 		Host: fmt.Sprintf("host-%d", i), FailureDomain: fmt.Sprintf("domain-%d", i%2), IP: ip,
