downloader, storer: end a response of the store only when it makes no progress

Cause: time-outs of 1.2 and 1.3 s for the whole of a call ended transfers of 0.23 to 0.46 MB that were nearly complete, and the next call began anew ("229301 of 232592 bytes received"). Class: a time-out on the whole of a transfer, whose length the caller does not choose.

Package downloader bounds the time until a response begins, the time between two of its bytes (0.7 s) and, for one that trickles, the whole (5 s). Lists and watches of the store use it. The short list before the controller is asked keeps its 0.5 s for now.

downloader TestOnlyTransfersWithoutProgressAreEnded.

--- a/rhubarbtrackd/internal/coordinator/signatures.go
+++ b/rhubarbtrackd/internal/coordinator/signatures.go
@@ -260,7 +260,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	failed := func(err error) { c.options.Log.Log(eventlog.BlockedWriteFailed, eventlog.Cause(err)) }
-	list, err := c.options.Store.List(ctx, serializer.BlockedKind, func(_ []byte, err error) { failed(err) })
+	list, err := c.options.Store.List(ctx, serializer.BlockedKind, 0, func(_ []byte, err error) { failed(err) })
 	if err != nil {
 		failed(err)
 		return
--- a/rhubarbtrackd/internal/follower/configuration.go
+++ b/rhubarbtrackd/internal/follower/configuration.go
@@ -8,6 +8,7 @@
 
 	"rhubarbtrack.example/core/authenticator"
 	"rhubarbtrack.example/core/matcher"
+	"rhubarbtrack.example/platform/downloader"
 	"rhubarbtrack.example/platform/storer"
 	"rhubarbtrack.example/platform/translator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
@@ -35,7 +36,7 @@
 	}
 	sentAt := f.options.Now()
 	raw, err := f.options.FetchConfiguration(ctx)
-	transfer := storer.Transfer{Bytes: len(raw), Taken: f.options.Now() - sentAt}
+	transfer := downloader.Transfer{Bytes: len(raw), Taken: f.options.Now() - sentAt}
 	f.options.OnConfigurationRead("controller", transfer, err)
 	if err != nil {
 		f.options.Log.Log(eventlog.ConfigurationFetchFailed, eventlog.Cause(err))
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -34,6 +34,7 @@
 	"rhubarbtrack.example/core/identifier"
 	"rhubarbtrack.example/core/matcher"
 	"rhubarbtrack.example/core/registrar"
+	"rhubarbtrack.example/platform/downloader"
 	"rhubarbtrack.example/platform/storer"
 	"rhubarbtrack.example/platform/translator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
@@ -55,8 +56,8 @@
 	// that the controller follows stays below it: a watch, a heartbeat interval and the transit. The rest of the 2 s after
 	// which a version must be in force is for the read.
 	maxConfigurationAge = 1200 * time.Millisecond
-	// listTimeout bounds a list call. A slow store takes 0.3 s for it. relayedListTimeout is the same for the configuration
-	// while a controller can be asked instead.
+	// listTimeout bounds the time until the response to a list call begins. A slow store takes 0.3 s for it. relayedListTimeout
+	// bounds the whole call for the configuration while a controller can be asked instead.
 	listTimeout        = 1200 * time.Millisecond
 	relayedListTimeout = 500 * time.Millisecond
 	// batchDelay is the pause between two calls, so that one watch returns several changes. It is short compared with
@@ -117,7 +118,7 @@
 	FetchConfiguration func(ctx context.Context) ([]byte, error)
 	// OnConfigurationRead is called with the result of each call for the configuration: its source, store or controller, and the
 	// transfer of the response. It may be nil.
-	OnConfigurationRead func(source string, transfer storer.Transfer, err error)
+	OnConfigurationRead func(source string, transfer downloader.Transfer, err error)
 	// Panics contains panics in the handling of a response of the store, which then counts as failed.
 	Panics *recoverer.Recoverer
 }
@@ -148,16 +149,16 @@
 	connected        bool
 	recency          recency
 	cancels          map[string]context.CancelFunc
-	relayDeadline    time.Duration    // until then, this host waits for the relay and reads only the configuration
-	announcedVersion int64            // newest version of the configuration that a controller has read
-	transfer         storer.Transfer  // of the response that is being applied
-	rejected         map[string]int64 // revision of each invalid entry, so that each is logged once
+	relayDeadline    time.Duration       // until then, this host waits for the relay and reads only the configuration
+	announcedVersion int64               // newest version of the configuration that a controller has read
+	transfer         downloader.Transfer // of the response that is being applied
+	rejected         map[string]int64    // revision of each invalid entry, so that each is logged once
 }
 
 // New returns a follower with an empty snapshot.
 func New(options Options) *Follower {
 	if options.OnConfigurationRead == nil {
-		options.OnConfigurationRead = func(string, storer.Transfer, error) {}
+		options.OnConfigurationRead = func(string, downloader.Transfer, error) {}
 	}
 	f := &Follower{
 		options: options, list: registrar.New(), takenOut: map[string]time.Duration{},
@@ -303,14 +304,13 @@
 }
 
 func (f *Follower) relist(ctx context.Context, kind kindWatcher, skip func([]byte, error)) (int64, error) {
-	timeout := listTimeout
 	if kind.kind == translator.ConfigurationKind && f.lacksAnnounced() {
-		timeout = relayedListTimeout
+		limited, cancel := context.WithTimeout(ctx, relayedListTimeout)
+		defer cancel()
+		ctx = limited
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	sentAt := f.options.Now()
-	list, err := f.options.Store.List(ctx, kind.kind, skip)
+	list, err := f.options.Store.List(ctx, kind.kind, listTimeout, skip)
 	f.countRead(kind, list.Transfer, err)
 	if err != nil {
 		return 0, err
@@ -349,7 +349,7 @@
 	return changes.Revision, nil
 }
 
-func (f *Follower) countRead(kind kindWatcher, transfer storer.Transfer, err error) {
+func (f *Follower) countRead(kind kindWatcher, transfer downloader.Transfer, err error) {
 	if kind.kind == translator.ConfigurationKind && !errors.Is(err, context.Canceled) {
 		f.options.OnConfigurationRead("store", transfer, err)
 	}
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -33,6 +33,7 @@
 	"rhubarbtrack.example/core/detector"
 	"rhubarbtrack.example/core/partitiondetector"
 	"rhubarbtrack.example/core/qualifier"
+	"rhubarbtrack.example/platform/downloader"
 	"rhubarbtrack.example/platform/orderer"
 	"rhubarbtrack.example/platform/reader"
 	"rhubarbtrack.example/platform/storer"
@@ -177,7 +178,7 @@
 	d.follower = follower.New(follower.Options{
 		Store: store, Log: d.log, Now: timer.Now, FirstStart: s.FirstStart, Panics: d.panics,
 		FetchConfiguration: func(ctx context.Context) ([]byte, error) { return d.coordinator.FetchConfiguration(ctx) },
-		OnConfigurationRead: func(source string, transfer storer.Transfer, err error) {
+		OnConfigurationRead: func(source string, transfer downloader.Transfer, err error) {
 			outcome := "read"
 			if err != nil {
 				outcome = "failed"
