--- /dev/null
+++ b/rhubarbtrackd/internal/follower/calls.go
@@ -0,0 +1,215 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"rhubarbtrack.example/platform/downloader"
+	"rhubarbtrack.example/platform/storer"
+	"rhubarbtrack.example/platform/translator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+)
+
+type kindWatcher struct {
+	kind           string
+	replace        func(now time.Duration, objects []storer.Object)
+	put            func(now time.Duration, event storer.Event)
+	controlsExpiry bool // successful calls for this kind let entries of upstreams expire again
+	// auxiliary is set if the copy counts as current without this kind. Its failures do not end the calls for other kinds.
+	auxiliary bool
+	wait      time.Duration
+	urgent    bool // changes are few and must not wait for batchDelay
+}
+
+func (f *Follower) follow(ctx context.Context, kind kindWatcher) {
+	skip := func(raw []byte, err error) {
+		f.options.Log.Log(eventlog.EntryRefused, zap.String("kind", kind.kind), zap.Int("bytes", len(raw)), eventlog.Cause(err))
+	}
+	backoff := minBackoff
+	revision := int64(0)
+	for ctx.Err() == nil {
+		if f.skipsCall(kind) {
+			revision = 0
+			sleep(ctx, relayPollInterval)
+			continue
+		}
+		call := f.beginCall(ctx, kind)
+		// After a panic, the next list replaces what the call may have changed in part.
+		next, err := int64(0), errors.New("the response of the store could not be handled")
+		f.options.Panics.Do("follow-store", func() {
+			if revision == 0 {
+				next, err = f.relist(call, kind, skip)
+			} else {
+				next, err = f.watch(call, kind, revision, skip)
+			}
+		})
+		revision = next
+		if call.Err() != nil && ctx.Err() == nil {
+			// The relay has started, or a call for another kind has failed.
+			revision = 0
+			continue
+		}
+		f.recordResult(kind, err)
+		if err == nil {
+			backoff = minBackoff
+			if !kind.urgent {
+				sleep(ctx, batchDelay)
+			}
+			continue
+		}
+		if kind.kind == translator.ConfigurationKind {
+			f.options.Panics.Do("fetch-configuration", func() { f.fetchFromController(ctx) })
+		}
+		sleep(ctx, backoff)
+		backoff = min(maxBackoff, 2*backoff)
+	}
+}
+
+// beginCall returns a context for one call. It is cancelled when the relay starts or a call for another kind fails.
+func (f *Follower) beginCall(ctx context.Context, kind kindWatcher) context.Context {
+	call, cancel := context.WithCancel(ctx)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if old := f.cancels[kind.kind]; old != nil {
+		old()
+	}
+	f.cancels[kind.kind] = cancel
+	return call
+}
+
+// skipsCall reports whether no call for the kind is needed now: the relay replaces it or is awaited, or the calls for
+// the configuration detect when the store is available again.
+func (f *Follower) skipsCall(kind kindWatcher) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if kind.kind == translator.ConfigurationKind && (f.config == nil || f.announcedVersion > f.configVersion()) {
+		return false
+	}
+	if _, failing := f.failing[translator.ConfigurationKind]; failing && kind.kind != translator.ConfigurationKind {
+		// The calls for the configuration suffice to detect that the store is available again.
+		return true
+	}
+	if kind.kind == translator.ConfigurationKind {
+		return f.relayed && f.options.Now() < f.recency.current[kind.kind]+maxConfigurationAge
+	}
+	return f.relayed || f.options.Now() < f.relayDeadline
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (f *Follower) relist(ctx context.Context, kind kindWatcher, skip func([]byte, error)) (int64, error) {
+	if kind.kind == translator.ConfigurationKind && f.lacksAnnounced() {
+		limited, cancel := context.WithTimeout(ctx, relayedListTimeout)
+		defer cancel()
+		ctx = limited
+	}
+	sentAt := f.options.Now()
+	list, err := f.options.Store.List(ctx, kind.kind, listTimeout, skip)
+	f.countRead(kind, list.Transfer, err)
+	if err != nil {
+		return 0, err
+	}
+	f.apply(ctx, kind, func(now time.Duration) {
+		f.recency.list(kind.kind, sentAt)
+		f.transfer = list.Transfer
+		kind.replace(now, list.Objects)
+	})
+	return list.Revision, nil
+}
+
+// watch waits for changes and returns the revision to continue from. 0 means that the next call must be a list.
+func (f *Follower) watch(ctx context.Context, kind kindWatcher, revision int64, skip func([]byte, error)) (int64, error) {
+	sentAt := f.options.Now()
+	changes, err := f.options.Store.Watch(ctx, kind.kind, revision, kind.wait, skip)
+	f.countRead(kind, changes.Transfer, err)
+	if storer.KindOf(err) == storer.Compacted {
+		f.options.Log.Log(eventlog.WatchCompacted, zap.String("kind", kind.kind), zap.Int64("revision", revision))
+		return f.relist(ctx, kind, skip)
+	}
+	if err != nil {
+		// The store may have lost changes together with the watch.
+		return 0, err
+	}
+	f.apply(ctx, kind, func(now time.Duration) {
+		f.recency.events(kind.kind, watchConfirmedAt(sentAt, now, kind.wait, len(changes.Events)), now)
+		f.transfer = changes.Transfer
+		for _, event := range changes.Events {
+			kind.put(now, event)
+		}
+	})
+	if changes.Revision == 0 {
+		return revision, nil
+	}
+	return changes.Revision, nil
+}
+
+func (f *Follower) countRead(kind kindWatcher, transfer downloader.Transfer, err error) {
+	if kind.kind == translator.ConfigurationKind && !errors.Is(err, context.Canceled) {
+		f.options.OnConfigurationRead("store", transfer, err)
+	}
+}
+
+// watchConfirmedAt returns the latest time at which the store is known to have sent the response to a watch. The response may have
+// been in transit since then. One without events is sent at the end of the wait, any other one at any time.
+func watchConfirmedAt(sentAt, now, wait time.Duration, events int) time.Duration {
+	if end := sentAt + wait; events == 0 && end <= now {
+		return end
+	}
+	return sentAt
+}
+
+// recordResult handles the result of a call. It logs only the first failure in a row and the first success after it, except
+// for auxiliary kinds, which are not called while the store is unavailable.
+func (f *Follower) recordResult(kind kindWatcher, err error) {
+	if kind.auxiliary {
+		if err != nil {
+			f.options.Log.Log(eventlog.StoreUnavailable, zap.String("kind", kind.kind), eventlog.Cause(err))
+		}
+		return
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := f.options.Now()
+	since, failing := f.failing[kind.kind]
+	if err != nil {
+		f.list.MarkUnreachable(now)
+	}
+	switch {
+	case err != nil && !failing:
+		f.failing[kind.kind] = now
+		f.connected = f.relayed
+		f.options.Log.Log(eventlog.StoreUnavailable, zap.String("kind", kind.kind), eventlog.Cause(err))
+		for other, cancel := range f.cancels {
+			if other != kind.kind {
+				cancel()
+			}
+		}
+	case err == nil && failing:
+		delete(f.failing, kind.kind)
+		f.options.Log.Log(eventlog.StoreAvailable, zap.String("kind", kind.kind), zap.Duration("after", now-since))
+	}
+}
+
+func (f *Follower) apply(ctx context.Context, kind kindWatcher, change func(now time.Duration)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	now := f.options.Now()
+	f.connected = f.connected || !kind.auxiliary
+	if kind.controlsExpiry {
+		f.list.MarkReachable(now)
+	}
+	change(now)
+	f.publish()
+	f.publishConfirmation()
+}
