follower: go on with the transfer of a configuration when a controller is found or another call fails

Cause: all calls share one rule, which is meant for calls that wait. A version of the configuration that arrives late does no harm, since an older one than the applied one has no effect, so its transfer goes on once the response has begun. A list that ends after a heartbeat does not take its later confirmation back any more.

--- a/rhubarbtrackd/internal/follower/calls.go
+++ b/rhubarbtrackd/internal/follower/calls.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +26,23 @@
 	urgent    bool // changes are few and must not wait for batchDelay
 }
 
+// call is a call of the store in progress.
+type call struct {
+	context.Context
+	cancel context.CancelFunc
+	// endsBegun is set if a response that has begun may be ended. That of the configuration may not: it takes most of a second over a
+	// small link, and an older version than the applied one has no effect.
+	endsBegun bool
+	begun     atomic.Bool // the response has begun
+}
+
+// interrupt ends the call because its result is not needed any more, or is not expected.
+func (c *call) interrupt() {
+	if c.endsBegun || !c.begun.Load() {
+		c.cancel()
+	}
+}
+
 func (f *Follower) follow(ctx context.Context, kind kindWatcher) {
 	skip := func(raw []byte, err error) {
 		f.options.Log.Log(eventlog.EntryRefused, zap.String("kind", kind.kind), zap.Int("bytes", len(raw)), eventlog.Cause(err))
@@ -68,16 +87,18 @@
 	}
 }
 
-// beginCall returns a context for one call. It is cancelled when the relay starts or a call for another kind fails.
-func (f *Follower) beginCall(ctx context.Context, kind kindWatcher) context.Context {
-	call, cancel := context.WithCancel(ctx)
+// beginCall returns a call, which is interrupted when the relay starts or a call for another kind fails.
+func (f *Follower) beginCall(ctx context.Context, kind kindWatcher) *call {
+	c := &call{endsBegun: kind.kind != translator.ConfigurationKind}
+	ctx, c.cancel = context.WithCancel(ctx)
+	c.Context = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { c.begun.Store(true) }})
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if old := f.cancels[kind.kind]; old != nil {
-		old()
+	if old := f.calls[kind.kind]; old != nil {
+		old.cancel()
 	}
-	f.cancels[kind.kind] = cancel
-	return call
+	f.calls[kind.kind] = c
+	return c
 }
 
 // skipsCall reports whether no call for the kind is needed now: the relay replaces it or is awaited, or the calls for
@@ -187,9 +208,9 @@
 		f.failing[kind.kind] = now
 		f.connected = f.relayed
 		f.options.Log.Log(eventlog.StoreUnavailable, zap.String("kind", kind.kind), eventlog.Cause(err))
-		for other, cancel := range f.cancels {
+		for other, call := range f.calls {
 			if other != kind.kind {
-				cancel()
+				call.interrupt()
 			}
 		}
 	case err == nil && failing:
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -147,7 +147,7 @@
 	// call to the store fails while the copy is not updated from the relay.
 	connected        bool
 	recency          recency
-	cancels          map[string]context.CancelFunc
+	calls            map[string]*call    // the last one by kind
 	relayDeadline    time.Duration       // until then, this host waits for the relay and reads only the configuration
 	announcedVersion int64               // newest version of the configuration that a controller has read
 	transfer         downloader.Transfer // of the response that is being applied
@@ -162,7 +162,7 @@
 	f := &Follower{
 		options: options, list: registrar.New(), takenOut: map[string]time.Duration{},
 		draining: map[identifier.Incarnation]time.Duration{}, failing: map[string]time.Duration{}, rejected: map[string]int64{},
-		cancels: map[string]context.CancelFunc{}, recency: newRecency(),
+		calls: map[string]*call{}, recency: newRecency(),
 	}
 	if options.FirstStart {
 		f.relayDeadline = options.Now() + startupWait
--- a/rhubarbtrackd/internal/follower/recency.go
+++ b/rhubarbtrackd/internal/follower/recency.go
@@ -24,7 +24,8 @@
 // found in it, so the state may be as old as the last confirmation of the copy.
 func (r *recency) list(kind string, sentAt time.Duration) {
 	r.since, r.former, r.begins = r.current[kind], r.current[kind], nil
-	r.current[kind] = sentAt
+	// The relay may have confirmed a later state during the call.
+	r.current[kind] = max(r.current[kind], sentAt)
 }
 
 // events records the response to a watch, which proves the state of confirmedAt.
--- a/rhubarbtrackd/internal/follower/relay.go
+++ b/rhubarbtrackd/internal/follower/relay.go
@@ -106,8 +106,8 @@
 	}
 	if !f.relayed {
 		f.relayed = true
-		for _, cancel := range f.cancels {
-			cancel()
+		for _, call := range f.calls {
+			call.interrupt()
 		}
 		f.options.Log.Log(eventlog.RelayFollowed, zap.Int64("revision", change.Revision), zap.Int("upstreams", len(change.Puts)))
 	}
--- /dev/null
+++ b/rhubarbtrackd/internal/follower/transfer_test.go
@@ -0,0 +1,86 @@
+package follower_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/platform/simulator"
+	"rhubarbtrack.example/platform/translator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
+)
+
+// slowStore serves a store, responses with a configuration over a slow link.
+type slowStore struct {
+	store   *simulator.Store
+	taken   time.Duration // by each of these responses
+	slow    atomic.Bool
+	rejects atomic.Bool  // calls for upstreams
+	begun   atomic.Int64 // slow responses
+}
+
+// ServeHTTP implements http.Handler.
+func (s *slowStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.rejects.Load() && strings.HasSuffix(r.URL.Path, translator.UpstreamKind) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	recorder := httptest.NewRecorder()
+	s.store.ServeHTTP(recorder, r)
+	body := recorder.Body.Bytes()
+	w.WriteHeader(recorder.Code)
+	if !s.slow.Load() || !strings.Contains(string(body), translator.ConfigurationName) {
+		_, _ = w.Write(body)
+		return
+	}
+	s.begun.Add(1)
+	const pieces = 20
+	for i := range pieces {
+		_, _ = w.Write(body[i*len(body)/pieces : (i+1)*len(body)/pieces])
+		w.(http.Flusher).Flush()
+		time.Sleep(s.taken / pieces)
+	}
+}
+
+// Guards against a transfer of a configuration that is ended, and begun anew, because a controller is found or another call fails.
+func TestTransferOfAConfigurationIsNotInterrupted(t *testing.T) {
+	tests := []struct {
+		name    string
+		disturb func(s *slowStore, f *follower.Follower)
+	}{
+		{"the relay begins", func(_ *slowStore, f *follower.Follower) {
+			f.ApplyChange(follower.Change{Full: true, Revision: 1 << 40, Configuration: 3})
+		}},
+		{"the relay begins and announces the version", func(_ *slowStore, f *follower.Follower) {
+			f.ApplyChange(follower.Change{Full: true, Revision: 1 << 40, Configuration: 9})
+		}},
+		{"a call for upstreams fails", func(s *slowStore, _ *follower.Follower) {
+			s.rejects.Store(true)
+			putUpstream(t, s.store, "b")
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := &slowStore{store: simulator.NewStore(), taken: 1500 * time.Millisecond}
+			f := follow(t, s)
+			putConfiguration(t, s.store, 3)
+			putUpstream(t, s.store, "a")
+			eventually(t, "the initial state was not read", func() bool { return version(f) == 3 && len(f.Snapshot().Upstreams) == 1 })
+			s.slow.Store(true)
+			putConfiguration(t, s.store, 9)
+			began := time.Now()
+			eventually(t, "no transfer has begun", func() bool { return s.begun.Load() == 1 })
+			time.Sleep(300 * time.Millisecond)
+			tt.disturb(s, f)
+			eventually(t, "the configuration was not read", func() bool { return version(f) == 9 })
+			assert.Assert(t, time.Since(began) < s.taken+time.Second, "read after %v", time.Since(began))
+			assert.Equal(t, s.begun.Load(), int64(1), "transfers")
+		})
+	}
+}
