follower: read the newest version only when versions come faster than they are transferred

A watch returns each version that was written since the last one, all in full: the longer a transfer takes, the more versions the next one has. After a response with several versions a host lists the configuration, which is the newest version alone, and it decodes only the newest valid version of a response.

TestNewestValidVersionOfAResponseIsApplied fails if the last version of a response is taken whatever it is.

--- a/rhubarbtrackd/internal/follower/calls.go
+++ b/rhubarbtrackd/internal/follower/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptrace"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,8 @@
 	auxiliary bool
 	wait      time.Duration
 	urgent    bool // changes are few and must not wait for batchDelay
+	// supersedes is set if there is one object, each version of which replaces the former ones.
+	supersedes bool
 }
 
 // call is a call of the store in progress.
@@ -162,16 +165,35 @@
 	f.apply(ctx, kind, func(now time.Duration) {
 		f.recency.events(kind.kind, watchConfirmedAt(sentAt, now, kind.wait, len(changes.Events)), now)
 		f.transfer = changes.Transfer
-		for _, event := range changes.Events {
-			kind.put(now, event)
-		}
+		f.putAll(now, kind, changes.Events)
 	})
-	if changes.Revision == 0 {
+	switch {
+	case kind.supersedes && len(changes.Events) > 1:
+		// Versions come faster than they are transferred. A watch would return all that were written in the meantime, a list the
+		// newest only.
+		return 0, nil
+	case changes.Revision == 0:
 		return revision, nil
 	}
 	return changes.Revision, nil
 }
 
+// putAll applies the events of a watch, in their order. Of several versions of the configuration it decodes the newest valid one only.
+func (f *Follower) putAll(now time.Duration, kind kindWatcher, events []storer.Event) {
+	if !kind.supersedes {
+		for _, event := range events {
+			kind.put(now, event)
+		}
+		return
+	}
+	applied := f.configVersion()
+	for _, event := range slices.Backward(events) {
+		if kind.put(now, event); f.configVersion() > applied {
+			return
+		}
+	}
+}
+
 func (f *Follower) countRead(kind kindWatcher, transfer downloader.Transfer, err error) {
 	if kind.kind == translator.ConfigurationKind && !errors.Is(err, context.Canceled) {
 		f.options.OnConfigurationRead("store", transfer, err)
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -191,7 +191,7 @@
 	var group sync.WaitGroup
 	for _, kind := range []kindWatcher{
 		{kind: translator.UpstreamKind, replace: f.replaceUpstreams, put: f.putUpstream, controlsExpiry: true, wait: watchTimeout},
-		{kind: translator.ConfigurationKind, replace: f.replaceConfiguration, put: f.putConfiguration, wait: configWatchTimeout, urgent: true},
+		{kind: translator.ConfigurationKind, replace: f.replaceConfiguration, put: f.putConfiguration, wait: configWatchTimeout, urgent: true, supersedes: true},
 		{kind: translator.TakeOutKind, replace: f.replaceTakeOuts, put: f.putTakeOut, wait: watchTimeout},
 		{kind: serializer.BlockedKind, replace: f.replaceBlocked, put: f.putBlocked, auxiliary: true, wait: auxiliaryWatchTimeout},
 	} {
--- a/rhubarbtrackd/internal/follower/transfer_test.go
+++ b/rhubarbtrackd/internal/follower/transfer_test.go
@@ -84,3 +84,20 @@
 		})
 	}
 }
+
+// Guards against a valid version that is skipped because a newer one in the same response cannot be decoded.
+func TestNewestValidVersionOfAResponseIsApplied(t *testing.T) {
+	s := &slowStore{store: simulator.NewStore(), taken: time.Second}
+	f := follow(t, s)
+	putConfiguration(t, s.store, 3)
+	eventually(t, "the configuration was not read", func() bool { return version(f) == 3 })
+	s.slow.Store(true)
+	putConfiguration(t, s.store, 5)
+	eventually(t, "no transfer has begun", func() bool { return s.begun.Load() == 1 })
+	putConfiguration(t, s.store, 7)
+	putConfiguration(t, s.store, 9)
+	invalid := simulator.Configuration(11)
+	invalid["virtual_hosts"] = "none"
+	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, invalid, nil))
+	eventually(t, "the newest valid version was not applied", func() bool { return version(f) == 9 })
+}
