connector, follower: send hosts what has changed in the configuration, from the controller first

Each version went whole to each host: a host that followed a controller asked the store for 0.23 to 0.46 MB first, for at most 0.5 s, and then the controller.

Hosts ask the controller at once, and the store when it fails or takes 0.3 s.

--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -42,6 +42,16 @@
 	return true
 }
 
+// Spend removes a number of tokens. It returns false if the bucket is empty. A larger number than it has leaves a debt.
+func (b *Bucket) Spend(now time.Duration, tokens float64) bool {
+	b.refill(now)
+	if b.tokens <= 0 {
+		return false
+	}
+	b.tokens -= tokens
+	return true
+}
+
 // Add adds tokens, up to Burst.
 func (b *Bucket) Add(now time.Duration, tokens float64) {
 	b.refill(now)
--- a/core/throttler/throttler_test.go
+++ b/core/throttler/throttler_test.go
@@ -90,3 +90,11 @@
 	b.Set(0, 0, 0)
 	assert.Assert(t, !b.Take(time.Hour))
 }
+
+// Guards against a number of tokens above the burst that is never available, and against a debt that is forgotten.
+func TestSpendLeavesADebt(t *testing.T) {
+	b := throttler.NewBucket(0, 2, 1)
+	assert.Assert(t, b.Spend(0, 7))
+	assert.Assert(t, !b.Spend(3*time.Second, 1), "six tokens are owed, and six are added")
+	assert.Assert(t, b.Spend(3100*time.Millisecond, 1))
+}
--- a/rhubarbtrackd/internal/connector/bounds_test.go
+++ b/rhubarbtrackd/internal/connector/bounds_test.go
@@ -79,7 +79,7 @@
 			return Announce(ctx, address, Announcement{Term: 1, Host: host})
 		}},
 		{"configuration", func(ctx context.Context, address string) error {
-			_, err := FetchConfiguration(ctx, address)
+			_, err := FetchConfiguration(ctx, address, nil)
 			return err
 		}},
 		{"link", func(ctx context.Context, address string) error { return client.serve(ctx, host, address) }},
--- a/rhubarbtrackd/internal/connector/configuration_test.go
+++ b/rhubarbtrackd/internal/connector/configuration_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/rhubarbtrackd/internal/timer"
 )
 
 // bigConfiguration returns a configuration with many routes, of about 1 MB.
@@ -34,7 +36,7 @@
 	first := bigConfiguration(7)
 	current.Store(&first)
 	var sent atomic.Int64
-	handler := ConfigurationHandler(func() []byte { return *current.Load() })
+	handler := ConfigurationHandler(timer.Now, 0, func() []byte { return *current.Load() })
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		recorder := httptest.NewRecorder()
 		handler.ServeHTTP(recorder, r)
@@ -51,7 +53,7 @@
 	for range hosts {
 		group.Go(func() {
 			for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-				data, err := FetchConfiguration(context.Background(), address)
+				data, err := FetchConfiguration(context.Background(), address, nil)
 				if err == nil {
 					assert.Check(t, bytes.Equal(data, first))
 					return
@@ -70,7 +72,7 @@
 
 	second := bigConfiguration(8)
 	current.Store(&second)
-	data, err := FetchConfiguration(context.Background(), address)
+	data, err := FetchConfiguration(context.Background(), address, nil)
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Equal(data, second), "an earlier configuration was returned")
 }
@@ -78,7 +80,7 @@
 // Guards against a host that sends more configurations at the same time than maxTransfers.
 func TestTransfersOfConfigurationsAreBounded(t *testing.T) {
 	release := make(chan struct{})
-	handler := ConfigurationHandler(func() []byte { <-release; return []byte("{}") })
+	handler := ConfigurationHandler(timer.Now, 0, func() []byte { <-release; return []byte("{}") })
 	var group sync.WaitGroup
 	var rejected atomic.Int64
 	for range 3 * maxTransfers {
@@ -112,6 +114,6 @@
 		_ = writer.Close()
 	}))
 	defer server.Close()
-	_, err := FetchConfiguration(context.Background(), strings.TrimPrefix(server.URL, "http://"))
+	_, err := FetchConfiguration(context.Background(), strings.TrimPrefix(server.URL, "http://"), nil)
 	assert.ErrorContains(t, err, "exceeds")
 }
--- a/rhubarbtrackd/internal/connector/truncated_test.go
+++ b/rhubarbtrackd/internal/connector/truncated_test.go
@@ -12,6 +12,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"rhubarbtrack.example/rhubarbtrackd/internal/timer"
+
 	"rhubarbtrack.example/core/identifier"
 	"rhubarbtrack.example/rhubarbtrackd/internal/recoverer"
 )
@@ -47,13 +49,13 @@
 // Guards against a part of a configuration that is applied.
 func TestConfigurationThatEndsEarlyIsAnError(t *testing.T) {
 	const body = `{"version":9,"services":[],"virtual_hosts":[]}`
-	server := httptest.NewServer(ConfigurationHandler(func() []byte { return []byte(body) }))
+	server := httptest.NewServer(ConfigurationHandler(timer.Now, 0, func() []byte { return []byte(body) }))
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	whole := int64(0)
 	for n := int64(0); whole == 0; n++ {
 		assert.Assert(t, n < 1000)
-		data, err := FetchConfiguration(context.Background(), truncatingProxy(t, address, n))
+		data, err := FetchConfiguration(context.Background(), truncatingProxy(t, address, n), nil)
 		if err == nil {
 			assert.Equal(t, string(data), body)
 			whole = n
--- a/rhubarbtrackd/internal/coordinator/coordinator.go
+++ b/rhubarbtrackd/internal/coordinator/coordinator.go
@@ -272,13 +272,13 @@
 	})
 }
 
-// FetchConfiguration returns the configuration of the controller that this host follows.
-func (c *Coordinator) FetchConfiguration(ctx context.Context) ([]byte, error) {
+// FetchConfiguration returns the configuration of the controller that this host follows. known is that of this host, or nil.
+func (c *Coordinator) FetchConfiguration(ctx context.Context, known []byte) ([]byte, error) {
 	host, address := c.leaderAddress()
 	if host == "" {
 		return nil, &connector.Error{Op: "fetch configuration", Kind: connector.Disconnected, Err: errors.New("no controller is known")}
 	}
-	return connector.FetchConfiguration(ctx, address)
+	return connector.FetchConfiguration(ctx, address, known)
 }
 
 // Hub returns the handler that accepts connections of other hosts.
--- a/rhubarbtrackd/internal/follower/age_test.go
+++ b/rhubarbtrackd/internal/follower/age_test.go
@@ -34,7 +34,7 @@
 			core, logs := observer.New(zap.InfoLevel)
 			f := follower.New(follower.Options{
 				Store: storer.New(strings.TrimPrefix(server.URL, "http://")), Log: eventlog.New(zap.New(core)), Now: timer.Now,
-				FetchConfiguration: func(context.Context) ([]byte, error) {
+				FetchConfiguration: func(context.Context, []byte) ([]byte, error) {
 					if passed := raw.Load(); passed != nil {
 						return *passed, nil
 					}
--- a/rhubarbtrackd/internal/follower/calls.go
+++ b/rhubarbtrackd/internal/follower/calls.go
@@ -82,9 +82,6 @@
 			}
 			continue
 		}
-		if kind.kind == translator.ConfigurationKind {
-			f.options.Panics.Do("fetch-configuration", func() { f.fetchFromController(ctx) })
-		}
 		sleep(ctx, backoff)
 		backoff = min(maxBackoff, 2*backoff)
 	}
@@ -109,9 +106,12 @@
 func (f *Follower) skipsCall(kind kindWatcher) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if kind.kind == translator.ConfigurationKind && (f.config == nil || f.announcedVersion > f.configVersion()) {
+	if kind.kind == translator.ConfigurationKind && f.config == nil {
 		return false
 	}
+	if kind.kind == translator.ConfigurationKind && f.announcedVersion > f.configVersion() {
+		return f.asksController()
+	}
 	if _, failing := f.failing[translator.ConfigurationKind]; failing && kind.kind != translator.ConfigurationKind {
 		// The calls for the configuration suffice to detect that the store is available again.
 		return true
@@ -130,11 +130,6 @@
 }
 
 func (f *Follower) relist(ctx context.Context, kind kindWatcher, skip func([]byte, error)) (int64, error) {
-	if kind.kind == translator.ConfigurationKind && f.lacksAnnounced() {
-		limited, cancel := context.WithTimeout(ctx, relayedListTimeout)
-		defer cancel()
-		ctx = limited
-	}
 	sentAt := f.options.Now()
 	list, err := f.options.Store.List(ctx, kind.kind, listTimeout, skip)
 	f.countRead(kind, list.Transfer, err)
--- a/rhubarbtrackd/internal/follower/configuration.go
+++ b/rhubarbtrackd/internal/follower/configuration.go
@@ -26,29 +26,58 @@
 func (f *Follower) lacksAnnounced() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.options.FetchConfiguration != nil && f.relayed && f.announcedVersion > f.configVersion()
+	return f.relayed && f.announcedVersion > f.configVersion()
 }
 
-// fetchFromController reads the configuration from the controller if that has a newer version.
-func (f *Follower) fetchFromController(ctx context.Context) {
-	if !f.lacksAnnounced() {
-		return
+// asksController reports whether the controller is expected to send the announced version, so that the store need not be asked. The
+// caller holds the mutex.
+func (f *Follower) asksController() bool {
+	return f.options.FetchConfiguration != nil && f.relayed && !f.fetchFailed && f.options.Now() < f.lacksSince+controllerHeadStart
+}
+
+// followController reads the configuration from the controller while that has a newer version.
+func (f *Follower) followController(ctx context.Context) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		if !f.lacksAnnounced() {
+			backoff = minBackoff
+			select {
+			case <-ctx.Done():
+			case <-f.announced:
+			}
+			continue
+		}
+		fetched := false
+		f.options.Panics.Do("fetch-configuration", func() { fetched = f.fetchFromController(ctx) })
+		f.mutex.Lock()
+		f.fetchFailed = !fetched
+		f.mutex.Unlock()
+		if !fetched {
+			sleep(ctx, backoff)
+			backoff = min(maxBackoff, 2*backoff)
+		}
 	}
+}
+
+// fetchFromController reads the configuration from the controller. It returns false if that has sent no newer version.
+func (f *Follower) fetchFromController(ctx context.Context) bool {
 	sentAt := f.options.Now()
-	raw, err := f.options.FetchConfiguration(ctx)
+	raw, err := f.options.FetchConfiguration(ctx, f.Configuration())
 	transfer := downloader.Transfer{Bytes: len(raw), Taken: f.options.Now() - sentAt}
 	f.options.OnConfigurationRead("controller", transfer, err)
 	if err != nil {
 		f.options.Log.Log(eventlog.ConfigurationFetchFailed, eventlog.Cause(err))
-		return
+		return false
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	former := f.configVersion()
 	f.transfer = transfer
 	f.recency.replace(translator.ConfigurationKind)
 	f.applyConfiguration(f.options.Now(), raw, zap.String("source", "controller"))
 	f.publish()
 	f.publishConfirmation()
+	return f.configVersion() > former
 }
 
 // Configuration returns the applied configuration without the keys of client accounts, see translator.WithoutKeys, or nil if none
--- a/rhubarbtrackd/internal/follower/confirmation_test.go
+++ b/rhubarbtrackd/internal/follower/confirmation_test.go
@@ -103,7 +103,7 @@
 		options := follower.Options{Store: storer.New(strings.TrimPrefix(server.URL, "http://")), Log: eventlog.New(zap.NewNop()), Now: timer.Now}
 		if len(followers) == 1 {
 			controller := followers[0]
-			options.FetchConfiguration = func(context.Context) ([]byte, error) { return controller.Configuration(), nil }
+			options.FetchConfiguration = func(context.Context, []byte) ([]byte, error) { return controller.Configuration(), nil }
 		}
 		followers = append(followers, follower.New(options))
 	}
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -4,8 +4,8 @@
 // The controller reads the store and sends its copy of the upstreams and failure domains to all other hosts with its
 // heartbeats. This is called the relay. A host without a current relay reads the store itself. The relay keeps the
 // number of calls to the store small. The configuration may be too long for a heartbeat, so the relay carries only its
-// version number. A host that lacks this version reads the configuration from the store, or from the controller if the
-// store does not respond in time.
+// version number. A host that lacks this version asks the controller for what has changed, and the store if the controller
+// fails or takes long.
 //
 // The age of the configuration counts from the last response of the store that has confirmed it, at this host or at the
 // controller, and not from the heartbeat that passes this on. A host whose configuration is older than
@@ -55,10 +55,11 @@
 	// that the controller follows stays below it: a watch, a heartbeat interval and the transit. The rest of the 2 s after
 	// which a version must be in force is for the read.
 	maxConfigurationAge = 1200 * time.Millisecond
-	// listTimeout bounds the time until the response to a list call begins. A slow store takes 0.3 s for it. relayedListTimeout
-	// bounds the whole call for the configuration while a controller can be asked instead.
-	listTimeout        = 1200 * time.Millisecond
-	relayedListTimeout = 500 * time.Millisecond
+	// listTimeout bounds the time until the response to a list call begins. A slow store takes 0.3 s for it.
+	listTimeout = 1200 * time.Millisecond
+	// controllerHeadStart is how long a host waits for the configuration from the controller before it asks the store as well. The
+	// controller sends what has changed, the store the whole.
+	controllerHeadStart = 300 * time.Millisecond
 	// batchDelay is the pause between two calls, so that one watch returns several changes. It is short compared with
 	// the time after which a draining upstream must not receive requests.
 	batchDelay = 150 * time.Millisecond
@@ -114,7 +115,7 @@
 	OnUnblocked func(signature uint64)
 	// FetchConfiguration returns the configuration of the controller, with digests instead of the keys of client accounts, see
 	// translator.WithoutKeys. It may be nil.
-	FetchConfiguration func(ctx context.Context) ([]byte, error)
+	FetchConfiguration func(ctx context.Context, known []byte) ([]byte, error)
 	// OnConfigurationRead is called with the result of each call for the configuration: its source, store or controller, and the
 	// transfer of the response. It may be nil.
 	OnConfigurationRead func(source string, transfer downloader.Transfer, err error)
@@ -150,6 +151,9 @@
 	calls            map[string]*call    // the last one by kind
 	relayDeadline    time.Duration       // until then, this host waits for the relay and reads only the configuration
 	announcedVersion int64               // newest version of the configuration that a controller has read
+	lacksSince       time.Duration       // when a version was announced that this host lacks
+	fetchFailed      bool                // the controller did not send the announced version
+	announced        chan struct{}       // has a value when a version was announced
 	transfer         downloader.Transfer // of the response that is being applied
 	rejected         map[string]int64    // revision of each invalid entry, so that each is logged once
 }
@@ -162,7 +166,7 @@
 	f := &Follower{
 		options: options, list: registrar.New(), takenOut: map[string]time.Duration{},
 		draining: map[identifier.Incarnation]time.Duration{}, failing: map[string]time.Duration{}, rejected: map[string]int64{},
-		calls: map[string]*call{}, recency: newRecency(),
+		calls: map[string]*call{}, announced: make(chan struct{}, 1), recency: newRecency(),
 	}
 	if options.FirstStart {
 		f.relayDeadline = options.Now() + startupWait
@@ -197,6 +201,9 @@
 	} {
 		group.Go(func() { f.follow(ctx, kind) })
 	}
+	if f.options.FetchConfiguration != nil {
+		group.Go(func() { f.followController(ctx) })
+	}
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
--- a/rhubarbtrackd/internal/follower/relay.go
+++ b/rhubarbtrackd/internal/follower/relay.go
@@ -77,7 +77,7 @@
 		madeAt = min(now, change.MadeAt)
 	}
 	f.logDelay(now-madeAt, change)
-	f.announce(change)
+	f.announce(now, change)
 	if now >= madeAt+relayTimeout {
 		// A full copy would arrive as late, and delay others.
 		f.endRelay(now - madeAt)
@@ -104,8 +104,12 @@
 	if change.Base != 0 {
 		f.options.Log.Log(eventlog.RelayResumed, zap.Int64("revision", change.Revision), zap.Int("upstreams", len(change.Puts)))
 	}
+	if f.announcedVersion > f.configVersion() {
+		f.wakeFetch()
+	}
 	if !f.relayed {
 		f.relayed = true
+		f.lacksSince, f.fetchFailed = now, false // another controller may send what the former one did not
 		for _, call := range f.calls {
 			call.interrupt()
 		}
@@ -132,14 +136,27 @@
 }
 
 // announce records the version of the configuration that the controller has.
-func (f *Follower) announce(change Change) {
+func (f *Follower) announce(now time.Duration, change Change) {
 	if change.Configuration <= f.announcedVersion {
 		return
 	}
+	applied := f.configVersion()
+	if f.announcedVersion <= applied && change.Configuration > applied {
+		f.lacksSince, f.fetchFailed = now, false
+	}
 	f.announcedVersion = change.Configuration
-	if applied := f.configVersion(); change.Configuration > applied {
-		f.options.Log.Log(eventlog.ConfigurationAnnounced, zap.Int64("version", change.Configuration), zap.Int64("applied", applied),
-			zap.Duration("controller-age", change.Age))
+	if change.Configuration <= applied {
+		return
+	}
+	f.options.Log.Log(eventlog.ConfigurationAnnounced, zap.Int64("version", change.Configuration), zap.Int64("applied", applied),
+		zap.Duration("controller-age", change.Age))
+}
+
+// wakeFetch makes followController check whether this host lacks an announced version.
+func (f *Follower) wakeFetch() {
+	select {
+	case f.announced <- struct{}{}:
+	default:
 	}
 }
 
--- a/rhubarbtrackd/internal/follower/transfer_test.go
+++ b/rhubarbtrackd/internal/follower/transfer_test.go
@@ -1,6 +1,7 @@
 package follower_test
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -8,11 +9,15 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"rhubarbtrack.example/platform/simulator"
+	"rhubarbtrack.example/platform/storer"
 	"rhubarbtrack.example/platform/translator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
+	"rhubarbtrack.example/rhubarbtrackd/internal/timer"
 )
 
 // slowStore serves a store, responses with a configuration over a slow link.
@@ -101,3 +106,55 @@
 	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, invalid, nil))
 	eventually(t, "the newest valid version was not applied", func() bool { return version(f) == 9 })
 }
+
+// Guards against hosts that read each version whole from the store although the controller has it, and against hosts that wait for a
+// controller that does not send it.
+func TestConfigurationIsReadFromTheControllerFirst(t *testing.T) {
+	hangs := func(ctx context.Context) ([]byte, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	tests := []struct {
+		name       string
+		fetch      func(ctx context.Context) ([]byte, error)
+		within     time.Duration
+		readsStore bool
+	}{
+		{"the controller sends it", func(context.Context) ([]byte, error) { return configurationText(t, 9), nil }, 200 * time.Millisecond, false},
+		{"the controller fails", func(context.Context) ([]byte, error) { return nil, context.Canceled }, 400 * time.Millisecond, true},
+		{"the controller sends the former version", func(context.Context) ([]byte, error) { return configurationText(t, 3), nil }, 400 * time.Millisecond, true},
+		{"the controller does not respond", hangs, 600 * time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			store := simulator.NewStore()
+			server := httptest.NewServer(store)
+			t.Cleanup(server.CloseClientConnections)
+			f := follower.New(follower.Options{
+				Store: storer.New(strings.TrimPrefix(server.URL, "http://")), Log: eventlog.New(zap.NewNop()), Now: timer.Now,
+				FetchConfiguration: func(ctx context.Context, known []byte) ([]byte, error) {
+					assert.Check(t, len(known) > 0, "the configuration of this host is not named")
+					return tt.fetch(ctx)
+				},
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			t.Cleanup(cancel)
+			go f.Run(ctx)
+			putConfiguration(t, store, 3)
+			putUpstream(t, store, "a")
+			eventually(t, "the initial state was not read", func() bool { return version(f) == 3 && len(f.Snapshot().Upstreams) == 1 })
+			change := follower.Change{Full: true, Revision: 1 << 40, Configuration: 3}
+			assert.Assert(t, f.ApplyChange(change))
+			putConfiguration(t, store, 9)
+			time.Sleep(100 * time.Millisecond) // calls in progress end
+			calls := store.Calls()
+			change.Full, change.Configuration = false, 9
+			assert.Assert(t, f.ApplyChange(change))
+			announced := time.Now()
+			eventually(t, "the configuration was not read", func() bool { f.ApplyChange(change); return version(f) == 9 })
+			assert.Assert(t, time.Since(announced) < tt.within+time.Second, "read after %v", time.Since(announced))
+			assert.Equal(t, store.Calls() > calls, tt.readsStore)
+		})
+	}
+}
--- a/rhubarbtrackd/internal/starter/account_test.go
+++ b/rhubarbtrackd/internal/starter/account_test.go
@@ -358,7 +358,7 @@
 			_, _ = fmt.Fprintln(&output, entry.Message, entry.ContextMap())
 		}
 		output.Write(get(t, "http://"+h.metricsAddress+"/metrics"))
-		configuration, err := connector.FetchConfiguration(context.Background(), h.settings.PeerAddress)
+		configuration, err := connector.FetchConfiguration(context.Background(), h.settings.PeerAddress, nil)
 		assert.NilError(t, err)
 		assert.Assert(t, bytes.Contains(configuration, []byte("key-digests")))
 		output.Write(configuration)
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -177,7 +177,9 @@
 	d.suspector = suspector.New(func(report detector.Report) { d.coordinator.ShareSignature(report) }, d.log)
 	d.follower = follower.New(follower.Options{
 		Store: store, Log: d.log, Now: timer.Now, FirstStart: s.FirstStart, Panics: d.panics,
-		FetchConfiguration: func(ctx context.Context) ([]byte, error) { return d.coordinator.FetchConfiguration(ctx) },
+		FetchConfiguration: func(ctx context.Context, known []byte) ([]byte, error) {
+			return d.coordinator.FetchConfiguration(ctx, known)
+		},
 		OnConfigurationRead: func(source string, transfer downloader.Transfer, err error) {
 			outcome := "read"
 			if err != nil {
@@ -279,7 +281,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(connector.Path, d.coordinator.Hub())
 	mux.Handle(connector.AnnouncePath, d.coordinator.Announcements())
-	mux.Handle(connector.ConfigurationPath, connector.ConfigurationHandler(d.follower.Configuration))
+	mux.Handle(connector.ConfigurationPath, connector.ConfigurationHandler(timer.Now, d.settings.LinkRate, d.follower.Configuration))
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+translator.ReadyPath, d.serveReady)
 	metrics := http.NewServeMux()
