acceptor, router: answer requests whose body is not complete at the timeout of their route

Cause: the deadline of a request was set on the connection to the upstream only, and not before its body was read. Class: a wait that the deadline of the request does not bound.

--- a/rhubarbtrackd/internal/acceptor/acceptor.go
+++ b/rhubarbtrackd/internal/acceptor/acceptor.go
@@ -116,6 +116,9 @@
 	// TimeLeft returns how long the caller of a request with this header still waits, or false if the header does not say so. The
 	// wait for Memory is bounded by it. It may be nil.
 	TimeLeft func(header http.Header) (time.Duration, bool)
+	// Deadline returns the time until which a request may take, by its head, or the zero time if there is no such bound. A body that is
+	// not complete by then is not awaited any more. It may be nil.
+	Deadline func(request *Request) time.Time
 	// Memory bounds the bodies of requests and responses that are held; nil means no bound.
 	Memory *Memory
 }
--- a/rhubarbtrackd/internal/acceptor/request.go
+++ b/rhubarbtrackd/internal/acceptor/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -79,6 +80,18 @@
 	return err != nil || closed
 }
 
+// bodyDeadline returns the time until which the body of a request is read, and whether it is that of the request.
+func (c *connection) bodyDeadline(request *Request, limits Limits) (deadline time.Time, bounded bool) {
+	deadline = time.Now().Add(limits.HeaderTimeout + limits.IdleTimeout)
+	if c.server.options.Deadline == nil {
+		return deadline, false
+	}
+	if due := c.server.options.Deadline(request); !due.IsZero() && due.Before(deadline) {
+		return due, true
+	}
+	return deadline, false
+}
+
 // readBody reads the body of a request, or as much of a long one as is kept in memory. Without memory for it, nothing is read.
 func (c *connection) readBody(request *Request, reader *messageBody, length int64, limits Limits) error {
 	memory := c.server.options.Memory
@@ -95,8 +108,15 @@
 			return &Error{Op: "continue", Kind: Incomplete, Err: err}
 		}
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout + limits.IdleTimeout))
+	deadline, bounded := c.bodyDeadline(request, limits)
+	// It applies to the rest of a long body, too, which the handler reads.
+	_ = c.conn.SetReadDeadline(deadline)
 	data, err := io.ReadAll(io.LimitReader(reader, maxBufferedBody+1))
+	if bounded && errors.Is(err, os.ErrDeadlineExceeded) {
+		return &Error{
+			Op: "read-body", Kind: Incomplete, Status: http.StatusRequestTimeout, Err: errors.New("body incomplete at the deadline of the request"),
+		}
+	}
 	if err != nil {
 		var ambiguous *Error
 		var network net.Error
--- a/rhubarbtrackd/internal/router/deadline.go
+++ b/rhubarbtrackd/internal/router/deadline.go
@@ -5,7 +5,9 @@
 	"strconv"
 	"time"
 
+	"rhubarbtrack.example/core/matcher"
 	"rhubarbtrack.example/platform/translator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/acceptor"
 )
 
 // maxTimeLeft bounds the time that a caller says it will wait. The timeouts of routes are far shorter.
@@ -20,6 +22,28 @@
 	return time.Duration(min(left, maxTimeLeft.Milliseconds())) * time.Millisecond, true
 }
 
+// Deadline returns the time until which a request gets its response, by its route and the time that its caller waits, or the zero time
+// if it has no route.
+func (r *Router) Deadline(request *acceptor.Request) time.Time {
+	config := r.options.Follower.Snapshot().Config
+	if config == nil {
+		return time.Time{}
+	}
+	route, ok := config.Match(request.Host, request.Path)
+	if !ok {
+		return time.Time{}
+	}
+	left, ok := TimeLeft(request.Header)
+	if !ok {
+		left = route.Timeout
+	}
+	return deadline(request, route, left)
+}
+
+func deadline(request *acceptor.Request, route *matcher.Route, timeLeft time.Duration) time.Time {
+	return request.Arrived.Add(min(timeLeft, route.Timeout))
+}
+
 func (r *Router) setDeadline(j *job) bool {
 	j.timeLeft = j.route.Timeout
 	if j.request.Header.Get(translator.TimeLeftHeader) != "" {
@@ -29,6 +53,6 @@
 		}
 		j.timeLeft = left
 	}
-	j.deadline = j.request.Arrived.Add(min(j.timeLeft, j.route.Timeout))
+	j.deadline = deadline(j.request, j.route, j.timeLeft)
 	return true
 }
--- a/rhubarbtrackd/internal/starter/starter.go
+++ b/rhubarbtrackd/internal/starter/starter.go
@@ -237,6 +237,7 @@
 				zap.String("reason", eventlog.Shorten(reason)))
 		},
 		TimeLeft:     router.TimeLeft,
+		Deadline:     d.router.Deadline,
 		Memory:       acceptor.NewMemory(int64(bodyMemoryShare*float64(s.MemoryBytes)), d.meter.BodyMemory),
 		Panics:       d.panics,
 		AcceptFailed: func(err error) { d.log.Log(eventlog.AcceptFailed, eventlog.Cause(err)) },
