acceptor: keep idle connections by the limit in force

A change of idle_timeout_s to a longer time did not apply to connections that were idle already: they were closed by the former limit, as callers were about to use them again. The limit is read again when the wait ends.

acceptor TestLongerIdleTimeoutAppliesToOpenConnections failed before: EOF.

--- a/rhubarbtrackd/internal/acceptor/connection.go
+++ b/rhubarbtrackd/internal/acceptor/connection.go
@@ -132,7 +132,7 @@
 			c.cancel()
 			return false
 		}
-		expired := time.Since(began) >= limit
+		expired := time.Since(began) >= c.server.options.Limits().IdleTimeout
 		if c.inFlight.Load() > 0 && c.server.draining.Load() {
 			c.watchDisconnect()
 			return false
