follower: count the version of a controller whose heartbeats are late or lack a copy

A host on a full link ran requests by an older configuration although heartbeats of its controller named a newer one that had to be in force, and waited for the whole from the store. Cause: the version counted only together with a change of the copy that was applied; a late heartbeat, one without a base, and a full copy older than the host's own were dropped with their version.

follower TestVersionOfTheControllerCountsWithoutItsCopy (three rows), TestVersionOfALostControllerDoesNotCount and the new row of router TestHostBehindItsControllerRejectsRequests failed before.

--- a/rhubarbtrackd/internal/follower/configuration.go
+++ b/rhubarbtrackd/internal/follower/configuration.go
@@ -22,11 +22,11 @@
 	return f.config.Version
 }
 
-// lacksAnnounced reports whether the controller that this host follows has a newer version of the configuration.
-func (f *Follower) lacksAnnounced() bool {
+// lacksVersion reports whether the controller that sends heartbeats has a newer version of the configuration.
+func (f *Follower) lacksVersion() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.relayed && f.announcedVersion > f.configVersion()
+	return f.controllerVersion > f.configVersion()
 }
 
 // asksController reports whether the controller is expected to send the announced version, so that the store need not be asked. The
@@ -39,7 +39,7 @@
 func (f *Follower) followController(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		if !f.lacksAnnounced() {
+		if !f.lacksVersion() {
 			backoff = minBackoff
 			select {
 			case <-ctx.Done():
@@ -114,7 +114,7 @@
 // block.
 func (f *Follower) LacksConfiguration() bool { return f.superseded.Load() }
 
-// IsBehindController reports whether the controller that this host follows now has a newer version of the configuration than the applied
+// IsBehindController reports whether the controller that sends heartbeats now has a newer version of the configuration than the applied
 // one. So other hosts can have it. It does not block.
 func (f *Follower) IsBehindController() bool { return f.behind.Load() }
 
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -152,7 +152,8 @@
 	calls             map[string]*call    // the last one by kind
 	relayDeadline     time.Duration       // until then, this host waits for the relay and reads only the configuration
 	announcedVersion  int64               // newest version of the configuration that a controller has read
-	controllerVersion int64               // of the configuration of the controller that this host follows; 0: none is followed
+	controllerVersion int64               // of the configuration of the controller that sends heartbeats; 0: none does
+	lastHeartbeat     time.Duration       // arrival of the last heartbeat, which may be late or not be applied
 	lacksSince        time.Duration       // when a version was announced that this host lacks
 	fetchFailed       bool                // the controller did not send the announced version
 	announced         chan struct{}       // has a value when a version was announced
@@ -261,6 +262,9 @@
 	}
 	if now >= f.lastRelay+relayTimeout {
 		f.endRelay(now - f.lastRelay)
+	}
+	if now >= f.lastHeartbeat+relayTimeout {
+		f.controllerVersion = 0
 		f.publishConfirmation()
 	}
 }
--- a/rhubarbtrackd/internal/follower/relay.go
+++ b/rhubarbtrackd/internal/follower/relay.go
@@ -13,7 +13,6 @@
 // endRelay makes this host read the store itself. age is that of the controller's last confirmation. The caller holds the
 // mutex.
 func (f *Follower) endRelay(age time.Duration) {
-	f.controllerVersion = 0
 	if f.relayed {
 		f.relayed, f.connected = false, false
 		f.options.Log.Log(eventlog.RelayLost, zap.Duration("age", age))
@@ -102,14 +101,10 @@
 	// in the meantime would be kept.
 	f.list.MarkReachable(madeAt - change.Age)
 	f.lastRelay = max(f.lastRelay, madeAt)
-	f.controllerVersion = change.Configuration
 	f.connected = true
 	if change.Base != 0 {
 		f.options.Log.Log(eventlog.RelayResumed, zap.Int64("revision", change.Revision), zap.Int("upstreams", len(change.Puts)))
 	}
-	if f.announcedVersion > f.configVersion() {
-		f.wakeFetch()
-	}
 	if !f.relayed {
 		f.relayed = true
 		f.lacksSince, f.fetchFailed = now, false // another controller may send what the former one did not
@@ -138,8 +133,12 @@
 	return true
 }
 
-// announce records the version of the configuration that the controller has.
+// announce records the version of the configuration that the controller has. It counts whether the change is applied or not.
 func (f *Follower) announce(now time.Duration, change Change) {
+	f.controllerVersion, f.lastHeartbeat = change.Configuration, now
+	if f.controllerVersion > f.configVersion() {
+		f.wakeFetch()
+	}
 	if change.Configuration <= f.announcedVersion {
 		return
 	}
@@ -155,7 +154,7 @@
 		zap.Duration("controller-age", change.Age))
 }
 
-// wakeFetch makes followController check whether this host lacks an announced version.
+// wakeFetch makes followController check whether the controller has a newer version.
 func (f *Follower) wakeFetch() {
 	select {
 	case f.announced <- struct{}{}:
--- a/rhubarbtrackd/internal/follower/transfer_test.go
+++ b/rhubarbtrackd/internal/follower/transfer_test.go
@@ -158,3 +158,61 @@
 		})
 	}
 }
+
+// Guards against a host that neither fetches nor counts a version of its controller because it has no current copy of the upstreams.
+func TestVersionOfTheControllerCountsWithoutItsCopy(t *testing.T) {
+	tests := []struct {
+		name   string
+		change follower.Change
+		delay  time.Duration // of heartbeats on their way
+	}{
+		{"heartbeats late", follower.Change{Full: true, Revision: 1 << 40}, time.Second},
+		{"full copy not received", follower.Change{}, 0},
+		{"full copy older than that of the host", follower.Change{Full: true, Revision: 1}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			store := simulator.NewStore()
+			server := httptest.NewServer(store)
+			t.Cleanup(server.CloseClientConnections)
+			var serves atomic.Bool
+			f := follower.New(follower.Options{
+				Store: storer.New(strings.TrimPrefix(server.URL, "http://")), Log: eventlog.New(zap.NewNop()), Now: timer.Now,
+				FetchConfiguration: func(context.Context, []byte) ([]byte, error) {
+					if !serves.Load() {
+						return nil, context.Canceled
+					}
+					return configurationText(t, 9), nil
+				},
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			t.Cleanup(cancel)
+			go f.Run(ctx)
+			putConfiguration(t, store, 3)
+			putUpstream(t, store, "a")
+			eventually(t, "the initial state was not read", func() bool { return version(f) == 3 && len(f.Snapshot().Upstreams) == 1 })
+			store.SetFault(simulator.Fault{Kind: simulator.Busy})
+			heartbeat := func() {
+				change := tt.change
+				change.Configuration, change.MadeAt = 9, timer.Now()-tt.delay
+				f.ApplyChange(change)
+			}
+			heartbeat()
+			assert.Assert(t, f.IsBehindController())
+			serves.Store(true)
+			eventually(t, "the configuration was not fetched", func() bool { heartbeat(); return version(f) == 9 })
+			assert.Assert(t, !f.IsBehindController())
+		})
+	}
+}
+
+// Guards against a host that counts the version of a controller that it has lost.
+func TestVersionOfALostControllerDoesNotCount(t *testing.T) {
+	store, f := newFollower(t)
+	putConfiguration(t, store, 3)
+	eventually(t, "the configuration was not read", func() bool { return version(f) == 3 })
+	f.ApplyChange(follower.Change{Configuration: 9})
+	assert.Assert(t, f.IsBehindController())
+	eventually(t, "the version of a lost controller counts", func() bool { return !f.IsBehindController() })
+}
--- a/rhubarbtrackd/internal/router/outdated_test.go
+++ b/rhubarbtrackd/internal/router/outdated_test.go
@@ -32,14 +32,16 @@
 		name       string
 		controller int64         // version that heartbeats name
 		heartbeats time.Duration // for how long they arrive
+		delay      time.Duration // of heartbeats on their way
 		wait       time.Duration // until the request, from the last confirmation
 		status     int
 	}{
-		{"no newer version", 3, 3 * limit / 2, 3 * limit / 2, http.StatusOK},
-		{"newer version, in time", 9, limit / 2, limit / 2, http.StatusOK},
-		{"newer version, overdue", 9, 3 * limit / 2, 3 * limit / 2, http.StatusServiceUnavailable},
-		{"newer version, controller lost", 9, limit / 2, 5 * limit / 2, http.StatusOK},
-		{"no controller", 0, 0, 3 * limit / 2, http.StatusOK},
+		{"no newer version", 3, 3 * limit / 2, 0, 3 * limit / 2, http.StatusOK},
+		{"newer version, in time", 9, limit / 2, 0, limit / 2, http.StatusOK},
+		{"newer version, overdue", 9, 3 * limit / 2, 0, 3 * limit / 2, http.StatusServiceUnavailable},
+		{"newer version, overdue, heartbeats late", 9, 3 * limit / 2, limit / 2, 3 * limit / 2, http.StatusServiceUnavailable},
+		{"newer version, controller lost", 9, limit / 2, 0, 5 * limit / 2, http.StatusOK},
+		{"no controller", 0, 0, 0, 3 * limit / 2, http.StatusOK},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -71,6 +73,7 @@
 			change := follower.Change{Full: true, Revision: 1 << 40, Configuration: tt.controller, Puts: f.Snapshot().ByService[simulator.PlainService]}
 			for end := confirmedAt + tt.wait; timer.Now() < end; time.Sleep(20 * time.Millisecond) {
 				if tt.controller > 0 && timer.Now() < confirmedAt+tt.heartbeats {
+					change.MadeAt = timer.Now() - tt.delay
 					assert.Assert(t, f.ApplyChange(change))
 					change.Full = false
 				}
