follower: do not count the absence of a configuration as a confirmed one

Cause: a list of a store that has no configuration yet confirmed the copy, so ConfirmedAt gave the time of that list, while it promises a time long ago. No request was affected: without a configuration all are rejected. A host that reads its first version from a controller has the time of the empty list as its confirmation, which is true: no newer version existed then.

--- a/rhubarbtrackd/internal/follower/configuration.go
+++ b/rhubarbtrackd/internal/follower/configuration.go
@@ -102,10 +102,12 @@
 	return now - unconfirmedAge
 }
 
-// publishConfirmation makes the last confirmation of the configuration visible to ConfirmedAt, LacksConfiguration and
+// publishConfirmation makes the last confirmation of the applied configuration visible to ConfirmedAt, LacksConfiguration and
 // IsBehindController, after the snapshot that contains it was published. The caller holds the mutex.
 func (f *Follower) publishConfirmation() {
-	f.confirmedAt.Store(int64(f.recency.current[translator.ConfigurationKind]))
+	if f.config != nil {
+		f.confirmedAt.Store(int64(f.recency.current[translator.ConfigurationKind]))
+	}
 	f.superseded.Store(f.announcedVersion > f.configVersion())
 	f.behind.Store(f.controllerVersion > f.configVersion())
 }
--- a/rhubarbtrackd/internal/follower/confirmation_test.go
+++ b/rhubarbtrackd/internal/follower/confirmation_test.go
@@ -162,3 +162,18 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// Guards against a host that counts the absence of a configuration as one that is confirmed.
+func TestAbsentConfigurationIsNotConfirmed(t *testing.T) {
+	store, f := newFollower(t)
+	putUpstream(t, store, "a")
+	eventually(t, "the upstreams were not read", func() bool { return len(f.Snapshot().Upstreams) == 1 })
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		now := timer.Now()
+		assert.Assert(t, now-f.ConfirmedAt(now) > time.Hour)
+	}
+	putConfiguration(t, store, 3)
+	eventually(t, "the configuration was not read", func() bool { return version(f) == 3 })
+	now := timer.Now()
+	assert.Assert(t, now-f.ConfirmedAt(now) < time.Hour)
+}
