follower: list the configuration after a long transfer without a controller

Hosts without a controller were up to 2.2 s behind while versions of 0.47 MB came every 0.4 s over 0.8 MB/s.

After a transfer of more than 0.2 s that has brought a newer version, the next call is a list, until one brings nothing new. So a version waits for two transfers at most: the one in progress and its own. A host that follows a controller does not, because it gets the next version from that. After a list without a newer version, the watch goes on from where it was: if the newest version cannot be decoded, the one before it is found as before (TestNewestValidVersionOfAResponseIsApplied).

--- a/rhubarbtrackd/internal/follower/calls.go
+++ b/rhubarbtrackd/internal/follower/calls.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"net/http/httptrace"
 	"slices"
@@ -46,32 +47,40 @@
 	}
 }
 
+// position is where the calls for a kind go on.
+type position struct {
+	revision int64 // from which to watch; 0: unknown, so a list is needed
+	// lists is set if the next call must be a list because further versions may have been written during a long transfer. A watch would
+	// return all of them, a list the newest only.
+	lists bool
+}
+
 func (f *Follower) follow(ctx context.Context, kind kindWatcher) {
 	skip := func(raw []byte, err error) {
 		f.options.Log.Log(eventlog.EntryRefused, zap.String("kind", kind.kind), zap.Int("bytes", len(raw)), eventlog.Cause(err))
 	}
 	backoff := minBackoff
-	revision := int64(0)
+	at := position{}
 	for ctx.Err() == nil {
 		if f.skipsCall(kind) {
-			revision = 0
+			at = position{}
 			sleep(ctx, relayPollInterval)
 			continue
 		}
 		call := f.beginCall(ctx, kind)
 		// After a panic, the next list replaces what the call may have changed in part.
-		next, err := int64(0), errors.New("the response of the store could not be handled")
+		next, err := position{}, errors.New("the response of the store could not be handled")
 		f.options.Panics.Do("follow-store", func() {
-			if revision == 0 {
-				next, err = f.relist(call, kind, skip)
+			if at.lists || at.revision == 0 {
+				next, err = f.relist(call, kind, at.revision, skip)
 			} else {
-				next, err = f.watch(call, kind, revision, skip)
+				next, err = f.watch(call, kind, at.revision, skip)
 			}
 		})
-		revision = next
+		at = next
 		if call.Err() != nil && ctx.Err() == nil {
 			// The relay has started, or a call for another kind has failed.
-			revision = 0
+			at = position{}
 			continue
 		}
 		f.recordResult(kind, err)
@@ -129,48 +138,57 @@
 	}
 }
 
-func (f *Follower) relist(ctx context.Context, kind kindWatcher, skip func([]byte, error)) (int64, error) {
+// relist lists the objects of a kind. former is the revision up to which their changes are known, or 0.
+func (f *Follower) relist(ctx context.Context, kind kindWatcher, former int64, skip func([]byte, error)) (position, error) {
 	sentAt := f.options.Now()
 	list, err := f.options.Store.List(ctx, kind.kind, listTimeout, skip)
 	f.countRead(kind, list.Transfer, err)
 	if err != nil {
-		return 0, err
+		return position{}, err
 	}
+	next := position{revision: list.Revision}
 	f.apply(ctx, kind, func(now time.Duration) {
+		applied := f.configVersion()
 		f.recency.list(kind.kind, sentAt)
 		f.transfer = list.Transfer
 		kind.replace(now, list.Objects)
+		next.lists = f.listsNext(kind, applied)
+		if kind.supersedes && former != 0 && f.configVersion() == applied {
+			// If the newest version cannot be decoded, a watch finds the versions before it.
+			next.revision = former
+		}
 	})
-	return list.Revision, nil
+	return next, nil
 }
 
-// watch waits for changes and returns the revision to continue from. 0 means that the next call must be a list.
-func (f *Follower) watch(ctx context.Context, kind kindWatcher, revision int64, skip func([]byte, error)) (int64, error) {
+// watch waits for changes after a revision.
+func (f *Follower) watch(ctx context.Context, kind kindWatcher, revision int64, skip func([]byte, error)) (position, error) {
 	sentAt := f.options.Now()
 	changes, err := f.options.Store.Watch(ctx, kind.kind, revision, kind.wait, skip)
 	f.countRead(kind, changes.Transfer, err)
 	if storer.KindOf(err) == storer.Compacted {
 		f.options.Log.Log(eventlog.WatchCompacted, zap.String("kind", kind.kind), zap.Int64("revision", revision))
-		return f.relist(ctx, kind, skip)
+		return f.relist(ctx, kind, 0, skip)
 	}
 	if err != nil {
 		// The store may have lost changes together with the watch.
-		return 0, err
+		return position{}, err
 	}
+	next := position{revision: cmp.Or(changes.Revision, revision)}
 	f.apply(ctx, kind, func(now time.Duration) {
+		applied := f.configVersion()
 		f.recency.events(kind.kind, watchConfirmedAt(sentAt, now, kind.wait, len(changes.Events)), now)
 		f.transfer = changes.Transfer
 		f.putAll(now, kind, changes.Events)
+		next.lists = f.listsNext(kind, applied)
 	})
-	switch {
-	case kind.supersedes && len(changes.Events) > 1:
-		// Versions come faster than they are transferred. A watch would return all that were written in the meantime, a list the
-		// newest only.
-		return 0, nil
-	case changes.Revision == 0:
-		return revision, nil
-	}
-	return changes.Revision, nil
+	return next, nil
+}
+
+// listsNext reports whether a list follows a response, see position. applied is the version before the response. A host that follows
+// a controller gets the next version from that. The caller holds the mutex.
+func (f *Follower) listsNext(kind kindWatcher, applied int64) bool {
+	return kind.supersedes && !f.relayed && f.transfer.Taken > longTransfer && f.configVersion() > applied
 }
 
 // putAll applies the events of a watch, in their order. Of several versions of the configuration it decodes the newest valid one only.
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -60,6 +60,8 @@
 	// controllerHeadStart is how long a host waits for the configuration from the controller before it asks the store as well. The
 	// controller sends what has changed, the store the whole.
 	controllerHeadStart = 300 * time.Millisecond
+	// longTransfer is the time of a transfer in which several versions of the configuration may be written.
+	longTransfer = 200 * time.Millisecond
 	// batchDelay is the pause between two calls, so that one watch returns several changes. It is short compared with
 	// the time after which a draining upstream must not receive requests.
 	batchDelay = 150 * time.Millisecond
