connector: allow more time for each attempt to reach the controller that timed out

On a full link, a host did not reach the next controller, which had the configuration. Cause: 0.7 s for the TCP connection and the handshake together, which are two round trips, begun anew each time.

The time doubles with each attempt that times out, up to 2.8 s, of which 1.4 s for the TCP connection, so a silent path that heals is found as soon as before. An attempt ends when another host becomes controller.

TestSlowHandshakeSucceeds failed before. TestDialEndsWhenTheControllerChanges fails without the check of the controller (tried).

--- a/rhubarbtrackd/internal/connector/bounds_test.go
+++ b/rhubarbtrackd/internal/connector/bounds_test.go
@@ -82,7 +82,7 @@
 			_, err := FetchConfiguration(ctx, address, nil)
 			return err
 		}},
-		{"link", func(ctx context.Context, address string) error { return client.serve(ctx, host, address) }},
+		{"link", func(ctx context.Context, address string) error { return client.serve(ctx, host, address, dialTimeout) }},
 	}
 	floods := []struct {
 		name, first, unit string
--- a/rhubarbtrackd/internal/connector/connector.go
+++ b/rhubarbtrackd/internal/connector/connector.go
@@ -21,6 +21,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sort"
 	"sync"
@@ -49,8 +50,13 @@
 	// were in flight at the same upstream arrive meanwhile.
 	soonDelay    = 10 * time.Millisecond
 	writeTimeout = 500 * time.Millisecond
-	dialTimeout  = 700 * time.Millisecond
-	redialDelay  = 200 * time.Millisecond
+	// dialTimeout bounds the first attempt to connect to the controller. It doubles with each attempt that times out, up to maxDialTimeout,
+	// because over a full link a handshake may take longer each time.
+	dialTimeout    = 700 * time.Millisecond
+	maxDialTimeout = 2800 * time.Millisecond
+	// connectTimeout is the part of it for the TCP connection. A connection request that is lost is sent again after 1 s, then after 2 s.
+	connectTimeout = 1400 * time.Millisecond
+	redialDelay    = 200 * time.Millisecond
 	// maxHeadBytes bounds the head of a response of another host.
 	maxHeadBytes = 16 << 10
 	// maxMessage bounds a message in bytes. The full state for 20,000 upstreams fits.
@@ -247,7 +253,9 @@
 }
 
 // linkClient opens connections to the controller.
-var linkClient = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}}
+var linkClient = &http.Client{Transport: &http.Transport{
+	DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext, MaxResponseHeaderBytes: maxHeadBytes,
+}}
 
 // ClientOptions configures a Client.
 type ClientOptions struct {
@@ -281,14 +289,16 @@
 
 // Run maintains a connection to the controller until ctx is done.
 func (c *Client) Run(ctx context.Context) {
+	timeout := dialTimeout
 	for ctx.Err() == nil {
 		host, address := c.options.Leader()
 		if address != "" {
 			err := error(&Error{"receive", Disconnected, errors.New("a message could not be handled")})
-			c.options.Panics.Do("follow-controller", func() { err = c.serve(ctx, host, address) })
+			c.options.Panics.Do("follow-controller", func() { err = c.serve(ctx, host, address, timeout) })
 			if ctx.Err() == nil && err != nil {
 				c.options.OnDisconnect(address, err)
 			}
+			timeout = nextDialTimeout(timeout, err)
 		}
 		select {
 		case <-ctx.Done():
@@ -297,14 +307,47 @@
 	}
 }
 
-func (c *Client) serve(ctx context.Context, host, address string) error {
-	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
-	conn, response, err := websocket.Dial(dialCtx, "ws://"+address+Path, &websocket.DialOptions{
-		HTTPClient: linkClient, Subprotocols: []string{subprotocol},
-	})
-	cancelDial()
+// nextDialTimeout returns the timeout of the next attempt to connect, after one that ended with err.
+func nextDialTimeout(last time.Duration, err error) time.Duration {
+	var typed *Error
+	if errors.As(err, &typed) && typed.Kind == TimedOut {
+		return min(2*last, maxDialTimeout)
+	}
+	return dialTimeout
+}
+
+// dial connects to the controller. It gives up after the timeout, and when another host becomes controller.
+func (c *Client) dial(ctx context.Context, host, address string, timeout time.Duration) (*websocket.Conn, *http.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	go func() {
+		ticker := time.NewTicker(ReportInterval)
+		defer ticker.Stop()
+		for ctx.Err() == nil {
+			if leader, _ := c.options.Leader(); leader != host {
+				cancel()
+			}
+			select {
+			case <-ctx.Done():
+			case <-ticker.C:
+			}
+		}
+	}()
+	conn, response, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{HTTPClient: linkClient, Subprotocols: []string{subprotocol}})
+	var network net.Error
+	switch {
+	case err == nil:
+		return conn, response, nil
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.As(err, &network) && network.Timeout():
+		return nil, nil, &Error{"dial " + address, TimedOut, err}
+	}
+	return nil, nil, &Error{"dial " + address, Disconnected, err}
+}
+
+func (c *Client) serve(ctx context.Context, host, address string, dialTimeout time.Duration) error {
+	conn, response, err := c.dial(ctx, host, address, dialTimeout)
 	if err != nil {
-		return &Error{"dial " + address, Disconnected, err}
+		return err
 	}
 	defer func() { _ = conn.CloseNow() }()
 	if other := response.Header.Get(HostHeader); other != host {
--- a/rhubarbtrackd/internal/connector/message.go
+++ b/rhubarbtrackd/internal/connector/message.go
@@ -23,6 +23,8 @@
 	Unreadable Kind = iota + 1
 	// Disconnected means that a connection could not be made, failed, or was closed.
 	Disconnected
+	// TimedOut means that a connection was not made in time.
+	TimedOut
 )
 
 // Error is the type of the errors of this package. Op names the failed operation.
--- a/rhubarbtrackd/internal/connector/silent_test.go
+++ b/rhubarbtrackd/internal/connector/silent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -76,3 +77,62 @@
 		}
 	}
 }
+
+// Guards against a host that never reaches the controller over a full link because each attempt ends before the handshake.
+func TestSlowHandshakeSucceeds(t *testing.T) {
+	hub := NewHub("controller", func(*Peer, Report) {}, func(*Peer, error) {})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(dialTimeout + 300*time.Millisecond)
+		hub.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.CloseClientConnections)
+	connected := make(chan string, 9)
+	runClient(t, ClientOptions{
+		Leader:    func() (host, leader string) { return "controller", strings.TrimPrefix(server.URL, "http://") },
+		OnConnect: func(address string) { connected <- address },
+	})
+	select {
+	case <-connected:
+	case <-time.After(10 * dialTimeout):
+		t.Fatal("not connected")
+	}
+}
+
+// Guards against a host that waits for a former controller, which does not respond, while another host is controller.
+func TestDialEndsWhenTheControllerChanges(t *testing.T) {
+	var silent atomic.Bool
+	silent.Store(true)
+	hub := NewHub("second", func(*Peer, Report) {}, func(*Peer, error) {})
+	server := httptest.NewServer(hub)
+	t.Cleanup(server.CloseClientConnections)
+	second := strings.TrimPrefix(server.URL, "http://")
+	first := silence(t, second, &silent)
+	var changed atomic.Bool
+	connected := make(chan string, 9)
+	runClient(t, ClientOptions{
+		Leader: func() (host, leader string) {
+			if changed.Load() {
+				return "second", second
+			}
+			return "first", first
+		},
+		OnConnect: func(address string) { connected <- address },
+	})
+	time.Sleep(5 * dialTimeout) // an attempt of maxDialTimeout has begun
+	changed.Store(true)
+	select {
+	case address := <-connected:
+		assert.Equal(t, address, second)
+	case <-time.After(maxDialTimeout / 2):
+		t.Fatal("not connected")
+	}
+}
+
+func runClient(t *testing.T, options ClientOptions) {
+	t.Helper()
+	options.OnAddressReused, options.OnHeartbeat, options.OnDisconnect = func(string) {}, func(Heartbeat) {}, func(string, error) {}
+	options.Report, options.Now = func() Report { return Report{Host: "h"} }, func() time.Duration { return 0 }
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go NewClient(options).Run(ctx)
+}
--- a/rhubarbtrackd/internal/connector/truncated_test.go
+++ b/rhubarbtrackd/internal/connector/truncated_test.go
@@ -94,7 +94,7 @@
 			OnDisconnect: func(string, error) {}, OnConnect: func(string) {}, Now: func() time.Duration { return time.Second },
 			Panics: recoverer.New(nil, nil),
 		})
-		err := client.serve(context.Background(), "controller", address)
+		err := client.serve(context.Background(), "controller", address, dialTimeout)
 		assert.Assert(t, err != nil)
 		for _, h := range received {
 			assert.Equal(t, h.Hosts, 7)
