--- a/rhubarbtrackd/internal/follower/age_test.go
+++ b/rhubarbtrackd/internal/follower/age_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,7 +11,6 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbtrack.example/platform/simulator"
-	"rhubarbtrack.example/platform/storer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
 	"rhubarbtrack.example/rhubarbtrackd/internal/timer"
@@ -28,12 +25,10 @@
 	}{{"read from the store", false}, {"read from the controller", true}} {
 		t.Run(tt.name, func(t *testing.T) {
 			store := simulator.NewStore()
-			server := httptest.NewServer(store)
-			t.Cleanup(server.CloseClientConnections)
 			var raw atomic.Pointer[[]byte]
 			core, logs := observer.New(zap.InfoLevel)
-			f := follower.New(follower.Options{
-				Store: storer.New(strings.TrimPrefix(server.URL, "http://")), Log: eventlog.New(zap.New(core)), Now: timer.Now,
+			f := followWith(t, store, follower.Options{
+				Log: eventlog.New(zap.New(core)),
 				FetchConfiguration: func(context.Context, []byte) ([]byte, error) {
 					if passed := raw.Load(); passed != nil {
 						return *passed, nil
@@ -41,9 +36,6 @@
 					return nil, context.DeadlineExceeded
 				},
 			})
-			ctx, cancel := context.WithCancel(context.Background())
-			t.Cleanup(cancel)
-			go f.Run(ctx)
 			putConfiguration(t, store, 3)
 			putUpstream(t, store, "a")
 			eventually(t, "the initial state was not read", func() bool { return version(f) == 3 && len(f.Snapshot().Upstreams) == 1 })
--- a/rhubarbtrackd/internal/follower/follower_test.go
+++ b/rhubarbtrackd/internal/follower/follower_test.go
@@ -32,12 +32,17 @@
 
 // follow returns a follower of the store that a handler serves.
 func follow(t *testing.T, store http.Handler) *follower.Follower {
+	t.Helper()
+	return followWith(t, store, follower.Options{Log: eventlog.New(zap.NewNop())})
+}
+
+// followWith returns a follower of the store that a handler serves, with a log and other options.
+func followWith(t *testing.T, store http.Handler, options follower.Options) *follower.Follower {
 	t.Helper()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.CloseClientConnections)
-	f := follower.New(follower.Options{
-		Store: storer.New(strings.TrimPrefix(server.URL, "http://")), Log: eventlog.New(zap.NewNop()), Now: timer.Now,
-	})
+	options.Store, options.Now = storer.New(strings.TrimPrefix(server.URL, "http://")), timer.Now
+	f := follower.New(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go f.Run(ctx)
--- a/rhubarbtrackd/internal/follower/transfer_test.go
+++ b/rhubarbtrackd/internal/follower/transfer_test.go
@@ -13,7 +13,6 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbtrack.example/platform/simulator"
-	"rhubarbtrack.example/platform/storer"
 	"rhubarbtrack.example/platform/translator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
@@ -120,8 +119,7 @@
 	eventually(t, "the newest valid version was not applied", func() bool { return version(f) == 9 })
 }
 
-// Guards against hosts that read each version whole from the store although the controller has it, and against hosts that wait for a
-// controller that does not send it.
+// Guards against hosts that read what the controller has from the store, and against hosts that wait for a controller that does not send it.
 func TestConfigurationIsReadFromTheControllerFirst(t *testing.T) {
 	hangs := func(ctx context.Context) ([]byte, error) {
 		<-ctx.Done()
@@ -142,18 +140,13 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			store := simulator.NewStore()
-			server := httptest.NewServer(store)
-			t.Cleanup(server.CloseClientConnections)
-			f := follower.New(follower.Options{
-				Store: storer.New(strings.TrimPrefix(server.URL, "http://")), Log: eventlog.New(zap.NewNop()), Now: timer.Now,
+			f := followWith(t, store, follower.Options{
+				Log: eventlog.New(zap.NewNop()),
 				FetchConfiguration: func(ctx context.Context, known []byte) ([]byte, error) {
 					assert.Check(t, len(known) > 0, "the configuration of this host is not named")
 					return tt.fetch(ctx)
 				},
 			})
-			ctx, cancel := context.WithCancel(context.Background())
-			t.Cleanup(cancel)
-			go f.Run(ctx)
 			putConfiguration(t, store, 3)
 			putUpstream(t, store, "a")
 			eventually(t, "the initial state was not read", func() bool { return version(f) == 3 && len(f.Snapshot().Upstreams) == 1 })
@@ -187,11 +180,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			store := simulator.NewStore()
-			server := httptest.NewServer(store)
-			t.Cleanup(server.CloseClientConnections)
 			var serves atomic.Bool
-			f := follower.New(follower.Options{
-				Store: storer.New(strings.TrimPrefix(server.URL, "http://")), Log: eventlog.New(zap.NewNop()), Now: timer.Now,
+			f := followWith(t, store, follower.Options{
+				Log: eventlog.New(zap.NewNop()),
 				FetchConfiguration: func(context.Context, []byte) ([]byte, error) {
 					if !serves.Load() {
 						return nil, context.Canceled
@@ -199,9 +190,6 @@
 					return configurationText(t, 9), nil
 				},
 			})
-			ctx, cancel := context.WithCancel(context.Background())
-			t.Cleanup(cancel)
-			go f.Run(ctx)
 			putConfiguration(t, store, 3)
 			putUpstream(t, store, "a")
 			eventually(t, "the initial state was not read", func() bool { return version(f) == 3 && len(f.Snapshot().Upstreams) == 1 })
--- a/rhubarbtrackd/internal/router/outdated_test.go
+++ b/rhubarbtrackd/internal/router/outdated_test.go
@@ -24,8 +24,7 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/timer"
 )
 
-// Guards against requests that run by an older configuration although a newer one is known and has to be in force, and against a
-// host that rejects requests while there is no newer one, or no controller that has it.
+// Guards against requests that run by an older configuration than the one that has to be in force, and against needless rejections.
 func TestHostBehindItsControllerRejectsRequests(t *testing.T) {
 	const limit = 2 * time.Second
 	tests := []struct {
--- a/rhubarbtrackd/internal/starter/routes_test.go
+++ b/rhubarbtrackd/internal/starter/routes_test.go
@@ -86,8 +86,7 @@
 	assert.Assert(t, later > first/4, "served: %.3f on the first route, %.3f on those that were added", first, later)
 }
 
-// Guards against a split whose parts do not get the shares of their weights, and against requests that move to another part because
-// theirs is short of room.
+// Guards against requests that move to another part of a split because theirs is short of room.
 func TestPartsOfASplitKeepTheirShares(t *testing.T) {
 	t.Parallel()
 	const (
