--- a/rhubarbtrackd/internal/connector/connector.go
+++ b/rhubarbtrackd/internal/connector/connector.go
@@ -316,7 +316,7 @@
 	return dialTimeout
 }
 
-// dial connects to the controller. It gives up after the timeout, and when another host becomes controller.
+// dial connects to the controller. It ends after the timeout, and when another host becomes controller.
 func (c *Client) dial(ctx context.Context, host, address string, timeout time.Duration) (*websocket.Conn, *http.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -344,8 +344,9 @@
 	return nil, nil, &Error{"dial " + address, Disconnected, err}
 }
 
-func (c *Client) serve(ctx context.Context, host, address string, dialTimeout time.Duration) error {
-	conn, response, err := c.dial(ctx, host, address, dialTimeout)
+// serve connects to the controller within timeout, and exchanges messages with it until the connection ends.
+func (c *Client) serve(ctx context.Context, host, address string, timeout time.Duration) error {
+	conn, response, err := c.dial(ctx, host, address, timeout)
 	if err != nil {
 		return err
 	}
