--- a/review/lab-2/check.go
+++ b/review/lab-2/check.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"sort"
-	"time"
 )
 
 // life is one run of a server's process.
@@ -32,9 +30,8 @@
 	return events
 }
 
-// checkFences returns the grants whose fencing token is not above those with which other lives had one of the keys. With lives of
-// one server alone, only these are compared.
-func checkFences(w *world, counts func(taker, had life) bool) []string {
+// checkFences returns the grants whose fencing token is not above those with which other lives had one of the keys.
+func checkFences(w *world) []string {
 	type had struct {
 		fence uint64
 		by    life
@@ -51,7 +48,7 @@
 		said := false
 		for key := e.From; key <= e.To; key++ {
 			l := &last[key]
-			if l.by.server != "" && l.by != by && e.Fence <= l.fence && !said && counts(by, l.by) {
+			if l.by.server != "" && l.by != by && e.Fence <= l.fence && !said {
 				said = true
 				breaks = append(breaks, fmt.Sprintf(
 					"OWNER: %.3f s: server %v takes keys %d to %d with token %d; server %v had key %d with token %d at %.3f s; requests that the taker ran with it: %d",
@@ -94,97 +91,3 @@
 		}
 	}
 }
-
-// span is a time in which a life holds the keys of a cell.
-type span struct {
-	by       life
-	from, to int64
-}
-
-// checkHolders returns the times in which two lives that are up hold the same keys.
-func checkHolders(w *world) []string {
-	events := w.sortedEvents()
-	cuts := map[int]bool{0: true, keyCount: true}
-	for _, e := range events {
-		if e.What == "grant" || e.What == "release" {
-			cuts[e.From], cuts[e.To+1] = true, true
-		}
-	}
-	var edges []int
-	for cut := range cuts {
-		edges = append(edges, cut)
-	}
-	sort.Ints(edges)
-	w.mutex.Lock()
-	deaths := map[life]int64{}
-	for l, at := range w.deaths {
-		deaths[l] = at
-	}
-	w.mutex.Unlock()
-	var breaks []string
-	for i := 0; i+1 < len(edges); i++ {
-		cell := edges[i]
-		var spans []span
-		open := map[life]int{}
-		for _, e := range events {
-			if cell < e.From || cell > e.To || (e.What != "grant" && e.What != "release") {
-				continue
-			}
-			by := life{e.Server, e.Born}
-			at, ok := open[by]
-			if e.What == "release" {
-				if ok && spans[at].to > e.At {
-					spans[at].to = e.At
-				}
-				delete(open, by)
-				continue
-			}
-			until := e.Until
-			if death, dead := deaths[by]; dead {
-				until = min(until, death)
-			}
-			if ok && spans[at].to >= e.At {
-				spans[at].to = max(spans[at].to, until)
-				continue
-			}
-			open[by] = len(spans)
-			spans = append(spans, span{by, e.At, until})
-		}
-		for a := range spans {
-			for b := a + 1; b < len(spans); b++ {
-				x, y := spans[a], spans[b]
-				from, to := max(x.from, y.from), min(x.to, y.to)
-				if x.by == y.by || from >= to {
-					continue
-				}
-				breaks = append(breaks, fmt.Sprintf("keys %d to %d: %v and %v hold them from %.3f s to %.3f s, %v", cell, edges[i+1]-1, x.by, y.by,
-					w.seconds(from), w.seconds(to), time.Duration(to-from).Round(time.Millisecond)))
-			}
-		}
-	}
-	return breaks
-}
-
-// checkRuns returns requests that ran twice though they may not, and those that ran though the client was told that they had not.
-func checkRuns(w *world, answers []answer) []string {
-	runs := map[string]int{}
-	for _, e := range w.sortedEvents() {
-		if e.What == "run" {
-			runs[e.Attempt]++
-		}
-	}
-	var breaks []string
-	for _, a := range answers {
-		n := runs[a.attempt]
-		if a.once && n > 1 {
-			breaks = append(breaks, fmt.Sprintf("TWICE: request %s ran %d times", a.attempt, n))
-		}
-		if a.once && n > 0 && (a.status == 503 || a.status == 429 || a.status == 408 || a.status == 421) {
-			breaks = append(breaks, fmt.Sprintf("REFUSED: request %s was answered %d at %.3f s and ran", a.attempt, a.status, a.ended.Sub(w.started).Seconds()))
-		}
-		if a.status/100 == 2 && !a.right {
-			breaks = append(breaks, fmt.Sprintf("MIXED: request %s got a wrong answer", a.attempt))
-		}
-	}
-	return breaks
-}
--- a/review/lab-2/restart.go
+++ b/review/lab-2/restart.go
@@ -34,7 +34,7 @@
 		group.Go(func() {
 			client := &http.Client{Transport: &http.Transport{}}
 			for ctx.Err() == nil {
-				a := send(client, w.pick(""), http.MethodGet, fmt.Sprintf("/read/%d", rand.IntN(1000)), rand.IntN(keyCount), 2*time.Second, nil)
+				a := send(client, w.pick(), http.MethodGet, fmt.Sprintf("/read/%d", rand.IntN(1000)), rand.IntN(keyCount), 2*time.Second, nil)
 				mutex.Lock()
 				answers = append(answers, a)
 				mutex.Unlock()
@@ -65,7 +65,7 @@
 	cancel()
 	group.Wait()
 	w.dump(answers)
-	return checkFences(w, func(life, life) bool { return true }), nil
+	return checkFences(w), nil
 }
 
 // startDeployment starts hosts and the upstreams of a service with keys.
@@ -73,12 +73,15 @@
 	w.configure([]service{{"shop", true, 8}}, []route{
 		{"/read/", "idempotent", "shop", 2, 0.5, 2}, {"/order/", "non_idempotent", "shop", 2, 0.5, 2},
 	})
+	return startProcesses(w, hosts, upstreamOptions{Service: "shop", Keyed: true, Slots: 6, Queue: 24, Work: work}, upstreams)
+}
+
+// startProcesses starts hosts and upstreams in three failure domains, and waits until the hosts are ready.
+func startProcesses(w *world, hosts int, options upstreamOptions, upstreams int) error {
 	zones := []string{"lab-a", "lab-b", "lab-c"}
 	for i := range upstreams {
-		_, err := w.addServer(upstreamOptions{
-			ID: fmt.Sprintf("i-%08x", 0x5a10+i*0x1111), Service: "shop", Zone: zones[i%3], Keyed: true, Slots: 6, Queue: 24, Work: work,
-		})
-		if err != nil {
+		options.ID, options.Zone = fmt.Sprintf("i-%08x", 0x5a10+i*0x1111), zones[i%3]
+		if _, err := w.addServer(options); err != nil {
 			return err
 		}
 	}
--- a/review/lab-2/store.go
+++ b/review/lab-2/store.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -42,7 +41,7 @@
 	removed  bool
 }
 
-// store is a stand-in for the platform's store. A filter may hold back or refuse the calls of a host.
+// store is a stand-in for the platform's store.
 type store struct {
 	mutex    sync.Mutex
 	objects  map[string]map[string]object
@@ -50,25 +49,14 @@
 	history  []change
 	changed  chan struct{}
 	beats    map[string]time.Time
-	filter   func(host string, r *http.Request) verdict
 }
 
-// verdict is what happens to a call.
-type verdict int
-
-const (
-	serve  verdict = iota
-	refuse         // 503, nothing done
-	drop           // the connection ends, nothing done
-	lose           // carried out, and the connection ends
-)
-
 func newStore() *store {
 	return &store{objects: map[string]map[string]object{}, revision: 100, changed: make(chan struct{}), beats: map[string]time.Time{}}
 }
 
-// put writes an object without a condition, as an operator or an upstream does. It returns the time of the acknowledgement.
-func (s *store) put(kind, name string, specification, status any) time.Time {
+// put writes an object without a condition, as an operator or an upstream does.
+func (s *store) put(kind, name string, specification, status any) {
 	spec, _ := json.Marshal(specification)
 	stat, _ := json.Marshal(status)
 	s.mutex.Lock()
@@ -76,14 +64,6 @@
 	o := s.objects[kind][name]
 	o.Metadata.Name = name
 	s.write(kind, o, spec, stat)
-	return time.Now()
-}
-
-func (s *store) remove(kind, name string) time.Time {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.drop(kind, name)
-	return time.Now()
 }
 
 func (s *store) get(kind, name string) (object, bool) {
@@ -141,35 +121,11 @@
 	}
 }
 
-func (s *store) setFilter(f func(host string, r *http.Request) verdict) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.filter = f
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	s.mutex.Lock()
-	filter := s.filter
-	s.mutex.Unlock()
-	if filter != nil {
-		host, _, _ := net.SplitHostPort(r.RemoteAddr)
-		switch filter(host, r) {
-		case refuse:
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		case drop:
-			panic(http.ErrAbortHandler)
-		case lose:
-			if r.Method != http.MethodGet {
-				s.change(r, body)
-			}
-			panic(http.ErrAbortHandler)
-		}
-	}
 	time.Sleep(4 * time.Millisecond)
 	kind, name, named := strings.Cut(strings.TrimPrefix(r.URL.Path, storePrefix), "/")
 	switch {
--- a/review/lab-2/upstream.go
+++ b/review/lab-2/upstream.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"hash/fnv"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -26,8 +25,9 @@
 	Work                              time.Duration
 	// CutUntil is the end of the time in which the store gets nothing from the upstream, in Unix nanoseconds.
 	CutUntil int64
-	// LateShare is the share of grants that get no answer and are carried out late, from 0 to 1.
-	LateShare float64
+	// Deadly is the path of requests that crash the upstream, CrashAfter the time from the begin of their run to that.
+	Deadly     string
+	CrashAfter time.Duration
 }
 
 // event is a line that an upstream writes about what it sees.
@@ -35,7 +35,7 @@
 	At      int64  `json:"at"` // Unix nanoseconds
 	Server  string `json:"server"`
 	Born    int64  `json:"born"`
-	What    string `json:"what"` // born, grant, stale, release, released, run, done, cut, unheld, full
+	What    string `json:"what"` // born, grant, stale, release, released, run, done, cut, crash, unheld
 	Attempt string `json:"attempt,omitempty"`
 	Method  string `json:"method,omitempty"`
 	Target  string `json:"target,omitempty"`
@@ -148,21 +148,13 @@
 }
 
 func (u *upstream) grant(w http.ResponseWriter, o order) {
-	arrival := time.Now()
-	if rand.Float64() < u.options.LateShare {
-		go func() {
-			time.Sleep(2*time.Second + time.Duration(rand.Int64N(int64(10*time.Second))))
-			u.take(o, arrival)
-		}()
-		panic(http.ErrAbortHandler)
-	}
-	if !u.take(o, arrival) {
+	if !u.take(o) {
 		w.WriteHeader(http.StatusConflict)
 	}
 }
 
-// take carries out a grant that arrived at a given time. It returns false if a higher fencing token was seen.
-func (u *upstream) take(o order, arrival time.Time) bool {
+// take carries out a grant. It returns false if a higher fencing token was seen.
+func (u *upstream) take(o order) bool {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	for key := o.From; key <= o.Target; key++ {
@@ -171,7 +163,7 @@
 			return false
 		}
 	}
-	until := arrival.Add(time.Duration(o.Hold * float64(time.Second)))
+	until := time.Now().Add(time.Duration(o.Hold * float64(time.Second)))
 	for key := o.From; key <= o.Target; key++ {
 		if until.After(u.holds[key].until) {
 			u.holds[key].until = until
@@ -296,6 +288,12 @@
 		u.reject(w, http.StatusMisdirectedRequest)
 		return
 	}
+	if u.options.Deadly != "" && r.URL.Path == u.options.Deadly {
+		time.Sleep(u.options.CrashAfter)
+		u.mutex.Lock()
+		u.log(event{What: "crash", Attempt: attempt, Target: r.URL.RequestURI()})
+		os.Exit(1)
+	}
 	cut := false
 	select {
 	case <-time.After(u.options.Work):
--- a/review/lab-2/world.go
+++ b/review/lab-2/world.go
@@ -32,7 +32,6 @@
 	hosts     []*host
 	upstreams []*server
 	version   int
-	deaths    map[life]int64 // Unix nanoseconds, when a process was known to have ended
 }
 
 type host struct {
@@ -56,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{root: filepath.Dir(filepath.Dir(filepath.Dir(filepath.Dir(executable)))), store: newStore(), started: time.Now(), deaths: map[life]int64{}}
+	w := &world{root: filepath.Dir(filepath.Dir(filepath.Dir(filepath.Dir(executable)))), store: newStore(), started: time.Now()}
 	if w.dir, err = os.MkdirTemp("", "lab-2-"); err != nil {
 		return nil, err
 	}
@@ -123,8 +122,8 @@
 
 const hostname = "lab.example"
 
-// configure writes the next version of the configuration and returns the time of the acknowledgement.
-func (w *world) configure(services []service, routes []route) time.Time {
+// configure writes the next version of the configuration.
+func (w *world) configure(services []service, routes []route) {
 	w.version += 3
 	paths := []any{}
 	for i, r := range routes {
@@ -139,7 +138,7 @@
 			"name": s.name, "health_check_path": "/health", "max_connections": 120, "warmup_s": 3, "warmup_per_s": s.rate, "sharded": s.sharded,
 		})
 	}
-	return w.store.put("config", "main", map[string]any{
+	w.store.put("config", "main", map[string]any{
 		"version": w.version, "services": list,
 		"limits":        map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_s": 3, "idle_timeout_s": 15},
 		"virtual_hosts": []any{map[string]any{"hostname": hostname, "route_paths": paths}},
@@ -264,12 +263,6 @@
 	return nil
 }
 
-func (w *world) killHost(h *host) {
-	_ = h.process.Process.Kill()
-	_ = h.process.Wait()
-	w.note("host %s is killed", h.name)
-}
-
 // addServer prepares an upstream.
 func (w *world) addServer(o upstreamOptions) (*server, error) {
 	ip := fmt.Sprintf("%s.%d", w.base, 100+len(w.upstreams))
@@ -325,14 +318,6 @@
 	_ = s.process.Process.Kill()
 	<-s.done
 	_ = s.process.Wait()
-	at := time.Now().UnixNano()
-	w.mutex.Lock()
-	for _, e := range w.events {
-		if l := (life{e.Server, e.Born}); e.Server == s.ID && w.deaths[l] == 0 {
-			w.deaths[l] = at
-		}
-	}
-	w.mutex.Unlock()
 	w.note("server %s is killed", s.ID)
 }
 
@@ -383,13 +368,13 @@
 	}
 }
 
-// pick returns the address of a host in rotation, other than the given one if there is one.
-func (w *world) pick(other string) string {
+// pick returns the address of a host in rotation.
+func (w *world) pick() string {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	var candidates []string
 	for _, h := range w.hosts {
-		if h.inRotation && h.front != other {
+		if h.inRotation {
 			candidates = append(candidates, h.front)
 		}
 	}
@@ -403,7 +388,6 @@
 func (w *world) close() {
 	for _, h := range w.hosts {
 		if h.process != nil && h.process.Process != nil {
-			_ = h.process.Process.Signal(syscall.SIGCONT)
 			_ = h.process.Process.Kill()
 			_ = h.process.Wait()
 		}
@@ -415,11 +399,7 @@
 			_ = s.process.Wait()
 		}
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(w.dir)
-	} else {
-		fmt.Fprintln(os.Stderr, "logs in", w.dir)
-	}
+	_ = os.RemoveAll(w.dir)
 }
 
 // answer is what a client gets.
