exchanger: a response whose head is no message of HTTP/1.1 is no response

Callers got such responses from upstreams in trouble. With status 000 the body was parsed as the next response: the caller got a 200 whose bytes lay within that body, or a failure at the deadline only. With a blank in the name of a field, the caller got that line. With "Content-Length : 4" it got the line, and a body that ended with the connection.

Cause: http.ReadResponse accepts more than RFC 9112 allows. A status may be any three characters that are an integer of at least 0, a name may hold blanks, a reason any byte, and the version any HTTP/x.y. A status below 100 then counted as an interim response.

core/validator checks the bytes of a head by the grammar, and pooledConn asks it before the parser sees them. The error ends the connection, so that nothing behind the head is parsed. The request may have run: the caller gets 502 at once, and a request that is not idempotent is not repeated. What RFC 9112 lets recipients accept stays accepted: single LF, values on two lines, no blank before an empty reason, any minor version.

A control byte, tab or DEL in a name or in a value, a missing colon and an empty name were rejected before; the tests stay.

--- a/rhubarbtrackd/internal/exchanger/exchanger.go
+++ b/rhubarbtrackd/internal/exchanger/exchanger.go
@@ -1,9 +1,10 @@
 // Package exchanger sends HTTP/1.1 requests to upstreams over a pool of persistent connections.
 //
-// It differs from the transport of net/http in four points. It never sends a request again by itself, because the
+// It differs from the transport of net/http in five points. It never sends a request again by itself, because the
 // request may have run. Its errors state whether the upstream can have received the request. It returns only responses
-// that it can attribute to the request, by their ID or because the connection has carried no other request. It bounds
-// the bytes that it reads for a response whose body is not passed on.
+// that it can attribute to the request, by their ID or because the connection has carried no other request. It accepts only
+// heads that are valid by package validator, also of interim responses and of responses to other requests; an invalid one
+// ends the connection. It bounds the bytes that it reads for a response whose body is not passed on.
 //
 // # Usage
 //
@@ -31,6 +32,7 @@
 	"golang.org/x/sys/unix"
 
 	"rhubarbtrack.example/core/identifier"
+	"rhubarbtrack.example/core/validator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 )
 
@@ -158,9 +160,10 @@
 	used        bool // a request has been sent on the connection
 	idleSince   time.Time
 	maxIdleTime time.Duration
-	headBytes   int  // that may still be read while readsHead is set
-	readsHead   bool // the next bytes belong to a head
-	ended       bool // the upstream has closed or reset the connection
+	headBytes   int            // that may still be read while readsHead is set
+	readsHead   bool           // the next bytes belong to a head
+	head        validator.Head // the present one while readsHead is set
+	ended       bool           // the upstream has closed or reset the connection
 	// failed holds the IDs of requests that the upstream has answered with a failure. Their IDs are not sent again on the
 	// connection, because a second copy of the failure could not be distinguished from the response.
 	failed []string
@@ -177,7 +180,7 @@
 
 var errHeadTooLong = errors.Newf("the heads of the responses exceed %d bytes", maxHeadBytes)
 
-// Read reads from the connection. While a head is read, it fails after maxHeadBytes.
+// Read reads from the connection. While a head is read, it fails after maxHeadBytes, and when the head is invalid.
 func (c *pooledConn) Read(p []byte) (int, error) {
 	if c.readsHead {
 		if c.headBytes <= 0 {
@@ -193,6 +196,11 @@
 		c.headBytes -= n
 	}
 	c.ended = c.ended || errors.IsAny(err, io.EOF, syscall.ECONNRESET)
+	if c.readsHead {
+		if _, invalid := c.head.Check(p[:n]); invalid != nil {
+			return 0, invalid
+		}
+	}
 	return n, err
 }
 
@@ -207,8 +215,16 @@
 
 // readHead reads a status line and a header. The body of the result is read from the connection.
 func (c *pooledConn) readHead(request *http.Request) (*http.Response, error) {
-	c.readsHead = true
+	c.readsHead, c.head = true, validator.Head{}
 	defer func() { c.readsHead = false }()
+	// The buffer may hold the begin of the head, behind the response before.
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if _, err := c.head.Check(buffered); err != nil {
+		return nil, err
+	}
 	return http.ReadResponse(c.reader, request)
 }
 
--- a/rhubarbtrackd/internal/exchanger/response.go
+++ b/rhubarbtrackd/internal/exchanger/response.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"rhubarbtrack.example/core/validator"
 )
 
 // exchange sends the request on the connection and reads the response.
@@ -34,7 +36,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if httpResponse.StatusCode < 200 && httpResponse.StatusCode != http.StatusSwitchingProtocols {
+		if validator.IsInterim(httpResponse.StatusCode) {
 			continue
 		}
 		owner, err := p.attribute(httpResponse, req, reused)
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -53,6 +53,8 @@
 	lastRun      atomic.Int64         // number of the upstream that has last begun to run a request
 	resetting    atomic.Bool          // all upstreams reset the connections of requests, and go on
 	responses    atomic.Value         // text that all upstreams send instead of their responses before they close the connection
+	holding      atomic.Bool          // with responses, upstreams wait until the host closes the connection
+	replaced     map[string]int       // number of responses that were replaced by responses, by attempt
 	foreign      string               // an object that the store simulator adds to each list and watch
 	flood        atomic.Pointer[flood]
 	headers      map[string]http.Header // of the requests that ran, by attempt
@@ -80,7 +82,7 @@
 // newSystemWithForeign starts a system whose store adds an object to each list and watch.
 func newSystemWithForeign(t *testing.T, foreign string, keyed, plain int, change ...func(*simulator.UpstreamOptions)) *system {
 	t.Helper()
-	s := &system{restartDelay: restartDelay, foreign: foreign, change: change, store: simulator.NewStore(), runs: map[string]int{}, begins: map[string][]time.Time{}, arrivals: map[string][]arrival{}, headers: map[string]http.Header{}, exits: map[int]context.CancelFunc{}, crashes: map[string]time.Time{}}
+	s := &system{restartDelay: restartDelay, foreign: foreign, change: change, store: simulator.NewStore(), runs: map[string]int{}, begins: map[string][]time.Time{}, arrivals: map[string][]arrival{}, headers: map[string]http.Header{}, replaced: map[string]int{}, exits: map[int]context.CancelFunc{}, crashes: map[string]time.Time{}}
 	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, simulator.Configuration(3), nil))
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -209,7 +211,14 @@
 			return
 		}
 		if isSet {
-			_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%s", r.Header.Get(translator.AttemptHeader)))
+			attempt := r.Header.Get(translator.AttemptHeader)
+			s.mutex.Lock()
+			s.replaced[attempt]++
+			s.mutex.Unlock()
+			_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%s", attempt))
+			if s.holding.Load() {
+				_, _ = io.Copy(io.Discard, conn)
+			}
 			_ = conn.Close()
 			return
 		}
