exchanger: a switch of protocols that no request asks for is no response

Callers got status 101 with Content-Length: 0 when an upstream sent that, on all routes. A caller takes what follows on the connection for bytes of another protocol.

Cause: the exchanger counted 101 as a response like any other. The host removes Upgrade from requests, so that no upstream may send it (RFC 9110, 15.2.2).

--- a/rhubarbtrackd/internal/exchanger/malformed_test.go
+++ b/rhubarbtrackd/internal/exchanger/malformed_test.go
@@ -83,3 +83,14 @@
 		})
 	}
 }
+
+// Guards against a protocol switch that reaches the caller: the host asks for none, so its connection would carry another protocol.
+func TestSwitchOfProtocolsIsNoResponse(t *testing.T) {
+	u := newUpstream(t, func(_ int, r *http.Request) string {
+		return "HTTP/1.1 101 Switching Protocols\r\nRequest-Id: " + r.Header.Get(idHeader) + "\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
+	})
+	pool := exchanger.New(exchanger.Options{IDHeader: idHeader})
+	target := exchanger.Target{Incarnation: identifier.Incarnation{ID: "u"}, Address: u.address}
+	response, err := pool.Do(context.Background(), target, newRequest("a"))
+	assert.Equal(t, kindOf(err), exchanger.NoResponse, "%+v", response)
+}
--- a/rhubarbtrackd/internal/exchanger/response.go
+++ b/rhubarbtrackd/internal/exchanger/response.go
@@ -39,6 +39,9 @@
 		if validator.IsInterim(httpResponse.StatusCode) {
 			continue
 		}
+		if httpResponse.StatusCode == http.StatusSwitchingProtocols {
+			return nil, false, errors.New("upstream switches to another protocol, which no request asks for")
+		}
 		owner, err := p.attribute(httpResponse, req, reused)
 		if err != nil {
 			return nil, false, err
--- a/rhubarbtrackd/internal/starter/malformed_test.go
+++ b/rhubarbtrackd/internal/starter/malformed_test.go
@@ -118,3 +118,20 @@
 		}
 	}
 }
+
+// Guards against callers that get status 101: the host asks upstreams for no other protocol, and callers cannot know what follows.
+func TestSwitchOfProtocolsDoesNotReachCallers(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t)
+	s.responses.Store("HTTP/1.1 101 Switching Protocols\r\nAttempt-Id: %s\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n")
+	for _, prefix := range simulator.Prefixes {
+		t.Run(prefix, func(t *testing.T) {
+			attempt := fmt.Sprintf("%016x", rand.Uint64())
+			got := exchangeRaw(t, s.hosts[0], prefix, attempt, 3*time.Second)
+			assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 502 "), "%q", got)
+			if prefix == simulator.OrderPrefix {
+				assert.Equal(t, s.attemptsOf(attempt), 1, "attempts of a request that is not idempotent")
+			}
+		})
+	}
+}
