connector: a response of another host with an invalid head proves nothing

A process at the address of a host may be an upstream in trouble. A 101 with a broken field counted as a link to the controller, and with the name of another host as evidence that the process of the controller has stopped. A broken 200 counted as a configuration, a broken 204 as a confirmed announcement.

Cause: as for orders, the transport of net/http accepts such heads. The three clients of this package use platform/transporter now; the calls fail as they do when a connection breaks.

--- a/rhubarbtrackd/internal/connector/announcement.go
+++ b/rhubarbtrackd/internal/connector/announcement.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"rhubarbtrack.example/platform/transporter"
 )
 
 // AnnouncePath is the HTTP path at which a host receives announcements of new controllers.
@@ -40,7 +42,7 @@
 }
 
 var announceClient = &http.Client{
-	Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}, Timeout: announceTimeout,
+	Transport: transporter.New(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}), Timeout: announceTimeout,
 }
 
 // Announce sends an announcement to the host at address.
--- a/rhubarbtrackd/internal/connector/configuration.go
+++ b/rhubarbtrackd/internal/connector/configuration.go
@@ -15,6 +15,7 @@
 
 	"rhubarbtrack.example/core/throttler"
 	"rhubarbtrack.example/platform/downloader"
+	"rhubarbtrack.example/platform/transporter"
 	"rhubarbtrack.example/rhubarbtrackd/internal/compressor"
 )
 
@@ -42,7 +43,7 @@
 
 // configurationClient has no timeout of its own, because each call has one.
 var configurationClient = &http.Client{
-	Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes},
+	Transport: transporter.New(&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}),
 }
 
 // digest identifies a configuration. 0 stands for none.
--- a/rhubarbtrackd/internal/connector/connector.go
+++ b/rhubarbtrackd/internal/connector/connector.go
@@ -31,6 +31,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 
+	"rhubarbtrack.example/platform/transporter"
 	"rhubarbtrack.example/rhubarbtrackd/internal/recoverer"
 )
 
@@ -253,9 +254,9 @@
 }
 
 // linkClient opens connections to the controller.
-var linkClient = &http.Client{Transport: &http.Transport{
+var linkClient = &http.Client{Transport: transporter.New(&http.Transport{
 	DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext, MaxResponseHeaderBytes: maxHeadBytes,
-}}
+})}
 
 // ClientOptions configures a Client.
 type ClientOptions struct {
