runner: the daemon outside the platform accepts no invalid head

In this assembly, a response with status 000 came back from the dispatcher as one with status 0, at which the server of net/http panics, so that the caller's connection ended. A broken field was passed on. A broken 503 with the outcome "not-run" counted as a rejection, also from another host. At the store, a broken 412 or 404 counted as a write that had not taken effect, and status 000 as an invalid call.

The factory of the daemon's transports returns those of platform/transporter now, for upstreams, orders, other hosts and the store, with and without TLS.

Evidence: 13 of 25 forms of TestMalformedHeadsOfHosts (for both statuses), 290 cases of TestMalformedHeadsOfTheStore and the forms of TestMalformedHeadsOfUpstreams that net/http accepts failed before; all pass now. Orders of the granter go over the same factory and have no test of their own here.

--- /dev/null
+++ b/rhubarbtrackd/internal/runner/malformed_test.go
@@ -0,0 +1,193 @@
+package runner
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"rhubarbtrack.example/core/admitter"
+	"rhubarbtrack.example/core/configurator"
+	"rhubarbtrack.example/core/controller"
+	"rhubarbtrack.example/core/detector"
+	"rhubarbtrack.example/core/framer"
+	"rhubarbtrack.example/platform/simulator"
+	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
+	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
+	"rhubarbtrack.example/rhubarbtrackd/internal/forwarder"
+	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
+)
+
+// serveText responds to each request with text, in which %s stands for the ID of the request.
+func serveText(t *testing.T, text string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%s", request.Header.Get(dispatcher.HeaderRequestID)))
+				_, _ = io.Copy(io.Discard, reader) // until the daemon closes the connection
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// response returns a response to the request that it is sent for.
+func response(status string, fields ...string) string {
+	head := append([]string{"HTTP/1.1 " + status, dispatcher.HeaderRequestID + ": %s"}, fields...)
+	return strings.Join(append(head, "Content-Length: 2", "", "{}"), "\r\n")
+}
+
+// dispatch sends a request to the upstream at address over a transport of the daemon. observe gets what the admitter reports.
+func dispatch(t *testing.T, address string, observe func(admitter.Action)) (*dispatcher.Response, error) {
+	t.Helper()
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) }
+	d := dispatcher.New(dispatcher.Options{
+		Self: "host-1", Incarnation: "a", Clock: clock, Transport: transportFactory{}.transport(upstreamConnections), Scheme: "http",
+		Upstream: func(string, string) (configurator.Upstream, bool) {
+			return configurator.Upstream{Name: "u1", Service: "marks", Address: address, Slots: 6}, true
+		},
+		Keyed:           func(string) bool { return false },
+		SignatureStatus: func(time.Duration, uint64) detector.Status { return detector.Clear },
+		Observe:         func(_ time.Duration, action admitter.Action) { observe(action) },
+		StopAnswer:      func(string, controller.StopAnswer) {},
+		LeaseReturned:   func(string, controller.LeaseReturned) {},
+		Log:             eventlog.New(zap.NewNop()),
+	})
+	t.Cleanup(d.Close)
+	d.ApplyLeases(controller.SendLeases{
+		Host: "host-1", Incarnation: "a", Service: "marks", Term: 1, Seq: 1, HeartbeatSent: clock(),
+		Leases: []controller.Lease{{Upstream: "marks.u1", Epoch: 1, InFlight: -1}},
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	t.Cleanup(cancel)
+	return d.Dispatch(ctx, &dispatcher.Request{
+		ID: "request-1", Service: "marks", Upstream: "marks.u1", Method: http.MethodGet, URI: "/marks/x", Header: http.Header{},
+		Body: strings.NewReader(""),
+	})
+}
+
+// Guards against a response of an upstream with a head that is no message of HTTP/1.1 that reaches the caller, or that counts as a
+// statement that the request has not run.
+func TestMalformedHeadsOfUpstreams(t *testing.T) {
+	t.Parallel()
+	tests := []struct{ name, sent, rest string }{
+		{"success", response("200 OK"), ""},
+		{"failure", response("500 Internal Server Error"), ""},
+		{"rejection", response("503 Service Unavailable", dispatcher.HeaderOutcome+": "+dispatcher.OutcomeNotRun), ""},
+		{"interim response", "HTTP/1.1 103 Early Hints\r\nServer: s\r\n\r\n", response("200 OK")},
+	}
+	for _, tt := range tests {
+		for _, form := range simulator.Malformed(tt.sent) {
+			t.Run(tt.name+", "+form.Name, func(t *testing.T) {
+				t.Parallel()
+				got, err := dispatch(t, serveText(t, form.Text+tt.rest), func(admitter.Action) {})
+				assert.Assert(t, err != nil, "%+v", got)
+				failure := dispatcher.AsError(err)
+				assert.Equal(t, failure.Kind, dispatcher.Unknown)
+				assert.Equal(t, failure.Reason, dispatcher.ReasonConnection, "%v", err)
+			})
+		}
+	}
+}
+
+// Guards against a response of another host with such a head that counts as that of the upstream, or as a rejection.
+func TestMalformedHeadsOfHosts(t *testing.T) {
+	t.Parallel()
+	f := forwarder.New(forwarder.Options{
+		Self: "host-1", Scheme: "http", Transport: transportFactory{}.transport(peerConnections), Authorize: func(http.Header) {},
+	})
+	for _, sent := range []string{
+		response("200 OK", "Rhubarbtrack-Answered: 1"),
+		response("503 Service Unavailable", dispatcher.HeaderOutcome+": "+dispatcher.OutcomeNotRun),
+	} {
+		for _, form := range simulator.Malformed(sent) {
+			t.Run(sent[9:12]+", "+form.Name, func(t *testing.T) {
+				t.Parallel()
+				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+				defer cancel()
+				got, err := f.Forward(ctx, framer.Member{Name: "host-2", Address: serveText(t, form.Text)}, &dispatcher.Request{
+					ID: "1", Service: "marks", Upstream: "marks.u1", Method: http.MethodGet, URI: "/marks/x", Header: http.Header{},
+					Body: strings.NewReader(""),
+				})
+				assert.Assert(t, err != nil, "%+v", got)
+				assert.Equal(t, dispatcher.AsError(err).Kind, dispatcher.Unknown)
+			})
+		}
+	}
+}
+
+// Guards against a response of the store with such a head that proves that a write has taken effect, or that it has not.
+func TestMalformedHeadsOfTheStore(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	calls := []struct {
+		name string
+		call func(c *storer.Client) error
+		kind storer.Kind
+	}{
+		{"get", func(c *storer.Client) error { _, err := c.Get(ctx, "a"); return err }, storer.Unavailable},
+		{"list", func(c *storer.Client) error { _, _, err := c.List(ctx, "a"); return err }, storer.Unavailable},
+		{"hosts", func(c *storer.Client) error { _, err := c.Hosts(ctx); return err }, storer.Unavailable},
+		{"watch", func(c *storer.Client) error { return c.Watch(ctx, "a", 1, func(storer.Change) {}) }, storer.Unavailable},
+		{"put", func(c *storer.Client) error {
+			_, err := c.Put(ctx, "a", nil, storer.IfAbsent())
+			return err
+		}, storer.Unknown},
+		{"delete", func(c *storer.Client) error {
+			_, err := c.Delete(ctx, "a", storer.IfVersion(1))
+			return err
+		}, storer.Unknown},
+	}
+	for _, tt := range calls {
+		for _, status := range []string{"200 OK", "404 Not Found", "410 Gone", "412 Precondition Failed", "503 Service Unavailable"} {
+			for _, form := range simulator.Malformed(response(status)) {
+				t.Run(fmt.Sprintf("%s, %s, %s", tt.name, status, form.Name), func(t *testing.T) {
+					t.Parallel()
+					err := tt.call(storer.New("http://"+serveText(t, form.Text), transportFactory{}.transport(1)))
+					assert.Equal(t, storer.KindOf(err), tt.kind, "%v", err)
+				})
+			}
+		}
+	}
+}
+
+// Guards against sound responses that do not reach the caller because of a rare form of their heads.
+func TestUnusualHeadsOfUpstreams(t *testing.T) {
+	t.Parallel()
+	for _, form := range simulator.Unusual(response("200 OK")) {
+		t.Run(form.Name, func(t *testing.T) {
+			t.Parallel()
+			got, err := dispatch(t, serveText(t, form.Text), func(admitter.Action) {})
+			assert.NilError(t, err)
+			assert.Equal(t, got.Status, http.StatusOK)
+			body, err := io.ReadAll(got.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), "{}")
+		})
+	}
+}
--- a/rhubarbtrackd/internal/runner/transport.go
+++ b/rhubarbtrackd/internal/runner/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 
+	"rhubarbtrack.example/platform/transporter"
 	"rhubarbtrack.example/rhubarbtrackd/internal/securer"
 	"rhubarbtrack.example/rhubarbtrackd/internal/settings"
 )
@@ -31,9 +32,10 @@
 	return "http"
 }
 
-// transport returns a transport with at most the given number of connections to one address. 0 means unlimited.
-func (f transportFactory) transport(connections int) *http.Transport {
-	transport := &http.Transport{
+// transport returns a transport with at most the given number of connections to one address. 0 means unlimited. Its calls fail when
+// the head of a response is invalid.
+func (f transportFactory) transport(connections int) *transporter.Transport {
+	base := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: max(connections, 2),
@@ -41,9 +43,9 @@
 		DisableCompression:  true, // bodies are passed on unchanged
 	}
 	if f.secure != nil {
-		transport.TLSClientConfig = f.secure.ClientConfig()
+		base.TLSClientConfig = f.secure.ClientConfig()
 	}
-	return transport
+	return transporter.New(base)
 }
 
 // verifyPeer reports whether the client certificate of a request belongs to the named host. Without TLS it accepts
