dispatcher: an invalid head is no crash of the upstream

An upstream that sent a head which is no message of HTTP/1.1 counted as crashed, and the requests in flight there as possible causes, which are blocked when that repeats. On the users' platform such a head counts as no response (exchanger.NoResponse), and only the end of a connection as a possible crash.

Cause: the dispatcher takes every error behind a connection for its loss.

--- a/rhubarbtrackd/internal/dispatcher/run.go
+++ b/rhubarbtrackd/internal/dispatcher/run.go
@@ -8,8 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"rhubarbtrack.example/core/admitter"
 	"rhubarbtrack.example/core/slicer"
+	"rhubarbtrack.example/core/validator"
 )
 
 // run offers a request to the admitter, waits for the decision, and sends an admitted request to the upstream.
@@ -97,6 +100,7 @@
 }
 
 func outcomeOf(ctx context.Context, failure *Error) admitter.Outcome {
+	var invalid *validator.Error
 	switch {
 	case failure.Kind == NotRun && ctx.Err() != nil:
 		return admitter.Cancelled
@@ -104,6 +108,9 @@
 		return admitter.NotSent
 	case failure.Reason == ReasonDeadline:
 		return admitter.Failed
+	case errors.As(failure, &invalid):
+		// Bytes that are no response show no crash. Its requests would be blocked for one.
+		return admitter.Failed
 	default:
 		return connectionLossOutcome(ctx)
 	}
--- a/rhubarbtrackd/internal/runner/malformed_test.go
+++ b/rhubarbtrackd/internal/runner/malformed_test.go
@@ -90,8 +90,8 @@
 	})
 }
 
-// Guards against a response of an upstream with a head that is no message of HTTP/1.1 that reaches the caller, or that counts as a
-// statement that the request has not run.
+// Guards against a response of an upstream with a head that is no message of HTTP/1.1 that reaches the caller, that counts as a
+// statement that the request has not run, or as a crash of the upstream, for which its requests would be blocked.
 func TestMalformedHeadsOfUpstreams(t *testing.T) {
 	t.Parallel()
 	tests := []struct{ name, sent, rest string }{
@@ -104,11 +104,17 @@
 		for _, form := range simulator.Malformed(tt.sent) {
 			t.Run(tt.name+", "+form.Name, func(t *testing.T) {
 				t.Parallel()
-				got, err := dispatch(t, serveText(t, form.Text+tt.rest), func(admitter.Action) {})
+				actions := make(chan admitter.Action, 10)
+				got, err := dispatch(t, serveText(t, form.Text+tt.rest), func(action admitter.Action) { actions <- action })
 				assert.Assert(t, err != nil, "%+v", got)
 				failure := dispatcher.AsError(err)
 				assert.Equal(t, failure.Kind, dispatcher.Unknown)
 				assert.Equal(t, failure.Reason, dispatcher.ReasonConnection, "%v", err)
+				select {
+				case action := <-actions:
+					t.Errorf("the admitter reports %+v", action)
+				case <-time.After(50 * time.Millisecond):
+				}
 			})
 		}
 	}
