dispatcher: a switch of protocols that no request asks for is no response

What the upstream sent behind it would have counted as the body.

The dispatcher treats it like a body whose end cannot be known: the request may have run, and the connection is closed.

Evidence: TestSwitchOfProtocolsDoesNotReachCallers of package runner failed before with status 101 and passes now.

--- a/rhubarbtrackd/internal/dispatcher/run.go
+++ b/rhubarbtrackd/internal/dispatcher/run.go
@@ -163,10 +163,12 @@
 		done.report(admitter.Failed, incarnation, 0)
 		return nil, &Error{Op: "dispatch", Kind: Unknown, Reason: ReasonMismatched}
 	}
-	if response.Header.Get(HeaderOutcome) == OutcomeNotRun {
+	// No request asks for another protocol, so what follows a switch is no body.
+	isSwitch := response.StatusCode == http.StatusSwitchingProtocols
+	if response.Header.Get(HeaderOutcome) == OutcomeNotRun && !isSwitch {
 		return nil, w.rejection(done, response, incarnation)
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed {
+	if isSwitch || response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed {
 		_ = response.Body.Close()
 		done.report(admitter.Failed, incarnation, 0)
 		return nil, &Error{Op: "dispatch", Kind: Unknown, Reason: ReasonUnframed}
--- a/rhubarbtrackd/internal/runner/malformed_test.go
+++ b/rhubarbtrackd/internal/runner/malformed_test.go
@@ -197,3 +197,12 @@
 		})
 	}
 }
+
+// Guards against callers that get status 101: the daemon asks upstreams for no other protocol.
+func TestSwitchOfProtocolsDoesNotReachCallers(t *testing.T) {
+	t.Parallel()
+	text := response("101 Switching Protocols", "Connection: Upgrade", "Upgrade: other")
+	got, err := dispatch(t, serveText(t, text), func(admitter.Action) {})
+	assert.Assert(t, err != nil, "%+v", got)
+	assert.Equal(t, dispatcher.AsError(err).Kind, dispatcher.Unknown)
+}
