rhubarbctl, loadgen: accept no invalid head

rhubarbctl reported success for a broken 200, and a broken 404 as a call that the daemon does not know. loadgen sent a request of class never-repeat again after a broken 503 with the outcome "not-run".

Both use platform/transporter now. With TLS, rhubarbctl therefore speaks HTTP/1.1; all its calls are unary, so that needs no HTTP/2.

--- a/loadgen/internal/runner/runner.go
+++ b/loadgen/internal/runner/runner.go
@@ -24,6 +24,7 @@
 	"rhubarbtrack.example/loadgen/internal/reporter"
 	"rhubarbtrack.example/loadgen/internal/sender"
 	"rhubarbtrack.example/loadgen/internal/tracker"
+	"rhubarbtrack.example/platform/transporter"
 )
 
 const (
@@ -117,7 +118,7 @@
 	if parsed.IDPrefix == "" {
 		parsed.IDPrefix = fmt.Sprintf("%s-%d", parsed.Service, time.Now().UnixNano())
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerEntry, DisableCompression: true}
+	transport := transporter.New(&http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerEntry, DisableCompression: true})
 	r := &run{
 		options:    parsed,
 		start:      time.Now(),
@@ -206,7 +207,7 @@
 
 // checkReady polls the readiness of an entry, as the platform's load balancer does.
 func (r *run) checkReady(ctx context.Context, entry string) {
-	client := &http.Client{Timeout: readyTimeout}
+	client := &http.Client{Transport: transporter.New(&http.Transport{}), Timeout: readyTimeout}
 	for ctx.Err() == nil {
 		response, err := client.Get("http://" + entry + r.options.ReadyPath)
 		r.entries.SetReady(entry, err == nil && response.StatusCode == http.StatusOK)
--- a/rhubarbctl/internal/dialer/dialer.go
+++ b/rhubarbctl/internal/dialer/dialer.go
@@ -16,6 +16,7 @@
 
 	"connectrpc.com/connect"
 
+	"rhubarbtrack.example/platform/transporter"
 	"rhubarbtrack.example/rhubarbctl/internal/reporter"
 	rhubarbtrackv1 "rhubarbtrack.example/schema/gen/rhubarbtrack/v1"
 	"rhubarbtrack.example/schema/gen/rhubarbtrack/v1/rhubarbtrackv1connect"
@@ -46,7 +47,7 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.TLSClientConfig = tlsConfig
 	transport.Proxy = nil
-	client := &http.Client{Transport: transport, Timeout: s.Timeout}
+	client := &http.Client{Transport: transporter.New(transport), Timeout: s.Timeout}
 	authorize := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
 			if token != "" {
