simulator, soak: upstreams send invalid heads, and callers report them

Callers of the soak would have accepted it.

The garbled responses now include the forms of simulator.Malformed, with a sound response behind them. Callers use platform/transporter, and a head that it rejects is a violation.

--- a/demo/internal/soaker/caller.go
+++ b/demo/internal/soaker/caller.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"rhubarbtrack.example/platform/simulator"
+	"rhubarbtrack.example/platform/transporter"
 )
 
 const (
@@ -67,7 +68,7 @@
 }
 
 func (c *callers) run(ctx context.Context, caller int) {
-	client := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{DisableKeepAlives: caller%2 == 0}}
+	client := &http.Client{Timeout: callerTimeout, Transport: transporter.New(&http.Transport{DisableKeepAlives: caller%2 == 0})}
 	for n := 0; ctx.Err() == nil; n++ {
 		o := c.request(client, c.addresses[rand.IntN(len(c.addresses))], caller, n)
 		c.mutex.Lock()
--- a/demo/internal/soaker/check.go
+++ b/demo/internal/soaker/check.go
@@ -9,6 +9,9 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"rhubarbtrack.example/core/validator"
 	"rhubarbtrack.example/platform/simulator"
 )
 
@@ -114,6 +117,10 @@
 	if o.err == nil && o.Status == http.StatusOK && !o.Matches {
 		report.addViolation("mixed: %s received the response to another request or an incomplete one", o.attempt)
 	}
+	var invalid *validator.Error
+	if errors.As(o.err, &invalid) {
+		report.addViolation("malformed: %s received bytes that are no response: %v", o.attempt, invalid)
+	}
 	if o.neverRepeat && runs > 1 {
 		report.addViolation("twice: %s ran %d times", o.attempt, runs)
 	}
--- a/demo/internal/soaker/soaker.go
+++ b/demo/internal/soaker/soaker.go
@@ -55,7 +55,7 @@
 	readyPollInterval = 50 * time.Millisecond
 	serviceTimeMS     = "100" // long enough that requests are in flight at each signal
 	lateGrantShare    = "0.1"
-	// garbleShare is the share of responses that are replaced by bytes without end or followed by a late copy, except in
+	// garbleShare is the share of responses that upstreams garble, see simulator.UpstreamOptions, except in
 	// runs with planned operations only.
 	garbleShare    = "0.02"
 	settleTime     = 15 * time.Second // wait after the last fault; the platform requires recovery within it
--- a/upstreamsim/internal/runner/runner.go
+++ b/upstreamsim/internal/runner/runner.go
@@ -45,7 +45,7 @@
 	Domain         string  `long:"failure-domain" description:"failure domain of the upstream in the store"`
 	Advertise      string  `long:"advertise" description:"address of the upstream in the store, by default the one to listen on"`
 	LateGrantShare float64 `long:"late-orders" description:"with --store: share of grants, 0 to 1, that are carried out late and without a response"`
-	GarbleShare    float64 `long:"garble" description:"with --store: share of responses, 0 to 1, that are replaced by bytes without end or followed by a late copy"`
+	GarbleShare    float64 `long:"garble" description:"with --store: share of responses, 0 to 1, that are replaced by bytes without end or an invalid head, or followed by a late copy"`
 	RunsFile       string  `long:"runs-file" description:"file to which the start and end of each run are appended as lines of JSON"`
 }
 
