validator: chunks in a response of version 1.0 are an invalid head

A caller got 200 with the upstream's signature and the chunk sizes within the body, when an upstream in trouble sent "HTTP/1.0 200 OK" with Transfer-Encoding: chunked. For orders, the store and other hosts, such a head counted as any other.

Cause: version 1.0 has no Transfer-Encoding. RFC 9112, 6.1, takes such a message for one with faulty framing; net/http drops the field and takes the encoded bytes for the body.

Chunks in version 1.1 are accepted as before.

--- a/core/validator/validator.go
+++ b/core/validator/validator.go
@@ -5,6 +5,9 @@
 // one, so that the body ends elsewhere than the sender meant. What such bytes say cannot be relied on. They are no response: they
 // are not passed on, no byte behind them is parsed, and they prove neither that a request has run nor that it has not.
 //
+// A head of version 1.0 with a Transfer-Encoding field is rejected as well: that version has none, and net/http takes the encoded
+// bytes for the body.
+//
 // A head is accepted if a recipient may accept it by RFC 9112: a line may end with a single LF, a value may continue on the next
 // line after a blank, the blank before an empty reason may be missing, and the minor version may be any digit.
 //
@@ -39,11 +42,14 @@
 	FieldValue
 	// LineEnd means that a CR is not followed by an LF.
 	LineEnd
+	// Framing means that a head of version 1.0 has a Transfer-Encoding field.
+	Framing
 )
 
 // parts are the names of the kinds in texts of errors.
 var parts = map[Kind]string{
 	StatusLine: "the status line", FieldName: "the name of a field", FieldValue: "the value of a field", LineEnd: "the end of a line",
+	Framing: "a field that version 1.0 does not have",
 }
 
 // Error is the type of the errors of this package. Op names the failed operation, Byte is the first byte that breaks the grammar.
@@ -76,12 +82,17 @@
 // Head is the head of one response, of which a part has been checked. The zero value is a head without bytes. It is not safe for
 // concurrent use.
 type Head struct {
-	position  position
-	read      int // bytes of the version, the blank and the status
-	status    int
-	hasFields bool
+	position    position
+	read        int // bytes of the version, the blank and the status
+	status      int
+	hasFields   bool
+	isVersion10 bool
+	matched     int // bytes of transferEncoding that the present name begins with; -1: it is another name
 }
 
+// transferEncoding is the name of the field, in lower case.
+const transferEncoding = "transfer-encoding"
+
 const (
 	// versionPrefix is followed by a digit, a blank and the three digits of the status.
 	versionPrefix = "HTTP/1."
@@ -111,16 +122,21 @@
 			return i, nil
 		}
 		if !h.accept(b) {
-			return i + 1, &Error{"check-head", h.position.kind(), b}
+			return i + 1, &Error{"check-head", h.kindOf(b), b}
 		}
 	}
 	return len(data), nil
 }
 
-// kind returns the kind of an error at the position.
-func (p position) kind() Kind {
-	switch p {
-	case atLine, inName:
+// kindOf returns the kind of an error at the present position.
+func (h *Head) kindOf(invalid byte) Kind {
+	switch h.position {
+	case inName:
+		if invalid == ':' {
+			return Framing
+		}
+		return FieldName
+	case atLine:
 		return FieldName
 	case inValue:
 		return FieldValue
@@ -146,8 +162,9 @@
 		return h.acceptLineStart(b)
 	case inName:
 		if b == ':' {
-			return h.move(true, inValue)
+			return h.move(!h.isVersion10 || h.matched != len(transferEncoding), inValue)
 		}
+		h.match(b)
 		return isToken(b)
 	case afterReturn:
 		return h.move(b == '\n', atLine)
@@ -174,6 +191,7 @@
 	case at < minorAt:
 		return b == versionPrefix[at]
 	case at == minorAt:
+		h.isVersion10 = b == '0'
 		return isDigit
 	case at == blankAt:
 		return b == ' '
@@ -206,10 +224,23 @@
 		// The line continues the value before.
 		return h.move(h.hasFields, inValue)
 	}
-	h.hasFields = true
+	h.hasFields, h.matched = true, 0
+	h.match(b)
 	return h.move(isToken(b), inName)
 }
 
+// match compares the next byte of a name with transferEncoding.
+func (h *Head) match(b byte) {
+	if 'A' <= b && b <= 'Z' {
+		b += 'a' - 'A'
+	}
+	if h.matched < 0 || h.matched == len(transferEncoding) || b != transferEncoding[h.matched] {
+		h.matched = -1
+		return
+	}
+	h.matched++
+}
+
 // isText reports whether a reason or a value may hold b: every byte but control bytes, apart from tabs.
 func isText(b byte) bool { return b >= ' ' && b != 0x7f || b == '\t' }
 
--- a/core/validator/validator_test.go
+++ b/core/validator/validator_test.go
@@ -48,6 +48,8 @@
 		{"no blank before a value", "HTTP/1.1 200 OK\r\nA:1\r\n\r\n", 200},
 		{"empty value", "HTTP/1.1 200 OK\r\nA:\r\n\r\n", 200},
 		{"value with colons and obsolete text", "HTTP/1.1 200 OK\r\nA: b:c: \x80\xff\r\n\r\n", 200},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 200},
+		{"names that differ from Transfer-Encoding", "HTTP/1.0 200 OK\r\nTransfer-Encodin: 1\r\nTransfer-Encodings: 1\r\nA: Transfer-Encoding: 1\r\n Transfer-Encoding: 1\r\n\r\n", 200},
 		{"value on two lines", "HTTP/1.1 200 OK\r\nA: 1\r\n 2\r\n\t3\r\nB: 4\r\n\r\n", 200},
 	}
 	for _, tt := range tests {
@@ -105,6 +107,7 @@
 		{"CR in a value", "HTTP/1.1 200 OK\r\nX: a\r", "b\r\n\r\n", validator.LineEnd},
 		{"two CR behind a value", "HTTP/1.1 200 OK\r\nX: a\r", "\r\n\r\n", validator.LineEnd},
 		{"control byte on the second line of a value", "HTTP/1.1 200 OK\r\nX: a\r\n b", "\x02\r\n\r\n", validator.FieldValue},
+		{"chunks in version 1.0", "HTTP/1.0 200 OK\r\nA: 1\r\ntransfer-ENCODING", ": chunked\r\n\r\n", validator.Framing},
 		{"CR in the last line", "HTTP/1.1 200 OK\r\nX: a\r\n\r", "x\r\n\r\n", validator.LineEnd},
 	}
 	for _, tt := range tests {
--- a/rhubarbtrackd/internal/exchanger/malformed_test.go
+++ b/rhubarbtrackd/internal/exchanger/malformed_test.go
@@ -94,3 +94,33 @@
 	response, err := pool.Do(context.Background(), target, newRequest("a"))
 	assert.Equal(t, kindOf(err), exchanger.NoResponse, "%+v", response)
 }
+
+// Guards against a response whose end the head does not tell, and which reaches the caller with another body than the upstream's.
+func TestUnclearFramingIsNoResponse(t *testing.T) {
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
+	tests := []struct{ name, version, fields, body string }{
+		{"length that is no number", "1.1", "Content-Length: 2x", "ok"},
+		{"length with a sign", "1.1", "Content-Length: +2", "ok"},
+		{"negative length", "1.1", "Content-Length: -2", "ok"},
+		{"empty length", "1.1", "Content-Length:", "ok"},
+		{"list of lengths", "1.1", "Content-Length: 2, 3", "ok"},
+		{"two lengths", "1.1", "Content-Length: 2\r\nContent-Length: 3", "ok"},
+		{"length beyond 64 bits", "1.1", "Content-Length: 99999999999999999999", "ok"},
+		{"unknown transfer encoding", "1.1", "Transfer-Encoding: x", "ok"},
+		{"compressed transfer", "1.1", "Transfer-Encoding: gzip, chunked", chunks},
+		{"two transfer encodings", "1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", chunks},
+		{"chunks in version 1.0", "1.0", "Transfer-Encoding: chunked", chunks},
+		{"chunks and a length in version 1.0", "1.0", "transfer-ENCODING: chunked\r\nContent-Length: 12", chunks},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			u := newUpstream(t, func(int, *http.Request) string {
+				return "HTTP/" + tt.version + " 200 OK\r\nRequest-Id: a\r\n" + tt.fields + "\r\n\r\n" + tt.body + "\x00close"
+			})
+			pool := exchanger.New(exchanger.Options{IDHeader: idHeader})
+			target := exchanger.Target{Incarnation: identifier.Incarnation{ID: "u"}, Address: u.address}
+			response, err := pool.Do(context.Background(), target, newRequest("a"))
+			assert.Equal(t, kindOf(err), exchanger.NoResponse, "error %v, response %+v", err, response)
+		})
+	}
+}
