--- a/rhubarbtrackd/internal/runner/malformed_test.go
+++ b/rhubarbtrackd/internal/runner/malformed_test.go
@@ -3,6 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"crypto/sha1"
+	"encoding/base64"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -19,15 +22,25 @@
 	"rhubarbtrack.example/core/controller"
 	"rhubarbtrack.example/core/detector"
 	"rhubarbtrack.example/core/framer"
+	"rhubarbtrack.example/core/validator"
 	"rhubarbtrack.example/platform/simulator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/dispatcher"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
 	"rhubarbtrack.example/rhubarbtrackd/internal/forwarder"
+	"rhubarbtrack.example/rhubarbtrackd/internal/messenger"
 	"rhubarbtrack.example/rhubarbtrackd/internal/storer"
 )
 
 // serveText responds to each request with text, in which %s stands for the ID of the request.
 func serveText(t *testing.T, text string) string {
+	t.Helper()
+	return serve(t, func(r *http.Request) string {
+		return strings.ReplaceAll(text, "%s", r.Header.Get(dispatcher.HeaderRequestID))
+	})
+}
+
+// serve responds to each request with what respond returns.
+func serve(t *testing.T, respond func(r *http.Request) string) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -46,7 +59,7 @@
 					return
 				}
 				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%s", request.Header.Get(dispatcher.HeaderRequestID)))
+				_, _ = io.WriteString(conn, respond(request))
 				_, _ = io.Copy(io.Discard, reader) // until the daemon closes the connection
 			}()
 		}
@@ -146,6 +159,51 @@
 	}
 }
 
+// acceptText returns the response that accepts the websocket of a request.
+func acceptText(r *http.Request) string {
+	digest := sha1.Sum([]byte(r.Header.Get("Sec-WebSocket-Key") + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"))
+	return "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Accept: " +
+		base64.StdEncoding.EncodeToString(digest[:]) + "\r\n\r\n"
+}
+
+// Guards against a connection to another host that counts although the response to its handshake has such a head.
+func TestMalformedHeadsOfHandshakes(t *testing.T) {
+	t.Parallel()
+	connects := func(t *testing.T, respond func(r *http.Request) string) bool {
+		result := make(chan bool, 2)
+		m := messenger.New(messenger.Options{
+			Self: "host-1", Scheme: "ws", Transport: transportFactory{}.transport(0),
+			OnConnect:    func(string, messenger.Class, bool) { result <- true },
+			OnDisconnect: func(string, messenger.Class) { result <- false },
+		})
+		defer m.Close()
+		m.Dial("host-2", serve(t, respond), messenger.Control)
+		return <-result
+	}
+	assert.Assert(t, connects(t, acceptText))
+	for i, form := range simulator.Malformed(acceptText(&http.Request{})) {
+		t.Run(form.Name, func(t *testing.T) {
+			t.Parallel()
+			assert.Assert(t, !connects(t, func(r *http.Request) string { return simulator.Malformed(acceptText(r))[i].Text }))
+		})
+	}
+}
+
+// Guards against an order of the granter that is decided by such a head. The granter uses the transport as it is.
+func TestMalformedHeadsOfOrders(t *testing.T) {
+	t.Parallel()
+	for _, form := range simulator.Malformed(response("409 Conflict")) {
+		t.Run(form.Name, func(t *testing.T) {
+			t.Parallel()
+			request, err := http.NewRequest(http.MethodPost, "http://"+serveText(t, form.Text)+"/-/lease", strings.NewReader("{}"))
+			assert.NilError(t, err)
+			got, err := transportFactory{}.transport(2).RoundTrip(request)
+			var invalid *validator.Error
+			assert.Assert(t, errors.As(err, &invalid), "error %v, response %+v", err, got)
+		})
+	}
+}
+
 // Guards against a response of the store with such a head that proves that a write has taken effect, or that it has not.
 func TestMalformedHeadsOfTheStore(t *testing.T) {
 	t.Parallel()
