--- a/loadgen/internal/runner/runner_test.go
+++ b/loadgen/internal/runner/runner_test.go
@@ -1,9 +1,7 @@
 package runner
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -17,7 +15,7 @@
 	"rhubarbtrack.example/platform/simulator"
 )
 
-// Guards against a request that is sent again, or counts as answered, because of a response that is no message of HTTP/1.1.
+// Guards against a request that is sent again, or counts as answered, because of an invalid head.
 func TestMalformedHeadsProveNothing(t *testing.T) {
 	for _, sent := range []string{
 		"HTTP/1.1 200 OK\r\nServer: s\r\nContent-Length: 2\r\n\r\n{}",
@@ -30,20 +28,10 @@
 				assert.NilError(t, err)
 				defer listener.Close()
 				var received atomic.Int64
-				go func() {
-					for {
-						conn, err := listener.Accept()
-						if err != nil {
-							return
-						}
-						if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-							_, _ = io.Copy(io.Discard, request.Body)
-							received.Add(1)
-							_, _ = io.WriteString(conn, form.Text)
-						}
-						_ = conn.Close()
-					}
-				}()
+				go simulator.Respond(listener, func(*http.Request) string {
+					received.Add(1)
+					return form.Text
+				})
 				r := newRun(options{Entries: []string{listener.Addr().String()}, Service: "s"})
 				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 				defer cancel()
--- a/rhubarbctl/internal/dialer/dialer_test.go
+++ b/rhubarbctl/internal/dialer/dialer_test.go
@@ -1,10 +1,8 @@
 package dialer_test
 
 import (
-	"bufio"
 	"context"
 	"encoding/pem"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -28,21 +26,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(conn, text)
-				}
-			}()
-		}
-	}()
+	go simulator.Respond(listener, func(*http.Request) string { return text })
 	return "http://" + listener.Addr().String()
 }
 
@@ -57,7 +41,7 @@
 
 const soundStatus = "HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\nContent-Length: 0\r\n\r\n"
 
-// Guards against an operator who is told that a change was made, or rejected, by a response that is no message of HTTP/1.1.
+// Guards against a call that succeeds, or that is rejected, because of an invalid head.
 func TestMalformedHeadsAreErrors(t *testing.T) {
 	for _, sent := range []string{
 		soundStatus, "HTTP/1.1 404 Not Found\r\nServer: s\r\nContent-Length: 0\r\n\r\n",
--- a/rhubarbtrackd/internal/connector/malformed_test.go
+++ b/rhubarbtrackd/internal/connector/malformed_test.go
@@ -1,10 +1,8 @@
 package connector
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -17,36 +15,17 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/recoverer"
 )
 
-// serveText responds to each request with what respond returns, and waits until the other side closes the connection.
+// serveText responds to each request with what respond returns.
 func serveText(t *testing.T, respond func(r *http.Request) string) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				request, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, respond(request))
-				_, _ = io.Copy(io.Discard, reader)
-			}()
-		}
-	}()
+	go simulator.Respond(listener, respond)
 	return listener.Addr().String()
 }
 
-// Guards against a response with a head that is no message of HTTP/1.1 that counts as one of another host: as a configuration, as a
-// link, or as evidence that the process of the controller has stopped.
+// Guards against an invalid head that counts as a configuration, as a link, or as evidence that the controller has stopped.
 func TestMalformedHeadsOfHostsProveNothing(t *testing.T) {
 	t.Parallel()
 	const host = "controller"
--- a/rhubarbtrackd/internal/dispatcher/run.go
+++ b/rhubarbtrackd/internal/dispatcher/run.go
@@ -109,7 +109,7 @@
 	case failure.Reason == ReasonDeadline:
 		return admitter.Failed
 	case errors.As(failure, &invalid):
-		// Bytes that are no response show no crash. Its requests would be blocked for one.
+		// An invalid head is no evidence of a crash, for which the requests in flight may be blocked.
 		return admitter.Failed
 	default:
 		return connectionLossOutcome(ctx)
--- a/rhubarbtrackd/internal/exchanger/exchanger.go
+++ b/rhubarbtrackd/internal/exchanger/exchanger.go
@@ -217,7 +217,7 @@
 func (c *pooledConn) readHead(request *http.Request) (*http.Response, error) {
 	c.readsHead, c.head = true, validator.Head{}
 	defer func() { c.readsHead = false }()
-	// The buffer may hold the begin of the head, behind the response before.
+	// The buffer may hold the first bytes of the head, behind the response before.
 	buffered, err := c.reader.Peek(c.reader.Buffered())
 	if err != nil {
 		return nil, err
--- a/rhubarbtrackd/internal/exchanger/malformed_test.go
+++ b/rhubarbtrackd/internal/exchanger/malformed_test.go
@@ -14,8 +14,7 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/exchanger"
 )
 
-// Guards against a response whose head is no message of HTTP/1.1 that reaches the caller, and against bytes behind such a head that
-// are taken for the response.
+// Guards against an invalid head that is taken for a response, and against bytes behind it that are.
 func TestMalformedHeadsAreNoResponse(t *testing.T) {
 	behind := responseText("b", "in")
 	interim := func(form string) string { return strings.TrimSuffix(form, "xy") }
@@ -84,7 +83,7 @@
 	}
 }
 
-// Guards against a protocol switch that reaches the caller: the host asks for none, so its connection would carry another protocol.
+// Guards against a switch of protocols that reaches the caller, although the host has asked for none.
 func TestSwitchOfProtocolsIsNoResponse(t *testing.T) {
 	u := newUpstream(t, func(_ int, r *http.Request) string {
 		return "HTTP/1.1 101 Switching Protocols\r\nRequest-Id: " + r.Header.Get(idHeader) + "\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
@@ -95,7 +94,7 @@
 	assert.Equal(t, kindOf(err), exchanger.NoResponse, "%+v", response)
 }
 
-// Guards against a response whose end the head does not tell, and which reaches the caller with another body than the upstream's.
+// Guards against a response of unclear length that reaches the caller with another body than the upstream's.
 func TestUnclearFramingIsNoResponse(t *testing.T) {
 	const chunks = "2\r\nok\r\n0\r\n\r\n"
 	tests := []struct{ name, version, fields, body string }{
--- a/rhubarbtrackd/internal/router/malformed_test.go
+++ b/rhubarbtrackd/internal/router/malformed_test.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -15,8 +13,7 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/exchanger"
 )
 
-// Guards against a suspected upstream that gets requests again because it sent a head that is no message of HTTP/1.1, and against one
-// that stays suspected because of a rare form of a sound response.
+// Guards against a suspected upstream that gets requests again because of an invalid head, or none in spite of a sound one.
 func TestHeadsOfHealthChecks(t *testing.T) {
 	const sound = "HTTP/1.1 200 OK\r\nBackend-Id: u\r\nContent-Length: 2\r\n\r\nok"
 	tests := []struct {
@@ -35,16 +32,7 @@
 				listener, err := net.Listen("tcp", "127.0.0.1:0")
 				assert.NilError(t, err)
 				defer listener.Close()
-				go func() {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					defer conn.Close()
-					if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-						_, _ = io.WriteString(conn, form.Text)
-					}
-				}()
+				go simulator.Respond(listener, func(*http.Request) string { return form.Text })
 				r := &Router{options: Options{Pool: exchanger.New(exchanger.Options{IDHeader: "Attempt-Id"})}}
 				u := registrar.Upstream{Incarnation: identifier.Incarnation{ID: "u", Start: 1}, Address: listener.Addr().String()}
 				assert.Equal(t, r.respondsToHealthCheck(u, "/health"), tt.responds)
--- a/rhubarbtrackd/internal/runner/malformed_test.go
+++ b/rhubarbtrackd/internal/runner/malformed_test.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"bufio"
 	"context"
 	"crypto/sha1"
 	"encoding/base64"
@@ -45,25 +44,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				request, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, respond(request))
-				_, _ = io.Copy(io.Discard, reader) // until the daemon closes the connection
-			}()
-		}
-	}()
+	go simulator.Respond(listener, respond)
 	return listener.Addr().String()
 }
 
@@ -103,8 +84,7 @@
 	})
 }
 
-// Guards against a response of an upstream with a head that is no message of HTTP/1.1 that reaches the caller, that counts as a
-// statement that the request has not run, or as a crash of the upstream, for which its requests would be blocked.
+// Guards against an invalid head that reaches the caller, or that counts as a rejection or as a crash, for which requests are blocked.
 func TestMalformedHeadsOfUpstreams(t *testing.T) {
 	t.Parallel()
 	tests := []struct{ name, sent, rest string }{
@@ -133,7 +113,7 @@
 	}
 }
 
-// Guards against a response of another host with such a head that counts as that of the upstream, or as a rejection.
+// Guards against an invalid head of another host that counts as the response of the upstream, or as a rejection.
 func TestMalformedHeadsOfHosts(t *testing.T) {
 	t.Parallel()
 	f := forwarder.New(forwarder.Options{
@@ -166,7 +146,7 @@
 		base64.StdEncoding.EncodeToString(digest[:]) + "\r\n\r\n"
 }
 
-// Guards against a connection to another host that counts although the response to its handshake has such a head.
+// Guards against a connection to another host whose handshake was answered with an invalid head.
 func TestMalformedHeadsOfHandshakes(t *testing.T) {
 	t.Parallel()
 	connects := func(t *testing.T, respond func(r *http.Request) string) bool {
@@ -189,7 +169,7 @@
 	}
 }
 
-// Guards against an order of the granter that is decided by such a head. The granter uses the transport as it is.
+// Guards against an order that is decided by an invalid head. The granter uses the transport as it is.
 func TestMalformedHeadsOfOrders(t *testing.T) {
 	t.Parallel()
 	for _, form := range simulator.Malformed(response("409 Conflict")) {
@@ -204,7 +184,7 @@
 	}
 }
 
-// Guards against a response of the store with such a head that proves that a write has taken effect, or that it has not.
+// Guards against an invalid head of the store that proves that a write has taken effect, or that it has not.
 func TestMalformedHeadsOfTheStore(t *testing.T) {
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
@@ -240,7 +220,7 @@
 	}
 }
 
-// Guards against sound responses that do not reach the caller because of a rare form of their heads.
+// Guards against a sound response that is rejected because of a rare form of its head.
 func TestUnusualHeadsOfUpstreams(t *testing.T) {
 	t.Parallel()
 	for _, form := range simulator.Unusual(response("200 OK")) {
--- a/rhubarbtrackd/internal/starter/malformed_test.go
+++ b/rhubarbtrackd/internal/starter/malformed_test.go
@@ -44,8 +44,7 @@
 	return s.replaced[attempt]
 }
 
-// Guards against a response whose head is no message of HTTP/1.1 that reaches the caller in any part, that is waited for until the
-// deadline, or that counts as a statement that the request has not run. The status 502 promises nothing.
+// Guards against an invalid head that reaches the caller in any part, late, or as the statement that the request has not run.
 func TestMalformedHeadsDoNotReachCallers(t *testing.T) {
 	t.Parallel()
 	const (
@@ -86,6 +85,7 @@
 					n, err := head.Check([]byte(got))
 					assert.NilError(t, err, "%q", got)
 					assert.Assert(t, head.IsComplete(), "%q", got)
+					// Unlike 503, this status does not promise that the request has not run.
 					assert.Equal(t, head.Status(), http.StatusBadGateway, "%q", got)
 					assert.Assert(t, !strings.Contains(got, marker), "%q", got)
 					assert.Assert(t, !strings.Contains(strings.ToLower(got[:n]), "\r\nx"), "%q", got)
@@ -119,7 +119,7 @@
 	}
 }
 
-// Guards against callers that get status 101: the host asks upstreams for no other protocol, and callers cannot know what follows.
+// Guards against callers that get status 101, although neither they nor the host have asked for another protocol.
 func TestSwitchOfProtocolsDoesNotReachCallers(t *testing.T) {
 	t.Parallel()
 	s := newSystem(t)
