soak: wait for the end of the last fault

No caller of the product saw anything wrong.

Cause, from the logs of that run: the store rejected all hosts until 04:09:28.872, for 8 s as always, while the faults of a run of 5 s ended at 04:09:25.186. The 15 s after which 0.95 must be served (docs/soak.md: after the last fault) were counted from the latter, so the load was measured 11.3 s after the last fault. Keys of ended upstreams got an owner again 11.2 s after the store served hosts; the requests that crash upstreams then ended the third one within the 3 s that are measured. Four responses of the run had an invalid head; all were failures of one request.

The run now waits for the end of the rejection before it counts the 15 s. The aim and the 15 s stay.

--- a/demo/internal/soaker/soaker.go
+++ b/demo/internal/soaker/soaker.go
@@ -134,11 +134,12 @@
 	}
 	callers := newCallers(c.callerAddresses(), c.accounts)
 	callers.start(ctx)
+	var rejection sync.WaitGroup
 	if c.accounts != nil {
 		go c.changeKeys(ctx)
 		go c.useFormerKeys(ctx)
 		if !c.planned {
-			go c.rejectHosts(ctx)
+			rejection.Go(func() { c.rejectHosts(ctx) })
 		}
 	}
 	if !c.planned {
@@ -147,6 +148,8 @@
 	}
 	c.injectFaults(ctx)
 	c.clearFaults(ctx)
+	// The rejection by the store can be the last fault. Its length does not depend on that of the run.
+	rejection.Wait()
 	c.settle(ctx)
 	settled := time.Now()
 	sleep(ctx, finalLoadTime)
