starter test: wait until all keys have owners before invalid heads are sent

The host was right: the request had been sent to no upstream.

Cause, a fault of the test. Hosts are ready as soon as some keys have owners. The upstreams of the tests carry out 10% of the grants late and without a response; a range whose first grant and its retry 0.16 s later are both late has no owner for longer than a request waits, half of the objective of the route.

Both logs have "grant" to u0 failed with EOF twice or three times, 0.16 s apart, then request-rejected with "the key has no owner" and 0 attempts for a key of u0.

The tests now call waitOwned, as others do, and demand the same as before.

--- a/rhubarbtrackd/internal/starter/malformed_test.go
+++ b/rhubarbtrackd/internal/starter/malformed_test.go
@@ -71,6 +71,7 @@
 		{"response to another request", strings.ReplaceAll(response("200 OK"), "%s", "other"), behind, true},
 	}
 	s := newSystem(t)
+	s.waitOwned(t)
 	for _, tt := range tests {
 		for _, form := range simulator.Malformed(tt.sent) {
 			for _, prefix := range simulator.Prefixes {
@@ -103,6 +104,7 @@
 	t.Parallel()
 	const body = "sound"
 	s := newSystem(t)
+	s.waitOwned(t)
 	sent := "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: 1\r\nContent-Length: 5\r\n\r\n" + body
 	for _, form := range simulator.Unusual(sent) {
 		for _, prefix := range simulator.Prefixes {
@@ -123,6 +125,7 @@
 func TestSwitchOfProtocolsDoesNotReachCallers(t *testing.T) {
 	t.Parallel()
 	s := newSystem(t)
+	s.waitOwned(t)
 	s.responses.Store("HTTP/1.1 101 Switching Protocols\r\nAttempt-Id: %s\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n")
 	for _, prefix := range simulator.Prefixes {
 		t.Run(prefix, func(t *testing.T) {
