follower: log when an upstream is found to be cold

Hosts now log upstream-warming with the time left, once for each cold phase that they find, and whether it came from the controller or the store.

--- a/rhubarbtrackd/internal/eventlog/eventlog.go
+++ b/rhubarbtrackd/internal/eventlog/eventlog.go
@@ -165,6 +165,7 @@
 	HostReconnected          = register(741, "host-reconnected", zap.InfoLevel, "This host is no longer isolated.")
 	KeysSuspended            = register(742, "keys-suspended", zap.WarnLevel, "This host cannot confirm its configuration any more and accepts no keys of client accounts; the field age contains the time since the last confirmation.")
 	KeysAccepted             = register(743, "keys-accepted", zap.InfoLevel, "This host accepts keys of client accounts again.")
+	UpstreamWarming          = register(744, "upstream-warming", zap.InfoLevel, "This host found that an upstream is cold; the field left contains the time until it is warm.")
 	LeadershipHandedOver     = register(750, "leadership-handed-over", zap.InfoLevel, "The controller hands its role over to a fitter host, because its own link or processor does not suffice.")
 	ControllerStarved        = register(751, "controller-starved", zap.WarnLevel, "The link or the processor of the controller does not suffice for its messages; it sends fewer load reports, then fewer run times and changes of tables.")
 	ControllerSufficient     = register(752, "controller-sufficient", zap.InfoLevel, "Link and processor of the controller suffice again for all its messages.")
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -248,6 +248,7 @@
 		s.Kept[id] = true
 	}
 	f.logRemovals(f.snapshot.Load(), s)
+	f.logColdPhases(f.snapshot.Load(), s)
 	for domain, since := range f.takenOut {
 		s.TakenOut[domain] = since
 	}
--- a/rhubarbtrackd/internal/follower/kinds.go
+++ b/rhubarbtrackd/internal/follower/kinds.go
@@ -127,6 +127,17 @@
 	}
 }
 
+// logColdPhases logs the upstreams that are cold and were not in the last snapshot. The caller holds the mutex.
+func (f *Follower) logColdPhases(old, s *Snapshot) {
+	now := f.options.Now()
+	for id, u := range s.Upstreams {
+		if former := old.Upstreams[id]; now < u.ColdEnd && (former.Incarnation != u.Incarnation || now >= former.ColdEnd) {
+			f.options.Log.Log(eventlog.UpstreamWarming, zap.String("upstream", id), zap.Int64("start", u.Start),
+				zap.Duration("left", u.ColdEnd-now), zap.Bool("relayed", f.relayed), zap.Int64("revision", f.revision))
+		}
+	}
+}
+
 // logRemovals logs the upstreams whose entries are missing since the last snapshot. The caller holds the mutex.
 func (f *Follower) logRemovals(old, s *Snapshot) {
 	for id, end := range f.list.Kept() {
