follower: a failure domain returns after its upstreams were read again

A host reads failure domains and upstreams with calls of their own, and pauses for 150 ms after each change of upstreams. It could read the return of a failure domain before cold phases that were written earlier, and sent to cold upstreams as if they were warm until these arrived. The platform's pages say that upstreams of such a domain may have become cold shortly before.

A failure domain whose return was read stays taken out until a list of the upstreams was requested after that and has arrived. The list begins at once, because a watch returns only with the next change. Hosts that follow the relay get both from the copy of the controller, which reads them so.

Evidence: TestReturnOfAFailureDomainFollowsItsColdPhases failed before, 3 of 3 runs: row "pause after a change of upstreams" in all, row "lists after an outage" in two. With the change 5 of 5 pass. TestReturnOfAFailureDomainDoesNotWaitForChanges holds before and after: the return takes no longer than a list.

--- a/rhubarbtrackd/internal/follower/calls.go
+++ b/rhubarbtrackd/internal/follower/calls.go
@@ -71,7 +71,7 @@
 		// After a panic, the next list replaces what the call may have changed in part.
 		next, err := position{}, errors.New("the response of the store could not be handled")
 		f.options.Panics.Do("follow-store", func() {
-			if at.lists || at.revision == 0 {
+			if at.lists || at.revision == 0 || kind.kind == translator.UpstreamKind && f.awaitsUpstreams() {
 				next, err = f.relist(call, kind, at.revision, skip)
 			} else {
 				next, err = f.watch(call, kind, at.revision, skip)
@@ -152,6 +152,9 @@
 		f.recency.list(kind.kind, sentAt)
 		f.transfer = list.Transfer
 		kind.replace(now, list.Objects)
+		if kind.kind == translator.UpstreamKind {
+			f.endReturns(sentAt)
+		}
 		next.lists = f.listsNext(kind, applied)
 		if kind.supersedes && former != 0 && f.configVersion() == applied {
 			// If the newest version cannot be decoded, a watch finds the versions before it.
--- a/rhubarbtrackd/internal/follower/follower.go
+++ b/rhubarbtrackd/internal/follower/follower.go
@@ -139,6 +139,7 @@
 	superseded    atomic.Bool  // see LacksConfiguration
 	behind        atomic.Bool  // see IsBehindController
 	takenOut      map[string]time.Duration
+	returning     map[string]time.Duration // see beginReturn
 	draining      map[identifier.Incarnation]time.Duration
 	listed        bool
 	failing       map[string]time.Duration // kind to the time of the first failure in a row
@@ -169,7 +170,7 @@
 		options.OnConfigurationRead = func(string, downloader.Transfer, error) {}
 	}
 	f := &Follower{
-		options: options, list: registrar.New(), takenOut: map[string]time.Duration{},
+		options: options, list: registrar.New(), takenOut: map[string]time.Duration{}, returning: map[string]time.Duration{},
 		draining: map[identifier.Incarnation]time.Duration{}, failing: map[string]time.Duration{}, rejected: map[string]int64{},
 		calls: map[string]*call{}, announced: make(chan struct{}, 1), recency: newRecency(),
 	}
--- a/rhubarbtrackd/internal/follower/kinds.go
+++ b/rhubarbtrackd/internal/follower/kinds.go
@@ -62,44 +62,6 @@
 	f.list.Put(u)
 }
 
-func (f *Follower) replaceTakeOuts(_ time.Duration, objects []storer.Object) {
-	present := map[string]bool{}
-	for _, object := range objects {
-		present[object.Name] = true
-		f.takeOut(object.Name)
-	}
-	for domain := range f.takenOut {
-		if !present[domain] {
-			f.clearTakeOut(domain)
-		}
-	}
-}
-
-func (f *Follower) putTakeOut(_ time.Duration, event storer.Event) {
-	if event.Removed {
-		f.clearTakeOut(event.Object.Name)
-		return
-	}
-	f.takeOut(event.Object.Name)
-}
-
-func (f *Follower) takeOut(domain string) {
-	if _, known := f.takenOut[domain]; known {
-		return
-	}
-	f.takenOut[domain] = f.recency.begin(translator.TakeOutKind, domain)
-	f.options.Log.Log(eventlog.DomainTakenOut, zap.String("failure-domain", domain),
-		zap.Duration("age", f.options.Now()-f.takenOut[domain]))
-}
-
-func (f *Follower) clearTakeOut(domain string) {
-	if _, known := f.takenOut[domain]; !known {
-		return
-	}
-	delete(f.takenOut, domain)
-	f.options.Log.Log(eventlog.DomainReturned, zap.String("failure-domain", domain))
-}
-
 // replaceBlocked passes on the stored blocked requests. One that is missing stays blocked, because the write of its object
 // may still be on its way.
 func (f *Follower) replaceBlocked(_ time.Duration, objects []storer.Object) {
