throttler, coordinator: shares of common limits hold while hosts change

Shown by a simulation of hosts that use all that they may (new test): after a new controller was elected, cold upstreams got up to 75 requests in a second where 13.7 are allowed, in a rolling restart 16, after a restart of all hosts 36, while hosts are cut off from the controller 16. Starting hosts had 143 retries where the slack of the budget is 62.

Cause: a controller counted the hosts that were connected, in their order. A new one counted from 1 up, and each step changed the numbers and positions of hosts, while those that had not connected yet used their former shares. With each step, hosts made new, full buckets for all cold upstreams. A host that was cut off used its share without end, also when others had it.

- The controller counts all hosts that were connected within the last 6 s, in the order of their addresses.
It has the list from its predecessor.
A restart or another controller changes no position.
- A host keeps the tokens of its share over a change, and a share that is new to it begins without a burst.
- A host uses the highest number of hosts of the last 3 s, and a host that starts at least the default for its retries.
- The share of cold upstreams ends 5 s after the last heartbeat, before another host gets it.
A host has none before the first heartbeat; it then rejects such requests at once, as it does when its share is used up.

Accounts: the common limits of client accounts are given as tokens by the controller (apportioner) and are not divided by this count. Only the fair part of an account at one host is (share.go), which limits nothing over all hosts.

Evidence: TestSharesOfColdUpstreamsStayBelowTheirLimit failed before in 7 of 9 rows, TestShareOfColdUpstreamsEndsWithoutHeartbeats and TestRetriesOfStartingHostsStayWithinTheSlack failed as well.

Not covered: a host that restarts has a full retry budget again.

--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -1,13 +1,17 @@
 // Package throttler limits the requests of this host to its share of rate limits that apply to all hosts together.
 //
 // Hosts do not coordinate each request. The share of each host is so small that the sum of all shares, including
-// bursts, stays below the common limit.
+// bursts, stays below the common limit. It follows from the position of the host among all hosts, which the controller sends with
+// its heartbeats. While hosts start, stop or are cut off, some use an outdated position: a host uses the highest number of hosts for
+// a while, a share that is new to it begins without a burst, and a share ends without heartbeats before another host gets it.
 //
 // # Usage
 //
-//	share := throttler.ColdShare(id, index, hosts, limit)
-//	bucket := throttler.NewBucket(now, share.Rate, share.Burst)
-//	if bucket.Take(now) { ... }
+//	shares := throttler.NewShares(hosts)
+//	shares.SetPosition(now, index, hosts) // of each heartbeat
+//	if shares.TakeCold(now, upstream, limit) { ... }
+//	perRequest, burst := throttler.RetryShare(ratio, slack, shares.Hosts(now))
+//	bucket := throttler.NewBucket(now, 0, burst)
 //
 // Times are durations since an arbitrary origin.
 package throttler
--- a/rhubarbtrackd/internal/connector/message.go
+++ b/rhubarbtrackd/internal/connector/message.go
@@ -117,7 +117,7 @@
 	// Revision is the revision of the lease record, and Remaining the time until the lease expires.
 	Revision  int64
 	Remaining time.Duration
-	Index     int // position of the host among Hosts; the controller has 0
+	Index     int // position of the host among Hosts
 	Hosts     int
 	Tables    []TableChange
 	Loads     EncodedLoads
--- a/rhubarbtrackd/internal/coordinator/heartbeat.go
+++ b/rhubarbtrackd/internal/coordinator/heartbeat.go
@@ -33,7 +33,7 @@
 	})
 	c.beginTables(now)
 	signatures := c.signatures.takeChanged()
-	hosts := c.sendHeartbeats(now, func(peer *connector.Peer, heartbeat *connector.Heartbeat) {
+	sent := c.sendHeartbeats(now, func(peer *connector.Peer, heartbeat *connector.Heartbeat) {
 		heartbeat.Signatures = signatures
 		if !c.sentSignatures[peer] {
 			c.sentSignatures[peer] = true
@@ -46,25 +46,25 @@
 		}
 	})
 	c.options.OnHeartbeat(connector.Heartbeat{
-		Term: c.contender.Term(), Valid: true, Hosts: hosts, Loads: update.Loads, Doubted: update.Doubted,
+		Term: c.contender.Term(), Valid: true, Index: sent.own, Hosts: sent.hosts, Loads: update.Loads, Doubted: update.Doubted,
 		Suspects: tags(c.keyedSuspects()), MadeAt: c.options.Now(), Quotas: c.grantsFor(nil),
 	})
 }
 
 // sendHeartbeats sends every host a heartbeat with the state of the controller and the changes to tables and to the copy
-// of the store. complete adds the rest; it may be nil. The result is the number of hosts, including this one.
-func (c *Coordinator) sendHeartbeats(now time.Duration, complete func(*connector.Peer, *connector.Heartbeat)) int {
+// of the store. complete adds the rest; it may be nil. The result has the positions that were sent.
+func (c *Coordinator) sendHeartbeats(now time.Duration, complete func(*connector.Peer, *connector.Heartbeat)) positions {
 	peers := c.hub.Peers()
-	hosts := len(peers) + 1
-	for i, peer := range peers {
-		heartbeat := c.newHeartbeat(now, peer, i+1, hosts)
+	sent := c.hostList.positions(now, peers)
+	for _, peer := range peers {
+		heartbeat := c.newHeartbeat(now, peer, sent.index[peer], sent.hosts)
 		if complete != nil {
 			complete(peer, &heartbeat)
 		}
 		heartbeat.Addresses = c.hostList.update(peer)
 		c.send(peer, heartbeat)
 	}
-	return hosts
+	return sent
 }
 
 // maxFullEntries bounds the entries of full states that are sent between two broadcasts. The hosts that wait get their full
--- a/rhubarbtrackd/internal/coordinator/hostlist.go
+++ b/rhubarbtrackd/internal/coordinator/hostlist.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"rhubarbtrack.example/core/throttler"
 	"rhubarbtrack.example/rhubarbtrackd/internal/connector"
 )
 
@@ -81,6 +82,40 @@
 	return missing
 }
 
+// positions are those of the hosts that may use shares of common limits.
+type positions struct {
+	own   int
+	index map[*connector.Peer]int
+	hosts int // number of them
+}
+
+// positions returns the positions of this host and of the connected ones. Hosts that were connected within throttler.HostMemory count
+// as well. The order is that of the addresses, so that a new controller, or a host that restarts, changes no position.
+func (l *hostList) positions(now time.Duration, peers []*connector.Peer) positions {
+	p := positions{index: map[*connector.Peer]int{}}
+	for _, peer := range peers {
+		l.observe(now, peer.Address)
+	}
+	addresses := []string{l.own}
+	for address, seen := range l.lastSeen {
+		if now < seen+throttler.HostMemory {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	p.own, _ = slices.BinarySearch(addresses, l.own)
+	p.hosts = len(addresses)
+	for _, peer := range peers {
+		index, listed := slices.BinarySearch(addresses, peer.Address)
+		if !listed || peer.Address == l.own {
+			index = p.hosts
+			p.hosts++
+		}
+		p.index[peer] = index
+	}
+	return p
+}
+
 // update returns the list, or nil if its present version was already sent to the host.
 func (l *hostList) update(peer *connector.Peer) []string {
 	if l.sentVersions[peer] == l.version {
--- a/rhubarbtrackd/internal/coordinator/hostlist_test.go
+++ b/rhubarbtrackd/internal/coordinator/hostlist_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 
+	"rhubarbtrack.example/core/throttler"
 	"rhubarbtrack.example/rhubarbtrackd/internal/connector"
 )
 
@@ -34,3 +35,42 @@
 	former.removePeer(b)
 	assert.DeepEqual(t, former.update(b), []string{"a", "b", "c"})
 }
+
+// Guards against positions that change when hosts restart or another host becomes the controller: hosts would use shares of limits
+// that others still use.
+func TestPositionsOfHosts(t *testing.T) {
+	peer := func(address string) *connector.Peer { return &connector.Peer{Host: address, Address: address} }
+	for _, tt := range []struct {
+		name      string
+		own       string
+		known     []string // from the former controller, at 0
+		connected []string
+		at        time.Duration
+		want      []int // of connected
+		wantOwn   int
+		hosts     int
+	}{
+		{"all are connected", "a", nil, []string{"b", "c"}, 0, []int{1, 2}, 0, 3},
+		{"another controller", "b", nil, []string{"a", "c"}, 0, []int{0, 2}, 1, 3},
+		{"new controller while hosts connect", "b", []string{"a", "b", "c", "d"}, []string{"d"}, time.Second, []int{3}, 1, 4},
+		{"hosts that have not connected again", "b", []string{"a", "b", "c", "d"}, []string{"d"}, throttler.HostMemory, []int{1}, 0, 2},
+		{"host whose address is unknown", "a", nil, []string{"", "b"}, 0, []int{2, 1}, 0, 3},
+		{"two hosts whose addresses are unknown", "a", nil, []string{"", ""}, 0, []int{1, 2}, 0, 3},
+		{"no other host", "a", nil, nil, 0, nil, 0, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			l := newHostList(tt.own)
+			l.replace(0, tt.known)
+			var peers []*connector.Peer
+			for _, address := range tt.connected {
+				peers = append(peers, peer(address))
+			}
+			got := l.positions(tt.at, peers)
+			assert.Equal(t, got.own, tt.wantOwn)
+			assert.Equal(t, got.hosts, tt.hosts)
+			for i, p := range peers {
+				assert.Equal(t, got.index[p], tt.want[i], "host %d", i)
+			}
+		})
+	}
+}
--- a/rhubarbtrackd/internal/coordinator/pacing.go
+++ b/rhubarbtrackd/internal/coordinator/pacing.go
@@ -160,8 +160,9 @@
 // sendResignation informs all hosts that this one has given up the lease, so that they need not wait for missing heartbeats.
 func (c *Coordinator) sendResignation() {
 	now, peers := c.options.Now(), c.hub.Peers()
-	for i, peer := range peers {
-		heartbeat := c.newHeartbeat(now, peer, i+1, len(peers)+1)
+	positions := c.hostList.positions(now, peers)
+	for _, peer := range peers {
+		heartbeat := c.newHeartbeat(now, peer, positions.index[peer], positions.hosts)
 		heartbeat.Resigned = true
 		c.send(peer, heartbeat)
 	}
--- a/rhubarbtrackd/internal/coordinator/quotas.go
+++ b/rhubarbtrackd/internal/coordinator/quotas.go
@@ -112,17 +112,14 @@
 	if len(report.Rows) == 0 || !c.updateQuotas(now) || !c.quotas.controller.Report(now, peer, report) {
 		return
 	}
-	peers := c.hub.Peers()
-	positions := make(map[*connector.Peer]int, len(peers))
-	for i, p := range peers {
-		positions[p] = i + 1
-	}
+	positions := c.hostList.positions(now, c.hub.Peers())
 	for _, p := range c.quotas.controller.ApportionWaiting(now, peer) {
-		switch position := positions[p]; {
-		case p == nil:
+		if p == nil {
 			c.options.OnGrants(now, c.contender.Term(), *c.grantsFor(nil))
-		case position > 0:
-			c.send(p, c.newStatus(now, p, position, len(peers)+1))
+			continue
+		}
+		if index, connected := positions.index[p]; connected {
+			c.send(p, c.newStatus(now, p, index, positions.hosts))
 		}
 	}
 }
--- a/rhubarbtrackd/internal/router/choose.go
+++ b/rhubarbtrackd/internal/router/choose.go
@@ -10,7 +10,6 @@
 	"rhubarbtrack.example/core/inhibitor"
 	"rhubarbtrack.example/core/registrar"
 	"rhubarbtrack.example/core/selector"
-	"rhubarbtrack.example/core/throttler"
 	"rhubarbtrack.example/rhubarbtrackd/internal/follower"
 )
 
@@ -52,14 +51,8 @@
 	if now >= u.ColdEnd || j.service.ColdRate == 0 {
 		return true
 	}
-	bucket := r.coldBuckets[u.Incarnation]
-	if bucket == nil {
-		limit := j.service.ColdRate*r.limits.Load().ColdRateFactor + r.limits.Load().ColdSlack
-		share := throttler.ColdShare(u.ID, r.index, r.hosts, limit)
-		bucket = throttler.NewBucket(now, share.Rate, share.Burst)
-		r.coldBuckets[u.Incarnation] = bucket
-	}
-	return bucket.Take(now)
+	limits := r.limits.Load()
+	return r.shares.TakeCold(now, u.Incarnation, j.service.ColdRate*limits.ColdRateFactor+limits.ColdSlack)
 }
 
 // chooseOwner finds the owner of the key. It waits up to maxOwnerWait while the key is being moved.
--- a/rhubarbtrackd/internal/router/heartbeat.go
+++ b/rhubarbtrackd/internal/router/heartbeat.go
@@ -34,10 +34,7 @@
 	if r.applyQuotas(now, snapshot, heartbeat) {
 		r.options.ReportSoon()
 	}
-	if heartbeat.Hosts != r.hosts || heartbeat.Index != r.index {
-		r.hosts, r.index = heartbeat.Hosts, heartbeat.Index
-		clear(r.coldBuckets)
-	}
+	r.shares.SetPosition(now, heartbeat.Index, heartbeat.Hosts)
 	for _, load := range loads {
 		if u, ok := snapshot.Resolve(load.Upstream); ok {
 			r.selector.RecordSharedLoad(now-load.Age, u.Incarnation, load.Load)
--- a/rhubarbtrackd/internal/router/retry.go
+++ b/rhubarbtrackd/internal/router/retry.go
@@ -10,7 +10,7 @@
 // holds the mutex.
 func (r *Router) retryBucket(now time.Duration, service string) (bucket *throttler.Bucket, perRequest float64) {
 	limits := r.limits.Load()
-	perRequest, burst := throttler.RetryShare(limits.RetryRatio, limits.RetrySlack, r.hosts)
+	perRequest, burst := throttler.RetryShare(limits.RetryRatio, limits.RetrySlack, r.shares.Hosts(now))
 	bucket = r.retryBuckets[service]
 	if bucket == nil {
 		bucket = throttler.NewBucket(now, 0, burst)
--- a/rhubarbtrackd/internal/router/router.go
+++ b/rhubarbtrackd/internal/router/router.go
@@ -91,7 +91,7 @@
 // after that, so a host that may lack a newer version rejects the request instead.
 const maxDenyAge = 2 * time.Second
 
-// defaultHosts is the number of hosts among which limits are divided until a heartbeat contains the actual number.
+// defaultHosts is the number of hosts among which limits are divided until heartbeats contain the actual number.
 const defaultHosts = 16
 
 // Router is safe for concurrent use.
@@ -101,10 +101,8 @@
 	selector     *selector.Selector
 	shedder      *shedder.Shedder
 	prioritizer  *prioritizer.Prioritizer
-	coldBuckets  map[identifier.Incarnation]*throttler.Bucket
+	shares       *throttler.Shares
 	retryBuckets map[string]*throttler.Bucket
-	index        int // of this host among hosts
-	hosts        int
 	observed     observations
 	sent         int // requests since the last call of TakeSendCounts
 	unsent       int
@@ -126,8 +124,7 @@
 func New(options Options) *Router {
 	r := &Router{
 		options: options, selector: selector.New(options.Seed), shedder: shedder.New(options.Seed), prioritizer: prioritizer.New(),
-		coldBuckets:  map[identifier.Incarnation]*throttler.Bucket{},
-		retryBuckets: map[string]*throttler.Bucket{}, index: int(options.Seed % defaultHosts), hosts: defaultHosts,
+		shares: throttler.NewShares(defaultHosts), retryBuckets: map[string]*throttler.Bucket{},
 		observed: newObservations(), probing: map[identifier.Incarnation]bool{}, lastProbe: map[identifier.Incarnation]time.Duration{},
 		attempts:    map[identifier.Incarnation]*attempts{},
 		crashProbes: map[identifier.Incarnation]*crashProbe{}, inhibitor: inhibitor.New(options.Seed),
@@ -139,7 +136,7 @@
 	return r
 }
 
-// SetLimits replaces the limits. They apply to the next attempts; buckets of cold upstreams keep their rate.
+// SetLimits replaces the limits. They apply to the next attempts; the limits of cold upstreams stay.
 func (r *Router) SetLimits(limits Limits) { r.limits.Store(&limits) }
 
 // SetEnd sets the time at which requests are cancelled because the process shuts down. Those that are not expected to have a
@@ -191,7 +188,7 @@
 		return !isListed(upstream) && len(a.sentAt) == 0
 	})
 	maps.DeleteFunc(r.lastProbe, func(upstream identifier.Incarnation, _ time.Duration) bool { return !isListed(upstream) })
-	maps.DeleteFunc(r.coldBuckets, func(upstream identifier.Incarnation, _ *throttler.Bucket) bool { return !isListed(upstream) })
+	r.shares.Forget(isListed)
 }
 
 // job is the state of one request.
--- a/rhubarbtrackd/internal/router/share.go
+++ b/rhubarbtrackd/internal/router/share.go
@@ -17,7 +17,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	// The limit holds for all hosts, which get about equal parts of the requests.
-	weight := j.account.Rate / float64(max(1, r.hosts))
+	weight := j.account.Rate / float64(r.shares.Hosts(now))
 	j.beyondShare = r.sharer.Ask(now, j.service.Name, j.account.Name, weight)
 }
 
