--- a/core/throttler/shares.go
+++ b/core/throttler/shares.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// Hosts returns the number of hosts that share the limits, which is at least 1. When all hosts have started, the first heartbeats count
-// those that have connected yet.
+// Hosts returns the number of hosts that share the limits, which is at least 1. After a start of all hosts, the first heartbeats count
+// only those that have connected, so the assumed number holds for some time.
 func (s *Shares) Hosts(now time.Duration) int {
 	if !s.confirmed || now < s.firstAt+countMemory {
 		return max(1, s.assumed, s.highest)
