--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -29,6 +29,7 @@
 
 var cases = map[string]func(ctx context.Context, w *World, trouble bool) int{
 	"drill":     playDrill,
+	"gone":      playGone,
 	"pipelined": playPipelined,
 	"starved":   playStarved,
 	"stopping":  playStopping,
--- a/review/lab-3/world.go
+++ b/review/lab-3/world.go
@@ -38,6 +38,7 @@
 	Record    *Record
 	Store     *Store
 	Hosts     []*Host
+	OnEnd     func(attempt string) // called when a server has ended its work on a request; may be nil
 	folder    string
 	address   string // of the store
 	server    *http.Server
@@ -119,7 +120,7 @@
 		w.Record.Line("grant %s keys %d-%d until %.3f", id, from, to, w.Record.Since(until))
 	}
 	u := &upstream{Upstream: simulator.NewUpstream(options), id: id, server: nil}
-	u.server = &http.Server{Handler: signed(u), ReadHeaderTimeout: 10 * time.Second}
+	u.server = &http.Server{Handler: w.signed(u), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = u.server.Serve(listener) }()
 	ctx, u.cancel = context.WithCancel(ctx)
 	w.mutex.Lock()
@@ -130,13 +131,16 @@
 	return nil
 }
 
-// signed adds the signature to the answers to requests, as the pages ask of servers.
-func signed(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+// signed adds the signature to the answers to requests, as the pages ask of servers, and reports the end of requests.
+func (w *World) signed(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(answer http.ResponseWriter, r *http.Request) {
 		if attempt := r.Header.Get("Attempt-Id"); attempt != "" {
-			w.Header().Set("Response-Signature", simulator.Sign(attempt, r.URL.RequestURI()))
+			answer.Header().Set("Response-Signature", simulator.Sign(attempt, r.URL.RequestURI()))
+			if w.OnEnd != nil {
+				defer w.OnEnd(attempt)
+			}
 		}
-		handler.ServeHTTP(w, r)
+		handler.ServeHTTP(answer, r)
 	})
 }
 
