exchanger: a connection that fails during an upload does not end a response

Callers saw: an upstream that answered a long upload at once, with status 200 and no length, sent a part of the body and reset the connection. The caller got that part as a complete response, with a length of its own or with a last chunk.

Cause: the kernel reports the failure of a connection to one call only. The upload got it, and the reads behind it returned what had arrived and then the end of the file, as after an end that the upstream has sent. The exchanger kept the failed write only as "not reusable". The same holds for the time-out of TCP_USER_TIMEOUT, when an upstream neither reads nor resets, and for a connection that is closed with the upload unread.

Evidence: strace of the first row of TestEndOfAnEarlyResponse on the code before, .329 write(8, ..., 13312) = -1 EAGAIN .417 setsockopt(9, SOL_SOCKET, SO_LINGER, {l_onoff=1, l_linger=0}) (the upstream) .417 write(8, ..., 13312) = -1 ECONNRESET .417 read(8, "HTTP/1.1 200 OK\r\nRequest-Id: b\r\n"..., 2048) = 1067 .417 read(8, "", 2048) = 0 A program that writes and reads a socket in each form saw ECONNRESET for a reset or a close with unread bytes, ETIMEDOUT for silence, and EPIPE where the upstream had ended its stream before the reset. Each time the reads behind it ended with EOF.

Why this works: package delimiter keeps the first failure that a write has received, and reads return it instead of io.EOF. EPIPE as the first failure says that the end of the stream came before the reset, so an early response that its upstream has ended is still served. Responses with a length or chunks never read the end of the file.

--- a/rhubarbtrackd/internal/exchanger/exchanger.go
+++ b/rhubarbtrackd/internal/exchanger/exchanger.go
@@ -1,10 +1,12 @@
 // Package exchanger sends HTTP/1.1 requests to upstreams over a pool of persistent connections.
 //
-// It differs from the transport of net/http in five points. It never sends a request again by itself, because the
+// It differs from the transport of net/http in six points. It never sends a request again by itself, because the
 // request may have run. Its errors state whether the upstream can have received the request. It returns only responses
 // that it can attribute to the request, by their ID or because the connection has carried no other request. It accepts only
 // heads that are valid by package validator, also of interim responses and of responses to other requests; an invalid one
-// ends the connection. It bounds the bytes that it reads for a response whose body is not passed on.
+// ends the connection. A body without a length is complete only if the upstream has ended it: by package delimiter, a connection that
+// fails while the request is still sent does not end a body. It bounds the bytes that it reads for a response whose body is not passed
+// on.
 //
 // # Usage
 //
@@ -31,6 +33,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"rhubarbtrack.example/core/delimiter"
 	"rhubarbtrack.example/core/identifier"
 	"rhubarbtrack.example/core/validator"
 	"rhubarbtrack.example/rhubarbtrackd/internal/eventlog"
@@ -154,7 +157,7 @@
 }
 
 type pooledConn struct {
-	net.Conn
+	*delimiter.Conn
 	traffic     *Traffic // of the present exchange; nil: not counted
 	reader      *bufio.Reader
 	used        bool // a request has been sent on the connection
@@ -173,7 +176,7 @@
 func (c *pooledConn) interrupt() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
 func newPooledConn(conn net.Conn) *pooledConn {
-	c := &pooledConn{Conn: conn, maxIdleTime: defaultIdleTime}
+	c := &pooledConn{Conn: delimiter.New(conn), maxIdleTime: defaultIdleTime}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c
 }
@@ -294,7 +297,7 @@
 		c := conns[len(conns)-1]
 		p.idle[target] = conns[:len(conns)-1]
 		p.mutex.Unlock()
-		if time.Since(c.idleSince) < min(c.maxIdleTime, longest) && isReusable(c.Conn) && !slices.Contains(c.failed, id) {
+		if time.Since(c.idleSince) < min(c.maxIdleTime, longest) && isReusable(c.NetConn()) && !slices.Contains(c.failed, id) {
 			return c
 		}
 		_ = c.Close()
@@ -386,7 +389,7 @@
 		return err
 	}
 	time.Sleep(wait)
-	if !isReusable(c.Conn) {
+	if !isReusable(c.NetConn()) {
 		_ = c.Close()
 		return &Error{"probe " + target.ID, Interrupted, errors.New("the connection was closed")}
 	}
--- a/rhubarbtrackd/internal/starter/answer_test.go
+++ b/rhubarbtrackd/internal/starter/answer_test.go
@@ -48,7 +48,13 @@
 func (s *system) setRouteTimeout(t *testing.T, timeout time.Duration) {
 	t.Helper()
 	const version = 9
-	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, simulator.ConfigurationWithTimeout(version, timeout), nil))
+	s.applyConfiguration(t, version, simulator.ConfigurationWithTimeout(version, timeout))
+}
+
+// applyConfiguration writes a configuration and waits until all hosts have applied it.
+func (s *system) applyConfiguration(t *testing.T, version int64, configuration map[string]any) {
+	t.Helper()
+	assert.NilError(t, s.store.Put(translator.ConfigurationKind, translator.ConfigurationName, configuration, nil))
 	time.Sleep(2 * time.Second)
 	deadline := time.Now().Add(readyWithin)
 	for _, h := range s.hosts {
--- a/rhubarbtrackd/internal/starter/partition_test.go
+++ b/rhubarbtrackd/internal/starter/partition_test.go
@@ -125,11 +125,16 @@
 
 // abort closes a connection with a reset.
 func abort(conn net.Conn) {
+	_ = unwrap(conn).SetLinger(0)
+	_ = conn.Close()
+}
+
+// unwrap returns the connection behind a partition.
+func unwrap(conn net.Conn) *net.TCPConn {
 	if through, ok := conn.(*partitionedConn); ok {
 		conn = through.Conn
 	}
-	_ = conn.(*net.TCPConn).SetLinger(0)
-	_ = conn.Close()
+	return conn.(*net.TCPConn)
 }
 
 // Accept implements net.Listener.
--- a/rhubarbtrackd/internal/starter/starter_test.go
+++ b/rhubarbtrackd/internal/starter/starter_test.go
@@ -57,6 +57,7 @@
 	replaced     map[string]int       // number of responses that were replaced by responses, by attempt
 	foreign      string               // an object that the store simulator adds to each list and watch
 	flood        atomic.Pointer[flood]
+	early        sync.Map               // *earlyResponse by attempt, which upstreams send before they read the request
 	headers      map[string]http.Header // of the requests that ran, by attempt
 	linkRate     float64                // in the settings of hosts that start from now on
 }
@@ -116,7 +117,7 @@
 			} else if start > 0 {
 				id = fmt.Sprintf("u%d-%d", i, start)
 			}
-			s.runUpstream(ctx, id, address, i, keyed, started)
+			s.runUpstream(t, ctx, id, address, i, keyed, started)
 			select {
 			case <-ctx.Done():
 			case <-time.After(s.restartDelay):
@@ -133,7 +134,7 @@
 }
 
 // runUpstream runs an upstream until it crashes or ctx is done. It sends the first one to started.
-func (s *system) runUpstream(ctx context.Context, id, address string, i int, keyed bool, started chan<- *process) {
+func (s *system) runUpstream(t *testing.T, ctx context.Context, id, address string, i int, keyed bool, started chan<- *process) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return // the next start tries again
@@ -180,7 +181,7 @@
 	}
 	s.processes = append(s.processes, p.upstream)
 	s.mutex.Unlock()
-	server := &http.Server{Handler: s.resettable(u)}
+	server := &http.Server{Handler: s.resettable(t, u)}
 	go func() { _ = server.Serve(p.network) }()
 	go func() { _ = u.Register(ctx, s.store) }()
 	select {
@@ -194,8 +195,13 @@
 
 // resettable returns a handler that resets connections while s.resetting is set, as an upstream does that has too many. It sends
 // s.responses instead of the responses to requests, if set.
-func (s *system) resettable(next http.Handler) http.Handler {
+func (s *system) resettable(t *testing.T, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e, ok := s.early.Load(r.Header.Get(translator.AttemptHeader)); ok {
+			s.countReplaced(r.Header.Get(translator.AttemptHeader))
+			e.(*earlyResponse).respond(t, w, r)
+			return
+		}
 		text, isSet := s.responses.Load().(string)
 		isSet = isSet && r.Header.Get(translator.AttemptHeader) != ""
 		if f := s.flood.Load(); f != nil && f.replaces(r) {
@@ -212,9 +218,7 @@
 		}
 		if isSet {
 			attempt := r.Header.Get(translator.AttemptHeader)
-			s.mutex.Lock()
-			s.replaced[attempt]++
-			s.mutex.Unlock()
+			s.countReplaced(attempt)
 			_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%s", attempt))
 			if s.holding.Load() {
 				_, _ = io.Copy(io.Discard, conn)
@@ -226,6 +230,12 @@
 	})
 }
 
+func (s *system) countReplaced(attempt string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.replaced[attempt]++
+}
+
 // crashTimes returns when requests have crashed upstreams, in order. Each process counts once, also when several requests that end
 // it have run there.
 func (s *system) crashTimes() []time.Time {
