--- a/rhubarbtrackd/internal/runner/malformed_test.go
+++ b/rhubarbtrackd/internal/runner/malformed_test.go
@@ -56,6 +56,15 @@
 
 // dispatch sends a request to the upstream at address over a transport of the daemon. observe gets what the admitter reports.
 func dispatch(t *testing.T, address string, observe func(admitter.Action)) (*dispatcher.Response, error) {
+	t.Helper()
+	return dispatchRequest(t, address, &dispatcher.Request{
+		ID: "request-1", Service: "marks", Upstream: "marks.u1", Method: http.MethodGet, URI: "/marks/x", Header: http.Header{},
+		Body: strings.NewReader(""),
+	}, observe)
+}
+
+// dispatchRequest is like dispatch, for a given request to the upstream marks.u1.
+func dispatchRequest(t *testing.T, address string, request *dispatcher.Request, observe func(admitter.Action)) (*dispatcher.Response, error) {
 	t.Helper()
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) }
@@ -78,10 +87,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	t.Cleanup(cancel)
-	return d.Dispatch(ctx, &dispatcher.Request{
-		ID: "request-1", Service: "marks", Upstream: "marks.u1", Method: http.MethodGet, URI: "/marks/x", Header: http.Header{},
-		Body: strings.NewReader(""),
-	})
+	return d.Dispatch(ctx, request)
 }
 
 // Guards against an invalid head that reaches the caller, or that counts as a rejection or as a crash, for which requests are blocked.
