--- a/core/delimiter/delimiter.go
+++ b/core/delimiter/delimiter.go
@@ -35,7 +35,7 @@
 	failure error      // the first that the kernel reported to a write; guarded by writing
 }
 
-// New returns a Conn over conn, whose methods must not be called directly from then on.
+// New returns a Conn over conn, whose Read and Write must not be called directly from then on.
 func New(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
 // NetConn returns the connection that New was called with.
@@ -68,7 +68,7 @@
 		if isOpen(c.Conn) {
 			return io.EOF
 		}
-		// The failure may have been reported to the write in progress, which then returns at once.
+		// If the connection has failed, the write in progress returns at once, with the failure if no other call has received it.
 		c.writing.Lock()
 	}
 	defer c.writing.Unlock()
--- a/rhubarbtrackd/internal/exchanger/ending_test.go
+++ b/rhubarbtrackd/internal/exchanger/ending_test.go
@@ -19,8 +19,7 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/exchanger"
 )
 
-// newEarlyUpstream starts an upstream that responds to request b with text before it has read the body, and then ends the
-// connection. With relayed, there is a proxy in front of it.
+// newEarlyUpstream starts an upstream that responds to request b with text before it has read the body, behind a proxy if relayed.
 func newEarlyUpstream(t *testing.T, text string, ending simulator.Ending, relayed bool) exchanger.Target {
 	t.Helper()
 	listen := func(serve func(conn *net.TCPConn)) string {
@@ -66,8 +65,7 @@
 	return exchanger.Target{Incarnation: identifier.Incarnation{ID: "u"}, Address: address}
 }
 
-// Guards against a response that looks complete although its connection failed while the request was still sent, and against a
-// complete one that is lost for that reason.
+// Guards against a response that a failed upload makes look complete, and against a complete one that is lost.
 func TestEndOfAnEarlyResponse(t *testing.T) {
 	const (
 		upload = 8 << 20 // more than the buffers of both sides hold
--- a/rhubarbtrackd/internal/runner/ending_test.go
+++ b/rhubarbtrackd/internal/runner/ending_test.go
@@ -20,8 +20,7 @@
 	"rhubarbtrack.example/rhubarbtrackd/internal/forwarder"
 )
 
-// Guards against callers that get a part of a response as a complete one, because the connection to the upstream, or to the host that
-// forwards the request, failed while the upload was still sent.
+// Guards against a part of an upstream's or another host's response that looks like the whole, because the upload failed.
 func TestEndOfAnEarlyResponse(t *testing.T) {
 	// With one processor the goroutine that writes runs before the one that reads, and gets the failure first.
 	processors := runtime.GOMAXPROCS(1)
--- a/rhubarbtrackd/internal/starter/ending_test.go
+++ b/rhubarbtrackd/internal/starter/ending_test.go
@@ -40,8 +40,7 @@
 	simulator.RespondEarly(unwrap(conn), upload, text, e.ending)
 }
 
-// Guards against callers that get a part of a response as a complete one, because the connection to the upstream failed while the
-// upload was still sent, and against callers that do not get a complete response for that reason.
+// Guards against callers that get a part of a response as the whole, or none of it, because an upload to the upstream failed.
 func TestEndOfAnEarlyResponseAtCallers(t *testing.T) {
 	t.Parallel()
 	tests := []struct {
